--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Two commands do all set-up on a fresh machine: `make demo` and `make test`.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+RUN_READY := $(VENV)/.run-ready
+DEV_READY := $(VENV)/.dev-ready
+
+.PHONY: demo test lint format soak measure slopes bench clean
+
+$(RUN_READY): requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+$(DEV_READY): requirements-dev.txt $(RUN_READY)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(RUN_READY)
+	$(BIN)/python examples/demo.py
+
+test: $(DEV_READY)
+	$(BIN)/pytest
+
+lint: $(DEV_READY)
+	$(BIN)/ruff format --check src tests bench
+	$(BIN)/ruff check src tests bench
+	$(BIN)/mypy
+
+format: $(DEV_READY)
+	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src tests bench
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; see docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/src/spanshunt/callers.py
@@ -0,0 +1,203 @@
+"""The callers' API: models, plain services, health."""
+
+import asyncio
+import typing as t
+
+import msgspec
+from aiohttp import web
+from result import Err
+from result import Result
+
+from .admission import authenticate
+from .admission import check_ready
+from .admission import read_chat
+from .admission import read_timeout
+from .admission import take_in
+from .exceptions import InvariantError
+from .ids import Micros
+from .ids import Millis
+from .ids import OrgId
+from .ids import RequestId
+from .ids import ServiceId
+from .logs import log_event
+from .model_calls import answer_chat
+from .plain_calls import KEY_HEADER
+from .plain_calls import PlainCall
+from .plain_calls import answer_call
+from .plain_calls import check_key
+from .refusals import Problem
+from .refusals import Refusal
+from .refusals import refusal_response
+from .router import Router
+from .systems.limiting import finish
+from .tables.config import OrgRow
+from .tables.config import ServiceKind
+from .tables.config import VersionState
+from .utils import new_request_id
+
+Answerer = t.Callable[[], t.Awaitable[web.StreamResponse]]
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """A row of the list of models."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "spanshunt"
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """The list of models, as OpenAI's API gives it."""
+
+    data: tuple[ModelEntry, ...]
+    object: str = "list"
+
+
+class CallerApi:
+    """The handlers of the callers' API.
+
+    Parameters
+    ----------
+    router : Router
+        The central object.
+    """
+
+    def __init__(self, router: Router) -> None:
+        self._router = router
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        bounds = self._router.settings.bounds
+        app = web.Application(client_max_size=bounds.body_bytes)
+        app.router.add_post("/v1/chat/completions", self._chat)
+        app.router.add_get("/v1/models", self._models)
+        app.router.add_route("*", "/services/{service}", self._service)
+        app.router.add_route("*", "/services/{service}/{path:.*}", self._service)
+        app.router.add_get("/healthz", self._health)
+        app.router.add_get("/readyz", self._ready)
+        return app
+
+    async def _chat(self, req: web.Request) -> web.StreamResponse:
+        request = new_request_id()
+        org = self._gate(req)
+        if isinstance(org, Err):
+            return self._refuse(org.err_value, request)
+        call = await read_chat(self._router, req, org.ok_value, request)
+        if isinstance(call, Err):
+            return self._refuse(call.err_value, request)
+        chat = call.ok_value
+        return await self._run(
+            org.ok_value, request, lambda: answer_chat(self._router, req, chat)
+        )
+
+    async def _service(self, req: web.Request) -> web.StreamResponse:
+        request = new_request_id()
+        org = self._gate(req)
+        if isinstance(org, Err):
+            return self._refuse(org.err_value, request)
+        call = self._plain_call(req, org.ok_value, request)
+        if isinstance(call, Err):
+            return self._refuse(call.err_value, request)
+        plain = call.ok_value
+        return await self._run(
+            org.ok_value, request, lambda: answer_call(self._router, req, plain)
+        )
+
+    def _plain_call(
+        self, req: web.Request, org: OrgRow, request: RequestId
+    ) -> Result[PlainCall, Refusal]:
+        router = self._router
+        name = ServiceId(req.match_info["service"])
+        service = router.state.config.services.get(name)
+        if (
+            service is None
+            or service.kind is not ServiceKind.PLAIN
+            or not org.allows_service(name)
+        ):
+            allowed = ", ".join(org.allowed) or "nothing"
+            detail = f"service {name!r} is not known here; allowed: {allowed}"
+            return Err(Refusal(Problem.NOT_FOUND, detail))
+        key = check_key(req.headers.get(KEY_HEADER, ""))
+        if isinstance(key, Err):
+            return key
+        now = router.clock.now()
+        return read_timeout(router, req).map(
+            lambda timeout: PlainCall(
+                request=request,
+                org=OrgId(org.name),
+                service=service,
+                path=req.raw_path[len(f"/services/{name}") :] or "/",
+                repeatable=req.method in service.repeatable,
+                key=key.ok_value,
+                began=now,
+                deadline=Millis(now + timeout),
+            )
+        )
+
+    def _gate(self, req: web.Request) -> Result[OrgRow, Refusal]:
+        ready = check_ready(self._router)
+        if isinstance(ready, Err):
+            return ready
+        return authenticate(self._router, req)
+
+    async def _run(
+        self, org: OrgRow, request: RequestId, answer: Answerer
+    ) -> web.StreamResponse:
+        router = self._router
+        taken = take_in(router, org, request)
+        if isinstance(taken, Err):
+            return self._refuse(taken.err_value, request)
+        try:
+            return await answer()
+        except InvariantError as exc:
+            router.on_broken(exc)
+            raise
+        except asyncio.CancelledError:
+            router.metrics.count("request.cancelled")
+            raise
+        finally:
+            router.running.discard(request)
+            cost = router.bills.take_cost(request)
+            wall = router.clock.wall()
+            finish(router.state.usage, OrgId(org.name), Micros(cost), wall)
+
+    async def _models(self, req: web.Request) -> web.StreamResponse:
+        request = new_request_id()
+        org = self._gate(req)
+        if isinstance(org, Err):
+            return self._refuse(org.err_value, request)
+        rows = self._router.state.config.versions.values()
+        usable = [
+            row
+            for row in rows
+            if org.ok_value.allows_version(row)
+            and row.state in (VersionState.ENTERING, VersionState.ACTIVE)
+        ]
+        names = {row.service for row in usable}
+        names |= {row.model for row in usable}
+        names |= {row.name for row in usable}
+        body = ModelList(tuple(ModelEntry(name) for name in sorted(names)))
+        return web.Response(
+            body=msgspec.json.encode(body), content_type="application/json"
+        )
+
+    async def _health(self, _req: web.Request) -> web.StreamResponse:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, _req: web.Request) -> web.StreamResponse:
+        reason = self._router.why_not_ready()
+        if reason:
+            return web.Response(status=503, text=f"{reason}\n")
+        return web.Response(text="ready\n")
+
+    def _refuse(self, refusal: Refusal, request: RequestId) -> web.Response:
+        self._router.metrics.count(f"refused.{refusal.problem.slug}")
+        log_event(
+            "INFO",
+            "refused",
+            request=request,
+            problem=refusal.problem.slug,
+            run=refusal.run.value,
+            detail=refusal.detail,
+        )
+        return refusal_response(refusal, request)
--- /dev/null
+++ b/src/spanshunt/duties.py
@@ -0,0 +1,123 @@
+"""Duties that some box must do: roll-out steps, snapshots.
+
+Neither needs a lease. A step is taken by the fold only in the stage it was judged in,
+and a snapshot says the same whoever makes it; so a duty done twice costs an append.
+The live boxes' ranks keep that rare.
+"""
+
+from result import Err
+from result import Ok
+
+from .appender import Appender
+from .clock import Clock
+from .ids import Millis
+from .ids import RolloutId
+from .logs import log_event
+from .metrics import Metrics
+from .records import RolloutStep
+from .records import Stream
+from .records import Verdict
+from .settings import Settings
+from .systems.fold import snapshot_of
+from .systems.following import snapshot_due
+from .systems.freshness import is_fresh
+from .systems.gossip import rank
+from .systems.guarding import judge_all
+from .tables.state import State
+from .tables.state import SuspendedRow
+
+TURN_MS = 2_000
+"""How long a box waits for each box that ranks before it."""
+
+
+class Duties:
+    """Judges roll-outs and makes snapshots.
+
+    Parameters
+    ----------
+    settings, state, clock, appender, metrics
+        The parts of the daemon that it works with.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: State,
+        clock: Clock,
+        appender: Appender,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._clock = clock
+        self._appender = appender
+        self._metrics = metrics
+        self._due_since: dict[str, Millis] = {}
+
+    async def judge_rollouts(self) -> None:
+        """Make the steps that roll-outs should make now.
+
+        A pull-back holds on this box at once and spreads by gossip, so that it needs
+        no log; the record makes it last.
+        """
+        state = self._state
+        due: set[str] = set()
+        for step in judge_all(
+            state.config, state.evidence, state.me.box, self._clock.wall()
+        ):
+            if step.verdict is Verdict.PULL_BACK:
+                self._suspend(step)
+            duty = f"rollout/{step.rollout}/{step.from_stage}/{step.verdict.value}"
+            due.add(duty)
+            if self._is_my_turn(duty):
+                await self._append_step(step)
+        for duty in [duty for duty in self._due_since if duty.startswith("rollout/")]:
+            if duty not in due:
+                del self._due_since[duty]
+
+    async def make_snapshot(self) -> None:
+        """Put a snapshot on the log when one is due."""
+        if not snapshot_due(self._state):
+            self._due_since.pop("snapshot", None)
+            return
+        if not self._is_my_turn("snapshot") or not self._is_fresh():
+            return
+        snapshot = snapshot_of(self._state.config)
+        match await self._appender.append_now(Stream.CONFIG, snapshot):
+            case Ok(offset):
+                self._state.snapshot_at = snapshot.config.next_offset
+                log_event("INFO", "snapshot on the log", offset=offset)
+            case Err(fault):
+                log_event("WARNING", "snapshot not appended", fault=fault.detail)
+
+    async def _append_step(self, step: RolloutStep) -> None:
+        match await self._appender.append_now(Stream.CONFIG, step):
+            case Ok(_):
+                self._metrics.count(f"rollout.{step.verdict.value}")
+                log_event(
+                    "INFO",
+                    f"roll-out {step.verdict.value}",
+                    rollout=step.rollout,
+                    reason=step.reason,
+                )
+            case Err(fault):
+                log_event("WARNING", "roll-out step not appended", fault=fault.detail)
+
+    def _suspend(self, step: RolloutStep) -> None:
+        rollout = self._state.config.rollouts[RolloutId(step.rollout)]
+        if rollout.version in self._state.suspended:
+            return
+        self._state.suspended[rollout.version] = SuspendedRow(
+            rollout.name, step.from_stage, step.reason, self._clock.now()
+        )
+        log_event("WARNING", "version suspended", version=rollout.version)
+
+    def _is_my_turn(self, duty: str) -> bool:
+        now = self._clock.now()
+        since = self._due_since.setdefault(duty, now)
+        place = rank(self._state, duty, now, self._settings.timing.suspect_ms)
+        return now - since >= place * TURN_MS
+
+    def _is_fresh(self) -> bool:
+        bound = self._settings.timing.fresh_ms
+        return is_fresh(self._state, self._clock.now(), bound)
--- /dev/null
+++ b/src/spanshunt/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons: gRPC with msgpack messages."""
--- /dev/null
+++ b/src/spanshunt/peers/service.py
@@ -0,0 +1,82 @@
+"""The server side of the protocol between daemons."""
+
+import typing as t
+
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Stream
+
+from .client import PREFIX
+from .messages import AskCall
+from .messages import CallStatus
+from .messages import Copied
+from .messages import CopyBills
+from .messages import Exchange
+from .messages import ExchangeAnswer
+from .messages import Gather
+from .messages import Gathered
+from .messages import Pin
+
+_Req = t.TypeVar("_Req")
+_Rep = t.TypeVar("_Rep")
+_AnyStream = Stream[t.Any, t.Any]
+
+
+class PeerHandlers(t.Protocol):
+    """What the daemon does with each call of a peer."""
+
+    async def exchange(self, told: Exchange) -> ExchangeAnswer:
+        """Exchange news."""
+
+    async def copy_bills(self, copy: CopyBills) -> Copied:
+        """Hold copies of bills."""
+
+    async def ask_call(self, ask: AskCall) -> CallStatus:
+        """Say how far a claimed call got."""
+
+    async def get_pin(self, pin: Pin) -> Pin:
+        """Return a session's version."""
+
+    async def put_pin(self, pin: Pin) -> Pin:
+        """Keep a session's version."""
+
+    async def gather(self, part: Gather) -> Gathered:
+        """Append a part of a batch."""
+
+
+class PeerService:
+    """The gRPC service; its mapping is written out, as there is no generator.
+
+    Parameters
+    ----------
+    handlers : PeerHandlers
+        What to do with each call.
+    """
+
+    def __init__(self, handlers: PeerHandlers) -> None:
+        self._handlers = handlers
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by path, as grpclib asks for them."""
+        does = self._handlers
+        return {
+            PREFIX + "Exchange": _unary(does.exchange, Exchange, ExchangeAnswer),
+            PREFIX + "CopyBills": _unary(does.copy_bills, CopyBills, Copied),
+            PREFIX + "AskCall": _unary(does.ask_call, AskCall, CallStatus),
+            PREFIX + "GetPin": _unary(does.get_pin, Pin, Pin),
+            PREFIX + "PutPin": _unary(does.put_pin, Pin, Pin),
+            PREFIX + "Gather": _unary(does.gather, Gather, Gathered),
+        }
+
+
+def _unary(
+    handle: t.Callable[[_Req], t.Awaitable[_Rep]],
+    req_type: type[_Req],
+    rep_type: type[_Rep],
+) -> Handler:
+    async def serve(stream: _AnyStream) -> None:
+        req = await stream.recv_message()
+        if req is not None:
+            await stream.send_message(await handle(req))
+
+    return Handler(serve, Cardinality.UNARY_UNARY, req_type, rep_type)
--- /dev/null
+++ b/src/spanshunt/systems/__init__.py
@@ -0,0 +1,1 @@
+"""Systems: plain functions over the tables. Nothing here does I/O."""
--- /dev/null
+++ b/src/spanshunt/systems/choice.py
@@ -0,0 +1,421 @@
+"""Choice: which version answers a request, by what is allowed and what was learned."""
+
+import enum
+import typing as t
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..ids import ClassId
+from ..ids import Micros
+from ..ids import OrgId
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..tables.config import Config
+from ..tables.config import OrgRow
+from ..tables.config import RolloutRow
+from ..tables.config import RolloutState
+from ..tables.config import ServiceRow
+from ..tables.config import VersionRow
+from ..tables.config import VersionState
+from ..tables.evidence import Cell
+from ..tables.evidence import Counts
+from ..tables.evidence import Pool
+from ..utils import unit_hash
+from .learning import Estimate
+from .learning import estimate
+
+EXPLORE_MOST = 0.10
+"""The largest share of a class's requests spent on learning of a cheaper version."""
+
+EXPLORE_LEAST = 0.01
+"""The share spent on it while the version in use is not known to have slack."""
+
+RATE_ALWAYS = 1.0
+RATE_UNSURE = 0.5
+RATE_SETTLED = 0.03
+"""Shares of answers sent to be rated: of a version on trial, of one whose interval
+spans the target, and of one that is settled, to see it turn bad."""
+
+NEW_MODEL_MOST = 0.25
+"""The largest share of a service's work that a model new to it enters with."""
+
+CASCADE_MOST = 0.9
+"""A cascade must cost at most this part of asking the dearer version at once."""
+
+CONFIDENT = "!sure"
+"""Suffix of the class under which answers are counted that the engine was sure of."""
+
+UNSURE = "!unsure"
+"""Suffix of the class under which the other answers are counted."""
+
+_USUAL = Counts(runs=1, prompt_tokens=500, output_tokens=200)
+
+
+class Rule(enum.Enum):
+    """Why a version was chosen."""
+
+    ASKED = "asked for by name"
+    SESSION = "the session is on it"
+    CHEAPEST = "cheapest that meets the target with confidence"
+    BEST = "none meets the target with confidence yet; the best known"
+    EXPLORE = "cheaper and may meet the target; on trial for a few requests"
+    ROLLOUT = "entering service; this request is in its share"
+    CASCADE = "cheaper; its answer is kept if the engine is sure of it"
+
+
+class Exclusion(msgspec.Struct, frozen=True):
+    """A version that was not chosen, and why."""
+
+    version: VersionId
+    reason: str
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A version for a request.
+
+    Attributes
+    ----------
+    version : str
+        The version.
+    rule : Rule
+        Why.
+    rate : float
+        The chance with which its answer is sent to be rated.
+    fallback : str
+        The version to ask when a cascade's answer is not good enough; empty for none.
+    excluded : tuple of Exclusion
+        Why not the others.
+    """
+
+    version: VersionId
+    rule: Rule
+    rate: float
+    fallback: VersionId = VersionId("")
+    excluded: tuple[Exclusion, ...] = ()
+
+
+class NoVersion(msgspec.Struct, frozen=True):
+    """No version may answer the request."""
+
+    excluded: tuple[Exclusion, ...]
+
+
+class Asked(msgspec.Struct, frozen=True):
+    """What a request asks for.
+
+    Attributes
+    ----------
+    service, request_class, org : str
+        Where it belongs.
+    named : str
+        A model or version that the caller named; empty for any.
+    pin : str
+        The version that its session is on; empty for none.
+    draw_key : str
+        The session, else the request: what draws for roll-outs and trials go by.
+    """
+
+    service: ServiceId
+    request_class: ClassId
+    org: OrgId
+    named: str = ""
+    pin: VersionId = VersionId("")
+    draw_key: str = ""
+
+
+class Worth(msgspec.Struct, frozen=True):
+    """A version, what its answers are worth and what one costs."""
+
+    row: VersionRow
+    estimate: Estimate
+    cost: float
+
+
+class Preference(msgspec.Struct, frozen=True):
+    """What to do with the requests of one organisation and class.
+
+    Attributes
+    ----------
+    main : Worth
+        The version that most get.
+    meets : bool
+        Whether it meets the target with confidence.
+    trial : Worth or None
+        A cheaper version on trial.
+    trial_share : float
+        The share of requests that it gets.
+    first : Worth or None
+        The version asked first in a cascade.
+    """
+
+    main: Worth
+    meets: bool
+    trial: Worth | None = None
+    trial_share: float = 0.0
+    first: Worth | None = None
+
+
+def choose(
+    config: Config, pool: Pool, asked: Asked, holds: t.Callable[[VersionId], bool]
+) -> Result[Choice, NoVersion]:
+    """Choose a version for a request.
+
+    Parameters
+    ----------
+    config : Config
+        The configuration in force.
+    pool : Pool
+        The evidence.
+    asked : Asked
+        The request.
+    holds : callable
+        Tells whether any live worker holds a version.
+    """
+    org = config.orgs[asked.org]
+    service = config.services[asked.service]
+    usable, excluded = _usable(config, org, asked, holds)
+    if asked.pin and _may_stay(config, org, asked.pin):
+        if asked.pin in {row.name for row in usable}:
+            return Ok(Choice(asked.pin, Rule.SESSION, RATE_SETTLED))
+        return Err(NoVersion(tuple(excluded)))
+    if not usable:
+        return Err(NoVersion(tuple(excluded)))
+    entering = [row for row in usable if row.state is VersionState.ENTERING]
+    settled = _newest(usable)
+    drawn = _drawn_rollout(config, entering, settled, asked)
+    if not settled and drawn is None:
+        return Err(NoVersion(tuple(excluded)))
+    if not settled and drawn is not None:
+        return Ok(_entering_choice(drawn, excluded))
+    target = target_of(org, service, asked.request_class)
+    preference = prefer(pool, settled, asked, target, service)
+    choice = _apply(preference, asked, excluded)
+    if drawn is not None and _replaces(config, drawn, choice.version, settled):
+        return Ok(_entering_choice(drawn, excluded))
+    return Ok(choice)
+
+
+def target_of(org: OrgRow, service: ServiceRow, name: ClassId) -> float:
+    """Return the quality that a class must reach for an organisation."""
+    row = service.request_class(name)
+    usual = row.target if row is not None else 0.0
+    return org.targets.get(f"{service.name}/{name}", usual)
+
+
+def prefer(
+    pool: Pool,
+    settled: list[VersionRow],
+    asked: Asked,
+    target: float,
+    service: ServiceRow,
+) -> Preference:
+    """Return what to do with the requests of one organisation and class.
+
+    The cheapest version whose lower bound meets the target is used. A cheaper one whose
+    upper bound meets it goes on trial, for no more requests than the slack of the
+    version in use pays for.
+    """
+    worths = sorted(
+        (_worth(pool, row, asked) for row in settled),
+        key=lambda worth: (worth.cost, worth.row.name),
+    )
+    meeting = [worth for worth in worths if worth.estimate.low >= target]
+    if meeting:
+        main = meeting[0]
+    else:
+        main = max(worths, key=lambda worth: (worth.estimate.mean, worth.cost))
+    cheaper = [worth for worth in worths if worth.cost < main.cost]
+    trial = _on_trial(cheaper, target)
+    share = _trial_share(main, trial, target) if trial is not None else 0.0
+    row = service.request_class(asked.request_class)
+    first = None
+    if row is not None and row.escalate:
+        first = _cascade_first(pool, cheaper, main, asked, target)
+    return Preference(main, bool(meeting), trial, share, first)
+
+
+def rate_share(worth: Worth, target: float, rivals: bool) -> float:
+    """Return the share of a version's answers to send to be rated.
+
+    Ratings are spent where they can change a decision: while the interval spans the
+    target and there is another version to turn to.
+    """
+    unsure = worth.estimate.low < target < worth.estimate.high
+    if unsure and rivals:
+        return RATE_UNSURE
+    return RATE_SETTLED
+
+
+def _may_stay(config: Config, org: OrgRow, pin: VersionId) -> bool:
+    """Tell whether a session may stay on its version.
+
+    One whose workers are all away waits for them: it is refused and does not move.
+    """
+    row = config.versions.get(pin)
+    if row is None or not org.allows_version(row):
+        return False
+    return row.state in (VersionState.ENTERING, VersionState.ACTIVE)
+
+
+def _usable(
+    config: Config,
+    org: OrgRow,
+    asked: Asked,
+    holds: t.Callable[[VersionId], bool],
+) -> tuple[list[VersionRow], list[Exclusion]]:
+    usable = []
+    excluded = []
+    for row in config.versions_of(asked.service):
+        reason = _exclusion(org, asked, row, holds)
+        if reason:
+            excluded.append(Exclusion(VersionId(row.name), reason))
+        else:
+            usable.append(row)
+    return usable, excluded
+
+
+def _exclusion(
+    org: OrgRow,
+    asked: Asked,
+    row: VersionRow,
+    holds: t.Callable[[VersionId], bool],
+) -> str:
+    if not org.allows_version(row):
+        return "not allowed to the organisation"
+    if row.state in (VersionState.WITHDRAWN, VersionState.DECLARED):
+        return f"its state is {row.state.value}"
+    if asked.named and asked.named not in (row.name, row.model):
+        return f"the caller named {asked.named}"
+    if not holds(VersionId(row.name)):
+        return "no live worker holds it"
+    return ""
+
+
+def _newest(usable: list[VersionRow]) -> list[VersionRow]:
+    """Return the newest active version of each model."""
+    newest: dict[str, VersionRow] = {}
+    for row in usable:
+        if row.state is not VersionState.ACTIVE:
+            continue
+        held = newest.get(row.model)
+        if held is None or (held.since, held.name) < (row.since, row.name):
+            newest[row.model] = row
+    return list(newest.values())
+
+
+def _drawn_rollout(
+    config: Config, entering: list[VersionRow], settled: list[VersionRow], asked: Asked
+) -> VersionRow | None:
+    """Return the entering version in whose share the request falls.
+
+    A draw goes by the session, so that a session is in the share or not for as long as
+    the share stays, and once in it stays in while the share grows.
+    """
+    models = {row.model for row in settled}
+    for row in entering:
+        rollout = config.rollout_of(VersionId(row.name))
+        if rollout is None or rollout.state is not RolloutState.RUNNING:
+            continue
+        if asked.named == row.name:
+            return row
+        if unit_hash(rollout.name, asked.draw_key) < _share(rollout, row, models):
+            return row
+    return None
+
+
+def _share(rollout: RolloutRow, row: VersionRow, models: t.Collection[str]) -> float:
+    if row.model in models or not models:
+        return rollout.share
+    return min(rollout.share, NEW_MODEL_MOST)
+
+
+def _replaces(
+    config: Config, drawn: VersionRow, chosen: VersionId, settled: list[VersionRow]
+) -> bool:
+    """Tell whether an entering version takes the chosen one's place.
+
+    It takes the work of its own model's version; with no such version, anyone's.
+    """
+    if drawn.model in {row.model for row in settled}:
+        return config.versions[chosen].model == drawn.model
+    return True
+
+
+def _entering_choice(row: VersionRow, excluded: list[Exclusion]) -> Choice:
+    return Choice(
+        VersionId(row.name), Rule.ROLLOUT, RATE_ALWAYS, excluded=tuple(excluded)
+    )
+
+
+def _worth(pool: Pool, row: VersionRow, asked: Asked) -> Worth:
+    cell = Cell(VersionId(row.name), asked.request_class, asked.org)
+    return Worth(row, estimate(pool, cell), _cost(pool, row, asked))
+
+
+def _cost(pool: Pool, row: VersionRow, asked: Asked) -> Micros:
+    """Return the expected cost of one answer, in millionths of the currency."""
+    pair = (VersionId(row.name), asked.request_class)
+    seen = pool.classes.get(pair, _USUAL)
+    runs = max(1, seen.runs - seen.errors)
+    if seen.output_tokens == 0:
+        seen, runs = _USUAL, 1
+    whole = (
+        seen.prompt_tokens * row.prompt_price + seen.output_tokens * row.output_price
+    )
+    return Micros(int(whole / 1000 / runs))
+
+
+def _on_trial(cheaper: list[Worth], target: float) -> Worth | None:
+    hopeful = [worth for worth in cheaper if worth.estimate.high >= target]
+    return hopeful[0] if hopeful else None
+
+
+def _trial_share(main: Worth, trial: Worth, target: float) -> float:
+    slack = main.estimate.low - target
+    if slack <= 0:
+        return EXPLORE_LEAST
+    loss = max(1e-9, main.estimate.low - trial.estimate.low)
+    return max(EXPLORE_LEAST, min(EXPLORE_MOST, 0.5 * slack / loss))
+
+
+def _cascade_first(
+    pool: Pool, cheaper: list[Worth], main: Worth, asked: Asked, target: float
+) -> Worth | None:
+    for worth in cheaper:
+        name = VersionId(worth.row.name)
+        sure_class = ClassId(asked.request_class + CONFIDENT)
+        sure = pool.classes.get((name, sure_class), Counts())
+        unsure = pool.classes.get(
+            (name, ClassId(asked.request_class + UNSURE)), Counts()
+        )
+        runs = sure.runs + unsure.runs
+        if runs == 0:
+            continue
+        kept = estimate(pool, Cell(name, sure_class, asked.org))
+        cost = worth.cost + main.cost * unsure.runs / runs
+        if kept.low >= target and cost <= CASCADE_MOST * main.cost:
+            return worth
+    return None
+
+
+def _apply(preference: Preference, asked: Asked, excluded: list[Exclusion]) -> Choice:
+    main = preference.main
+    name = VersionId(main.row.name)
+    kept = tuple(excluded)
+    if preference.first is not None:
+        first = VersionId(preference.first.row.name)
+        return Choice(first, Rule.CASCADE, RATE_UNSURE, fallback=name, excluded=kept)
+    trial = preference.trial
+    if trial is not None:
+        draw = unit_hash("trial", asked.draw_key)
+        if draw < preference.trial_share:
+            on_trial = VersionId(trial.row.name)
+            return Choice(on_trial, Rule.EXPLORE, RATE_ALWAYS, excluded=kept)
+    if asked.named:
+        return Choice(name, Rule.ASKED, RATE_SETTLED, excluded=kept)
+    rule = Rule.CHEAPEST if preference.meets else Rule.BEST
+    rate = RATE_SETTLED if preference.meets else RATE_UNSURE
+    return Choice(name, rule, rate, excluded=kept)
--- /dev/null
+++ b/src/spanshunt/systems/following.py
@@ -0,0 +1,103 @@
+"""Following: take configuration records and snapshots in, from the log or a peer."""
+
+import typing as t
+
+from result import Ok
+
+from ..ids import Offset
+from ..records import LogRecord
+from ..records import Snapshot
+from ..records import decode_record
+from ..tables.state import State
+from .fold import clone
+from .fold import fold_record
+from .fold import snapshot_of
+from .fold import verified
+from .invariants import check_offset
+
+SNAPSHOT_EVERY = 500
+"""Records after which a snapshot is put on the log."""
+
+
+def take_records(state: State, records: t.Iterable[LogRecord]) -> int:
+    """Fold the records that follow on what is held; return how many were new.
+
+    Records behind are passed over; at a gap the rest is left for later.
+    """
+    taken = 0
+    for record in records:
+        held = state.config.next_offset
+        if record.offset < held:
+            continue
+        if record.offset > held:
+            break
+        fold_record(state.config, record)
+        check_offset(held, state.config.next_offset)
+        _note_snapshot(state, record)
+        state.tail.append(record)
+        taken += 1
+    if taken:
+        _lift_suspensions(state)
+    return taken
+
+
+def take_snapshot(state: State, snapshot: Snapshot) -> bool:
+    """Take a snapshot that is further than what is held and whose hash fits."""
+    config = verified(snapshot)
+    if config is None or config.next_offset <= state.config.next_offset:
+        return False
+    check_offset(state.config.next_offset, config.next_offset)
+    state.config = clone(config)
+    state.tail.clear()
+    state.snapshot_at = max(state.snapshot_at, config.next_offset)
+    _lift_suspensions(state)
+    return True
+
+
+def records_from(
+    state: State, start: Offset
+) -> tuple[tuple[LogRecord, ...], Snapshot | None]:
+    """Return what a peer at `start` lacks: records, or a snapshot if they are gone."""
+    if start >= state.config.next_offset:
+        return (), None
+    if state.tail and state.tail[0].offset <= start:
+        records = tuple(record for record in state.tail if record.offset >= start)
+        return records, None
+    return (), snapshot_of(state.config)
+
+
+def newest_snapshot(records: t.Iterable[LogRecord]) -> Snapshot | None:
+    """Return the snapshot that is furthest among `records`, None if there is none."""
+    best: Snapshot | None = None
+    for record in records:
+        match decode_record(record.data):
+            case Ok(Snapshot() as snapshot):
+                if (
+                    best is None
+                    or snapshot.config.next_offset > best.config.next_offset
+                ):
+                    best = snapshot
+            case _:
+                pass
+    return best
+
+
+def snapshot_due(state: State) -> bool:
+    """Tell whether a snapshot should be put on the log."""
+    return state.config.next_offset - state.snapshot_at >= SNAPSHOT_EVERY
+
+
+def _note_snapshot(state: State, record: LogRecord) -> None:
+    match decode_record(record.data):
+        case Ok(Snapshot(config=config)):
+            state.snapshot_at = max(state.snapshot_at, config.next_offset)
+        case _:
+            pass
+
+
+def _lift_suspensions(state: State) -> None:
+    """Drop suspensions that the configuration has overtaken."""
+    for version, row in list(state.suspended.items()):
+        rollout = state.config.rollouts.get(row.rollout)
+        if rollout is not None and rollout.state.value == "pulled_back":
+            del state.suspended[version]
--- /dev/null
+++ b/src/spanshunt/systems/invariants.py
@@ -0,0 +1,111 @@
+"""The promises of the program, asserted at the point of effect.
+
+Each check raises when its promise is about to be broken. The process then hands its
+journal to peers and stops; it never answers wrongly. ``docs/PROMISES.md`` lists them.
+"""
+
+import collections
+
+from ..exceptions import InvariantError
+from ..ids import Incarnation
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import OrgId
+from ..ids import RequestId
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..ids import WorkerId
+from ..records import BillEntry
+from ..tables.claims import ClaimTable
+from ..tables.config import Config
+from ..tables.config import VersionState
+from ..tables.workers import Workers
+from .claiming import may_send
+
+ALLOWED = "allowed-version"
+WITHDRAWN = "withdrawn-version"
+SESSION = "session-version"
+LEAVING = "leaving-worker"
+ONE_BILL = "one-bill"
+AT_MOST_ONCE = "at-most-once"
+NEVER_REVERTS = "configuration-never-reverts"
+NOT_RUN = "not-run-is-true"
+OWN_ANSWER = "own-whole-answer"
+
+checks: collections.Counter[str] = collections.Counter()
+"""How often each promise was checked in this process."""
+
+
+def check(promise: str, holds: bool, detail: str) -> None:
+    """Count a check of `promise` and raise if it does not hold."""
+    checks[promise] += 1
+    if not holds:
+        raise InvariantError(promise, detail)
+
+
+def check_version(config: Config, org: OrgId, version: VersionId) -> None:
+    """Check that a request of `org` may start on `version` now."""
+    row = config.versions.get(version)
+    owner = config.orgs.get(org)
+    allowed = row is not None and owner is not None and owner.allows_version(row)
+    check(ALLOWED, allowed, f"{version} is not allowed to {org}")
+    serving = row is not None and row.state in (
+        VersionState.ENTERING,
+        VersionState.ACTIVE,
+    )
+    check(WITHDRAWN, serving, f"{version} is not in service")
+
+
+def check_service(config: Config, org: OrgId, service: ServiceId) -> None:
+    """Check that a call of `org` may go to the plain service `service` now."""
+    owner = config.orgs.get(org)
+    allowed = owner is not None and owner.allows_service(service)
+    check(ALLOWED, allowed, f"{service} is not allowed to {org}")
+
+
+def check_worker(workers: Workers, worker: WorkerId) -> None:
+    """Check that a worker that leaves gets no new work."""
+    check(LEAVING, worker not in workers.leaving, f"{worker} is leaving")
+
+
+def check_session(
+    config: Config, org: OrgId, pin: VersionId, version: VersionId
+) -> None:
+    """Check that a session leaves its version only when it may not stay."""
+    row = config.versions.get(pin)
+    owner = config.orgs.get(org)
+    gone = (
+        row is None
+        or owner is None
+        or not owner.allows_version(row)
+        or row.state is VersionState.WITHDRAWN
+    )
+    check(SESSION, pin == version or gone, f"session on {pin} sent to {version}")
+
+
+def check_claim(table: ClaimTable, key: str, request: RequestId) -> None:
+    """Check that a keyed call is sent by the one request that holds its key."""
+    check(AT_MOST_ONCE, may_send(table, key, request), f"{request} sends key {key}")
+
+
+def check_single_send(sends: int, request: RequestId) -> None:
+    """Check that a call that may not be repeated is sent once."""
+    check(AT_MOST_ONCE, sends == 0, f"{request} would be sent {sends + 1} times")
+
+
+def check_not_run(started: int, request: RequestId) -> None:
+    """Check that a refusal that says "not run" is true."""
+    check(NOT_RUN, started == 0, f"{request} was sent {started} times, said not run")
+
+
+def check_offset(held: Offset, offered: Offset) -> None:
+    """Check that the configuration never goes back."""
+    check(NEVER_REVERTS, offered >= held, f"offset {offered} put over {held}")
+
+
+def check_bill(
+    billed: set[RequestId], entry: BillEntry, incarnation: Incarnation, at: Millis
+) -> None:
+    """Check that this box bills a request once."""
+    detail = f"{entry.request} billed again by {incarnation} at {at}"
+    check(ONE_BILL, entry.request not in billed, detail)
--- /dev/null
+++ b/src/spanshunt/systems/learning.py
@@ -0,0 +1,176 @@
+"""Learning: count what was seen, pool it, estimate what a version is worth."""
+
+import math
+import typing as t
+
+import msgspec
+
+from ..ids import Millis
+from ..ids import VersionId
+from ..tables.evidence import EPOCH_MS
+from ..tables.evidence import EPOCHS
+from ..tables.evidence import Cell
+from ..tables.evidence import Counts
+from ..tables.evidence import EpochCounts
+from ..tables.evidence import Evidence
+from ..tables.evidence import EvidenceKey
+from ..tables.evidence import Pool
+
+GOOD_SCORE = 0.5
+"""A rating from here on is good."""
+
+PRIOR_STRENGTH = 20.0
+"""How many ratings of the organisation itself the class's mean is worth."""
+
+PRIOR_MEAN = 0.5
+PRIOR_RATINGS = 2.0
+
+Z_CONFIDENCE = 1.645
+"""Width of the interval of an estimate, in standard deviations: one-sided 95 %."""
+
+
+class Estimate(msgspec.Struct, frozen=True):
+    """The share of good answers that is to be expected.
+
+    Attributes
+    ----------
+    mean, low, high : float
+        From 0 to 1; one-sided 95 % bounds.
+    ratings : float
+        How many ratings the estimate is worth.
+    """
+
+    mean: float
+    low: float
+    high: float
+    ratings: float
+
+
+def epoch_of(wall: Millis) -> int:
+    """Return the epoch of a wall clock time."""
+    return wall // EPOCH_MS
+
+
+def observe(
+    evidence: Evidence, origin: str, wall: Millis, cell: Cell, seen: Counts
+) -> None:
+    """Count what this box saw."""
+    key = EvidenceKey(origin, epoch_of(wall), cell)
+    _row(evidence, key).add(seen)
+    _add_to_pool(evidence.pool, cell, seen)
+    _touch(evidence, key)
+
+
+def merge(evidence: Evidence, rows: t.Iterable[EpochCounts], wall: Millis) -> int:
+    """Take in peers' counts; return how many rows were news."""
+    oldest = epoch_of(wall) - EPOCHS
+    news = 0
+    for row in rows:
+        key = EvidenceKey(row.origin, row.epoch, row.cell)
+        held = evidence.rows.get(key)
+        if row.epoch <= oldest or (held is not None and held.covers(row.counts)):
+            continue
+        change = msgspec.structs.replace(row.counts)
+        if held is not None:
+            change.subtract(held)
+        _row(evidence, key).add(change)
+        _add_to_pool(evidence.pool, key.cell, change)
+        _touch(evidence, key)
+        news += 1
+    return news
+
+
+def news_since(
+    evidence: Evidence, ticket: int, limit: int
+) -> tuple[tuple[EpochCounts, ...], int]:
+    """Return up to `limit` rows changed since `ticket`, and the ticket to go on from.
+
+    The oldest changes come first, so that a peer which asks again gets the rest.
+    """
+    found: list[EpochCounts] = []
+    upto = evidence.ticket
+    recent = []
+    for key, changed in reversed(evidence.changed.items()):
+        if changed < ticket:
+            break
+        recent.append((key, changed))
+    for key, changed in reversed(recent):
+        if len(found) == limit:
+            upto = changed
+            break
+        cell = key.cell
+        counts = msgspec.structs.replace(evidence.rows[key])
+        found.append(
+            EpochCounts(
+                key.origin,
+                key.epoch,
+                cell.version,
+                cell.request_class,
+                cell.org,
+                counts,
+            )
+        )
+    return tuple(found), upto
+
+
+def expire(evidence: Evidence, wall: Millis) -> None:
+    """Drop the epochs that are over an hour old."""
+    oldest = epoch_of(wall) - EPOCHS
+    for key in [key for key in evidence.rows if key.epoch <= oldest]:
+        gone = evidence.rows.pop(key)
+        del evidence.changed[key]
+        evidence.by_version[key.cell.version].discard(key)
+        _take_from_pool(evidence.pool, key.cell, gone)
+
+
+def by_epoch(evidence: Evidence, version: VersionId) -> dict[int, dict[Cell, Counts]]:
+    """Return what is known of `version`, summed over origins, by epoch and cell."""
+    epochs: dict[int, dict[Cell, Counts]] = {}
+    for key in evidence.by_version.get(version, ()):
+        cells = epochs.setdefault(key.epoch, {})
+        cells.setdefault(key.cell, Counts()).add(evidence.rows[key])
+    return dict(sorted(epochs.items()))
+
+
+def estimate(pooled: Pool, cell: Cell) -> Estimate:
+    """Estimate a cell; with few ratings of its own it leans on its class's mean."""
+    whole = pooled.classes.get((cell.version, cell.request_class), Counts())
+    own = pooled.cells.get(cell, Counts())
+    others_rated = whole.rated - own.rated
+    others_good = whole.good - own.good
+    prior_mean = (others_good + PRIOR_RATINGS * PRIOR_MEAN) / (
+        others_rated + PRIOR_RATINGS
+    )
+    prior = PRIOR_RATINGS + min(PRIOR_STRENGTH, others_rated)
+    total = prior + own.rated
+    mean = (prior * prior_mean + own.good) / total
+    half = Z_CONFIDENCE * math.sqrt(mean * (1 - mean) / (total + 1))
+    return Estimate(mean, max(0.0, mean - half), min(1.0, mean + half), total)
+
+
+def _touch(evidence: Evidence, key: EvidenceKey) -> None:
+    evidence.changed.pop(key, None)
+    evidence.changed[key] = evidence.ticket
+    evidence.ticket += 1
+
+
+def _row(evidence: Evidence, key: EvidenceKey) -> Counts:
+    row = evidence.rows.get(key)
+    if row is None:
+        row = evidence.rows[key] = Counts()
+        evidence.by_version.setdefault(key.cell.version, set()).add(key)
+    return row
+
+
+def _add_to_pool(pool: Pool, cell: Cell, change: Counts) -> None:
+    pool.cells.setdefault(cell, Counts()).add(change)
+    pair = (cell.version, cell.request_class)
+    pool.classes.setdefault(pair, Counts()).add(change)
+
+
+def _take_from_pool(pool: Pool, cell: Cell, change: Counts) -> None:
+    own = pool.cells[cell]
+    own.subtract(change)
+    if own == Counts():
+        del pool.cells[cell]
+    pool.classes[(cell.version, cell.request_class)].subtract(change)
--- /dev/null
+++ b/src/spanshunt/systems/sequential.py
@@ -0,0 +1,96 @@
+"""Sequential tests of shares that stay valid however often one looks.
+
+Each test is a mixture of likelihood ratios against the bound: for any true share on the
+sound side of the bound, the mixture is a non-negative supermartingale that starts at 1,
+so by Ville's inequality it ever reaches ``1 / alpha`` with a chance of at most
+``alpha``. It needs only counts, so boxes pool evidence in any order.
+"""
+
+import math
+
+DROPS = (0.03, 0.07, 0.12, 0.2, 0.35, 0.6)
+"""Alternatives for a share under its floor: this much below it, in parts of it."""
+
+RISES = (0.02, 0.05, 0.1, 0.2, 0.4, 0.7)
+"""Alternatives for a share over its ceiling: this much of the room above it."""
+
+_LEAST = 1e-6
+
+
+def log_evidence_below(trials: int, hits: int, floor: float) -> float:
+    """Return the log e-value against "the share of hits is at least `floor`"."""
+    bound = _inside(floor)
+    shares = [_inside(bound * (1 - drop)) for drop in DROPS]
+    return _log_mixture([_log_ratio(trials, hits, share, bound) for share in shares])
+
+
+def log_evidence_above(trials: int, hits: int, ceiling: float) -> float:
+    """Return the log e-value against "the share of hits is at most `ceiling`"."""
+    bound = _inside(ceiling)
+    shares = [_inside(bound + (1 - bound) * rise) for rise in RISES]
+    return _log_mixture([_log_ratio(trials, hits, share, bound) for share in shares])
+
+
+def log_change_below(epochs: list[tuple[int, int]], floor: float) -> float:
+    """Return the log of the Shiryaev-Roberts statistic for a fall under `floor`.
+
+    Parameters
+    ----------
+    epochs : list of (int, int)
+        Trials and hits of each epoch, oldest first.
+    floor : float
+        The sound shares are those from here on.
+
+    Returns
+    -------
+    float
+        The sum over all epochs of the evidence since then. While the share is sound,
+        it reaches ``a`` after ``a`` epochs or more on average.
+    """
+    bound = _inside(floor)
+    return _log_mixture(
+        [_log_shiryaev(epochs, _inside(bound * (1 - drop)), bound) for drop in DROPS]
+    )
+
+
+def log_change_above(epochs: list[tuple[int, int]], ceiling: float) -> float:
+    """Return the log of the Shiryaev-Roberts statistic for a rise over `ceiling`."""
+    bound = _inside(ceiling)
+    return _log_mixture(
+        [
+            _log_shiryaev(epochs, _inside(bound + (1 - bound) * rise), bound)
+            for rise in RISES
+        ]
+    )
+
+
+def _log_shiryaev(epochs: list[tuple[int, int]], share: float, bound: float) -> float:
+    total = -math.inf
+    for trials, hits in epochs:
+        total = _log_add(0.0, total) + _log_ratio(trials, hits, share, bound)
+    return total
+
+
+def _log_ratio(trials: int, hits: int, share: float, bound: float) -> float:
+    misses = trials - hits
+    hit = math.log(share / bound)
+    miss = math.log((1 - share) / (1 - bound))
+    return hits * hit + misses * miss
+
+
+def _log_mixture(logs: list[float]) -> float:
+    top = max(logs)
+    if top == -math.inf:
+        return top
+    return top + math.log(sum(math.exp(item - top) for item in logs) / len(logs))
+
+
+def _log_add(one: float, other: float) -> float:
+    top = max(one, other)
+    if top == -math.inf:
+        return top
+    return top + math.log(math.exp(one - top) + math.exp(other - top))
+
+
+def _inside(share: float) -> float:
+    return min(1 - _LEAST, max(_LEAST, share))
--- /dev/null
+++ b/src/spanshunt/systems/worker_choice.py
@@ -0,0 +1,129 @@
+"""Choice of a worker: lagged reports, corrected by what this box knows exactly."""
+
+import random
+import typing as t
+
+from ..ids import Millis
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..ids import WorkerId
+from ..tables.workers import WorkerRow
+from ..tables.workers import Workers
+from ..tables.workers import WorkerState
+
+SAMPLE = 3
+"""Workers drawn at random before the least loaded of them is taken."""
+
+EJECT_AFTER = 3
+"""Failures in a row that eject a worker."""
+
+EJECT_MS = 5_000
+"""How long the first ejection lasts; each further failure doubles it."""
+
+EJECT_MAX_MS = 60_000
+"""The longest ejection."""
+
+_SMOOTHING = 0.2
+_REMOTE_WEIGHT = 0.5
+
+Picker = t.Callable[[list[WorkerRow]], WorkerRow]
+"""Takes one of the workers that may be used; the list is not empty."""
+
+
+def eligible(
+    workers: Workers,
+    service: ServiceId,
+    version: VersionId | None,
+    tried: t.Collection[WorkerId],
+) -> list[WorkerRow]:
+    """Return the live workers that can answer, less those tried already.
+
+    When all live ones were tried, an ejected one is better than none: it is returned
+    only if no live worker is left.
+    """
+    able = [
+        row
+        for row in workers.rows.values()
+        if row.service == service
+        and row.name not in tried
+        and row.name not in workers.leaving
+        and (version is None or version in row.versions)
+    ]
+    live = [row for row in able if row.state is WorkerState.LIVE]
+    if live:
+        return live
+    return [row for row in able if row.state is WorkerState.EJECTED]
+
+
+def load_of(row: WorkerRow) -> float:
+    """Return the worker's estimated load in parts of its batch.
+
+    The report counts every box's requests but is old; this box's own requests since
+    are exact. Others' part is taken at half, as some of it has ended by now and each
+    of many boxes would else run from the same old report to the same worker.
+    """
+    others = max(0, row.reported - row.inflight_at_report)
+    return (row.inflight + _REMOTE_WEIGHT * others) / max(1, row.slots)
+
+
+def least_of_sample(rng: random.Random) -> Picker:
+    """Return a picker: the least loaded of a few drawn at random."""
+
+    def pick(rows: list[WorkerRow]) -> WorkerRow:
+        drawn = rng.sample(rows, min(SAMPLE, len(rows)))
+        return min(drawn, key=load_of)
+
+    return pick
+
+
+def round_robin() -> Picker:
+    """Return a picker that takes the workers in turn: a baseline."""
+    turn = 0
+
+    def pick(rows: list[WorkerRow]) -> WorkerRow:
+        nonlocal turn
+        turn += 1
+        ordered = sorted(rows, key=lambda row: row.name)
+        return ordered[turn % len(ordered)]
+
+    return pick
+
+
+def least_reported() -> Picker:
+    """Return a picker by the lagged reports alone: a baseline."""
+
+    def pick(rows: list[WorkerRow]) -> WorkerRow:
+        return min(rows, key=lambda row: row.reported / max(1, row.slots))
+
+    return pick
+
+
+def note_success(row: WorkerRow, ttft_ms: float, token_ms: float) -> None:
+    """Take the times of an answer into the worker's row."""
+    row.failures = 0
+    if row.state is WorkerState.EJECTED:
+        row.state = WorkerState.LIVE
+    row.ttft_ms = _smooth(row.ttft_ms, ttft_ms)
+    row.token_ms = _smooth(row.token_ms, token_ms)
+
+
+def note_failure(row: WorkerRow, now: Millis) -> None:
+    """Take a failed request into the worker's row; too many eject it."""
+    row.failures += 1
+    if row.failures >= EJECT_AFTER and row.state is not WorkerState.LEAVING:
+        doublings = min(row.failures - EJECT_AFTER, 6)
+        duration = min(EJECT_MS * 2**doublings, EJECT_MAX_MS)
+        row.state = WorkerState.EJECTED
+        row.back_at = Millis(now + duration)
+
+
+def let_back(workers: Workers, now: Millis) -> None:
+    """Let ejected workers back whose time is over."""
+    for row in workers.rows.values():
+        if row.state is WorkerState.EJECTED and now >= row.back_at:
+            row.state = WorkerState.LIVE
+            row.failures = EJECT_AFTER - 1
+
+
+def _smooth(old: float, new: float) -> float:
+    return new if old == 0.0 else old + _SMOOTHING * (new - old)
--- /dev/null
+++ b/src/spanshunt/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Tables: the state of the program as rows. Nothing here does I/O."""
--- /dev/null
+++ b/src/spanshunt/tables/workers.py
@@ -0,0 +1,77 @@
+"""Backend servers as this box sees them."""
+
+import enum
+
+import msgspec
+
+from ..ids import DomainId
+from ..ids import Millis
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..ids import WorkerId
+
+
+class WorkerState(enum.Enum):
+    """Whether a worker gets new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    EJECTED = "ejected"
+
+
+class WorkerRow(msgspec.Struct):
+    """One backend server.
+
+    Attributes
+    ----------
+    name : str
+        ``host:port``.
+    service : str
+        The service that it answers.
+    domain : str
+        Its failure domain.
+    versions : frozenset of str
+        Versions that it holds.
+    state : WorkerState
+        Whether it gets new work.
+    inflight : int
+        Requests of this box that it is answering: exact.
+    reported : int
+        Requests of all boxes, by its last report.
+    inflight_at_report : int
+        This box's own part of ``reported``.
+    slots : int
+        Answers that fit in its batch.
+    reported_at : int
+        When the last report came, in ms.
+    failures : int
+        Failures since the last success.
+    back_at : int
+        When an ejected worker may be tried again, in ms.
+    ttft_ms : float
+        Moving mean of the time to the first byte, in ms.
+    token_ms : float
+        Moving mean of the time between tokens, in ms.
+    """
+
+    name: WorkerId
+    service: ServiceId
+    domain: DomainId
+    versions: frozenset[VersionId] = frozenset()
+    state: WorkerState = WorkerState.LIVE
+    inflight: int = 0
+    reported: int = 0
+    inflight_at_report: int = 0
+    slots: int = 16
+    reported_at: Millis = Millis(0)
+    failures: int = 0
+    back_at: Millis = Millis(0)
+    ttft_ms: float = 0.0
+    token_ms: float = 0.0
+
+
+class Workers(msgspec.Struct):
+    """All workers, by name; ``leaving`` are those that any evidence says leave."""
+
+    rows: dict[WorkerId, WorkerRow] = {}
+    leaving: set[WorkerId] = set()
--- /dev/null
+++ b/src/spanshunt/utils.py
@@ -0,0 +1,88 @@
+"""Small helpers that several modules share."""
+
+import hashlib
+import re
+import secrets
+import typing as t
+
+import msgspec
+
+from .exceptions import InvalidInputError
+from .ids import BoxId
+from .ids import Incarnation
+from .ids import Millis
+from .ids import RequestId
+
+T = t.TypeVar("T")
+
+_canonical = msgspec.json.Encoder(order="sorted")
+_HASH_SPACE = float(1 << 64)
+_FIELD_PATH = re.compile(r"^(?P<problem>.*) - at `(?P<field>.*)`$", re.DOTALL)
+
+
+def canonical_json(value: object) -> bytes:
+    """Encode `value` so that equal values give equal bytes."""
+    return _canonical.encode(value)
+
+
+def digest(value: object) -> str:
+    """Return the SHA-256 of the canonical JSON of `value`, in hex."""
+    return hashlib.sha256(canonical_json(value)).hexdigest()
+
+
+def hash_secret(secret: str) -> str:
+    """Return the hash under which a credential is kept.
+
+    Credentials are random and long, so one round of SHA-256 is enough; a slow hash
+    would only guard guessable ones, at a cost on each request.
+    """
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def unit_hash(*parts: str) -> float:
+    """Map `parts` to a number in [0, 1), the same on every box."""
+    joined = "\x1f".join(parts).encode()
+    raw = hashlib.blake2b(joined, digest_size=8).digest()
+    return int.from_bytes(raw, "big") / _HASH_SPACE
+
+
+def rendezvous(key: str, members: t.Iterable[str], count: int) -> list[str]:
+    """Return the `count` members that own `key` by highest random weight."""
+    ranked = sorted(members, key=lambda member: unit_hash(key, member), reverse=True)
+    return ranked[:count]
+
+
+def new_incarnation(box: BoxId, wall: Millis) -> Incarnation:
+    """Return a name for this run of the daemon that no other run has.
+
+    Of two runs of one box the later one has the greater name.
+    """
+    return Incarnation(f"{box}.{wall:012x}.{secrets.token_hex(4)}")
+
+
+def new_request_id() -> RequestId:
+    """Return a request id that no other request has."""
+    return RequestId(f"req-{secrets.token_hex(12)}")
+
+
+def decode_document(raw: bytes, kind: type[T]) -> T:
+    """Decode JSON from outside into `kind`.
+
+    Raises
+    ------
+    InvalidInputError
+        Naming the field, what was found and what is allowed.
+    """
+    try:
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.MsgspecError as exc:
+        field, problem = split_problem(str(exc))
+        raise InvalidInputError(field, problem) from exc
+
+
+def split_problem(message: str) -> tuple[str, str]:
+    """Split a decoder's message into the field path and the problem."""
+    match = _FIELD_PATH.match(message)
+    if match is None:
+        return "$", message
+    return match["field"], match["problem"]
