Choice: let a class's mean count as much as organisations agree

An organisation's estimate took its class's mean for at most 20 ratings, so small organisations never showed a version to meet a target that is 0.02 away, and stayed on the dearest one. Ruled out: too few ratings (65,461 were asked for) and too little exploring (the trial share was at its most). Change: the weight of the class's mean is learned from how much organisations differ (method of moments); trial shares go by means, not by bounds; preferences are worked out once a second; entering versions take a bounded share of other work, so that they get evidence.

--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,13 @@
 	$(BIN)/pytest
 
 lint: $(DEV_READY)
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src tests bench examples
+	$(BIN)/ruff check src tests bench examples
 	$(BIN)/mypy
 
 format: $(DEV_READY)
-	$(BIN)/ruff check --fix src tests bench
-	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench examples
+	$(BIN)/ruff format src tests bench examples
 
 clean:
 	rm -rf $(VENV)
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -197,6 +197,8 @@
         state.evidence.pool,
         asked,
         lambda version: router.holds(service, version),
+        router.preferences,
+        router.clock.now(),
     )
     if isinstance(chosen, Err):
         reasons = "; ".join(
--- a/src/spanshunt/reports.py
+++ b/src/spanshunt/reports.py
@@ -336,6 +336,8 @@
         state.evidence.pool,
         asked,
         lambda version: router.holds(ServiceId(asked.service), version),
+        router.preferences,
+        router.clock.now(),
     ):
         case Ok(choice):
             excluded = tuple(f"{it.version}: {it.reason}" for it in choice.excluded)
--- a/src/spanshunt/router.py
+++ b/src/spanshunt/router.py
@@ -24,9 +24,11 @@
 from .platform.log import LogClient
 from .session_tokens import SessionSigner
 from .settings import Settings
+from .systems.choice import Preferences
 from .systems.freshness import is_fresh
 from .systems.worker_choice import Picker
 from .tables.config import OrgRow
+from .tables.preferences import Memory
 from .tables.state import State
 from .tables.workers import WorkerState
 
@@ -68,6 +70,8 @@
         Set to begin a planned stop.
     on_broken : callable
         Called when an invariant broke; it stops the process.
+    preferences : Memory
+        What was learned of versions, worked out in the last second.
     running : set
         Requests under way.
     """
@@ -92,6 +96,7 @@
     operators: dict[str, OperatorKey]
     stop: asyncio.Event
     on_broken: t.Callable[[InvariantError], None]
+    preferences: Preferences = msgspec.field(default_factory=Memory)
     running: set[RequestId] = set()
     credentials: dict[str, OrgId] = {}
     credentials_at: int = -1
--- a/src/spanshunt/systems/choice.py
+++ b/src/spanshunt/systems/choice.py
@@ -10,12 +10,13 @@
 
 from ..ids import ClassId
 from ..ids import Micros
+from ..ids import Millis
+from ..ids import Offset
 from ..ids import OrgId
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..tables.config import Config
 from ..tables.config import OrgRow
-from ..tables.config import RolloutRow
 from ..tables.config import RolloutState
 from ..tables.config import ServiceRow
 from ..tables.config import VersionRow
@@ -23,14 +24,15 @@
 from ..tables.evidence import Cell
 from ..tables.evidence import Counts
 from ..tables.evidence import Pool
+from ..tables.preferences import Memory
 from ..utils import unit_hash
 from .learning import Estimate
 from .learning import estimate
 
-EXPLORE_MOST = 0.10
+EXPLORE_MOST = 0.20
 """The largest share of a class's requests spent on learning of a cheaper version."""
 
-EXPLORE_LEAST = 0.01
+EXPLORE_LEAST = 0.02
 """The share spent on it while the version in use is not known to have slack."""
 
 RATE_ALWAYS = 1.0
@@ -40,7 +42,7 @@
 spans the target, and of one that is settled, to see it turn bad."""
 
 NEW_MODEL_MOST = 0.25
-"""The largest share of a service's work that a model new to it enters with."""
+"""The largest share that an entering version takes of others' work."""
 
 CASCADE_MOST = 0.9
 """A cascade must cost at most this part of asking the dearer version at once."""
@@ -134,6 +136,13 @@
     cost: float
 
 
+class Drawn(t.NamedTuple):
+    """An entering version in whose share a request falls, and the draw."""
+
+    row: VersionRow
+    draw: float
+
+
 class Preference(msgspec.Struct, frozen=True):
     """What to do with the requests of one organisation and class.
 
@@ -158,8 +167,28 @@
     first: Worth | None = None
 
 
+class PreferenceKey(t.NamedTuple):
+    """What a preference depends on, besides the evidence."""
+
+    service: ServiceId
+    request_class: ClassId
+    org: OrgId
+    named: str
+    offset: Offset
+    settled: tuple[str, ...]
+
+
+Preferences = Memory[PreferenceKey, Preference]
+"""Preferences worked out in the last second."""
+
+
 def choose(
-    config: Config, pool: Pool, asked: Asked, holds: t.Callable[[VersionId], bool]
+    config: Config,
+    pool: Pool,
+    asked: Asked,
+    holds: t.Callable[[VersionId], bool],
+    memory: Preferences,
+    now: Millis,
 ) -> Result[Choice, NoVersion]:
     """Choose a version for a request.
 
@@ -173,6 +202,11 @@
         The request.
     holds : callable
         Tells whether any live worker holds a version.
+    memory : Memory
+        Preferences worked out before; what is allowed and in service is always looked
+        up anew, only the learned part is remembered.
+    now : int
+        In ms of the monotonic clock.
     """
     org = config.orgs[asked.org]
     service = config.services[asked.service]
@@ -185,17 +219,26 @@
         return Err(NoVersion(tuple(excluded)))
     entering = [row for row in usable if row.state is VersionState.ENTERING]
     settled = _newest(usable)
-    drawn = _drawn_rollout(config, entering, settled, asked)
-    if not settled and drawn is None:
-        return Err(NoVersion(tuple(excluded)))
-    if not settled and drawn is not None:
-        return Ok(_entering_choice(drawn, excluded))
+    drawn = _drawn_rollout(config, entering, asked)
+    if not settled:
+        if drawn is None:
+            return Err(NoVersion(tuple(excluded)))
+        return Ok(_entering_choice(drawn.row, excluded))
     target = target_of(org, service, asked.request_class)
-    preference = prefer(pool, settled, asked, target, service)
-    choice = _apply(preference, asked, excluded)
-    if drawn is not None and _replaces(config, drawn, choice.version, settled):
-        return Ok(_entering_choice(drawn, excluded))
-    return Ok(choice)
+    key = PreferenceKey(
+        asked.service,
+        asked.request_class,
+        asked.org,
+        asked.named,
+        config.next_offset,
+        tuple(row.name for row in settled),
+    )
+    preference = memory.get(
+        key, now, lambda: prefer(pool, settled, asked, target, service)
+    )
+    if drawn is not None and _takes(pool, drawn, preference, settled, asked, target):
+        return Ok(_entering_choice(drawn.row, excluded))
+    return Ok(_apply(preference, asked, excluded))
 
 
 def target_of(org: OrgRow, service: ServiceRow, name: ClassId) -> float:
@@ -237,18 +280,6 @@
     return Preference(main, bool(meeting), trial, share, first)
 
 
-def rate_share(worth: Worth, target: float, rivals: bool) -> float:
-    """Return the share of a version's answers to send to be rated.
-
-    Ratings are spent where they can change a decision: while the interval spans the
-    target and there is another version to turn to.
-    """
-    unsure = worth.estimate.low < target < worth.estimate.high
-    if unsure and rivals:
-        return RATE_UNSURE
-    return RATE_SETTLED
-
-
 def _may_stay(config: Config, org: OrgRow, pin: VersionId) -> bool:
     """Tell whether a session may stay on its version.
 
@@ -307,41 +338,51 @@
 
 
 def _drawn_rollout(
-    config: Config, entering: list[VersionRow], settled: list[VersionRow], asked: Asked
-) -> VersionRow | None:
+    config: Config, entering: list[VersionRow], asked: Asked
+) -> Drawn | None:
     """Return the entering version in whose share the request falls.
 
     A draw goes by the session, so that a session is in the share or not for as long as
     the share stays, and once in it stays in while the share grows.
     """
-    models = {row.model for row in settled}
     for row in entering:
         rollout = config.rollout_of(VersionId(row.name))
         if rollout is None or rollout.state is not RolloutState.RUNNING:
             continue
+        draw = unit_hash(rollout.name, asked.draw_key)
         if asked.named == row.name:
-            return row
-        if unit_hash(rollout.name, asked.draw_key) < _share(rollout, row, models):
-            return row
+            return Drawn(row, 0.0)
+        if draw < rollout.share:
+            return Drawn(row, draw)
     return None
 
 
-def _share(rollout: RolloutRow, row: VersionRow, models: t.Collection[str]) -> float:
-    if row.model in models or not models:
-        return rollout.share
-    return min(rollout.share, NEW_MODEL_MOST)
-
-
-def _replaces(
-    config: Config, drawn: VersionRow, chosen: VersionId, settled: list[VersionRow]
+def _takes(
+    pool: Pool,
+    drawn: Drawn,
+    preference: Preference,
+    settled: list[VersionRow],
+    asked: Asked,
+    target: float,
 ) -> bool:
-    """Tell whether an entering version takes the chosen one's place.
+    """Tell whether an entering version takes a request that fell in its share.
 
-    It takes the work of its own model's version; with no such version, anyone's.
+    It takes the work of its model's version before it. Of other work it takes at most
+    :data:`NEW_MODEL_MOST`, and only where it may be good enough and, if its model is
+    known, is cheaper: else it would not get any evidence where the version before it is
+    not in use.
     """
-    if drawn.model in {row.model for row in settled}:
-        return config.versions[chosen].model == drawn.model
-    return True
+    main = preference.main
+    before = next((row for row in settled if row.model == drawn.row.model), None)
+    if before is not None and before.name == main.row.name:
+        return True
+    if drawn.draw >= NEW_MODEL_MOST:
+        return False
+    hopeful = _worth(pool, drawn.row, asked).estimate.high >= target
+    if before is None:
+        return hopeful
+    likely = _worth(pool, before, asked)
+    return hopeful and likely.estimate.high >= target and likely.cost < main.cost
 
 
 def _entering_choice(row: VersionRow, excluded: list[Exclusion]) -> Choice:
@@ -374,10 +415,14 @@
 
 
 def _trial_share(main: Worth, trial: Worth, target: float) -> float:
-    slack = main.estimate.low - target
+    """Return the share of requests that a trial may take.
+
+    Half of what keeps the mix of both at the target, by their means.
+    """
+    slack = main.estimate.mean - target
     if slack <= 0:
         return EXPLORE_LEAST
-    loss = max(1e-9, main.estimate.low - trial.estimate.low)
+    loss = max(1e-9, main.estimate.mean - trial.estimate.mean)
     return max(EXPLORE_LEAST, min(EXPLORE_MOST, 0.5 * slack / loss))
 
 
--- a/src/spanshunt/systems/learning.py
+++ b/src/spanshunt/systems/learning.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..ids import ClassId
 from ..ids import Millis
 from ..ids import VersionId
 from ..tables.evidence import EPOCH_MS
@@ -19,8 +20,15 @@
 GOOD_SCORE = 0.5
 """A rating from here on is good."""
 
-PRIOR_STRENGTH = 20.0
-"""How many ratings of the organisation itself the class's mean is worth."""
+LEAST_STRENGTH = 20.0
+MOST_STRENGTH = 2_000.0
+"""How many ratings of an organisation itself its class's mean may be worth.
+
+Where between them is learned from how much organisations differ.
+"""
+
+LEAST_RATED = 10
+"""An organisation with fewer ratings says nothing of how much they differ."""
 
 PRIOR_MEAN = 0.5
 PRIOR_RATINGS = 2.0
@@ -132,8 +140,20 @@
     return dict(sorted(epochs.items()))
 
 
-def estimate(pooled: Pool, cell: Cell) -> Estimate:
-    """Estimate a cell; with few ratings of its own it leans on its class's mean."""
+def estimate(pooled: Pool, cell: Cell, strength: float | None = None) -> Estimate:
+    """Estimate a cell; with few ratings of its own it leans on its class's mean.
+
+    Parameters
+    ----------
+    pooled : Pool
+        The evidence.
+    cell : Cell
+        What to estimate.
+    strength : float, optional
+        How many ratings the class's mean is worth, if it was worked out before.
+    """
+    if strength is None:
+        strength = prior_strength(pooled, cell.version, cell.request_class)
     whole = pooled.classes.get((cell.version, cell.request_class), Counts())
     own = pooled.cells.get(cell, Counts())
     others_rated = whole.rated - own.rated
@@ -141,13 +161,41 @@
     prior_mean = (others_good + PRIOR_RATINGS * PRIOR_MEAN) / (
         others_rated + PRIOR_RATINGS
     )
-    prior = PRIOR_RATINGS + min(PRIOR_STRENGTH, others_rated)
+    prior = PRIOR_RATINGS + min(strength, others_rated)
     total = prior + own.rated
     mean = (prior * prior_mean + own.good) / total
     half = Z_CONFIDENCE * math.sqrt(mean * (1 - mean) / (total + 1))
     return Estimate(mean, max(0.0, mean - half), min(1.0, mean + half), total)
 
 
+def prior_strength(pooled: Pool, version: VersionId, name: ClassId) -> float:
+    """Return how many own ratings a class's mean is worth to an organisation.
+
+    The variance between organisations is estimated from that of their means, less what
+    chance alone gives (the method of moments of DerSimonian and Laird, 1986). If they
+    do not differ, a class's mean says as much of each as ratings of its own.
+    """
+    pair = (version, name)
+    whole = pooled.classes.get(pair, Counts())
+    mean = whole.good / whole.rated if whole.rated else 0.0
+    variance = mean * (1 - mean)
+    rows = [
+        counts
+        for org in pooled.orgs.get(pair, ())
+        if (counts := pooled.cells[Cell(version, name, org)]).rated >= LEAST_RATED
+    ]
+    if len(rows) < 2 or variance <= 0:
+        return LEAST_STRENGTH
+    total = sum(row.rated for row in rows)
+    squares = sum(row.rated**2 for row in rows)
+    spread = sum(row.rated * (row.good / row.rated - mean) ** 2 for row in rows)
+    excess = spread / variance - (len(rows) - 1)
+    between = max(0.0, excess * variance / (total - squares / total))
+    if between == 0.0:
+        return MOST_STRENGTH
+    return min(MOST_STRENGTH, max(LEAST_STRENGTH, variance / between - 1))
+
+
 def _touch(evidence: Evidence, key: EvidenceKey) -> None:
     evidence.changed.pop(key, None)
     evidence.changed[key] = evidence.ticket
@@ -166,11 +214,14 @@
     pool.cells.setdefault(cell, Counts()).add(change)
     pair = (cell.version, cell.request_class)
     pool.classes.setdefault(pair, Counts()).add(change)
+    pool.orgs.setdefault(pair, set()).add(cell.org)
 
 
 def _take_from_pool(pool: Pool, cell: Cell, change: Counts) -> None:
     own = pool.cells[cell]
     own.subtract(change)
+    pair = (cell.version, cell.request_class)
+    pool.classes[pair].subtract(change)
     if own == Counts():
         del pool.cells[cell]
-    pool.classes[(cell.version, cell.request_class)].subtract(change)
+        pool.orgs[pair].discard(cell.org)
--- a/src/spanshunt/tables/evidence.py
+++ b/src/spanshunt/tables/evidence.py
@@ -122,10 +122,13 @@
         By cell.
     classes : dict
         By version and class, over organisations.
+    orgs : dict
+        The organisations with a cell, by version and class.
     """
 
     cells: dict[Cell, Counts] = {}
     classes: dict[tuple[VersionId, ClassId], Counts] = {}
+    orgs: dict[tuple[VersionId, ClassId], set[OrgId]] = {}
 
 
 class Evidence(msgspec.Struct):
