Freshness: a box that was replaced is no witness

Cause: boxes have no disks. One that held an accepted plan, was replaced, and met a box that never had it, made a majority that had forgotten it; both went on with a withdrawn version. Second cause, found when the first was mended: a read of the log that waits as long as a call may take always timed out, so that only the majority rule ever proved a box fresh in these tests. Change: a run is a witness only once it was proved fresh for a time 5 s after its start; a box's word that it holds a record counts for 5 s; waiting reads get the wait on top of the timeout. Conclusion: the majority rule holds with replaced boxes, at the price that a fleet whose boxes were all replaced during a log outage takes no work.

--- a/src/spanshunt/confirmations.py
+++ b/src/spanshunt/confirmations.py
@@ -148,15 +148,17 @@
     await router.gossiper.tell_all()
     end = router.clock.now() + ACCEPT_MS
     state = router.state
-    while not is_accepted(state, offset) and router.clock.now() < end:
+    while (
+        not is_accepted(state, offset, router.clock.now()) and router.clock.now() < end
+    ):
         await router.follower.wait_grown(_POLL_MS)
         await router.gossiper.tell_all()
     return Ok(
         Accepted(
             plan=plan,
             offset=offset,
-            accepted=is_accepted(state, offset),
-            holders=max(1, holders(state, offset)),
+            accepted=is_accepted(state, offset, router.clock.now()),
+            holders=max(1, holders(state, offset, router.clock.now())),
             boxes=max(1, len(state.members.listed)),
         )
     )
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -145,7 +145,7 @@
         me = Identity(
             box, DomainId(settings.domain), f"{host}:{server_port}", incarnation
         )
-        state = new_state(me)
+        state = new_state(me, clock.now())
         metrics = Metrics(settings.statsd)
         log = LogClient(settings.platform.log, settings.platform.timeout_ms)
         await log.start()
--- a/src/spanshunt/peers/messages.py
+++ b/src/spanshunt/peers/messages.py
@@ -89,6 +89,8 @@
         Versions not to be used.
     fresh_age : int
         How old the sender's configuration may be, in ms; -1 unknown.
+    witness : bool
+        Whether the sender holds all that any run of it ever said it holds.
     """
 
     sender: MemberDigest
@@ -98,6 +100,7 @@
     usage: tuple[UsageRow, ...] = ()
     suspended: tuple[Suspension, ...] = ()
     fresh_age: Millis = Millis(-1)
+    witness: bool = False
 
 
 class ExchangeAnswer(msgspec.Struct, frozen=True):
--- a/src/spanshunt/platform/log.py
+++ b/src/spanshunt/platform/log.py
@@ -70,12 +70,12 @@
 
     def __init__(self, url: str, timeout_ms: int) -> None:
         self._url = url.rstrip("/")
-        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        self._timeout_ms = timeout_ms
         self._http: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self._http = aiohttp.ClientSession(timeout=self._timeout)
+        self._http = aiohttp.ClientSession(timeout=self._timeout(0))
 
     async def stop(self) -> None:
         """Close the connection pool."""
@@ -107,8 +107,11 @@
         """Read records from `start` on, waiting up to `wait_ms` for a first one."""
         url = f"{self._url}/streams/{stream.value}"
         query = {"from": str(start), "limit": str(READ_LIMIT), "wait_ms": str(wait_ms)}
+        timeout = self._timeout(wait_ms)
         try:
-            async with self._session().get(url, params=query) as answer:
+            async with self._session().get(
+                url, params=query, timeout=timeout
+            ) as answer:
                 raw = await answer.read()
                 if answer.status not in (200, 410):
                     detail = f"log answers {answer.status}"
@@ -121,6 +124,10 @@
             detail = f"log read: {type(exc).__name__} {exc}"
             return Err(PlatformFault(Fault.NOT_DONE, detail))
 
+    def _timeout(self, wait_ms: int) -> aiohttp.ClientTimeout:
+        """Return the timeout of a call that the log may hold for `wait_ms`."""
+        return aiohttp.ClientTimeout(total=(self._timeout_ms + wait_ms) / 1000)
+
     def _session(self) -> aiohttp.ClientSession:
         if self._http is None:
             msg = "LogClient.start() was not awaited"
--- a/src/spanshunt/systems/freshness.py
+++ b/src/spanshunt/systems/freshness.py
@@ -5,6 +5,11 @@
 that was fresh; or exchanges with a majority of the listed boxes. The last one holds
 since a configuration is called accepted only once a majority of the boxes holds it, so
 that any two majorities share a box that has it. ``docs/decisions/0003`` weighs this.
+
+Boxes have no disks, so one that was replaced has forgotten what its run before held. It
+is no witness, for itself or others, until it was proved fresh for a time
+:data:`ACK_MS` after its start: by then no configuration can still become accepted by
+what its run before said.
 """
 
 from ..ids import Millis
@@ -14,6 +19,9 @@
 
 NEVER = Millis(-1)
 
+ACK_MS = 5_000
+"""How long a box's word that it holds a record counts towards acceptance, in ms."""
+
 
 def prove_fresh(state: State, at: Millis) -> None:
     """Take a proof that the configuration was fresh at `at`; an older one is nothing.
@@ -46,13 +54,18 @@
     return len(members.listed) // 2 + 1
 
 
+def may_witness(state: State) -> bool:
+    """Tell whether this box holds all that any run of it ever said it holds."""
+    return state.fresh_at != NEVER and state.fresh_at >= state.started + ACK_MS
+
+
 def quorum_time(state: State, now: Millis) -> Millis:
     """Return the latest time by which a majority answered this box, -1 for none.
 
-    This box counts as having answered now.
+    This box counts as having answered now. Only witnesses count.
     """
     members = state.members
-    if state.me.box not in members.listed:
+    if state.me.box not in members.listed or not may_witness(state):
         return NEVER
     times = [
         row.witnessed
@@ -67,23 +80,29 @@
     return times[need - 1]
 
 
-def holders(state: State, offset: Offset) -> int:
-    """Return how many listed boxes are known to hold the record at `offset`."""
+def holders(state: State, offset: Offset, now: Millis) -> int:
+    """Return how many listed boxes hold the record at `offset`, by their own word.
+
+    A word older than :data:`ACK_MS` does not count.
+    """
     members = state.members
     others = sum(
         1
         for name, row in members.rows.items()
-        if name in members.listed and row.offset > offset
+        if name in members.listed
+        and row.offset > offset
+        and row.answered != NEVER
+        and now - row.answered <= ACK_MS
     )
     own = state.me.box in members.listed and state.config.next_offset > offset
     return others + int(own)
 
 
-def is_accepted(state: State, offset: Offset) -> bool:
+def is_accepted(state: State, offset: Offset, now: Millis) -> bool:
     """Tell whether a majority of the listed boxes holds the record at `offset`.
 
     With no list yet, this box alone must hold it.
     """
     if not state.members.listed:
         return state.config.next_offset > offset
-    return holders(state, offset) >= majority(state.members)
+    return holders(state, offset, now) >= majority(state.members)
--- a/src/spanshunt/systems/gossip.py
+++ b/src/spanshunt/systems/gossip.py
@@ -22,6 +22,7 @@
 from .following import take_snapshot
 from .freshness import NEVER
 from .freshness import fresh_age
+from .freshness import may_witness
 from .freshness import prove_fresh
 from .freshness import quorum_time
 from .learning import merge
@@ -61,6 +62,7 @@
         usage=usage,
         suspended=_suspensions(state, now),
         fresh_age=fresh_age(state, now),
+        witness=may_witness(state),
     )
 
 
@@ -100,7 +102,7 @@
     hear(state, got.told, now, wall)
     if state.config.next_offset < got.told.sender.offset:
         return
-    _witness(state, got.told.sender.box, sent)
+    _note_answer(state, got.told, sent)
     for row in got.told.members:
         if row.witness_age != NEVER and row.offset <= state.config.next_offset:
             _witness(state, row.box, Millis(sent - row.witness_age))
@@ -217,6 +219,16 @@
     )
 
 
+def _note_answer(state: State, told: Exchange, sent: Millis) -> None:
+    row = state.members.rows.get(told.sender.box)
+    if row is None or row.incarnation != told.sender.incarnation:
+        return
+    row.answered = max(row.answered, sent)
+    row.offset = max(row.offset, told.sender.offset)
+    if told.witness:
+        row.witnessed = max(row.witnessed, sent)
+
+
 def _witness(state: State, box: BoxId, at: Millis) -> None:
     row = state.members.rows.get(box)
     if row is not None:
--- a/src/spanshunt/tables/members.py
+++ b/src/spanshunt/tables/members.py
@@ -29,8 +29,11 @@
     offset : int
         The first record of the configuration stream that it has not folded.
     witnessed : int
-        The latest send time of an exchange that it answered, directly or through a
-        peer, in ms of the monotonic clock; -1 for none.
+        The latest send time of an exchange that it answered as a witness, directly or
+        through a peer, in ms of the monotonic clock; -1 for none.
+    answered : int
+        The latest send time of an exchange that it answered to this box itself, witness
+        or not; -1 for none.
     stopping : bool
         Whether it takes no new work.
     """
@@ -43,6 +46,7 @@
     heard: Millis = Millis(0)
     offset: Offset = Offset(0)
     witnessed: Millis = Millis(-1)
+    answered: Millis = Millis(-1)
     stopping: bool = False
 
 
--- a/src/spanshunt/tables/state.py
+++ b/src/spanshunt/tables/state.py
@@ -64,6 +64,8 @@
         Who this daemon is.
     tail : deque of LogRecord
         The last configuration records folded.
+    started : int
+        When this run of the daemon began, in ms of the monotonic clock.
     fresh_at : int
         When the configuration was last proved fresh, in ms; -1 never.
     beat : int
@@ -89,6 +91,7 @@
     tail: collections.deque[LogRecord] = msgspec.field(
         default_factory=lambda: collections.deque(maxlen=TAIL_RECORDS)
     )
+    started: Millis = Millis(0)
     fresh_at: Millis = Millis(-1)
     beat: int = 0
     stopping: bool = False
@@ -96,6 +99,6 @@
     sent_to: dict[Incarnation, int] = {}
 
 
-def new_state(me: Identity) -> State:
-    """Return the empty tables of a daemon that has just started."""
-    return State(me=me, journal=Journal(me.incarnation))
+def new_state(me: Identity, now: Millis) -> State:
+    """Return the empty tables of a daemon that starts at `now`."""
+    return State(me=me, journal=Journal(me.incarnation), started=now)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -108,7 +108,7 @@
 
 def a_state(box: str = "box-1", domain: str = DOMAINS[0], run: str = "0") -> State:
     """Return the tables of a fresh daemon."""
-    return new_state(Identity(box, domain, f"10.0.0.1:{box}", f"{box}.{run}"))
+    return new_state(Identity(box, domain, f"10.0.0.1:{box}", f"{box}.{run}"), 0)
 
 
 def some_settings(**changes: t.Any) -> dict[str, t.Any]:
