--- a/bench/world.py
+++ b/bench/world.py
@@ -73,6 +73,7 @@
 from spanshunt.systems.planner import make_plan
 from spanshunt.tables.claims import CallState
 from spanshunt.tables.claims import OwnCall
+from spanshunt.tables.config import RequestClass
 from spanshunt.tables.config import ServiceKind
 from spanshunt.tables.preferences import Memory
 from spanshunt.tables.state import Identity
@@ -569,7 +570,7 @@
     def _base(self) -> None:
         first = self.names[0]
         intents: tuple[Intent, ...] = (
-            DeclareService("s", ServiceKind.MODEL),
+            DeclareService("s", ServiceKind.MODEL, (RequestClass("default", 0.0),)),
             DeclareService("ledger", ServiceKind.PLAIN),
             DeclareVersion("cheap@1", "s", 1, 1, active=True),
             DeclareVersion("dear@1", "s", 9, 9, active=True),
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -87,6 +87,7 @@
         self._background = Background(self._on_broken)
         self._runners: list[web.AppRunner] = []
         self._server: Server | None = None
+        self._peer_service: PeerService
         self.router: Router
 
     async def start(self) -> None:
@@ -183,7 +184,8 @@
             stop=self.stop_asked,
             on_broken=self._on_broken,
         )
-        await self._serve_peers(PeerService(gossiper), host, server_port)
+        self._peer_service = PeerService(gossiper)
+        await self._serve_peers(self._peer_service, host, server_port)
 
     def _operators(self) -> dict[str, OperatorKey]:
         return {
@@ -266,6 +268,7 @@
         await self._background.stop()
         for runner in self._runners:
             await runner.cleanup()
+        self._peer_service.close()
         if self._server is not None:
             self._server.close()
         router = self.router
--- a/src/spanshunt/peers/service.py
+++ b/src/spanshunt/peers/service.py
@@ -4,6 +4,8 @@
 
 from grpclib.const import Cardinality
 from grpclib.const import Handler
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
 from .client import PREFIX
@@ -55,28 +57,35 @@
 
     def __init__(self, handlers: PeerHandlers) -> None:
         self._handlers = handlers
+        self._closed = False
+
+    def close(self) -> None:
+        """Answer nothing more, on connections that are still open either."""
+        self._closed = True
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers by path, as grpclib asks for them."""
         does = self._handlers
         return {
-            PREFIX + "Exchange": _unary(does.exchange, Exchange, ExchangeAnswer),
-            PREFIX + "CopyBills": _unary(does.copy_bills, CopyBills, Copied),
-            PREFIX + "AskCall": _unary(does.ask_call, AskCall, CallStatus),
-            PREFIX + "GetPin": _unary(does.get_pin, Pin, Pin),
-            PREFIX + "PutPin": _unary(does.put_pin, Pin, Pin),
-            PREFIX + "Gather": _unary(does.gather, Gather, Gathered),
+            PREFIX + "Exchange": self._unary(does.exchange, Exchange, ExchangeAnswer),
+            PREFIX + "CopyBills": self._unary(does.copy_bills, CopyBills, Copied),
+            PREFIX + "AskCall": self._unary(does.ask_call, AskCall, CallStatus),
+            PREFIX + "GetPin": self._unary(does.get_pin, Pin, Pin),
+            PREFIX + "PutPin": self._unary(does.put_pin, Pin, Pin),
+            PREFIX + "Gather": self._unary(does.gather, Gather, Gathered),
         }
 
-
-def _unary(
-    handle: t.Callable[[_Req], t.Awaitable[_Rep]],
-    req_type: type[_Req],
-    rep_type: type[_Rep],
-) -> Handler:
-    async def serve(stream: _AnyStream) -> None:
-        req = await stream.recv_message()
-        if req is not None:
-            await stream.send_message(await handle(req))
-
-    return Handler(serve, Cardinality.UNARY_UNARY, req_type, rep_type)
+    def _unary(
+        self,
+        handle: t.Callable[[_Req], t.Awaitable[_Rep]],
+        req_type: type[_Req],
+        rep_type: type[_Rep],
+    ) -> Handler:
+        async def serve(stream: _AnyStream) -> None:
+            req = await stream.recv_message()
+            if self._closed:
+                raise GRPCError(Status.UNAVAILABLE, "this box has stopped")
+            if req is not None:
+                await stream.send_message(await handle(req))
+
+        return Handler(serve, Cardinality.UNARY_UNARY, req_type, rep_type)
