--- a/src/spanshunt/systems/sequential.py
+++ b/src/spanshunt/systems/sequential.py
@@ -14,6 +14,10 @@
 RISES = (0.02, 0.05, 0.1, 0.2, 0.4, 0.7)
 """Alternatives for a share over its ceiling: this much of the room above it."""
 
+LEAST_EXCESS = 2.0
+"""With no more hits than this too few, or too many, since any epoch, there is nothing
+to work out: the evidence would be far below any threshold in use."""
+
 _LEAST = 1e-6
 
 
@@ -48,6 +52,9 @@
         it reaches ``a`` after ``a`` epochs or more on average.
     """
     bound = _inside(floor)
+    missing = [trials * bound - hits for trials, hits in epochs]
+    if _most_of_a_suffix(missing) <= LEAST_EXCESS:
+        return -math.inf
     return _log_mixture(
         [_log_shiryaev(epochs, _inside(bound * (1 - drop)), bound) for drop in DROPS]
     )
@@ -56,6 +63,9 @@
 def log_change_above(epochs: list[tuple[int, int]], ceiling: float) -> float:
     """Return the log of the Shiryaev-Roberts statistic for a rise over `ceiling`."""
     bound = _inside(ceiling)
+    excess = [hits - trials * bound for trials, hits in epochs]
+    if _most_of_a_suffix(excess) <= LEAST_EXCESS:
+        return -math.inf
     return _log_mixture(
         [
             _log_shiryaev(epochs, _inside(bound + (1 - bound) * rise), bound)
@@ -64,6 +74,15 @@
     )
 
 
+def _most_of_a_suffix(values: list[float]) -> float:
+    """Return the largest sum of values from any epoch to the last one."""
+    most = total = 0.0
+    for value in reversed(values):
+        total += value
+        most = max(most, total)
+    return most
+
+
 def _log_shiryaev(epochs: list[tuple[int, int]], share: float, bound: float) -> float:
     total = -math.inf
     for trials, hits in epochs:
