--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -56,6 +56,7 @@
 from .watchers import Watcher
 
 _JUDGE_MS = 500
+_LIMITS_MS = 500
 _LIST_MS = 1_000
 _EXPIRE_MS = 10_000
 _ORPHAN_MS = 2_000
@@ -210,6 +211,7 @@
         jobs.forever(router.bills.run_copies)
         jobs.every(timing.gossip_ms, router.gossiper.round)
         jobs.every(timing.tick_ms, self._tick)
+        jobs.every(_LIMITS_MS, self._tick_limits)
         jobs.every(_LIST_MS, watcher.read_list)
         jobs.every(timing.report_ms, watcher.read_reports)
         jobs.every(self.settings.journal.batch_ms, router.bills.append_own)
@@ -223,9 +225,12 @@
         state = router.state
         let_back(state.workers, now)
         prove_fresh(state, quorum_time(state, now))
+
+    async def _tick_limits(self) -> None:
+        router, now = self.router, self.clock.now()
+        state = router.state
         limits = {OrgId(name): row.limits for name, row in state.config.orgs.items()}
-        period = self.settings.timing.tick_ms
-        tick_usage(state.usage, limits, router.boxes(), now, period)
+        tick_usage(state.usage, limits, router.boxes(), now, _LIMITS_MS)
 
     async def _expire(self) -> None:
         expire(self.router.state.evidence, self.clock.wall())
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -173,7 +173,13 @@
     if isinstance(chosen, Err):
         return chosen
     choice = chosen.ok_value
-    rows = eligible(state.workers, call.asked.service, choice.version, progress.tried)
+    rows = eligible(
+        state.workers,
+        call.asked.service,
+        choice.version,
+        progress.tried,
+        router.rng,
+    )
     if not rows:
         detail = f"no worker that holds {choice.version} takes work now"
         return Err(Refusal(Problem.NO_WORKER, detail, retry_ms=_RETRY_MS))
@@ -456,7 +462,7 @@
         sure = Cell(version, _sure_class(asked.request_class, attempt), asked.org)
         observe(router.state.evidence, origin, wall, sure, seen)
     if failed:
-        note_failure(attempt.worker, now)
+        note_failure(router.state.workers, attempt.worker, now)
         router.metrics.count("attempt.failed")
         log_event(
             "WARNING",
--- a/src/spanshunt/plain_calls.py
+++ b/src/spanshunt/plain_calls.py
@@ -138,7 +138,8 @@
     tried: set[WorkerId] = set()
     refusal = Refusal(Problem.NO_WORKER, "no worker takes calls now", Run.NO, _RETRY_MS)
     while len(tried) < MOST_ATTEMPTS:
-        rows = eligible(router.state.workers, ServiceId(call.service.name), None, tried)
+        service = ServiceId(call.service.name)
+        rows = eligible(router.state.workers, service, None, tried, router.rng)
         if not rows:
             break
         worker = router.picker(rows)
@@ -147,7 +148,7 @@
             case Ok(response):
                 return response
             case Err(refusal):
-                note_failure(worker, router.clock.now())
+                note_failure(router.state.workers, worker, router.clock.now())
                 log_event(
                     "WARNING",
                     "call failed",
--- a/src/spanshunt/router.py
+++ b/src/spanshunt/router.py
@@ -134,11 +134,8 @@
             return False
         table = self.state.workers
         return any(
-            row.service == service
-            and version in row.versions
-            and row.name not in table.leaving
-            and row.state is not WorkerState.LEAVING
-            for row in table.rows.values()
+            row.name not in table.leaving and row.state is not WorkerState.LEAVING
+            for row in table.able(service, version)
         )
 
     def boxes(self) -> int:
--- a/src/spanshunt/settings.py
+++ b/src/spanshunt/settings.py
@@ -161,7 +161,7 @@
     """
 
     tick_ms: Duration = 100
-    gossip_ms: Duration = 400
+    gossip_ms: Duration = 500
     fresh_ms: Duration = 4_000
     suspect_ms: Duration = 3_000
     report_ms: Duration = 500
--- a/src/spanshunt/systems/claiming.py
+++ b/src/spanshunt/systems/claiming.py
@@ -96,8 +96,9 @@
 
 
 def _expire(table: ClaimTable, now: Millis) -> None:
-    for key, won in list(table.won.items()):
+    while table.won:
+        key, won = next(iter(table.won.items()))
         if now - won.at < KEY_LIFETIME_MS:
-            break
+            return
         del table.won[key]
         table.own.pop(won.claim.request, None)
--- a/src/spanshunt/systems/gossip.py
+++ b/src/spanshunt/systems/gossip.py
@@ -30,13 +30,13 @@
 from .limiting import hear_usage
 from .limiting import usage_rows
 
-MEMBERS_A_ROUND = 12
+MEMBERS_A_ROUND = 6
 """Rows of other boxes in one message."""
 
-EVIDENCE_A_ROUND = 40
+EVIDENCE_A_ROUND = 10
 """Rows of evidence in one message."""
 
-USAGE_A_ROUND = 40
+USAGE_A_ROUND = 6
 """Rows of usage in one message."""
 
 FORGET_MS = 600_000
--- a/src/spanshunt/systems/limiting.py
+++ b/src/spanshunt/systems/limiting.py
@@ -26,6 +26,9 @@
 LEAST_DEMAND = 0.2
 """Demand, requests a second, that a box counts as even when it sees none."""
 
+IDLE_DEMAND = 0.001
+"""An organisation with less demand, and nothing spent today, is forgotten."""
+
 DEMAND_TAU_MS = 2_000.0
 """Time constant of the moving mean of demand."""
 
@@ -94,6 +97,9 @@
     for org, own in list(usage.own.items()):
         own.demand += part * (own.asked * 1000 / period - own.demand)
         own.asked = 0
+        if own.demand < IDLE_DEMAND and not own.running and not own.spent:
+            del usage.own[org]
+            continue
         bound = limits.get(org)
         if bound is None:
             continue
--- a/src/spanshunt/systems/worker_choice.py
+++ b/src/spanshunt/systems/worker_choice.py
@@ -14,6 +14,9 @@
 SAMPLE = 3
 """Workers drawn at random before the least loaded of them is taken."""
 
+WHOLE_VIEW = 32
+"""Up to this many workers are all looked at; of more, half this many at random."""
+
 EJECT_AFTER = 3
 """Failures in a row that eject a worker."""
 
@@ -35,24 +38,34 @@
     service: ServiceId,
     version: VersionId | None,
     tried: t.Collection[WorkerId],
+    rng: random.Random,
 ) -> list[WorkerRow]:
-    """Return the live workers that can answer, less those tried already.
+    """Return live workers that can answer, less those tried already.
 
-    When all live ones were tried, an ejected one is better than none: it is returned
-    only if no live worker is left.
+    Of many workers only a random sample is looked at, so that the time taken does not
+    grow with them. When no live one is left, an ejected one is better than none.
     """
-    able = [
+    able = workers.able(service, version)
+    if len(able) > WHOLE_VIEW:
+        sample = _usable(workers, rng.sample(able, WHOLE_VIEW // 2), tried)
+        live = [row for row in sample if row.state is WorkerState.LIVE]
+        if live:
+            return live
+    usable = _usable(workers, able, tried)
+    live = [row for row in usable if row.state is WorkerState.LIVE]
+    return live or usable
+
+
+def _usable(
+    workers: Workers, rows: list[WorkerRow], tried: t.Collection[WorkerId]
+) -> list[WorkerRow]:
+    return [
         row
-        for row in workers.rows.values()
-        if row.service == service
-        and row.name not in tried
+        for row in rows
+        if row.name not in tried
         and row.name not in workers.leaving
-        and (version is None or version in row.versions)
+        and row.state is not WorkerState.LEAVING
     ]
-    live = [row for row in able if row.state is WorkerState.LIVE]
-    if live:
-        return live
-    return [row for row in able if row.state is WorkerState.EJECTED]
 
 
 def load_of(row: WorkerRow) -> float:
@@ -107,20 +120,25 @@
     row.token_ms = _smooth(row.token_ms, token_ms)
 
 
-def note_failure(row: WorkerRow, now: Millis) -> None:
+def note_failure(workers: Workers, row: WorkerRow, now: Millis) -> None:
     """Take a failed request into the worker's row; too many eject it."""
     row.failures += 1
     if row.failures >= EJECT_AFTER and row.state is not WorkerState.LEAVING:
         doublings = min(row.failures - EJECT_AFTER, 6)
         duration = min(EJECT_MS * 2**doublings, EJECT_MAX_MS)
         row.state = WorkerState.EJECTED
+        workers.ejected.add(row.name)
         row.back_at = Millis(now + duration)
 
 
 def let_back(workers: Workers, now: Millis) -> None:
     """Let ejected workers back whose time is over."""
-    for row in workers.rows.values():
-        if row.state is WorkerState.EJECTED and now >= row.back_at:
+    for name in list(workers.ejected):
+        row = workers.rows.get(name)
+        if row is None or row.state is not WorkerState.EJECTED:
+            workers.ejected.discard(name)
+        elif now >= row.back_at:
+            workers.ejected.discard(name)
             row.state = WorkerState.LIVE
             row.failures = EJECT_AFTER - 1
 
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -71,7 +71,34 @@
 
 
 class Workers(msgspec.Struct):
-    """All workers, by name; ``leaving`` are those that any evidence says leave."""
+    """All workers.
+
+    Attributes
+    ----------
+    rows : dict
+        By name.
+    leaving : set
+        Those that any evidence says leave.
+    ejected : set
+        Those that failed too often.
+    index : dict
+        Workers by service, and by service and version; see :meth:`able`.
+    """
 
     rows: dict[WorkerId, WorkerRow] = {}
     leaving: set[WorkerId] = set()
+    ejected: set[WorkerId] = set()
+    index: dict[tuple[ServiceId, VersionId | None], list[WorkerRow]] = {}
+
+    def able(self, service: ServiceId, version: VersionId | None) -> list[WorkerRow]:
+        """Return the workers of `service` that hold `version`, whatever their state."""
+        if not self.index:
+            for row in self.rows.values():
+                self.index.setdefault((row.service, None), []).append(row)
+                for held in row.versions:
+                    self.index.setdefault((row.service, held), []).append(row)
+        return self.index.get((service, version), [])
+
+    def changed(self) -> None:
+        """Note that workers came or went, or that what they hold changed."""
+        self.index.clear()
--- a/src/spanshunt/watchers.py
+++ b/src/spanshunt/watchers.py
@@ -94,6 +94,7 @@
         for name in set(table.rows) - set(workers):
             if table.rows[name].inflight == 0:
                 del table.rows[name]
+                table.changed()
                 table.leaving.discard(name)
             else:
                 table.leaving.add(name)
@@ -107,6 +108,7 @@
                 domain=listed.domain,
                 versions=frozenset(listed.versions),
             )
+            table.changed()
         if listed.state is BoxState.LEAVING:
             table.leaving.add(name)
 
@@ -123,8 +125,10 @@
         row.inflight_at_report = min(before, row.inflight)
         row.slots = max(1, report.slots)
         row.reported_at = self._clock.now()
-        if report.versions:
-            row.versions = frozenset(report.versions)
+        held = frozenset(report.versions)
+        if held and held != row.versions:
+            row.versions = held
+            self._state.workers.changed()
         if report.leaving and row.name not in self._state.workers.leaving:
             log_event("INFO", "worker leaves", worker=row.name)
             self._state.workers.leaving.add(row.name)
