--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 RUN_READY := $(VENV)/.run-ready
 DEV_READY := $(VENV)/.dev-ready
 
-.PHONY: demo test lint format soak measure slopes bench clean
+DURATION_S ?= 20
+
+.PHONY: demo test lint format soak mutants measure slopes bench clean
 
 $(RUN_READY): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -33,5 +35,21 @@
 	$(BIN)/ruff check --fix src tests bench examples
 	$(BIN)/ruff format src tests bench examples
 
+soak: $(DEV_READY)
+	$(BIN)/python -m bench.soak $(DURATION_S)
+
+mutants: $(DEV_READY)
+	$(BIN)/python -m bench.mutants
+
+measure: $(DEV_READY)
+	$(BIN)/python -m bench.choice
+	$(BIN)/python -m bench.rollouts
+
+slopes: $(DEV_READY)
+	$(BIN)/python -m bench.slopes
+
+bench: $(DEV_READY)
+	$(BIN)/python -m bench.relay
+
 clean:
 	rm -rf $(VENV)
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import cappa
+import uvloop
 from aiohttp import web
 from grpclib.server import Server
 
@@ -332,7 +333,7 @@
         print(f"{command.settings}: ok")
         return
     set_up_logs(settings.logging, settings.box)
-    sys.exit(asyncio.run(_serve_until_stopped(settings, command.settings)))
+    sys.exit(uvloop.run(_serve_until_stopped(settings, command.settings)))
 
 
 async def _serve_until_stopped(settings: Settings, path: str) -> int:
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -323,8 +323,7 @@
     response = progress.response or await _begin(router, req, call, attempt)
     if held_back:
         await response.write(b"".join(attempt.text))
-    await response.write(end.ok_value)
-    await response.write_eof()
+    await response.write_eof(end.ok_value)
     if keep:
         _rate(router, call, attempt, text_of_stream(attempt.text))
     return Outcome(Ending.DONE, response=response)
@@ -520,6 +519,5 @@
         check_not_run(progress.started, call.request)
     if progress.response is None:
         return refusal_response(failure, call.request)
-    await progress.response.write(error_event(failure, call.request))
-    await progress.response.write_eof()
+    await progress.response.write_eof(error_event(failure, call.request))
     return progress.response
--- a/src/spanshunt/plain_calls.py
+++ b/src/spanshunt/plain_calls.py
@@ -257,9 +257,7 @@
     await _bill(router, call)
     if not response.prepared:
         await response.prepare(req)
-    if held is not None:
-        await response.write(held)
-    await response.write_eof()
+    await response.write_eof(held or b"")
     return b"".join(kept)
 
 
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,176 @@
+"""Daemons as processes of their own: killed, stopped and woken by signals."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import typing as t
+
+import aiohttp
+import pytest
+
+from builders import BASE_INTENTS
+from builders import CHEAP
+from builders import CREDENTIAL
+from builders import DEAR
+from builders import OPERATOR
+from builders import System
+from builders import chat_body
+from builders import some_settings
+from builders import whole_answer
+from builders import words_of
+from spanshunt.platform.boxes import BoxList
+from spanshunt.platform.boxes import ListedBox
+from spanshunt.standins.engine import EngineModel
+
+BIN = pathlib.Path(sys.executable).parent / "spanshuntd"
+
+
+async def free_port() -> int:
+    server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
+    port = int(server.sockets[0].getsockname()[1])
+    server.close()
+    await server.wait_closed()
+    return port
+
+
+class Processes:
+    """Stand-ins in this process, daemons in their own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.system = System()
+        self.folder = folder
+        self.running: list[subprocess.Popen[bytes]] = []
+        self.listens: list[dict[str, str]] = []
+
+    async def start(self, count: int, model: EngineModel | None = None) -> None:
+        await self.system.start(daemons=0, model=model)
+        for index in range(count):
+            ports = [await free_port() for _ in range(3)]
+            names = ("callers", "operators", "peers")
+            listen = {n: f"127.0.0.1:{p}" for n, p in zip(names, ports, strict=True)}
+            self.listens.append(listen)
+            box = ListedBox(f"box-{index}", listen["peers"], f"domain-{index}")
+            boxes = (*self.system.boxes.boxes.boxes, box)
+            self.system.boxes.boxes = BoxList(boxes)
+        for index in range(count):
+            self.spawn(index)
+        for index in range(count):
+            await self.ready(index)
+
+    def spawn(self, index: int) -> None:
+        served = self.system.served
+        raw = some_settings(
+            box=f"box-{index}",
+            domain=f"domain-{index}",
+            listen=self.listens[index],
+            platform={name: served[name].url for name in ("log", "boxes", "rater")},
+            timing={"gossip_ms": 100, "report_ms": 100},
+        )
+        path = self.folder / f"box-{index}.json"
+        path.write_text(json.dumps(raw))
+        quiet = subprocess.DEVNULL
+        command = [str(BIN), "--settings", str(path)]
+        process = subprocess.Popen(command, stderr=quiet, env=dict(os.environ))
+        self.running.append(process)
+
+    async def ready(self, index: int) -> None:
+        url = f"http://{self.listens[index]['callers']}/readyz"
+        async with asyncio.timeout(30):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    async with self.system.http.get(url) as res:
+                        if res.status == 200:
+                            return
+                await asyncio.sleep(0.05)
+
+    async def apply(self, *intents: dict[str, t.Any], index: int = 0) -> None:
+        url = f"http://{self.listens[index]['operators']}/admin/v1"
+        headers = {"Authorization": f"Bearer {OPERATOR}"}
+        http = self.system.http
+        body = {"intents": list(intents)}
+        async with http.post(url + "/plans", json=body, headers=headers) as res:
+            signed = await res.json()
+        async with http.post(url + "/confirm", json=signed, headers=headers) as res:
+            outcome = await res.json()
+            assert res.status == 200, outcome
+            assert outcome["accepted"]
+
+    async def chat(self, nonce: str, tokens: int, index: int) -> aiohttp.ClientResponse:
+        url = f"http://{self.listens[index]['callers']}/v1/chat/completions"
+        headers = {"Authorization": f"Bearer {CREDENTIAL}"}
+        body = chat_body(nonce, tokens)
+        return await self.system.http.post(url, json=body, headers=headers)
+
+    async def stop(self) -> None:
+        for process in self.running:
+            process.kill()
+            process.wait()
+        await self.system.stop()
+
+
+@pytest.fixture
+async def processes(tmp_path: pathlib.Path) -> t.AsyncIterator[Processes]:
+    made = Processes(tmp_path)
+    try:
+        yield made
+    finally:
+        await made.stop()
+
+
+async def test_box_killed_in_a_stream_gives_no_whole_answer(processes: Processes):
+    slow = EngineModel(prefill_ms=1, token_ms=20, batch_ms=0)
+    await processes.start(3, slow)
+    await processes.apply(*BASE_INTENTS)
+    await asyncio.sleep(1)
+    res = await processes.chat("abc", 200, 1)
+    assert res.status == 200
+    first = await res.content.readany()
+    processes.running[1].send_signal(signal.SIGKILL)
+    with pytest.raises(aiohttp.ClientError):
+        await res.content.read()
+    assert b"[DONE]" not in first
+    again = await processes.chat("again", 3, 0)
+    assert words_of(await again.read()) == whole_answer("again", 3)
+
+
+async def test_box_woken_from_a_pause_gives_a_withdrawn_version_no_work(
+    processes: Processes,
+):
+    await processes.start(3)
+    await processes.apply(*BASE_INTENTS)
+    await asyncio.sleep(1)
+    paused = processes.running[2]
+    paused.send_signal(signal.SIGSTOP)
+    await processes.apply({"do": "withdraw", "version": DEAR})
+    before = sum(len(engine.ran) for engine in processes.system.engines)
+    await asyncio.sleep(4.5)
+    asked = [
+        asyncio.create_task(processes.chat(f"n{number}", 2, 2)) for number in range(8)
+    ]
+    await asyncio.sleep(0.3)
+    paused.send_signal(signal.SIGCONT)
+    for task in asked:
+        res = await task
+        if res.status == 200:
+            assert res.headers["Spanshunt-Version"] == CHEAP
+        else:
+            assert (await res.json(content_type=None))["run"] == "no"
+    await processes.ready(2)
+    ran = sum(len(engine.ran) for engine in processes.system.engines)
+    assert ran - before <= 8
+
+
+async def test_sigterm_finishes_a_stream_and_exits_with_0(processes: Processes):
+    slow = EngineModel(prefill_ms=1, token_ms=20, batch_ms=0)
+    await processes.start(2, slow)
+    await processes.apply(*BASE_INTENTS)
+    await asyncio.sleep(1)
+    res = await processes.chat("abc", 60, 1)
+    processes.running[1].send_signal(signal.SIGTERM)
+    assert words_of(await res.read()) == whole_answer("abc", 60)
+    assert await asyncio.to_thread(processes.running[1].wait, 30) == 0
