Bills outlive the log's retention

Cause: `spanshunt bills` folded from the first record that the log still held, so totals shrank in silence once the log dropped records, and an entry appended again after its first copy was dropped would count twice after a restart of the reader. The fold's tables moved to a module of their own.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -19,7 +19,7 @@
 from spanshunt.systems import following
 from spanshunt.systems import freshness
 from spanshunt.systems import gossip
-from spanshunt.systems import journaling
+from spanshunt.tables import billing
 from spanshunt.tables.config import OrgRow
 from spanshunt.tables.config import VersionState
 
@@ -39,7 +39,7 @@
     promise: str
 
 
-def _count_again(self: journaling.Coverage, _seq: int) -> bool:
+def _count_again(self: billing.Coverage, _seq: int) -> bool:
     return True
 
 
@@ -107,7 +107,7 @@
     ),
     Mutant(
         "entries are counted again",
-        journaling.Coverage,
+        billing.Coverage,
         "add",
         _count_again,
         "one-bill",
--- a/bench/world.py
+++ b/bench/world.py
@@ -62,7 +62,6 @@
 from spanshunt.systems.invariants import check
 from spanshunt.systems.invariants import check_claim
 from spanshunt.systems.invariants import check_version
-from spanshunt.systems.journaling import BillFold
 from spanshunt.systems.journaling import first_open
 from spanshunt.systems.journaling import fold_bills
 from spanshunt.systems.journaling import next_batch
@@ -71,6 +70,7 @@
 from spanshunt.systems.journaling import settle
 from spanshunt.systems.journaling import take_copies
 from spanshunt.systems.planner import make_plan
+from spanshunt.tables.billing import BillFold
 from spanshunt.tables.claims import CallState
 from spanshunt.tables.claims import OwnCall
 from spanshunt.tables.config import RequestClass
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -33,8 +33,8 @@
 from spanshunt.standins.log import LogStandin
 from spanshunt.standins.rater import RaterStandin
 from spanshunt.standins.service import ServiceStandin
-from spanshunt.systems.journaling import BillFold
 from spanshunt.systems.journaling import fold_bills
+from spanshunt.tables.billing import BillFold
 
 HERE = pathlib.Path(__file__).parent
 BIN = pathlib.Path(sys.executable).parent
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -16,6 +16,7 @@
 from .appender import Appender
 from .background import Background
 from .bill_keeper import BillKeeper
+from .bill_reader import BillReader
 from .callers import CallerApi
 from .claimer import Claimer
 from .clock import Clock
@@ -173,6 +174,7 @@
             http_once=_single_use_session(),
             appender=appender,
             bills=bills,
+            bill_reader=BillReader(log),
             claimer=claimer,
             follower=follower,
             gossiper=gossiper,
@@ -205,7 +207,12 @@
             self.settings, router.state, self.clock, router.http, router.gossiper
         )
         duties = Duties(
-            self.settings, router.state, self.clock, router.appender, router.metrics
+            self.settings,
+            router.state,
+            self.clock,
+            router.appender,
+            router.bill_reader,
+            router.metrics,
         )
         jobs.forever(router.follower.run)
         jobs.forever(claims.run)
@@ -220,6 +227,7 @@
         jobs.every(_JUDGE_MS, duties.judge_rollouts)
         jobs.every(_EXPIRE_MS, self._expire)
         jobs.every(_EXPIRE_MS, duties.make_snapshot)
+        jobs.every(_EXPIRE_MS, duties.make_bill_snapshot)
 
     async def _tick(self) -> None:
         router, now = self.router, self.clock.now()
--- a/src/spanshunt/duties.py
+++ b/src/spanshunt/duties.py
@@ -9,6 +9,7 @@
 from result import Ok
 
 from .appender import Appender
+from .bill_reader import BillReader
 from .clock import Clock
 from .ids import Millis
 from .ids import RolloutId
@@ -35,7 +36,7 @@
 
     Parameters
     ----------
-    settings, state, clock, appender, metrics
+    settings, state, clock, appender, bill_reader, metrics
         The parts of the daemon that it works with.
     """
 
@@ -45,12 +46,14 @@
         state: State,
         clock: Clock,
         appender: Appender,
+        bill_reader: BillReader,
         metrics: Metrics,
     ) -> None:
         self._settings = settings
         self._state = state
         self._clock = clock
         self._appender = appender
+        self._bill_reader = bill_reader
         self._metrics = metrics
         self._due_since: dict[str, Millis] = {}
 
@@ -90,6 +93,24 @@
             case Err(fault):
                 log_event("WARNING", "snapshot not appended", fault=fault.detail)
 
+    async def make_bill_snapshot(self) -> None:
+        """Put the fold of the bills on the log when it is due.
+
+        The first box by rank alone reads the stream for this.
+        """
+        now = self._clock.now()
+        suspect_ms = self._settings.timing.suspect_ms
+        if rank(self._state, "bill snapshot", now, suspect_ms) > 0:
+            return
+        if (await self._bill_reader.catch_up()).is_err():
+            return
+        snapshot = self._bill_reader.snapshot_due()
+        if snapshot is None:
+            return
+        if (await self._appender.append_now(Stream.BILLS, snapshot)).is_ok():
+            self._bill_reader.note_snapshot(snapshot)
+            log_event("INFO", "bills folded", offset=snapshot.fold.next_offset)
+
     async def _append_step(self, step: RolloutStep) -> None:
         match await self._appender.append_now(Stream.CONFIG, step):
             case Ok(_):
--- a/src/spanshunt/records.py
+++ b/src/spanshunt/records.py
@@ -24,6 +24,7 @@
 from .ids import RolloutId
 from .ids import ServiceId
 from .ids import VersionId
+from .tables.billing import BillFold
 from .tables.config import Config
 
 
@@ -143,6 +144,13 @@
     parts: tuple[JournalPart, ...]
 
 
+class BillsSnapshot(msgspec.Struct, frozen=True, tag="bills_snapshot"):
+    """The bills as folded up to, not including, ``fold.next_offset``."""
+
+    fold: BillFold
+    hash: str
+
+
 class Claim(msgspec.Struct, frozen=True):
     """A box claims the right to run one keyed call.
 
@@ -181,7 +189,7 @@
     releases: tuple[Release, ...] = ()
 
 
-Record = Confirm | RolloutStep | Lease | Snapshot | Bills | Claims
+Record = Confirm | RolloutStep | Lease | Snapshot | Bills | BillsSnapshot | Claims
 
 _encoder = msgspec.json.Encoder(order="sorted")
 _decoder = msgspec.json.Decoder(Record)
--- a/src/spanshunt/reports.py
+++ b/src/spanshunt/reports.py
@@ -5,26 +5,18 @@
 from result import Ok
 from result import Result
 
-from .followers import read_all
 from .histograms import Summary
 from .ids import Micros
 from .ids import Millis
 from .ids import Offset
 from .ids import OrgId
 from .ids import ServiceId
-from .platform.outcomes import Fault
 from .platform.outcomes import PlatformFault
-from .records import Bills
-from .records import LogRecord
-from .records import Stream
-from .records import decode_record
 from .router import Router
 from .systems.choice import Asked
 from .systems.choice import choose
 from .systems.freshness import fresh_age
 from .systems.invariants import checks
-from .systems.journaling import BillFold
-from .systems.journaling import fold_bills
 from .systems.learning import estimate
 from .tables.config import HistoryRow
 from .tables.evidence import Cell
@@ -132,7 +124,8 @@
     doubled : int
         Entries that were on the log more than once and counted once.
     since : int
-        The first record that the log still holds.
+        Bills before this record were dropped with no snapshot and are not in the rows;
+        0 if none were.
     """
 
     rows: tuple[BillReport, ...]
@@ -284,13 +277,10 @@
 
 async def bills_report(router: Router) -> Result[BillsReport, PlatformFault]:
     """Fold the bills stream and return it."""
-    read = await read_all(router.log, Stream.BILLS, Offset(0))
-    if isinstance(read, Err) and read.err_value.fault is Fault.DROPPED:
-        first = Offset(read.err_value.first)
-        read = await read_all(router.log, Stream.BILLS, first)
-    if isinstance(read, Err):
-        return read
-    fold = fold_all(read.ok_value.records)
+    caught_up = await router.bill_reader.catch_up()
+    if isinstance(caught_up, Err):
+        return caught_up
+    fold = caught_up.ok_value
     rows = tuple(
         BillReport(
             org=org,
@@ -303,19 +293,7 @@
         for org, services in sorted(fold.totals.items())
         for service, total in sorted(services.items())
     )
-    return Ok(BillsReport(rows, fold.doubled, read.ok_value.first))
-
-
-def fold_all(records: tuple[LogRecord, ...]) -> BillFold:
-    """Fold records of the bills stream from the start."""
-    fold = BillFold()
-    for record in records:
-        match decode_record(record.data):
-            case Ok(Bills() as bills):
-                fold_bills(fold, bills)
-            case _:
-                pass
-    return fold
+    return Ok(BillsReport(rows, fold.doubled, router.bill_reader.missing_before))
 
 
 def explain_report(router: Router, asked: Asked) -> ExplainReport:
--- a/src/spanshunt/router.py
+++ b/src/spanshunt/router.py
@@ -9,6 +9,7 @@
 
 from .appender import Appender
 from .bill_keeper import BillKeeper
+from .bill_reader import BillReader
 from .claimer import Claimer
 from .clock import Clock
 from .exceptions import InvariantError
@@ -56,7 +57,7 @@
     http, http_once : aiohttp.ClientSession
         To workers: pooled connections, and a fresh one for each call that may not be
         repeated.
-    appender, bills, claimer, follower, gossiper, peers, log
+    appender, bills, bill_reader, claimer, follower, gossiper, peers, log
         The parts that keep what must last.
     signer : SessionSigner
         Signs session tokens and plans.
@@ -84,6 +85,7 @@
     http_once: aiohttp.ClientSession
     appender: Appender
     bills: BillKeeper
+    bill_reader: BillReader
     claimer: Claimer
     follower: ConfigFollower
     gossiper: Gossiper
--- a/src/spanshunt/systems/journaling.py
+++ b/src/spanshunt/systems/journaling.py
@@ -3,25 +3,37 @@
 import typing as t
 
 import msgspec
+from result import Ok
 
 from ..ids import Incarnation
 from ..ids import Micros
 from ..ids import Millis
+from ..ids import Offset
 from ..ids import OrgId
 from ..ids import RequestId
 from ..ids import ServiceId
 from ..records import BillEntry
 from ..records import Bills
+from ..records import BillsSnapshot
 from ..records import JournalPart
+from ..records import LogRecord
 from ..records import Usage
+from ..records import decode_record
+from ..tables.billing import BillFold
+from ..tables.billing import Coverage
+from ..tables.billing import OrgTotal
 from ..tables.config import ServiceRow
 from ..tables.config import VersionRow
 from ..tables.journal import Copies
 from ..tables.journal import Journal
+from ..utils import digest
 
 BATCH_ENTRIES = 2_000
 """Entries in one record of the log; at some 250 bytes each this is 0.5 MB."""
 
+COVERAGE_MS = 7 * 86_400_000
+"""How long after its last bill an incarnation's entries may still come again."""
+
 TOKENS_PER_PRICE = 1_000
 """Prices are for this many tokens."""
 
@@ -128,56 +140,13 @@
             del journal.copies[incarnation]
 
 
-class Coverage(msgspec.Struct):
-    """Which seqs of one incarnation were counted: all below ``upto``, and ``extra``."""
-
-    upto: int = 0
-    extra: set[int] = set()
-
-    def add(self, seq: int) -> bool:
-        """Count `seq`; return False if it was counted before."""
-        if seq < self.upto or seq in self.extra:
-            return False
-        self.extra.add(seq)
-        while self.upto in self.extra:
-            self.extra.remove(self.upto)
-            self.upto += 1
-        return True
-
-
-class OrgTotal(msgspec.Struct):
-    """What one organisation owes for one service."""
-
-    requests: int = 0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    cost: Micros = Micros(0)
-
-
-class BillFold(msgspec.Struct):
-    """The fold of the bills stream.
-
-    Attributes
-    ----------
-    covered : dict
-        What was counted, by incarnation.
-    totals : dict
-        By organisation, then service.
-    doubled : int
-        Entries that came again and were not counted again.
-    """
-
-    covered: dict[Incarnation, Coverage] = {}
-    totals: dict[OrgId, dict[ServiceId, OrgTotal]] = {}
-    doubled: int = 0
-
-
 def fold_bills(fold: BillFold, bills: Bills) -> tuple[BillEntry, ...]:
     """Count the entries of one record; return those that were new."""
     fresh = []
     for part in bills.parts:
         coverage = fold.covered.setdefault(part.incarnation, Coverage())
         for entry in part.entries:
+            coverage.latest = max(coverage.latest, entry.at)
             if not coverage.add(entry.seq):
                 fold.doubled += 1
                 continue
@@ -186,6 +155,40 @@
     return tuple(fresh)
 
 
+def fold_bill_record(fold: BillFold, record: LogRecord) -> None:
+    """Fold one record of the bills stream; snapshots say nothing new to the fold."""
+    match decode_record(record.data):
+        case Ok(Bills() as bills):
+            fold_bills(fold, bills)
+        case _:
+            pass
+    fold.next_offset = Offset(record.offset + 1)
+
+
+def newest_bill_fold(records: t.Iterable[LogRecord]) -> BillFold | None:
+    """Return the fold of the newest sound snapshot among `records`."""
+    found: BillFold | None = None
+    for record in records:
+        match decode_record(record.data):
+            case Ok(BillsSnapshot(fold=fold, hash=hash_)) if digest(fold) == hash_:
+                found = fold
+            case _:
+                pass
+    return found
+
+
+def bill_snapshot(fold: BillFold) -> BillsSnapshot:
+    """Return a snapshot of the fold, less what can't come again."""
+    newest = max((row.latest for row in fold.covered.values()), default=Millis(0))
+    covered = {
+        incarnation: row
+        for incarnation, row in fold.covered.items()
+        if newest - row.latest < COVERAGE_MS
+    }
+    kept = msgspec.structs.replace(fold, covered=covered)
+    return BillsSnapshot(fold=kept, hash=digest(kept))
+
+
 def _count(fold: BillFold, entry: BillEntry) -> None:
     services = fold.totals.setdefault(entry.org, {})
     total = services.setdefault(entry.service, OrgTotal())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -9,6 +9,7 @@
 from builders import chat_body
 from builders import whole_answer
 from builders import words_of
+from spanshunt import bill_reader
 from spanshunt.records import Stream
 from spanshunt.standins.engine import EngineFaults
 from spanshunt.standins.engine import EngineModel
@@ -196,6 +197,35 @@
             assert not cut.why_not_ready()
 
 
+class TestBillSnapshots:
+    async def test_bills_outlive_the_records_that_the_log_drops(self, monkeypatch):
+        monkeypatch.setattr(bill_reader, "SNAPSHOT_EVERY", 1)
+        async with a_system(daemons=1) as system:
+            for number in range(5):
+                await system.chat(f"n{number}", 2)
+            await system.billed(5)
+            router = system.daemons[0].router
+            stream = system.log.stream("bills")
+            old = stream.records[0].data
+            snapshot = router.bill_reader.snapshot_due()
+            await router.appender.append_now(Stream.BILLS, snapshot)
+            stream.drop_before(snapshot.fold.next_offset)
+            stream.append(old, 0)
+            await system.chat("after", 2)
+            router.bill_reader = bill_reader.BillReader(router.log)
+            assert await system.billed(6) >= 1
+
+    async def test_bills_dropped_with_no_snapshot_are_said_to_be_missing(self):
+        async with a_system(daemons=1) as system:
+            await system.chat("a", 2)
+            await system.billed(1)
+            system.log.stream("bills").drop_before(1)
+            router = system.daemons[0].router
+            router.bill_reader = bill_reader.BillReader(router.log)
+            _, report = await system.admin("GET", "/bills")
+            assert report["since"] == 1
+
+
 class TestBoxLoss:
     async def test_bills_of_a_killed_box_are_appended_by_peers(self):
         async with a_system(daemons=3) as system:
--- a/tests/test_journaling.py
+++ b/tests/test_journaling.py
@@ -8,7 +8,6 @@
 from spanshunt.records import JournalPart
 from spanshunt.records import Usage
 from spanshunt.systems.journaling import BATCH_ENTRIES
-from spanshunt.systems.journaling import BillFold
 from spanshunt.systems.journaling import first_open
 from spanshunt.systems.journaling import fold_bills
 from spanshunt.systems.journaling import next_batch
@@ -17,6 +16,7 @@
 from spanshunt.systems.journaling import seal
 from spanshunt.systems.journaling import settle
 from spanshunt.systems.journaling import take_copies
+from spanshunt.tables.billing import BillFold
 from spanshunt.tables.config import VersionRow
 
 
