A roll-out is not starved of the evidence that would end it

An entering version whose own few ratings were bad was no longer thought to be good enough, so it got no more requests and the guard rails never had the evidence to decide. Second cause: the expected cost of an answer was cut to whole units, so that two cheap versions cost the same nothing. Change: whether an entering version takes other work goes by the version before it, not by its own ratings; costs are not cut. Conclusion: exposure is for the guard rails to bound; choice must not decide it in silence.

--- a/bench/world.py
+++ b/bench/world.py
@@ -436,13 +436,8 @@
         self.log.take_late(self.now)
         for _ in range(40):
             self.now += 500
+            self._work_once()
             for name in self.names:
-                self.follow(name)
-                self.follow_claims(name)
-                for other in self.names:
-                    self.ask(name, other)
-                while self.wire:
-                    self.deliver()
                 self.append_bills(name)
         self.now += ORPHAN_MS * 2
         for name in self.names:
@@ -560,6 +555,16 @@
         box.state.members.listed = listed
         return box
 
+    def _work_once(self) -> None:
+        """Let every box read the log and hear every other one."""
+        for name in self.names:
+            self.follow(name)
+            self.follow_claims(name)
+            for other in self.names:
+                self.ask(name, other)
+            while self.wire:
+                self.deliver()
+
     def _new_request(self) -> RequestId:
         self.numbers += 1
         return RequestId(f"r{self.numbers}")
@@ -579,13 +584,7 @@
         for intent in intents:
             self.follow(first)
             self.confirm(first, intent)
-        for name in self.names:
-            self.follow(name)
-            self.follow_claims(name)
-            for other in self.names:
-                self.ask(name, other)
-            while self.wire:
-                self.deliver()
+        self._work_once()
 
 
 def change(number: int) -> Intent:
--- a/src/spanshunt/systems/choice.py
+++ b/src/spanshunt/systems/choice.py
@@ -9,7 +9,6 @@
 from result import Result
 
 from ..ids import ClassId
-from ..ids import Micros
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import OrgId
@@ -26,6 +25,7 @@
 from ..tables.evidence import Pool
 from ..tables.preferences import Memory
 from ..utils import unit_hash
+from .journaling import TOKENS_PER_PRICE
 from .learning import Estimate
 from .learning import estimate
 
@@ -370,7 +370,8 @@
     It takes the work of its model's version before it. Of other work it takes at most
     :data:`NEW_MODEL_MOST`, and only where it may be good enough and, if its model is
     known, is cheaper: else it would not get any evidence where the version before it is
-    not in use.
+    not in use. What its own ratings say is for the guard rails to judge, not for this:
+    a version that is starved of requests is never shown to be bad.
     """
     main = preference.main
     before = next((row for row in settled if row.model == drawn.row.model), None)
@@ -378,11 +379,10 @@
         return True
     if drawn.draw >= NEW_MODEL_MOST:
         return False
-    hopeful = _worth(pool, drawn.row, asked).estimate.high >= target
     if before is None:
-        return hopeful
+        return _worth(pool, drawn.row, asked).estimate.high >= target
     likely = _worth(pool, before, asked)
-    return hopeful and likely.estimate.high >= target and likely.cost < main.cost
+    return likely.estimate.high >= target and likely.cost < main.cost
 
 
 def _entering_choice(row: VersionRow, excluded: list[Exclusion]) -> Choice:
@@ -396,7 +396,7 @@
     return Worth(row, estimate(pool, cell), _cost(pool, row, asked))
 
 
-def _cost(pool: Pool, row: VersionRow, asked: Asked) -> Micros:
+def _cost(pool: Pool, row: VersionRow, asked: Asked) -> float:
     """Return the expected cost of one answer, in millionths of the currency."""
     pair = (VersionId(row.name), asked.request_class)
     seen = pool.classes.get(pair, _USUAL)
@@ -406,7 +406,7 @@
     whole = (
         seen.prompt_tokens * row.prompt_price + seen.output_tokens * row.output_price
     )
-    return Micros(int(whole / 1000 / runs))
+    return whole / TOKENS_PER_PRICE / runs
 
 
 def _on_trial(cheaper: list[Worth], target: float) -> Worth | None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -29,7 +29,9 @@
 
 
 def rated(evidence, version: str, rated: int, good: int, org: str = "museo") -> None:
-    seen = Counts(runs=rated, rated=rated, good=good, prompt_tokens=1, output_tokens=1)
+    seen = Counts(
+        runs=rated, rated=rated, good=good, prompt_tokens=rated, output_tokens=rated
+    )
     observe(evidence, "box", 0, Cell(version, "note", org), seen)
 
 
@@ -115,6 +117,21 @@
         ]
         assert 0.2 < versions.count("chico@2") / 600 < 0.4
 
+    def test_a_few_bad_ratings_do_not_starve_a_rollout(self):
+        """Regression: a bad version got no more requests, and was never pulled back.
+
+        Its roll-out hung in its first stage, with too little evidence to decide.
+        """
+        config, evidence = self.entered(0.25), Evidence()
+        rated(evidence, DEAR, 400, 390)
+        rated(evidence, CHEAP, 10, 9)
+        rated(evidence, "chico@2", 20, 8)
+        versions = [
+            chosen(config, evidence, draw_key=f"r{number}").unwrap().version
+            for number in range(400)
+        ]
+        assert versions.count("chico@2") / 400 > 0.15
+
     def test_request_in_the_share_stays_in_it_as_the_share_grows(self):
         small, large = self.entered(0.2), self.entered(0.6)
         large.rollouts = {
