Sessions on an entering version are rated; attempts and observations apart

Figures: the new test fails without the change (rate 0.03), passes with it (1.0). Conclusion: a pin no longer hides a version from its guard rails.

--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -1,7 +1,6 @@
 """Model requests: choose, send, check, pass on, bill."""
 
 import asyncio
-import enum
 
 import aiohttp
 import msgspec
@@ -13,14 +12,16 @@
 from .admission import EXPLAIN_HEADER
 from .admission import SESSION_HEADER
 from .admission import ChatCall
+from .attempts import Attempt
+from .attempts import Ending
+from .attempts import Outcome
+from .attempts import Progress
 from .histograms import Measure
-from .ids import ClassId
 from .ids import Millis
 from .ids import VersionId
-from .ids import WorkerId
-from .logs import log_event
-from .ratings import rate_later
-from .records import Usage
+from .observations import SURE
+from .observations import learn
+from .observations import rate
 from .refusals import Problem
 from .refusals import Refusal
 from .refusals import Run
@@ -32,12 +33,9 @@
 from .session_tokens import SessionToken
 from .sse import EventStream
 from .sse import Flaw
-from .sse import TokenUsage
 from .sse import check_whole
 from .sse import text_of_stream
 from .sse import text_of_whole
-from .systems.choice import CONFIDENT
-from .systems.choice import UNSURE
 from .systems.choice import Choice
 from .systems.choice import choose
 from .systems.invariants import OWN_ANSWER
@@ -47,14 +45,8 @@
 from .systems.invariants import check_version
 from .systems.invariants import check_worker
 from .systems.journaling import price
-from .systems.learning import observe
 from .systems.worker_choice import eligible
 from .systems.worker_choice import load_of
-from .systems.worker_choice import note_failure
-from .systems.worker_choice import note_success
-from .tables.evidence import Cell
-from .tables.evidence import Counts
-from .tables.workers import WorkerRow
 
 MOST_ATTEMPTS = 3
 """Attempts before the first byte of the answer, on different workers."""
@@ -62,80 +54,9 @@
 FULL_LOAD = 3.0
 """A worker with this many batches of work is not given more."""
 
-SURE = 0.5
-"""An engine's confidence from here on counts as sure."""
-
-_CONNECT_MS = 1_000
 _RETRY_MS = Millis(1_000)
 
 
-class Ending(enum.Enum):
-    """How an attempt ended."""
-
-    DONE = "done"
-    RETRY = "retry"
-    REFUSED = "refused"
-    BROKEN = "broken"
-
-
-class Attempt(msgspec.Struct):
-    """One attempt on one worker.
-
-    Attributes
-    ----------
-    choice : Choice
-        The version.
-    worker : WorkerRow
-        The worker.
-    sent, first, ended : int
-        When it was sent, its first byte came and it ended, in ms.
-    usage : TokenUsage or None
-        What it used.
-    text : list of bytes
-        The answer, kept if it is held back or rated.
-    """
-
-    choice: Choice
-    worker: WorkerRow
-    sent: Millis
-    first: Millis = Millis(0)
-    ended: Millis = Millis(0)
-    usage: TokenUsage | None = None
-    text: list[bytes] = []
-
-
-class Progress(msgspec.Struct):
-    """What has happened to a request so far.
-
-    Attributes
-    ----------
-    tried : set
-        Workers tried.
-    started : int
-        Attempts that may have run.
-    usage : list of Usage
-        What finished attempts used.
-    forced : str
-        The version that an escalation goes to; empty for none.
-    response : StreamResponse or None
-        The stream to the caller, once its first byte left.
-    """
-
-    tried: set[WorkerId] = set()
-    started: int = 0
-    usage: list[Usage] = []
-    forced: VersionId = VersionId("")
-    response: web.StreamResponse | None = None
-
-
-class Outcome(msgspec.Struct, frozen=True):
-    """How an attempt ended, and the refusal or response that follows."""
-
-    ending: Ending
-    refusal: Refusal | None = None
-    response: web.StreamResponse | None = None
-
-
 async def answer_chat(
     router: Router, req: web.Request, call: ChatCall
 ) -> web.StreamResponse:
@@ -243,7 +164,7 @@
         outcome = _failed(attempt, f"{type(exc).__name__}: {exc}")
     finally:
         worker.inflight -= 1
-    _learn(router, call, attempt, outcome)
+    learn(router, call, attempt, outcome)
     if outcome.ending is Ending.RETRY and progress.response is not None:
         return Outcome(Ending.BROKEN, outcome.refusal)
     return outcome
@@ -325,7 +246,7 @@
         await response.write(b"".join(attempt.text))
     await response.write_eof(end.ok_value)
     if keep:
-        _rate(router, call, attempt, text_of_stream(attempt.text))
+        rate(router, call, attempt, text_of_stream(attempt.text))
     return Outcome(Ending.DONE, response=response)
 
 
@@ -347,7 +268,7 @@
         return Outcome(Ending.RETRY)
     await _bill(router, call, progress)
     if router.rng.random() < attempt.choice.rate:
-        _rate(router, call, attempt, text_of_whole(body))
+        rate(router, call, attempt, text_of_whole(body))
     headers = await _headers(router, call, attempt)
     response = web.Response(body=body, content_type="application/json", headers=headers)
     return Outcome(Ending.DONE, response=response)
@@ -411,25 +332,6 @@
     return True
 
 
-def _sure_class(name: ClassId, attempt: Attempt) -> ClassId:
-    """Return the class that an answer also counts under, by the engine's confidence."""
-    usage = attempt.usage
-    sure = usage is not None and (usage.confidence or 0.0) >= SURE
-    return ClassId(name + (CONFIDENT if sure else UNSURE))
-
-
-def _rate(router: Router, call: ChatCall, attempt: Attempt, text: str) -> None:
-    version, name, org = (
-        attempt.choice.version,
-        call.asked.request_class,
-        call.asked.org,
-    )
-    cells = [Cell(version, name, org)]
-    if attempt.usage is not None and attempt.usage.confidence is not None:
-        cells.append(Cell(version, _sure_class(name, attempt), org))
-    rate_later(router, call, cells, text)
-
-
 async def _bill(router: Router, call: ChatCall, progress: Progress) -> None:
     entry = await router.bills.keep(
         call.request, call.asked.org, call.asked.service, tuple(progress.usage)
@@ -439,64 +341,6 @@
     )
 
 
-def _learn(router: Router, call: ChatCall, attempt: Attempt, outcome: Outcome) -> None:
-    """Take what was seen of version and worker into the tables."""
-    if outcome.ending is Ending.REFUSED:
-        return
-    asked = call.asked
-    now = router.clock.now()
-    failed = outcome.refusal is not None
-    ttft = (attempt.first or now) - attempt.sent
-    slow_ms = _slow_ms(router, attempt.choice.version)
-    seen = Counts(runs=1, errors=int(failed), slow=int(not failed and ttft > slow_ms))
-    if attempt.usage is not None:
-        seen.prompt_tokens = attempt.usage.prompt_tokens
-        seen.output_tokens = attempt.usage.completion_tokens
-    origin = router.state.me.incarnation
-    wall = router.clock.wall()
-    version = attempt.choice.version
-    cell = Cell(version, asked.request_class, asked.org)
-    observe(router.state.evidence, origin, wall, cell, seen)
-    if attempt.usage is not None and attempt.usage.confidence is not None:
-        sure = Cell(version, _sure_class(asked.request_class, attempt), asked.org)
-        observe(router.state.evidence, origin, wall, sure, seen)
-    if failed:
-        note_failure(router.state.workers, attempt.worker, now)
-        router.metrics.count("attempt.failed")
-        log_event(
-            "WARNING",
-            "attempt failed",
-            request=call.request,
-            org=asked.org,
-            version=version,
-            worker=attempt.worker.name,
-            detail=outcome.refusal.detail if outcome.refusal else "",
-        )
-        return
-    tokens = attempt.usage.completion_tokens if attempt.usage else 0
-    token_ms = (attempt.ended - attempt.first) / max(1, tokens - 1)
-    note_success(attempt.worker, ttft, token_ms)
-    _record_times(router, call, attempt, ttft, token_ms)
-
-
-def _record_times(
-    router: Router, call: ChatCall, attempt: Attempt, ttft: float, token_ms: float
-) -> None:
-    org, name = call.asked.org, call.asked.request_class
-    total = router.clock.now() - call.began
-    router.histograms.record(org, name, Measure.TTFT, ttft * 1000)
-    router.histograms.record(org, name, Measure.BETWEEN, token_ms * 1000)
-    router.histograms.record(org, name, Measure.TOTAL, total * 1000)
-    router.metrics.timing("request.total", total)
-    router.metrics.timing("request.ttft", ttft)
-    router.metrics.count(f"rule.{attempt.choice.rule.name.lower()}")
-
-
-def _slow_ms(router: Router, version: VersionId) -> int:
-    rollout = router.state.config.rollout_of(version)
-    return rollout.guards.slow_ms if rollout is not None else 2_000
-
-
 def _failed(attempt: Attempt, detail: str) -> Outcome:
     text = f"worker {attempt.worker.name} {detail}"
     refusal = Refusal(Problem.BACKEND_FAILED, text, Run.UNKNOWN, _RETRY_MS)
--- a/src/spanshunt/systems/choice.py
+++ b/src/spanshunt/systems/choice.py
@@ -213,7 +213,7 @@
     usable, excluded = _usable(config, org, asked, holds)
     if asked.pin and _may_stay(config, org, asked.pin):
         if asked.pin in {row.name for row in usable}:
-            return Ok(Choice(asked.pin, Rule.SESSION, RATE_SETTLED))
+            return Ok(Choice(asked.pin, Rule.SESSION, _session_rate(config, asked.pin)))
         return Err(NoVersion(tuple(excluded)))
     if not usable:
         return Err(NoVersion(tuple(excluded)))
@@ -280,6 +280,11 @@
     return Preference(main, bool(meeting), trial, share, first)
 
 
+def _session_rate(config: Config, pin: VersionId) -> float:
+    entering = config.versions[pin].state is VersionState.ENTERING
+    return RATE_ALWAYS if entering else RATE_SETTLED
+
+
 def _may_stay(config: Config, org: OrgRow, pin: VersionId) -> bool:
     """Tell whether a session may stay on its version.
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -88,6 +88,18 @@
         choice = chosen(base_config(), pin=CHEAP).unwrap()
         assert (choice.version, choice.rule) == (CHEAP, Rule.SESSION)
 
+    def test_session_on_an_entering_version_is_rated(self):
+        """Regression: sessions drawn into a roll-out were hardly ever rated.
+
+        A bad version answered 65 requests, most of them of sessions, and was not
+        pulled back for want of ratings.
+        """
+        config = base_config()
+        new = {"do": "declare_version", "version": "chico@2", "service": "redactor-ia"}
+        put(config, confirm_of(config, new, {"do": "enter", "version": "chico@2"}))
+        assert chosen(config, pin="chico@2").unwrap().rate == 1.0
+        assert chosen(config, pin=CHEAP).unwrap().rate < 0.1
+
     def test_session_moves_when_its_version_is_withdrawn(self):
         config = base_config()
         put(config, confirm_of(config, {"do": "withdraw", "version": CHEAP}))
