Choice: no version is given up on one bad rating

Change: no version is given up with fewer than ten ratings, and the upper bound is at 99.5 %, as it is looked at after every rating. Conclusion: bounds from few ratings are not to be trusted; ten are asked for first.

--- a/src/spanshunt/systems/choice.py
+++ b/src/spanshunt/systems/choice.py
@@ -385,9 +385,9 @@
     if drawn.draw >= NEW_MODEL_MOST:
         return False
     if before is None:
-        return _worth(pool, drawn.row, asked).estimate.high >= target
+        return _worth(pool, drawn.row, asked).estimate.may_meet(target)
     likely = _worth(pool, before, asked)
-    return likely.estimate.high >= target and likely.cost < main.cost
+    return likely.estimate.may_meet(target) and likely.cost < main.cost
 
 
 def _entering_choice(row: VersionRow, excluded: list[Exclusion]) -> Choice:
@@ -415,7 +415,7 @@
 
 
 def _on_trial(cheaper: list[Worth], target: float) -> Worth | None:
-    hopeful = [worth for worth in cheaper if worth.estimate.high >= target]
+    hopeful = [worth for worth in cheaper if worth.estimate.may_meet(target)]
     return hopeful[0] if hopeful else None
 
 
--- a/src/spanshunt/systems/learning.py
+++ b/src/spanshunt/systems/learning.py
@@ -34,7 +34,13 @@
 PRIOR_RATINGS = 2.0
 
 Z_CONFIDENCE = 1.645
-"""Width of the interval of an estimate, in standard deviations: one-sided 95 %."""
+"""Width of an interval downwards, in standard deviations: one-sided 95 %."""
+
+Z_HOPE = 2.576
+"""Width upwards: one-sided 99.5 %, since it is looked at after every rating."""
+
+LEAST_TRIAL = 12.0
+"""With fewer ratings than this, two of them the prior's, no version is given up."""
 
 
 class Estimate(msgspec.Struct, frozen=True):
@@ -43,7 +49,7 @@
     Attributes
     ----------
     mean, low, high : float
-        From 0 to 1; one-sided 95 % bounds.
+        From 0 to 1; one-sided bounds of 95 % downwards and 99.5 % upwards.
     ratings : float
         How many ratings the estimate is worth.
     """
@@ -53,6 +59,10 @@
     high: float
     ratings: float
 
+    def may_meet(self, target: float) -> bool:
+        """Tell whether the share may be at `target` or over it, as far as is known."""
+        return self.ratings < LEAST_TRIAL or self.high >= target
+
 
 def epoch_of(wall: Millis) -> int:
     """Return the epoch of a wall clock time."""
@@ -164,8 +174,10 @@
     prior = PRIOR_RATINGS + min(strength, others_rated)
     total = prior + own.rated
     mean = (prior * prior_mean + own.good) / total
-    half = Z_CONFIDENCE * math.sqrt(mean * (1 - mean) / (total + 1))
-    return Estimate(mean, max(0.0, mean - half), min(1.0, mean + half), total)
+    deviation = math.sqrt(mean * (1 - mean) / (total + 1))
+    low = max(0.0, mean - Z_CONFIDENCE * deviation)
+    high = min(1.0, mean + Z_HOPE * deviation)
+    return Estimate(mean, low, high, total)
 
 
 def prior_strength(pooled: Pool, version: VersionId, name: ClassId) -> float:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -52,6 +52,30 @@
         rated(evidence, DEAR, 400, 390)
         assert chosen(base_config(), evidence).unwrap().version == DEAR
 
+    def test_one_bad_rating_does_not_end_a_trial(self):
+        """Regression: a version whose first rating was bad was never tried again.
+
+        One bad rating put the upper bound under the target.
+        """
+        evidence = Evidence()
+        rated(evidence, DEAR, 400, 390)
+        rated(evidence, CHEAP, 1, 0)
+        versions = [
+            chosen(base_config(), evidence, draw_key=f"r{number}").unwrap().version
+            for number in range(200)
+        ]
+        assert CHEAP in versions
+
+    def test_many_bad_ratings_do(self):
+        evidence = Evidence()
+        rated(evidence, DEAR, 400, 390)
+        rated(evidence, CHEAP, 60, 30)
+        versions = {
+            chosen(base_config(), evidence, draw_key=f"r{number}").unwrap().version
+            for number in range(200)
+        }
+        assert versions == {DEAR}
+
     def test_an_organisation_may_have_a_target_of_its_own(self):
         config = base_config()
         own = {
