Cascades exercised with whole daemons

Cause: the cascade was written but nothing had run it. Change: the engine stand-in can say how sure it is; two tests, an answer kept and one asked again of the dearer version. Conclusion: the path works; what it saves is not measured yet.

--- a/src/spanshunt/standins/engine.py
+++ b/src/spanshunt/standins/engine.py
@@ -35,6 +35,8 @@
         A chunk of another answer is mixed in.
     slow_factor : float
         Every time is multiplied by this.
+    confidence : dict
+        How sure the engine says it is, by version; not said for others.
     """
 
     down: bool = False
@@ -42,6 +44,7 @@
     truncate: float = 0.0
     wrong_id: float = 0.0
     slow_factor: float = 1.0
+    confidence: dict[str, float] = {}
 
 
 class EngineModel(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -173,8 +176,10 @@
     ) -> web.StreamResponse:
         words = _words(prompt)
         prompt_tokens = max(1, len(prompt) // _CHARS_PER_TOKEN)
+        sure = self.faults.confidence.get(body.model)
+        said = f'"confidence":{sure},' if sure is not None else ""
         usage = (
-            f'"usage":{{"prompt_tokens":{prompt_tokens},'
+            f'"usage":{{{said}"prompt_tokens":{prompt_tokens},'
             f'"completion_tokens":{len(words)},'
             f'"total_tokens":{prompt_tokens + len(words)}}}'
         )
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from builders import BASE_INTENTS
 from builders import CHEAP
 from builders import CREDENTIAL
 from builders import DEAR
+from builders import System
 from builders import a_system
 from builders import chat_body
 from builders import whole_answer
@@ -16,6 +18,9 @@
 from spanshunt.standins.log import LogFaults
 from spanshunt.standins.service import ServiceFaults
 from spanshunt.systems.fold import snapshot_of
+from spanshunt.systems.learning import observe
+from spanshunt.tables.evidence import Cell
+from spanshunt.tables.evidence import Counts
 
 
 class TestBrokenStreams:
@@ -318,6 +323,50 @@
             assert b"another organisation" in body
 
 
+class TestCascade:
+    async def ask(self, system: System, confidence: float) -> tuple[str, str]:
+        """Ask with a cheap version that was good whenever its engine was sure."""
+        classes = [{"name": "note", "target": 0.9, "escalate": True}]
+        await system.apply({**BASE_INTENTS[0], "classes": classes})
+        router = system.daemons[0].router
+        counts = Counts(
+            runs=400, rated=400, good=396, prompt_tokens=4000, output_tokens=4000
+        )
+        some = Counts(runs=20, rated=20, good=10)
+        unsure = Counts(
+            runs=400, rated=400, good=300, prompt_tokens=4000, output_tokens=4000
+        )
+        for version, name, seen in (
+            (CHEAP, "note!sure", counts),
+            (CHEAP, "note!unsure", some),
+            (CHEAP, "note", unsure),
+            (DEAR, "note", counts),
+        ):
+            cell = Cell(version, name, "museo")
+            observe(router.state.evidence, "x", router.clock.wall(), cell, seen)
+        router.preferences.clear()
+        for engine in system.engines:
+            engine.faults = EngineFaults(confidence={CHEAP: confidence})
+        status, headers, body = await system.chat("abc", 4)
+        assert status == 200
+        return headers["Spanshunt-Version"], words_of(body)
+
+    async def test_sure_answer_of_the_cheap_version_is_given(self):
+        async with a_system() as system:
+            version, words = await self.ask(system, 0.9)
+            assert (version, words) == (CHEAP, whole_answer("abc", 4))
+            await system.billed(1)
+
+    async def test_unsure_one_is_asked_again_and_billed_once(self):
+        async with a_system() as system:
+            version, words = await self.ask(system, 0.1)
+            assert (version, words) == (DEAR, whole_answer("abc", 4))
+            await system.billed(1)
+            fold = (await system.daemons[0].router.bill_reader.catch_up()).unwrap()
+            total = fold.totals["museo"]["redactor-ia"]
+            assert total.output_tokens == 10
+
+
 class TestBadVersion:
     async def test_bad_version_is_pulled_back_without_the_log(self):
         """A pull-back holds on every box before the log can say so."""
