--- a/src/spanshunt/followers.py
+++ b/src/spanshunt/followers.py
@@ -75,16 +75,6 @@
         self._grown.set()
         self._grown = asyncio.Event()
 
-    async def wait_past(self, offset: Offset, timeout_ms: int) -> bool:
-        """Wait until the record at `offset` is folded; return whether it is."""
-        end = self._clock.now() + timeout_ms
-        while self._state.config.next_offset <= offset:
-            left = end - self._clock.now()
-            if left <= 0:
-                return False
-            await self.wait_grown(left)
-        return True
-
     async def wait_grown(self, timeout_ms: int) -> None:
         """Wait until something was read, for at most `timeout_ms`."""
         grown = self._grown
--- a/src/spanshunt/systems/guarding.py
+++ b/src/spanshunt/systems/guarding.py
@@ -11,7 +11,6 @@
 
 from ..ids import BoxId
 from ..ids import Millis
-from ..ids import VersionId
 from ..records import RolloutStep
 from ..records import Verdict
 from ..tables.config import Config
@@ -157,15 +156,6 @@
     return found
 
 
-def rollout_versions(config: Config) -> set[VersionId]:
-    """Return the versions whose roll-out is under way."""
-    return {
-        row.version
-        for row in config.rollouts.values()
-        if row.state is RolloutState.RUNNING
-    }
-
-
 def _stage_over(row: RolloutRow, totals: dict[Cell, Counts], wall: Millis) -> bool:
     rated = sum(counts.rated for counts in totals.values())
     long_enough = wall - row.stage_since >= row.guards.stage_ms
--- a/src/spanshunt/systems/worker_choice.py
+++ b/src/spanshunt/systems/worker_choice.py
@@ -89,28 +89,6 @@
     return pick
 
 
-def round_robin() -> Picker:
-    """Return a picker that takes the workers in turn: a baseline."""
-    turn = 0
-
-    def pick(rows: list[WorkerRow]) -> WorkerRow:
-        nonlocal turn
-        turn += 1
-        ordered = sorted(rows, key=lambda row: row.name)
-        return ordered[turn % len(ordered)]
-
-    return pick
-
-
-def least_reported() -> Picker:
-    """Return a picker by the lagged reports alone: a baseline."""
-
-    def pick(rows: list[WorkerRow]) -> WorkerRow:
-        return min(rows, key=lambda row: row.reported / max(1, row.slots))
-
-    return pick
-
-
 def note_success(row: WorkerRow, ttft_ms: float, token_ms: float) -> None:
     """Take the times of an answer into the worker's row."""
     row.failures = 0
