Bills read twice at once are folded once

Totals held, as each entry counts once, but `doubled` was too high. Change: the fold of a bills record passes over one before its next offset, as the fold of the configuration does; the reader's own check goes. Figures: test_record_read_twice_is_folded_once gives doubled 1 before, 0 after. Conclusion: the check belongs to the fold, whoever reads.

--- a/src/spanshunt/bill_reader.py
+++ b/src/spanshunt/bill_reader.py
@@ -74,6 +74,5 @@
         self._fold = fold
         self._snapshot_at = fold.next_offset
         for record in records:
-            if record.offset >= fold.next_offset:
-                fold_bill_record(fold, record)
+            fold_bill_record(fold, record)
         return Ok(fold)
--- a/src/spanshunt/systems/journaling.py
+++ b/src/spanshunt/systems/journaling.py
@@ -156,7 +156,12 @@
 
 
 def fold_bill_record(fold: BillFold, record: LogRecord) -> None:
-    """Fold one record of the bills stream; snapshots say nothing new to the fold."""
+    """Fold one record of the bills stream; snapshots say nothing new to the fold.
+
+    A record before ``fold.next_offset`` was folded already and is passed over.
+    """
+    if record.offset < fold.next_offset:
+        return
     match decode_record(record.data):
         case Ok(Bills() as bills):
             fold_bills(fold, bills)
--- a/tests/test_journaling.py
+++ b/tests/test_journaling.py
@@ -6,9 +6,12 @@
 from builders import a_state
 from spanshunt.records import Bills
 from spanshunt.records import JournalPart
+from spanshunt.records import LogRecord
 from spanshunt.records import Usage
+from spanshunt.records import encode_record
 from spanshunt.systems.journaling import BATCH_ENTRIES
 from spanshunt.systems.journaling import first_open
+from spanshunt.systems.journaling import fold_bill_record
 from spanshunt.systems.journaling import fold_bills
 from spanshunt.systems.journaling import next_batch
 from spanshunt.systems.journaling import orphan_batch
@@ -43,6 +46,16 @@
         assert (total.requests if total else 0) == len(seen)
         assert (total.cost if total else 0) == 7 * len(seen)
 
+    def test_record_read_twice_is_folded_once(self):
+        """Regression: two readers at once made one entry look as if it came twice."""
+        journal, entries = sealed(1)
+        bills = Bills((JournalPart(journal.incarnation, entries),))
+        record = LogRecord(0, 0, encode_record(bills))
+        fold = BillFold()
+        fold_bill_record(fold, record)
+        fold_bill_record(fold, record)
+        assert (fold.doubled, fold.next_offset) == (0, 1)
+
 
 class TestJournal:
     def test_batches_are_bounded_and_settle(self):
