Demo: always-best is priced with the fleet's own prices

Cause: the demo priced "always best" with Bogotá's prices for both fleets, and counted calls of plain services on one side only. Change: prices come from the fleet's intents, through the program's own price function; plain calls are left out of both sides. Conclusion: the demo's minute of load is mostly learning; its ratio is no measure of the choice, docs/MEASUREMENTS.md is.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -20,6 +20,9 @@
 from aiohttp import web
 
 from spanshunt.clock import Clock
+from spanshunt.ids import Micros
+from spanshunt.intents import DeclareVersion
+from spanshunt.intents import IntentDocument
 from spanshunt.load import LoadReport
 from spanshunt.load import LoadSpec
 from spanshunt.load import as_text
@@ -34,7 +37,9 @@
 from spanshunt.standins.rater import RaterStandin
 from spanshunt.standins.service import ServiceStandin
 from spanshunt.systems.journaling import fold_bills
+from spanshunt.systems.journaling import price
 from spanshunt.tables.billing import BillFold
+from spanshunt.tables.config import VersionRow
 
 HERE = pathlib.Path(__file__).parent
 BIN = pathlib.Path(sys.executable).parent
@@ -86,6 +91,20 @@
 )
 
 
+def best_of(fleet: Fleet) -> VersionRow:
+    """Return the fleet's best version, with the prices that its intents declare."""
+    raw = (HERE / fleet.name / "intents.json").read_bytes()
+    for intent in msgspec.json.decode(raw, type=IntentDocument).intents:
+        if isinstance(intent, DeclareVersion) and intent.version == fleet.best:
+            return VersionRow(
+                name=intent.version,
+                service=intent.service,
+                prompt_price=Micros(intent.prompt_price),
+                output_price=Micros(intent.output_price),
+            )
+    raise LookupError(fleet.best)
+
+
 class Standins:
     """The platform and the backend servers of one fleet, inside this process."""
 
@@ -100,6 +119,7 @@
         self.engines: list[EngineStandin] = []
         self.services: list[ServiceStandin] = []
         self._base = fleet.base
+        self._best = best_of(fleet)
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
@@ -136,9 +156,11 @@
             for entry in fold_bills(fold, bills):
                 requests[entry.request] = requests.get(entry.request, 0) + 1
                 for item in entry.usage:
-                    tokens = item.prompt_tokens * 1500 + item.output_tokens * 6000
+                    if not item.version:
+                        continue
+                    best = price(self._best, item.prompt_tokens, item.output_tokens)
                     costs["paid"] = costs.get("paid", 0) + item.cost
-                    costs["best"] = costs.get("best", 0) + tokens // 1000
+                    costs["best"] = costs.get("best", 0) + best.cost
         return fold, requests, costs
 
     async def _serve(self, app: web.Application, address: str) -> None:
