One test of an engine's confidence, one rank of a duty

Cause: whether an engine is sure was asked in two places, each in its own words; a duty's place among the boxes was worked out twice. Change: observations.is_sure and Duties._place serve both. Behaviour is the same.

--- a/src/spanshunt/duties.py
+++ b/src/spanshunt/duties.py
@@ -98,9 +98,7 @@
 
         The first box by rank alone reads the stream for this.
         """
-        now = self._clock.now()
-        suspect_ms = self._settings.timing.suspect_ms
-        if rank(self._state, "bill snapshot", now, suspect_ms) > 0:
+        if self._place("bill snapshot") > 0:
             return
         if (await self._bill_reader.catch_up()).is_err():
             return
@@ -136,8 +134,11 @@
     def _is_my_turn(self, duty: str) -> bool:
         now = self._clock.now()
         since = self._due_since.setdefault(duty, now)
-        place = rank(self._state, duty, now, self._settings.timing.suspect_ms)
-        return now - since >= place * TURN_MS
+        return now - since >= self._place(duty) * TURN_MS
+
+    def _place(self, duty: str) -> int:
+        suspect_ms = self._settings.timing.suspect_ms
+        return rank(self._state, duty, self._clock.now(), suspect_ms)
 
     def _is_fresh(self) -> bool:
         bound = self._settings.timing.fresh_ms
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -19,7 +19,7 @@
 from .histograms import Measure
 from .ids import Millis
 from .ids import VersionId
-from .observations import SURE
+from .observations import is_sure
 from .observations import learn
 from .observations import rate
 from .refusals import Problem
@@ -325,7 +325,7 @@
     usage = attempt.usage
     if not fallback or usage is None:
         return False
-    if usage.confidence is not None and usage.confidence >= SURE:
+    if is_sure(usage):
         return False
     progress.forced = fallback
     progress.tried.clear()
--- a/src/spanshunt/observations.py
+++ b/src/spanshunt/observations.py
@@ -10,6 +10,7 @@
 from .logs import log_event
 from .ratings import rate_later
 from .router import Router
+from .sse import TokenUsage
 from .systems.choice import CONFIDENT
 from .systems.choice import UNSURE
 from .systems.learning import observe
@@ -22,11 +23,14 @@
 """An engine's confidence from here on counts as sure."""
 
 
-def _sure_class(name: ClassId, attempt: Attempt) -> ClassId:
+def is_sure(usage: TokenUsage) -> bool:
+    """Tell whether the engine said that it is sure of an answer."""
+    return usage.confidence is not None and usage.confidence >= SURE
+
+
+def _sure_class(name: ClassId, usage: TokenUsage) -> ClassId:
     """Return the class that an answer also counts under, by the engine's confidence."""
-    usage = attempt.usage
-    sure = usage is not None and (usage.confidence or 0.0) >= SURE
-    return ClassId(name + (CONFIDENT if sure else UNSURE))
+    return ClassId(name + (CONFIDENT if is_sure(usage) else UNSURE))
 
 
 def rate(router: Router, call: ChatCall, attempt: Attempt, text: str) -> None:
@@ -38,7 +42,7 @@
     )
     cells = [Cell(version, name, org)]
     if attempt.usage is not None and attempt.usage.confidence is not None:
-        cells.append(Cell(version, _sure_class(name, attempt), org))
+        cells.append(Cell(version, _sure_class(name, attempt.usage), org))
     rate_later(router, call, cells, text)
 
 
@@ -61,7 +65,8 @@
     cell = Cell(version, asked.request_class, asked.org)
     observe(router.state.evidence, origin, wall, cell, seen)
     if attempt.usage is not None and attempt.usage.confidence is not None:
-        sure = Cell(version, _sure_class(asked.request_class, attempt), asked.org)
+        name = _sure_class(asked.request_class, attempt.usage)
+        sure = Cell(version, name, asked.org)
         observe(router.state.evidence, origin, wall, sure, seen)
     if failed:
         note_failure(router.state.workers, attempt.worker, now)
