--- a/examples/demo.py
+++ b/examples/demo.py
@@ -19,6 +19,7 @@
 import msgspec
 from aiohttp import web
 
+from spanshunt.backing.boxes import BoxList
 from spanshunt.clock import Clock
 from spanshunt.ids import Micros
 from spanshunt.intents import DeclareVersion
@@ -27,7 +28,6 @@
 from spanshunt.load import LoadSpec
 from spanshunt.load import as_text
 from spanshunt.load import run_load
-from spanshunt.platform.boxes import BoxList
 from spanshunt.records import Bills
 from spanshunt.records import decode_record
 from spanshunt.standins.boxes import BoxListStandin
--- a/src/spanshunt/appender.py
+++ b/src/spanshunt/appender.py
@@ -13,6 +13,9 @@
 from result import Ok
 from result import Result
 
+from .backing.log import LogClient
+from .backing.outcomes import Fault
+from .backing.outcomes import PlatformFault
 from .clock import Clock
 from .ids import Offset
 from .logs import log_event
@@ -21,9 +24,6 @@
 from .peers.messages import Gather
 from .peers.messages import Gathered
 from .peers.messages import GatherState
-from .platform.log import LogClient
-from .platform.outcomes import Fault
-from .platform.outcomes import PlatformFault
 from .records import Bills
 from .records import Claims
 from .records import Record
--- a/src/spanshunt/bill_reader.py
+++ b/src/spanshunt/bill_reader.py
@@ -4,12 +4,12 @@
 from result import Ok
 from result import Result
 
+from .backing.log import LogClient
+from .backing.outcomes import Fault
+from .backing.outcomes import PlatformFault
 from .followers import read_all
 from .ids import Offset
 from .logs import log_event
-from .platform.log import LogClient
-from .platform.outcomes import Fault
-from .platform.outcomes import PlatformFault
 from .records import BillsSnapshot
 from .records import Stream
 from .systems.journaling import bill_snapshot
--- a/src/spanshunt/callers.py
+++ b/src/spanshunt/callers.py
@@ -25,9 +25,9 @@
 from .plain_calls import PlainCall
 from .plain_calls import answer_call
 from .plain_calls import check_key
+from .refusal_responses import refusal_response
 from .refusals import Problem
 from .refusals import Refusal
-from .refusals import refusal_response
 from .router import Router
 from .systems.limiting import finish
 from .tables.config import OrgRow
--- a/src/spanshunt/claimer.py
+++ b/src/spanshunt/claimer.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from .appender import Appender
+from .backing.outcomes import Fault
 from .clock import Clock
 from .ids import Incarnation
 from .ids import Millis
@@ -18,7 +19,6 @@
 from .peers.client import PeerClient
 from .peers.messages import AskCall
 from .peers.messages import CallStatus
-from .platform.outcomes import Fault
 from .records import Claim
 from .records import Claims
 from .records import Release
--- a/src/spanshunt/confirmations.py
+++ b/src/spanshunt/confirmations.py
@@ -6,13 +6,13 @@
 from result import Ok
 from result import Result
 
+from .backing.outcomes import Fault
 from .changes import Plan
 from .ids import Millis
 from .ids import ObjectKey
 from .ids import Offset
 from .ids import PlanId
 from .intents import IntentDocument
-from .platform.outcomes import Fault
 from .records import Confirm
 from .records import Stream
 from .refusals import Problem
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -15,6 +15,7 @@
 
 from .appender import Appender
 from .background import Background
+from .backing.log import LogClient
 from .bill_keeper import BillKeeper
 from .bill_reader import BillReader
 from .callers import CallerApi
@@ -37,7 +38,6 @@
 from .peers.client import PeerClient
 from .peers.codec import MsgpackCodec
 from .peers.service import PeerService
-from .platform.log import LogClient
 from .router import OperatorKey
 from .router import Router
 from .session_tokens import SessionSigner
--- /dev/null
+++ b/src/spanshunt/exchange.py
@@ -0,0 +1,310 @@
+"""Exchanges of news between boxes: whom to ask, what to tell, what to take in."""
+
+import asyncio
+import random
+import typing as t
+
+from result import Err
+from result import Result
+
+from .clock import Clock
+from .ids import Millis
+from .ids import Offset
+from .logs import log_event
+from .peers.news import News
+from .peers.news import PeerNews
+from .peers.news import RolloutNews
+from .peers.news import TallyNews
+from .peers.news import WorkerNews
+from .peers.news import tell
+from .peers.unary import Channels
+from .systems.following_workers import ListedWorker
+from .systems.following_workers import take_list
+from .systems.ramping import take_order
+from .systems.ramping import take_verdict
+from .tables.catalog import Catalog
+from .tables.fleet import Fleet
+from .tables.fleet import PeerRow
+from .tables.rollouts import EPOCH_MS
+from .tables.rollouts import EvidenceKey
+from .tables.rollouts import RolloutRow
+from .tables.rollouts import Tally
+from .tables.rollouts import Verdict
+from .tables.workers import WorkerRow
+
+ASKED_EACH_ROUND = 3
+"""Peers asked in a round: news reach 6 boxes in two rounds, 91 in five."""
+
+TIMEOUT_S = 0.8
+"""How long a peer may take, in s: a slowed box still answers in a few tenths."""
+
+PEERS_TOLD = 8
+"""Other boxes named in one exchange."""
+
+TALLY_EPOCHS = 3
+"""Newest epochs of evidence told: older ones were told before."""
+
+AWAY_MS = 1_200
+"""A store that has not answered for this long is taken as away, in ms: one missed
+poll."""
+
+BACK_OFF_MS = 1_000
+"""How long a peer that did not answer is left alone, times its failures, in ms."""
+
+BACK_OFF_MOST = 10
+"""Failures that lengthen that wait at most."""
+
+Decode = t.Callable[[bytes], Result[Catalog, str]]
+
+
+class Exchange:
+    """Exchanges news with peers.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Draws the peers to ask.
+    decode : callable
+        Decodes a catalog as it came.
+    seeds : tuple of str
+        Addresses to ask while no box is known.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        rng: random.Random,
+        decode: Decode,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._rng = rng
+        self._decode = decode
+        self._seeds = seeds
+        self._channels = Channels()
+
+    def stop(self) -> None:
+        """Close all channels."""
+        self._channels.stop()
+
+    async def round(self) -> None:
+        """Ask a few peers at once."""
+        addresses = self._whom_to_ask()
+        await asyncio.gather(*(self._ask(address) for address in addresses))
+
+    async def hear(self, news: News) -> News:
+        """Take a peer's news in and answer with this box's."""
+        self.take(news)
+        return self.news_for(news.catalog_version, cut_off=news.cut_off)
+
+    def news_for(self, catalog_version: int | None, *, cut_off: bool) -> News:
+        """Return what to tell a box that has this catalog; None if that is unknown."""
+        fleet = self._fleet
+        now = self._clock.now()
+        mine = fleet.catalog.version if fleet.catalog is not None else -1
+        behind = catalog_version is not None and catalog_version < mine
+        peers = list(fleet.peers.values())
+        told = self._rng.sample(peers, min(PEERS_TOLD, len(peers)))
+        return News(
+            box=fleet.me.box,
+            address=fleet.me.address,
+            incarnation=fleet.me.incarnation,
+            catalog_version=mine,
+            catalog_raw=fleet.catalog_raw if behind else b"",
+            cut_off=is_cut_off(fleet, now),
+            workers_end=fleet.workers_end,
+            workers=_workers_news(fleet) if cut_off else (),
+            rollouts=tuple(
+                _rollout_news(row, now) for row in fleet.rollouts.rows.values()
+            ),
+            peers=tuple(PeerNews(peer.box, peer.address) for peer in told),
+        )
+
+    def take(self, news: News) -> None:
+        """Take in what is newer than what this box knows."""
+        now = self._clock.now()
+        fleet = self._fleet
+        if news.box == fleet.me.box:
+            return
+        self._take_peers(news, now)
+        if news.catalog_raw:
+            take_catalog(fleet, news.catalog_raw, self._decode, source=news.box)
+        if news.workers and is_cut_off(fleet, now):
+            listed = [_listed(item) for item in news.workers]
+            change = take_list(fleet, listed, Offset(news.workers_end), now)
+            if not change.empty:
+                log_event("INFO", "workers", source=news.box, **_shown(change))
+        for item in news.rollouts:
+            self._take_rollout(news, item, now)
+
+    def _take_peers(self, news: News, now: Millis) -> None:
+        peers = self._fleet.peers
+        row = peers.get(news.box)
+        if row is None:
+            row = peers[news.box] = PeerRow(news.box, news.address)
+        row.address, row.incarnation = news.address, news.incarnation
+        row.heard, row.failures = now, 0
+        for item in news.peers:
+            if item.box != self._fleet.me.box and item.box not in peers:
+                peers[item.box] = PeerRow(item.box, item.address)
+
+    def _take_rollout(self, news: News, item: RolloutNews, now: Millis) -> None:
+        fleet = self._fleet
+        began = Millis(now - item.age_ms)
+        order = Offset(item.order)
+        duration = Millis(item.duration_ms)
+        if take_order(fleet, item.service, item.version, order, duration, began):
+            log_event(
+                "INFO",
+                "roll-out ordered",
+                service=item.service,
+                version=item.version,
+                order=item.order,
+                age_ms=item.age_ms,
+                source=news.box,
+            )
+        row = fleet.rollouts.rows[item.service]
+        if row.order != order:
+            return
+        verdict, reason = Verdict(item.verdict), item.reason
+        if take_verdict(row, verdict, reason, now, recorded=item.recorded):
+            log_verdict(row, news.box)
+        tallies = row.peers.setdefault(news.incarnation, {})
+        for tally in item.tallies:
+            key = EvidenceKey(tally.route, tally.entering, tally.epoch)
+            tallies[key] = Tally(tally.answers, tally.bad)
+
+    def _whom_to_ask(self) -> list[str]:
+        now = self._clock.now()
+        ready = [
+            peer
+            for peer in self._fleet.peers.values()
+            if now >= peer.asked + BACK_OFF_MS * min(peer.failures, BACK_OFF_MOST)
+        ]
+        known = {peer.address for peer in self._fleet.peers.values()}
+        seeds = [seed for seed in self._seeds if seed not in known]
+        if not any(peer.heard >= 0 for peer in self._fleet.peers.values()):
+            return [seed for seed in seeds if seed != self._fleet.me.address]
+        drawn = self._rng.sample(ready, min(ASKED_EACH_ROUND, len(ready)))
+        return [peer.address for peer in drawn]
+
+    async def _ask(self, address: str) -> None:
+        row = next(
+            (peer for peer in self._fleet.peers.values() if peer.address == address),
+            None,
+        )
+        version = None
+        if row is not None:
+            row.asked = self._clock.now()
+        told = await tell(
+            self._channels, address, self.news_for(version, cut_off=False), TIMEOUT_S
+        )
+        if isinstance(told, Err):
+            if row is not None:
+                row.failures += 1
+                if row.failures == 1:
+                    detail = told.err_value.detail
+                    log_event("WARNING", "peer lost", peer=row.box, detail=detail)
+            return
+        if row is not None and row.failures:
+            log_event("INFO", "peer regained", peer=row.box, failures=row.failures)
+        self.take(told.ok_value)
+
+
+def is_cut_off(fleet: Fleet, now: Millis) -> bool:
+    """Tell whether the store has not answered this box for a while."""
+    return now - fleet.store.answered_at > AWAY_MS
+
+
+def take_catalog(fleet: Fleet, raw: bytes, decode: Decode, *, source: str) -> bool:
+    """Take a catalog in if it is newer; what a box believes never goes back."""
+    decoded = decode(raw)
+    if isinstance(decoded, Err):
+        log_event("ERROR", "catalog unreadable", detail=decoded.err_value)
+        return False
+    catalog = decoded.ok_value
+    if fleet.catalog is not None and catalog.version <= fleet.catalog.version:
+        return False
+    before = fleet.catalog.version if fleet.catalog is not None else None
+    fleet.catalog, fleet.catalog_raw = catalog, raw
+    log_event(
+        "INFO",
+        "catalog",
+        version=catalog.version,
+        before=before,
+        routes=len(catalog.routes),
+        orgs=len(catalog.orgs),
+        source=source,
+    )
+    return True
+
+
+def log_verdict(row: RolloutRow, source: str) -> None:
+    """Log what this box believes of a roll-out from now on."""
+    log_event(
+        "INFO",
+        "roll-out judged",
+        service=row.service,
+        version=row.version,
+        verdict=row.verdict.value,
+        reason=row.reason,
+        recorded=row.recorded,
+        source=source,
+    )
+
+
+def _workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
+    return tuple(
+        WorkerNews(
+            name=row.name,
+            address=row.address,
+            service=row.service,
+            domain=row.domain,
+            versions=tuple(row.versions),
+            slots=row.slots,
+            draining=row.name in fleet.workers.leaving,
+        )
+        for row in fleet.workers.rows.values()
+    )
+
+
+def _listed(item: WorkerNews) -> ListedWorker:
+    row = WorkerRow(
+        name=item.name,
+        address=item.address,
+        service=item.service,
+        domain=item.domain,
+        versions=frozenset(item.versions),
+        slots=item.slots,
+    )
+    return ListedWorker(row, draining=item.draining)
+
+
+def _rollout_news(row: RolloutRow, now: Millis) -> RolloutNews:
+    newest = max(0, now - row.began) // EPOCH_MS
+    running = row.verdict is Verdict.RUNNING
+    return RolloutNews(
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        duration_ms=row.duration_ms,
+        age_ms=now - row.began,
+        verdict=row.verdict.value,
+        reason=row.reason,
+        recorded=row.recorded,
+        tallies=tuple(
+            TallyNews(key.route, key.entering, key.epoch, tally.answers, tally.bad)
+            for key, tally in row.own.items()
+            if running and key.epoch > newest - TALLY_EPOCHS
+        ),
+    )
+
+
+def _shown(change: t.Any) -> dict[str, object]:
+    return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- a/src/spanshunt/followers.py
+++ b/src/spanshunt/followers.py
@@ -7,14 +7,14 @@
 from result import Ok
 from result import Result
 
+from .backing.log import LogClient
+from .backing.log import LogRead
+from .backing.outcomes import Fault
+from .backing.outcomes import PlatformFault
 from .claimer import Claimer
 from .clock import Clock
 from .ids import Offset
 from .logs import log_event
-from .platform.log import LogClient
-from .platform.log import LogRead
-from .platform.outcomes import Fault
-from .platform.outcomes import PlatformFault
 from .records import LogRecord
 from .records import Release
 from .records import Stream
--- a/src/spanshunt/ids.py
+++ b/src/spanshunt/ids.py
@@ -18,7 +18,8 @@
 """A request class within a service, for example ``note``."""
 
 WorkerId = t.NewType("WorkerId", str)
-"""A backend server, written ``host:port``."""
+"""A backend server, written ``host:port`` or, where runs have ids, the id of its
+run."""
 
 BoxId = t.NewType("BoxId", str)
 """A box that runs one ``spanshuntd``."""
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -22,11 +22,11 @@
 from .observations import is_sure
 from .observations import learn
 from .observations import rate
+from .refusal_responses import error_event
+from .refusal_responses import refusal_response
 from .refusals import Problem
 from .refusals import Refusal
 from .refusals import Run
-from .refusals import error_event
-from .refusals import refusal_response
 from .router import Router
 from .session_pins import find_pin
 from .session_pins import keep_pin
--- a/src/spanshunt/operators.py
+++ b/src/spanshunt/operators.py
@@ -21,9 +21,9 @@
 from .ids import ServiceId
 from .intents import IntentDocument
 from .logs import log_event
+from .refusal_responses import refusal_response
 from .refusals import Problem
 from .refusals import Refusal
-from .refusals import refusal_response
 from .router import OperatorKey
 from .router import Router
 from .systems.choice import Asked
--- /dev/null
+++ b/src/spanshunt/peers/news.py
@@ -0,0 +1,145 @@
+"""What boxes tell each other on the platform: the newest of all that they follow.
+
+A box that the store turns away learns from its peers what the store gave them. Each
+takes in only what is newer than its own, by version, offset or order.
+"""
+
+import typing as t
+
+import msgspec
+from grpclib.const import Handler
+from result import Result
+
+from ..ids import BoxId
+from ..ids import DomainId
+from ..ids import Incarnation
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..ids import WorkerId
+from .unary import Channels
+from .unary import PeerFault
+from .unary import unary_handler
+
+PATH = "/spanshunt.News/Exchange"
+
+
+class TallyNews(msgspec.Struct, frozen=True, array_like=True):
+    """Answers of one version on one route in one epoch, as the teller counted them."""
+
+    route: str
+    entering: bool
+    epoch: int
+    answers: int
+    bad: int
+
+
+class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
+    """An order as the teller knows it, and its own evidence.
+
+    Attributes
+    ----------
+    service, version, order, duration_ms
+        The order.
+    age_ms : int
+        How long ago it began, by the teller's clock.
+    verdict, reason : str
+        How it ended, or ``running``.
+    recorded : bool
+        Whether the verdict stands in the platform's store.
+    tallies : tuple of TallyNews
+        The newest epochs.
+    """
+
+    service: ServiceId
+    version: VersionId
+    order: int
+    duration_ms: int
+    age_ms: int
+    verdict: str
+    reason: str
+    recorded: bool
+    tallies: tuple[TallyNews, ...] = ()
+
+
+class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server's entry as the teller read it."""
+
+    name: WorkerId
+    address: str
+    service: ServiceId
+    domain: DomainId
+    versions: tuple[VersionId, ...]
+    slots: int
+    draining: bool
+
+
+class PeerNews(msgspec.Struct, frozen=True, array_like=True):
+    """A box and where its peers reach it."""
+
+    box: BoxId
+    address: str
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """All that one box tells another.
+
+    Attributes
+    ----------
+    box, address, incarnation
+        Who tells.
+    catalog_version : int
+        The newest catalog that it knows; -1 for none.
+    catalog_raw : bytes
+        That catalog, if the other's is older; else empty.
+    cut_off : bool
+        Whether the store does not answer it, so that it wants the workers' list.
+    workers_end : int
+        How new its list of workers is.
+    workers : tuple of WorkerNews
+        That list, for a box that is cut off.
+    rollouts : tuple of RolloutNews
+        The orders.
+    peers : tuple of PeerNews
+        Some of the boxes it knows.
+    """
+
+    box: BoxId
+    address: str
+    incarnation: Incarnation
+    catalog_version: int
+    catalog_raw: bytes = b""
+    cut_off: bool = False
+    workers_end: int = -1
+    workers: tuple[WorkerNews, ...] = ()
+    rollouts: tuple[RolloutNews, ...] = ()
+    peers: tuple[PeerNews, ...] = ()
+
+
+async def tell(
+    channels: Channels, address: str, news: News, timeout: float
+) -> Result[News, PeerFault]:
+    """Tell a peer and hear from it; `timeout` in seconds."""
+    return await channels.call(address, PATH, News, News, news, timeout)
+
+
+class NewsService:
+    """The gRPC service that hears news and answers with its own.
+
+    Parameters
+    ----------
+    hear : callable
+        Takes a peer's news in and returns this box's for it.
+    """
+
+    def __init__(self, hear: t.Callable[[News], t.Awaitable[News]]) -> None:
+        self._hear = hear
+        self._closed = False
+
+    def close(self) -> None:
+        """Answer nothing more, on connections that are still open either."""
+        self._closed = True
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by path, as grpclib asks for them."""
+        handler = unary_handler(self._hear, News, News, lambda: self._closed)
+        return {PATH: handler}
--- a/src/spanshunt/peers/service.py
+++ b/src/spanshunt/peers/service.py
@@ -2,11 +2,7 @@
 
 import typing as t
 
-from grpclib.const import Cardinality
 from grpclib.const import Handler
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError
-from grpclib.server import Stream
 
 from .client import PREFIX
 from .messages import AskCall
@@ -18,10 +14,10 @@
 from .messages import Gather
 from .messages import Gathered
 from .messages import Pin
+from .unary import unary_handler
 
 _Req = t.TypeVar("_Req")
 _Rep = t.TypeVar("_Rep")
-_AnyStream = Stream[t.Any, t.Any]
 
 
 class PeerHandlers(t.Protocol):
@@ -81,11 +77,4 @@
         req_type: type[_Req],
         rep_type: type[_Rep],
     ) -> Handler:
-        async def serve(stream: _AnyStream) -> None:
-            req = await stream.recv_message()
-            if self._closed:
-                raise GRPCError(Status.UNAVAILABLE, "this box has stopped")
-            if req is not None:
-                await stream.send_message(await handle(req))
-
-        return Handler(serve, Cardinality.UNARY_UNARY, req_type, rep_type)
+        return unary_handler(handle, req_type, rep_type, lambda: self._closed)
--- /dev/null
+++ b/src/spanshunt/peers/unary.py
@@ -0,0 +1,97 @@
+"""Calls of one message each way between daemons, client and server side."""
+
+import typing as t
+
+import msgspec
+from grpclib.client import Channel
+from grpclib.client import UnaryUnaryMethod
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+from result import Err
+from result import Ok
+from result import Result
+
+from .codec import MsgpackCodec
+
+_Req = t.TypeVar("_Req")
+_Rep = t.TypeVar("_Rep")
+_AnyStream = Stream[t.Any, t.Any]
+
+
+class PeerFault(msgspec.Struct, frozen=True):
+    """A call to a peer that gave no answer; it may have taken effect."""
+
+    detail: str
+
+
+class Channels:
+    """Calls peers, over one channel for each address."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+
+    def stop(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def call(
+        self,
+        address: str,
+        path: str,
+        req_type: type[_Req],
+        rep_type: type[_Rep],
+        req: _Req,
+        timeout: float,
+    ) -> Result[_Rep, PeerFault]:
+        """Call `path` at a peer; `timeout` in seconds."""
+        channel = self._channel(address)
+        call = UnaryUnaryMethod(channel, path, req_type, rep_type)
+        try:
+            return Ok(await call(req, timeout=timeout))
+        except (
+            TimeoutError,
+            GRPCError,
+            StreamTerminatedError,
+            OSError,
+            msgspec.MsgspecError,
+        ) as exc:
+            self._drop(address, channel)
+            return Err(PeerFault(f"{address} {path}: {type(exc).__name__} {exc}"))
+
+    def _channel(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=MsgpackCodec())
+            self._channels[address] = channel
+        return channel
+
+    def _drop(self, address: str, channel: Channel) -> None:
+        """Forget a channel that failed, so that the next call connects anew."""
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+        channel.close()
+
+
+def unary_handler(
+    handle: t.Callable[[_Req], t.Awaitable[_Rep]],
+    req_type: type[_Req],
+    rep_type: type[_Rep],
+    is_closed: t.Callable[[], bool],
+) -> Handler:
+    """Return the server side of a call; once closed it answers nothing more."""
+
+    async def serve(stream: _AnyStream) -> None:
+        req = await stream.recv_message()
+        if is_closed():
+            raise GRPCError(Status.UNAVAILABLE, "this box has stopped")
+        if req is not None:
+            await stream.send_message(await handle(req))
+
+    return Handler(serve, Cardinality.UNARY_UNARY, req_type, rep_type)
--- a/src/spanshunt/plain_calls.py
+++ b/src/spanshunt/plain_calls.py
@@ -21,10 +21,10 @@
 from .ids import ServiceId
 from .ids import WorkerId
 from .logs import log_event
+from .refusal_responses import refusal_response
 from .refusals import Problem
 from .refusals import Refusal
 from .refusals import Run
-from .refusals import refusal_response
 from .router import Router
 from .systems.invariants import check_claim
 from .systems.invariants import check_not_run
--- /dev/null
+++ b/src/spanshunt/planning.py
@@ -0,0 +1,146 @@
+"""The plan of one attempt: service, version, model, worker, on the tables as they are.
+
+Each attempt is planned anew, so that a worker that leaves, a key that is taken away and
+a verdict on a version count for repeats, too.
+"""
+
+from result import Err
+from result import Ok
+from result import Result
+
+from .course import Attempt
+from .course import Core
+from .course import Course
+from .ids import Millis
+from .ids import ModelId
+from .ids import ServiceId
+from .refusals import Problem
+from .refusals import Refusal
+from .systems.admitting import Asked
+from .systems.admitting import admit
+from .systems.cascading import plan_models
+from .systems.placing import Placed
+from .systems.placing import Wanted
+from .systems.placing import place
+from .systems.ramping import VersionRule
+from .systems.ramping import version_for
+from .tables.catalog import RouteRow
+from .tables.catalog import ServiceRow
+from .utils import unit_hash
+
+RETRY_AIM_PART = 0.2
+"""When to come back after a refusal, as a part of the route's aim: a second try must
+have time to be answered in time."""
+
+RETRY_LEAST_MS, RETRY_MOST_MS = 60, 1_000
+"""Bounds of the time to come back, in ms."""
+
+
+def plan(core: Core, course: Course) -> Result[Attempt, Refusal]:
+    """Choose service, version, model and worker for the next attempt."""
+    again = _admit_again(core, course)
+    if isinstance(again, Err):
+        return again
+    service = _service(core, course)
+    if service is None:
+        return Err(_no_worker(core, course, "the route names no service"))
+    course.service = service.name
+    rule = _version_rule(core, course)
+    model = _model(core, course, service, rule)
+    placed = _place(core, course, rule, model)
+    if placed is None:
+        detail = f"no worker of {service.name} takes work now"
+        return Err(_no_worker(core, course, detail))
+    return Ok(
+        Attempt(
+            worker=placed.worker,
+            service=service.name,
+            model=model,
+            load=placed.load,
+            report_age_ms=placed.report_age_ms,
+            candidates=placed.candidates,
+        )
+    )
+
+
+def retry_after(core: Core, route: RouteRow) -> Millis:
+    """Return when to come back, in ms, spread so that callers don't return at once."""
+    middle = min(RETRY_MOST_MS, max(RETRY_LEAST_MS, RETRY_AIM_PART * route.aim_ms))
+    return Millis(int(middle * (0.5 + core.rng.random())))
+
+
+def load_for(core: Core, course: Course, model: ModelId) -> float:
+    """Return the load of the worker that `model` would run on, in parts of a batch."""
+    placed = _place(core, course, _version_rule(core, course), model)
+    return placed.load if placed is not None else float("inf")
+
+
+def _admit_again(core: Core, course: Course) -> Result[None, Refusal]:
+    """Check again what a newer catalog may have taken away."""
+    catalog = core.fleet.catalog
+    if catalog is None or catalog.version == course.admitted.catalog_version:
+        return Ok(None)
+    call = course.call
+    admitted = admit(catalog, Asked(call.host, call.path, call.credential))
+    if isinstance(admitted, Err):
+        return admitted
+    course.admitted = admitted.ok_value
+    return Ok(None)
+
+
+def _service(core: Core, course: Course) -> ServiceRow | None:
+    """Draw the service by the route's shares, the same for all of a session."""
+    shares = course.admitted.route.shares
+    catalog = core.fleet.catalog
+    if not shares or catalog is None:
+        return None
+    name = shares[-1].service
+    point = unit_hash("share", course.call.session or course.call.request)
+    point *= sum(share.weight for share in shares)
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            name = share.service
+            break
+    return catalog.services.get(name) or ServiceRow(ServiceId(name))
+
+
+def _version_rule(core: Core, course: Course) -> VersionRule:
+    call = course.call
+    return version_for(
+        core.fleet, course.service, call.session, call.request, core.clock.now()
+    )
+
+
+def _model(
+    core: Core, course: Course, service: ServiceRow, rule: VersionRule
+) -> ModelId:
+    """Return the model to name; empty where the caller named one or none is needed."""
+    route, call = course.admitted.route, course.call
+    if call.model or not route.models:
+        return ModelId("")
+    if course.ladder is None:
+        placed = _place(core, course, rule, route.models[-1])
+        load = placed.load if placed is not None else 0.0
+        course.ladder = plan_models(core.fleet, route, service, call.effort, load)
+    return course.ladder.last if course.raised else course.ladder.first
+
+
+def _place(
+    core: Core, course: Course, rule: VersionRule, model: ModelId
+) -> Placed | None:
+    call, fleet = course.call, core.fleet
+    wanted = Wanted(
+        service=course.service,
+        rule=rule,
+        domain=fleet.me.domain,
+        memory_key=f"{model}/{call.memory_key}" if call.memory_key else "",
+        shared_part=call.shared_part,
+        avoid=course.tried,
+    )
+    return place(fleet.workers, wanted, core.clock.now(), core.rng)
+
+
+def _no_worker(core: Core, course: Course, detail: str) -> Refusal:
+    retry_ms = retry_after(core, course.admitted.route)
+    return Refusal(Problem.NO_WORKER, detail, retry_ms=retry_ms)
--- a/src/spanshunt/platform/__init__.py
+++ b/src/spanshunt/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's services. Each outcome is a value."""
+"""The adapter to the users' platform: its names and encodings, and nothing decided."""
--- /dev/null
+++ b/src/spanshunt/platform/followers.py
@@ -0,0 +1,247 @@
+"""What a box follows on the platform's store: operators' records, workers, boxes."""
+
+import asyncio
+import typing as t
+
+from result import Err
+
+from ..clock import Clock
+from ..exchange import log_verdict
+from ..exchange import take_catalog
+from ..ids import BoxId
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..logs import log_event
+from ..systems.following_workers import ListedWorker
+from ..systems.following_workers import note_store_answer
+from ..systems.following_workers import note_store_failure
+from ..systems.following_workers import take_list
+from ..systems.ramping import take_order
+from ..systems.ramping import take_verdict
+from ..tables.fleet import Fleet
+from ..tables.fleet import PeerRow
+from ..tables.rollouts import Verdict
+from . import wire
+from .store import Listing
+from .store import StoreClient
+from .store import StoreFault
+
+TAIL_WAIT_MS = 8_000
+"""How long a read of the operators' records waits for one, in ms: each read is
+priced, a record ends it at once, and the workers' polls tell sooner whether the
+store answers."""
+
+RETRY_MS = 400
+"""Pause after a call that failed, in ms: well within what configuration may take to be
+in force (2 s), and 2.5 priced calls a second."""
+
+BOXES_AT_MS = (700, 2_500, 8_000)
+"""When a box looks for others after its start, in ms; all start within 0.3 s."""
+
+BOXES_EVERY_MS = 20_000
+"""And how often after that, in ms: peers tell of others in between."""
+
+
+class Followers:
+    """Reads the store and takes what it says into the tables.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    store : StoreClient
+        The store.
+    poll_ms : int
+        Pause between two readings of the workers' list, in ms.
+    """
+
+    def __init__(
+        self, fleet: Fleet, clock: Clock, store: StoreClient, poll_ms: int
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._store = store
+        self._poll_ms = poll_ms
+        self.knows_workers = False
+        self.knows_orders = False
+
+    async def follow_operators(self) -> None:
+        """Read the newest of everything, then wait for records; begin anew on faults."""
+        while True:
+            end = await self._read_operators()
+            while end is not None:
+                end = await self._await_operators(end)
+            await asyncio.sleep(RETRY_MS / 1_000)
+
+    async def follow_workers(self) -> None:
+        """Read the workers' list again and again."""
+        while True:
+            pause = self._poll_ms
+            if not await self._read_workers():
+                pause = RETRY_MS
+            await asyncio.sleep(pause / 1_000)
+
+    async def follow_boxes(self) -> None:
+        """Tell the others where this box is, and look where they are."""
+        me = self._fleet.me
+        begun = self._clock.now()
+        address = me.address.encode()
+        while True:
+            done = await self._store.append(wire.BOXES_TOPIC, me.box, address)
+            if not isinstance(done, Err):
+                break
+            self._note(done.err_value)
+            await asyncio.sleep(RETRY_MS / 1_000)
+        for at in BOXES_AT_MS:
+            await asyncio.sleep(max(0, begun + at - self._clock.now()) / 1_000)
+            await self._read_boxes()
+        while True:
+            await asyncio.sleep(BOXES_EVERY_MS / 1_000)
+            await self._read_boxes()
+
+    async def _read_operators(self) -> Offset | None:
+        listing = await self._newest(wire.OPERATORS_TOPIC)
+        if listing is None:
+            return None
+        orders = False
+        for item in listing.items:
+            self._take_operators(item.key_file, item.content(), Offset(item.offset))
+            orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
+        if orders and not await self._read_status():
+            return None
+        self.knows_orders = True
+        return listing.end
+
+    async def _await_operators(self, end: Offset) -> Offset | None:
+        got = await self._store.tail(wire.OPERATORS_TOPIC, end, TAIL_WAIT_MS)
+        if isinstance(got, Err):
+            self._note(got.err_value)
+            return None
+        self._note_answer()
+        for record in got.ok_value.records:
+            self._take_operators(record.key, record.value, record.offset)
+        return got.ok_value.next
+
+    def _take_operators(self, key: str, value: bytes, offset: Offset) -> None:
+        if key == wire.CATALOG_KEY and value:
+            take_catalog(self._fleet, value, wire.decode_catalog, source="store")
+        elif key.startswith(wire.ROLLOUT_PREFIX) and value:
+            self._take_order(value, offset)
+
+    def _take_order(self, value: bytes, offset: Offset) -> None:
+        decoded = wire.decode(value, wire.RolloutOrder)
+        if isinstance(decoded, Err):
+            log_event("ERROR", "order unreadable", detail=decoded.err_value)
+            return
+        order = decoded.ok_value
+        service = ServiceId(order.backend)
+        new = take_order(
+            self._fleet,
+            service,
+            VersionId(order.target_version),
+            offset,
+            Millis(int(order.duration_s * 1_000)),
+            self._clock.now(),
+        )
+        if new:
+            log_event(
+                "INFO",
+                "roll-out ordered",
+                service=service,
+                version=order.target_version,
+                order=offset,
+                duration_s=order.duration_s,
+                source="store",
+            )
+
+    async def _read_status(self) -> bool:
+        """Take in what is recorded of the orders; needed by a box that starts midway."""
+        listing = await self._newest(wire.STATUS_TOPIC)
+        if listing is None:
+            return False
+        take_status(self._fleet, listing, self._clock)
+        return True
+
+    async def _read_workers(self) -> bool:
+        listing = await self._newest(wire.WORKERS_TOPIC)
+        if listing is None:
+            return False
+        listed: list[ListedWorker] = []
+        for item in listing.items:
+            decoded = wire.decode_worker(item.key_file, item.content())
+            if isinstance(decoded, Err):
+                detail = f"{item.key_file}: {decoded.err_value}"
+                log_event("ERROR", "worker unreadable", detail=detail)
+                continue
+            listed.append(decoded.ok_value)
+        change = take_list(self._fleet, listed, listing.end, self._clock.now())
+        self.knows_workers = True
+        if not change.empty:
+            log_event(
+                "INFO",
+                "workers",
+                source="store",
+                end=listing.end,
+                came=list(change.came),
+                leaving=list(change.leaving),
+                gone=list(change.gone),
+                kept=list(change.kept),
+            )
+        return True
+
+    async def _read_boxes(self) -> None:
+        listing = await self._newest(wire.BOXES_TOPIC)
+        if listing is None:
+            return
+        fleet = self._fleet
+        for item in listing.items:
+            box, address = BoxId(item.key_file), item.content().decode()
+            if box != fleet.me.box and box not in fleet.peers:
+                fleet.peers[box] = PeerRow(box, address)
+                log_event("INFO", "peer listed", peer=box, address=address)
+
+    async def _newest(self, topic: str) -> Listing | None:
+        got = await self._store.newest(topic)
+        if isinstance(got, Err):
+            self._note(got.err_value)
+            return None
+        self._note_answer()
+        return got.ok_value
+
+    def _note(self, fault: StoreFault) -> None:
+        if note_store_failure(self._fleet, self._clock.now()):
+            log_event(
+                "WARNING",
+                "store lost",
+                problem=fault.problem.value,
+                detail=fault.detail,
+            )
+
+    def _note_answer(self) -> None:
+        if note_store_answer(self._fleet, self._clock.now()):
+            log_event("INFO", "store regained")
+
+
+def take_status(fleet: Fleet, listing: Listing, clock: t.Any) -> None:
+    """Take recorded verdicts and beginnings into the roll-outs' rows."""
+    now = clock.now()
+    for item in listing.items:
+        decoded = wire.decode(item.content(), wire.RolloutStatus)
+        if isinstance(decoded, Err):
+            continue
+        status = decoded.ok_value
+        row = fleet.rollouts.rows.get(ServiceId(status.backend))
+        if row is None or status.target_version != row.version:
+            continue
+        if status.order not in (-1, row.order):
+            continue
+        verdict = wire.decode_verdict(status.state)
+        if verdict is Verdict.RUNNING and status.began:
+            age = max(0, clock.wall() - status.began)
+            row.began = min(row.began, Millis(now - age))
+        if take_verdict(row, verdict, "recorded", now, recorded=True):
+            log_verdict(row, "store")
--- /dev/null
+++ b/src/spanshunt/platform/front.py
@@ -0,0 +1,215 @@
+"""Callers' requests on the platform's wire, and the way back to them."""
+
+import typing as t
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http_parser import RawRequestMessage
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from multidict import CIMultiDict
+from result import Err
+from result import Ok
+from result import Result
+
+from ..course import Core
+from ..forwarding import answer
+from ..ids import ModelId
+from ..ids import RequestId
+from ..ports import Call
+from ..ports import Reply
+from ..refusals import Problem
+from ..refusals import Refusal
+from ..systems.cascading import Effort
+from ..tables.catalog import CallerLimits
+from . import wire
+
+DEADLINE_MS = 60_000
+"""How long a request may take whose caller names no deadline, in ms."""
+
+HEADER_BYTES = 65_536
+"""Longest header line, in bytes; the catalog's limit is checked against the whole."""
+
+KEEP_ALIVE_S = 75.0
+"""How long an idle connection of a caller is kept, in s: well over the longest rest
+that catalogs allow, so that the caller closes first."""
+
+
+class HttpReply(Reply):
+    """The way back to one caller."""
+
+    def __init__(self, req: web.BaseRequest, core: Core) -> None:
+        self.begun = False
+        self.response: web.StreamResponse | None = None
+        self._req = req
+        self._core = core
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Give a refusal of the system's own."""
+        headers = CIMultiDict(
+            {wire.REQUEST_ID: self._req.headers.get(wire.REQUEST_ID, "")}
+        )
+        if refusal.retry_ms is not None:
+            headers[wire.RETRY_AFTER] = f"{refusal.retry_ms / 1_000:.3f}"
+        await self.whole(refusal.problem.status, headers, refusal.detail.encode())
+
+    async def whole(self, status: int, headers: CIMultiDict[str], body: bytes) -> None:
+        """Give a whole answer."""
+        self.response = web.Response(status=status, headers=headers, body=body)
+        self._close_if_stopping(self.response)
+
+    async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Give the head of a stream."""
+        self.response = web.StreamResponse(status=status, headers=headers)
+        self._close_if_stopping(self.response)
+        self.begun = True
+        await self.response.prepare(self._req)
+
+    async def write(self, block: bytes) -> None:
+        """Give more of a stream."""
+        assert self.response is not None
+        await self.response.write(block)
+
+    async def end(self) -> None:
+        """End a stream as complete."""
+        assert self.response is not None
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """End the connection without the mark that completes a stream."""
+        if self._req.transport is not None:
+            self._req.transport.close()
+
+    def _close_if_stopping(self, response: web.StreamResponse) -> None:
+        if self._core.fleet.stopping:
+            response.force_close()
+
+
+class Front:
+    """Takes callers' requests in and gives them to the request path."""
+
+    def __init__(self, core: Core) -> None:
+        self._core = core
+
+    def server(self) -> web.Server:
+        """Return the HTTP server."""
+        return web.Server(
+            self._handle,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+        )
+
+    def _limits(self) -> CallerLimits:
+        catalog = self._core.fleet.catalog
+        return catalog.limits if catalog is not None else CallerLimits()
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: t.Any,
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            task.get_loop(),
+            client_max_size=self._limits().body_bytes,
+        )
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        reply = HttpReply(req, self._core)
+        began = self._core.clock.now()
+        read = await _read_call(req, began)
+        if isinstance(read, Err):
+            await reply.refuse(read.err_value)
+        else:
+            await answer(self._core, read.ok_value, reply)
+        if reply.response is None:
+            # The connection is closing; the library drops what it is given for it.
+            return web.Response(status=Problem.BACKEND_FAILED.status)
+        return reply.response
+
+
+async def _read_call(req: web.BaseRequest, began: int) -> Result[Call, Refusal]:
+    headers = req.headers
+    request = headers.get(wire.REQUEST_ID, "")
+    if not request:
+        return _bad(f"header {wire.REQUEST_ID}: missing")
+    deadline = headers.get(wire.DEADLINE, str(DEADLINE_MS))
+    if not deadline.isdigit():
+        return _bad(f"header {wire.DEADLINE}: {deadline!r}; whole ms are allowed")
+    try:
+        body = await req.read()
+    except web.HTTPRequestEntityTooLarge:
+        detail = "body: longer than the catalog allows"
+        return Err(Refusal(Problem.TOO_LARGE, detail))
+    target = req.raw_path
+    host = headers.get("Host", "").lower().partition(":")[0]
+    model = headers.get(wire.MODEL, "")
+    effort = _effort(headers.get(wire.TOKENS, ""))
+    parts = headers.get(wire.PROMPT_PARTS, "").split(",")
+    last_event = headers.get(wire.LAST_EVENT, "")
+    return Ok(
+        Call(
+            request=RequestId(request),
+            method=req.method,
+            target=target,
+            host=host,
+            path=target.partition("?")[0],
+            headers=_end_to_end(headers, keep_model=model not in ("", wire.ANY_MODEL)),
+            body=body,
+            credential=headers.get(wire.CREDENTIAL, ""),
+            began=began,
+            deadline=began + int(deadline),
+            session=headers.get(wire.SESSION, ""),
+            effort=effort,
+            memory_key=parts[-2].partition(":")[0] if len(parts) > 1 else "",
+            shared_part=_shared_part(parts),
+            model=ModelId("" if model == wire.ANY_MODEL else model),
+            resume_after=int(last_event) if last_event.isdigit() else None,
+        )
+    )
+
+
+def _bad(detail: str) -> Err[Refusal]:
+    return Err(Refusal(Problem.BAD_REQUEST, detail))
+
+
+def _end_to_end(headers: t.Mapping[str, str], *, keep_model: bool) -> CIMultiDict[str]:
+    """Return the headers that travel on: none of one connection, none of the system's."""
+    named = headers.get("Connection", "").lower().split(",")
+    dropped = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS
+    dropped |= {name.strip() for name in named}
+    kept = CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
+    if keep_model:
+        kept[wire.MODEL] = headers[wire.MODEL]
+    return kept
+
+
+def _effort(text: str) -> Effort:
+    """Decode ``READ,GENERATED``; anything else tells nothing of the size."""
+    read, _, generated = text.partition(",")
+    if not read.isdigit() or not generated.isdigit():
+        return Effort(0, 0)
+    return Effort(int(read), int(generated))
+
+
+def _shared_part(parts: list[str]) -> float:
+    """Return which part of a prompt is shared: all parts but the last."""
+    sizes = [size for _, _, size in (part.partition(":") for part in parts)]
+    if not all(size.isdigit() for size in sizes):
+        return 0.0
+    tokens = [int(size) for size in sizes]
+    return sum(tokens[:-1]) / max(1, sum(tokens))
--- /dev/null
+++ b/src/spanshunt/platform/node.py
@@ -0,0 +1,250 @@
+"""One box on the platform: its composition root and its life."""
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+import uvloop
+from aiohttp import web
+from grpclib.server import Server
+
+from ..background import Background
+from ..clock import Clock
+from ..counters import Counters
+from ..counters import metrics_page
+from ..course import Core
+from ..exceptions import InvariantError
+from ..exceptions import SettingsError
+from ..exchange import Exchange
+from ..histograms import Histograms
+from ..ids import BoxId
+from ..ids import DomainId
+from ..logs import LineQueue
+from ..logs import log_event
+from ..logs import set_up_logs
+from ..peers.codec import MsgpackCodec
+from ..peers.news import NewsService
+from ..systems.ramping import forget_sessions
+from ..systems.repeats import RepeatBounds
+from ..tables.fleet import Fleet
+from ..tables.fleet import Self
+from ..utils import new_incarnation
+from ..version import __version__
+from . import wire
+from .followers import Followers
+from .front import Front
+from .recorder import Recorder
+from .settings import PATH_VARIABLE
+from .settings import NodeSettings
+from .settings import load_node_settings
+from .store import StoreClient
+from .workers import WorkerClient
+
+POLL_PART = 0.45
+"""Pause between two readings of the workers' list, as a part of the time within which a
+leaving worker must get nothing new: a reading that fails once is made up for in
+time."""
+
+EXCHANGE_MS = 500
+"""Period of exchanges with peers, in ms."""
+
+JUDGE_MS = 250
+"""Period of judging roll-outs, in ms."""
+
+FLUSH_MS = 200
+"""Period of writing log lines, in ms."""
+
+SWEEP_MS = 5_000
+"""Period of dropping what is too old, in ms."""
+
+LINGER_MS = 2_600
+"""How long a stopping box goes on taking requests, in ms: the balancer asks each second
+and takes a box out at the second miss."""
+
+STOP_MARGIN_MS = 500
+"""What is left of the grace when the last requests are given up, in ms."""
+
+
+class Node:
+    """One box.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked settings.
+    clock : Clock
+        The source of time.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.stop_asked = asyncio.Event()
+        self.broken = False
+        self.counters = Counters()
+        box = BoxId(settings.box)
+        me = Self(
+            box=box,
+            domain=DomainId(settings.domain),
+            address=settings.listen.peers,
+            incarnation=new_incarnation(box, clock.wall()),
+        )
+        self.fleet = Fleet(me=me)
+        self.histograms = Histograms()
+        self._background = Background(self._on_broken)
+        self._runners: list[web.ServerRunner] = []
+        self._workers = WorkerClient()
+        self._store = StoreClient(
+            settings.store.address, settings.store.timeout_ms, self.counters.add
+        )
+        bounds = settings.bounds
+        rng = random.Random()
+        self.core = Core(
+            clock=clock,
+            rng=rng,
+            fleet=self.fleet,
+            send=self._workers.send,
+            bounds=RepeatBounds(
+                ratio=bounds.repeat_ratio,
+                slack=bounds.repeat_slack,
+                window_s=bounds.repeat_window_s,
+            ),
+            histograms=self.histograms,
+            count=self.counters.add,
+        )
+        self.followers = Followers(
+            self.fleet, clock, self._store, int(bounds.draining_ms * POLL_PART)
+        )
+        self._recorder = Recorder(self.fleet, clock, self._store)
+        self._exchange = Exchange(
+            self.fleet, clock, rng, wire.decode_catalog, settings.seeds
+        )
+        self._news = NewsService(self._exchange.hear)
+        self._server = Server([self._news], codec=MsgpackCodec())
+
+    async def start(self) -> None:
+        """Begin to listen and to follow."""
+        await self._workers.start()
+        await self._store.start()
+        listen = self.settings.listen
+        await self._serve(web.Server(self._answer_ready), listen.readiness)
+        await self._serve(web.Server(self._answer_metrics), listen.metrics)
+        await self._serve(Front(self.core).server(), listen.callers)
+        host, _, port = listen.peers.rpartition(":")
+        await self._server.start(host, int(port))
+        jobs = self._background
+        jobs.forever(self.followers.follow_operators)
+        jobs.forever(self.followers.follow_workers)
+        jobs.forever(self.followers.follow_boxes)
+        jobs.every(EXCHANGE_MS, self._exchange.round)
+        jobs.every(JUDGE_MS, self._recorder.tick)
+        jobs.every(SWEEP_MS, self._sweep)
+        log_event(
+            "INFO",
+            "started",
+            version=__version__,
+            domain=self.settings.domain,
+            callers=listen.callers,
+            incarnation=self.fleet.me.incarnation,
+        )
+
+    def why_not_ready(self) -> str:
+        """Return why this box should get no new connections, empty if it should."""
+        if self.fleet.stopping:
+            return "stopping"
+        if self.fleet.catalog is None:
+            return "no catalog is known"
+        if not self.fleet.workers.rows:
+            return "no workers are known"
+        return ""
+
+    async def stop(self) -> None:
+        """Stop as planned: not ready first, then finish what is under way."""
+        begun = self.clock.now()
+        self.fleet.stopping = True
+        log_event("INFO", "stopping", running=len(self.core.running))
+        last = begun + self.settings.bounds.grace_s * 1_000 - STOP_MARGIN_MS
+        while self.clock.now() < last and not self.broken:
+            lingering = self.clock.now() < begun + LINGER_MS
+            if not lingering and not self.core.running:
+                break
+            await asyncio.sleep(0.05)
+        log_event("INFO", "stopped", running=len(self.core.running))
+        await self.close()
+
+    async def close(self) -> None:
+        """Let go of everything at once."""
+        await self._background.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        self._news.close()
+        self._server.close()
+        self._exchange.stop()
+        await self._workers.stop()
+        await self._store.stop()
+
+    def reload(self, path: str) -> None:
+        """Check the settings file again and say what would change at the next start."""
+        try:
+            changed = load_node_settings(path)
+        except SettingsError as exc:
+            log_event("ERROR", "reload refused", detail=str(exc))
+            return
+        log_event("INFO", "reload", changed=changed != self.settings)
+
+    def _on_broken(self, exc: InvariantError) -> None:
+        log_event("ERROR", "invariant broken", promise=exc.promise, detail=exc.detail)
+        self.broken = True
+        self.stop_asked.set()
+
+    async def _sweep(self) -> None:
+        forget_sessions(self.fleet, self.clock.now())
+
+    async def _serve(self, server: web.Server, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(server, shutdown_timeout=0.2)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+
+    async def _answer_ready(self, req: web.BaseRequest) -> web.StreamResponse:
+        reason = self.why_not_ready()
+        return web.Response(status=503 if reason else 200, text=reason)
+
+    async def _answer_metrics(self, req: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(text=metrics_page(self.counters, self.histograms))
+
+
+def main() -> None:
+    """Run a box; the settings file's path is in the environment."""
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        settings = load_node_settings(path)
+    except SettingsError as exc:
+        print(f"spanshunt-node: {exc}", file=sys.stderr)
+        sys.exit(2)
+    lines = set_up_logs(settings.logging, settings.box)
+    sys.exit(uvloop.run(_run(settings, path, lines)))
+
+
+async def _run(settings: NodeSettings, path: str, lines: LineQueue) -> int:
+    node = Node(settings, Clock())
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, node.stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload, path)
+    flusher = asyncio.create_task(_flush(lines))
+    await node.start()
+    await node.stop_asked.wait()
+    await node.stop()
+    flusher.cancel()
+    lines.flush()
+    return 1 if node.broken else 0
+
+
+async def _flush(lines: LineQueue) -> None:
+    while True:
+        await asyncio.sleep(FLUSH_MS / 1_000)
+        lines.flush()
--- /dev/null
+++ b/src/spanshunt/platform/recorder.py
@@ -0,0 +1,112 @@
+"""Verdicts on roll-outs, recorded where the operator reads them."""
+
+import msgspec
+from result import Err
+
+from ..clock import Clock
+from ..exchange import log_verdict
+from ..ids import Offset
+from ..ids import ServiceId
+from ..logs import log_event
+from ..systems.ramping import Judgement
+from ..systems.ramping import due_verdict
+from ..systems.ramping import take_verdict
+from ..systems.ramping import writer_delay
+from ..tables.fleet import Fleet
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Verdict
+from . import wire
+from .followers import take_status
+from .store import StoreClient
+from .store import StoreProblem
+
+
+class Recorder:
+    """Records verdicts, each under the condition that nothing was recorded meanwhile.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    store : StoreClient
+        The store.
+    """
+
+    def __init__(self, fleet: Fleet, clock: Clock, store: StoreClient) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._store = store
+        self._announced: dict[ServiceId, Offset] = {}
+
+    async def tick(self) -> None:
+        """Judge each roll-out and record what is due."""
+        now = self._clock.now()
+        for row in list(self._fleet.rollouts.rows.values()):
+            before = row.verdict
+            due = due_verdict(self._fleet, row, now)
+            if row.verdict is not before:
+                log_verdict(row, "own evidence")
+            if due is not None:
+                await self._record(row, due)
+            elif row.verdict is Verdict.RUNNING:
+                await self._announce(row)
+
+    async def _announce(self, row: RolloutRow) -> None:
+        """Record once that a roll-out runs and since when."""
+        if self._announced.get(row.service) == row.order:
+            return
+        now = self._clock.now()
+        if now < row.began + writer_delay(self._fleet, now):
+            return
+        if await self._record(row, Judgement(Verdict.RUNNING)):
+            self._announced[row.service] = row.order
+
+    async def _record(self, row: RolloutRow, judgement: Judgement) -> bool:
+        """Record a state unless one of this order stands already; tell whether it does."""
+        listing = await self._store.newest(wire.STATUS_TOPIC)
+        if isinstance(listing, Err):
+            return False
+        known = listing.ok_value
+        take_status(self._fleet, known, self._clock)
+        if row.recorded:
+            return True
+        key = wire.ROLLOUT_PREFIX + row.service
+        stands = any(_is_of(item, key, row) for item in known.items)
+        if judgement.verdict is Verdict.RUNNING and stands:
+            return True
+        now = self._clock.now()
+        status = wire.RolloutStatus(
+            backend=row.service,
+            target_version=row.version,
+            state=judgement.verdict.value,
+            order=row.order,
+            began=self._clock.wall() - (now - row.began),
+        )
+        value = msgspec.json.encode(status)
+        done = await self._store.append(wire.STATUS_TOPIC, key, value, known.end)
+        if isinstance(done, Err):
+            fault = done.err_value
+            if fault.problem is not StoreProblem.CONDITION:
+                log_event("WARNING", "verdict not recorded", detail=fault.detail)
+            return False
+        log_event(
+            "INFO",
+            "verdict recorded",
+            service=row.service,
+            version=row.version,
+            verdict=judgement.verdict.value,
+            reason=judgement.reason,
+        )
+        if take_verdict(row, judgement.verdict, judgement.reason, now, recorded=True):
+            log_verdict(row, "own record")
+        return True
+
+
+def _is_of(item: wire.StoreItem, key: str, row: RolloutRow) -> bool:
+    decoded = wire.decode(item.content(), wire.RolloutStatus)
+    if isinstance(decoded, Err) or item.key_file != key:
+        return False
+    status = decoded.ok_value
+    return status.target_version == row.version and status.order == row.order
--- /dev/null
+++ b/src/spanshunt/platform/settings.py
@@ -0,0 +1,118 @@
+"""Settings of a box on the platform: JSON, filled in by the deploy file's template."""
+
+import pathlib
+import typing as t
+
+import msgspec
+
+from ..exceptions import SettingsError
+from ..settings import Address
+from ..settings import Duration
+from ..settings import Logging
+from ..utils import split_problem
+
+PATH_VARIABLE = "SPANSHUNT_NODE_FILE"
+"""The environment variable that holds the path of the settings file."""
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class NodeListen(_Section, frozen=True, kw_only=True):
+    """Where the box listens.
+
+    Attributes
+    ----------
+    callers : str
+        Callers' requests.
+    readiness : str
+        The balancer's question whether this box takes new connections.
+    peers : str
+        The protocol between boxes.
+    metrics : str
+        Counters and histograms.
+    """
+
+    callers: Address
+    readiness: Address
+    peers: Address
+    metrics: Address
+
+
+class NodeStore(_Section, frozen=True, kw_only=True):
+    """The platform's store.
+
+    Attributes
+    ----------
+    address : str
+        Where it listens.
+    timeout_ms : int
+        Longest that a call may take, beyond the time it asks the store to wait, in ms.
+        A slow store answers in about 60 times its usual 4 ms.
+    """
+
+    address: Address
+    timeout_ms: Duration = 1_500
+
+
+class NodeBounds(_Section, frozen=True, kw_only=True):
+    """Bounds that the platform sets.
+
+    Attributes
+    ----------
+    grace_s : float
+        From SIGTERM until the process is killed, in s.
+    draining_ms : int
+        Within which a worker that leaves must get no new request, in ms.
+    repeat_ratio, repeat_slack, repeat_window_s
+        What all boxes together may repeat: in a window, a ratio of the requests and a
+        number beyond it.
+    """
+
+    grace_s: t.Annotated[float, msgspec.Meta(gt=0, le=3_600)] = 8.0
+    draining_ms: Duration = 2_000
+    repeat_ratio: t.Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.2
+    repeat_slack: t.Annotated[float, msgspec.Meta(ge=0)] = 10.0
+    repeat_window_s: t.Annotated[int, msgspec.Meta(ge=1, le=600)] = 10
+
+
+class NodeSettings(_Section, frozen=True, kw_only=True):
+    """All settings of a box on the platform.
+
+    Attributes
+    ----------
+    box, domain : str
+        Its name and its failure domain.
+    listen, store, bounds, logging
+        Sections, see there.
+    seeds : tuple of str
+        Peer addresses to meet first.
+    """
+
+    box: t.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+    domain: t.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+    listen: NodeListen
+    store: NodeStore
+    seeds: tuple[Address, ...] = ()
+    bounds: NodeBounds = NodeBounds()
+    logging: Logging = Logging(json=True)
+
+
+def load_node_settings(path: str) -> NodeSettings:
+    """Read and check the settings file of a box.
+
+    Raises
+    ------
+    SettingsError
+        Naming file, field, what was found and what is allowed.
+    """
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        raise SettingsError(path, "$", f"can't be read: {exc.strerror}") from exc
+    try:
+        return msgspec.json.decode(raw, type=NodeSettings)
+    except msgspec.MsgspecError as exc:
+        field, problem = split_problem(str(exc))
+        raise SettingsError(path, field, problem) from exc
--- /dev/null
+++ b/src/spanshunt/platform/store.py
@@ -0,0 +1,212 @@
+"""The one client of the platform's store; each of its ways to fail is a value."""
+
+import enum
+import typing as t
+
+import aiohttp
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..ids import Offset
+from .wire import Appended
+from .wire import NewestPage
+from .wire import StoreItem
+from .wire import decode
+
+PAGES_MOST = 200
+"""Pages of one listing read in a row: 100,000 entries, ten times the fleet of two years
+from now."""
+
+_HEADER_BYTES = 16
+"""A read's answer begins with the end and the first offset kept, 8 bytes each."""
+
+
+class StoreProblem(enum.Enum):
+    """Why a call failed.
+
+    ``REFUSED``: nothing was done (429, 503). ``LOST``: no answer; it may have been done
+    or be done yet. ``CONDITION``: the topic ends elsewhere (409, 412). ``TRIMMED``: the
+    records asked for are gone (410). ``ODD``: an answer that the protocol does not
+    have.
+    """
+
+    REFUSED = "refused"
+    LOST = "lost"
+    CONDITION = "condition"
+    TRIMMED = "trimmed"
+    ODD = "odd"
+
+
+class StoreFault(msgspec.Struct, frozen=True):
+    """A call that failed."""
+
+    problem: StoreProblem
+    detail: str
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """The newest record of each key of a topic, and the topic's end before it."""
+
+    items: tuple[StoreItem, ...]
+    end: Offset
+
+
+class KeyedRecord(msgspec.Struct, frozen=True):
+    """A record of a keyed topic; an empty value drops the key."""
+
+    key: str
+    value: bytes
+    offset: Offset
+
+
+class Tail(msgspec.Struct, frozen=True):
+    """Records read from a place on, and the place after them."""
+
+    records: tuple[KeyedRecord, ...]
+    next: Offset
+
+
+_PROBLEMS = {
+    409: StoreProblem.CONDITION,
+    410: StoreProblem.TRIMMED,
+    412: StoreProblem.CONDITION,
+    429: StoreProblem.REFUSED,
+    503: StoreProblem.REFUSED,
+}
+
+
+class StoreClient:
+    """Calls the store.
+
+    Parameters
+    ----------
+    address : str
+        Where it listens.
+    timeout_ms : int
+        Longest that a call may take beyond the time it asks to wait, in ms.
+    count : callable
+        Counts calls by name.
+    """
+
+    def __init__(
+        self, address: str, timeout_ms: int, count: t.Callable[[str], None]
+    ) -> None:
+        self._base = f"http://{address}"
+        self._timeout = timeout_ms / 1_000
+        self._count = count
+        self._http: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the session."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        self._http = aiohttp.ClientSession(connector=connector)
+        self._http._retry_connection = False
+
+    async def stop(self) -> None:
+        """Close the session."""
+        if self._http is not None:
+            await self._http.close()
+
+    async def newest(self, topic: str) -> Result[Listing, StoreFault]:
+        """Return the newest record of each key of a topic."""
+        items: list[StoreItem] = []
+        end: int | None = None
+        since = ""
+        for _ in range(PAGES_MOST):
+            query = {"Topic": topic, "part": "0"}
+            if since:
+                query["SinceRev"] = since
+            got = await self._call("GET", "/log-newest", query)
+            if isinstance(got, Err):
+                return got
+            page = decode(got.ok_value, NewestPage)
+            if isinstance(page, Err):
+                return Err(StoreFault(StoreProblem.ODD, page.err_value))
+            items.extend(page.ok_value.items)
+            # Pages are no snapshot: the first page's end is what all of them hold.
+            end = page.ok_value.end if end is None else end
+            if not page.ok_value.more_pages:
+                break
+            since = items[-1].key_file
+        return Ok(Listing(tuple(items), Offset(end or 0)))
+
+    async def tail(
+        self, topic: str, since: Offset, wait_ms: int
+    ) -> Result[Tail, StoreFault]:
+        """Return records from an offset on, waiting for the first one."""
+        query = {
+            "Topic": topic,
+            "part": "0",
+            "From": str(since),
+            "WaitMs": str(wait_ms),
+        }
+        got = await self._call("GET", "/log-read", query, wait_ms=wait_ms)
+        if isinstance(got, Err):
+            return got
+        return _decode_tail(got.ok_value, since)
+
+    async def append(
+        self, topic: str, key: str, value: bytes, expected_end: Offset | None = None
+    ) -> Result[Offset, StoreFault]:
+        """Append a keyed record, if asked only where the topic ends as expected."""
+        name = key.encode()
+        body = bytes([len(name)]) + name + value
+        query = {"Topic": topic, "part": "0"}
+        if expected_end is not None:
+            query["StoreRevision"] = str(expected_end)
+        raw = len(body).to_bytes(4, "big") + body
+        got = await self._call("POST", "/log-append", query, raw)
+        if isinstance(got, Err):
+            return got
+        appended = decode(got.ok_value, Appended)
+        if isinstance(appended, Err):
+            return Err(StoreFault(StoreProblem.ODD, appended.err_value))
+        return Ok(Offset(appended.ok_value.offset))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None = None,
+        wait_ms: int = 0,
+    ) -> Result[bytes, StoreFault]:
+        assert self._http is not None
+        self._count("store_calls")
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeout + wait_ms / 1_000, sock_connect=self._timeout
+        )
+        try:
+            async with self._http.request(
+                method, self._base + path, params=query, data=body, timeout=timeout
+            ) as resp:
+                raw = await resp.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            self._count("store_calls_lost")
+            return Err(StoreFault(StoreProblem.LOST, f"{path}: {type(exc).__name__}"))
+        if resp.status == 200:
+            return Ok(raw)
+        self._count(f"store_status_{resp.status}")
+        problem = _PROBLEMS.get(resp.status, StoreProblem.ODD)
+        return Err(StoreFault(problem, f"{path}: status {resp.status}"))
+
+
+def _decode_tail(raw: bytes, since: Offset) -> Result[Tail, StoreFault]:
+    """Cut a read's answer into records: 4 bytes of length, 1 of the key's, key, value."""
+    if len(raw) < _HEADER_BYTES:
+        return Err(StoreFault(StoreProblem.ODD, f"/log-read: {len(raw)} bytes"))
+    records: list[KeyedRecord] = []
+    place, offset = _HEADER_BYTES, int(since)
+    while place + 4 <= len(raw):
+        size = int.from_bytes(raw[place : place + 4], "big")
+        record = raw[place + 4 : place + 4 + size]
+        place += 4 + size
+        if len(record) != size or not record:
+            return Err(StoreFault(StoreProblem.ODD, "/log-read: a record is cut short"))
+        split = 1 + record[0]
+        key = record[1:split].decode("utf-8", "replace")
+        records.append(KeyedRecord(key, record[split:], Offset(offset)))
+        offset += 1
+    return Ok(Tail(tuple(records), Offset(offset)))
--- /dev/null
+++ b/src/spanshunt/platform/wire.py
@@ -0,0 +1,325 @@
+"""The platform's names, decoded once into the product's types.
+
+Header names, topics and bodies stand here alone. Where the wire's name misleads, the
+comment says what the field holds.
+"""
+
+import base64
+import typing as t
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..ids import DomainId
+from ..ids import Millis
+from ..ids import ModelId
+from ..ids import OrgId
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..ids import WorkerId
+from ..systems.following_workers import ListedWorker
+from ..tables.catalog import CallerLimits
+from ..tables.catalog import Catalog
+from ..tables.catalog import OrgRow
+from ..tables.catalog import RequestKind
+from ..tables.catalog import RouteRow
+from ..tables.catalog import ServiceRow
+from ..tables.catalog import Share
+from ..tables.catalog import index
+from ..tables.rollouts import Verdict
+from ..tables.workers import WorkerRow
+
+OPERATORS_TOPIC = "keyed.op"
+WORKERS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+BOXES_TOPIC = "keyed.boxes"
+"""The system's own: where each box tells its peers' address under its name."""
+
+CATALOG_KEY = "config"
+ROLLOUT_PREFIX = "rollout/"
+
+REQUEST_ID = "Attempt-Id"
+"""Id of one try of a caller; the same on every send of the system for it."""
+
+DEADLINE = "Deadline-Ms"
+CREDENTIAL = "Credential"
+ORGANISATION = "Tenant"
+WORKER_ID = "Expect-Instance"
+URGENCY = "Request-Priority"
+MODEL = "Model"
+TOKENS = "Token-Counts"
+PROMPT_PARTS = "Prompt-Prefix"
+SESSION = "Session"
+LAST_EVENT = "Last-Event-Id"
+SEAL = "Response-Seal"
+NOT_RUN = "Not-Executed"
+LOAD = "Instance-Load"
+SURENESS = "Confidence"
+RETRY_AFTER = "Retry-After"
+
+SYSTEM_HEADERS = frozenset(
+    {
+        "credential",
+        "deadline-ms",
+        "tenant",
+        "expect-instance",
+        "expect-version",
+        "request-priority",
+        "hold",
+        "pin-ms",
+        "kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "last-event-id",
+        "model",
+    }
+)
+"""Request headers that the system sets itself, whatever a caller sent."""
+
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+"""Headers that concern one connection alone."""
+
+ANY_MODEL = "*"
+
+_KINDS = {"safe": RequestKind.REPEATABLE, "streaming": RequestKind.STREAM}
+"""Kinds of request by the wire's word; a word not known here may run at most once."""
+
+_VERDICTS = {verdict.value: verdict for verdict in Verdict}
+
+
+class _Wire(msgspec.Struct, frozen=True, rename="pascal"):
+    """A body with the wire's spelling of names; unknown members are ignored."""
+
+
+class _Share(_Wire, frozen=True, rename="pascal"):
+    backend: str
+    weight: float = 1.0
+
+
+class _Route(_Wire, frozen=True, rename="pascal"):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str = "unsafe"
+    timeout_ms: int = 60_000
+    target_latency_ms: int = 1_000
+    # The rank: 0 is the most urgent.
+    priority: int = 0
+    # Models that may answer, the smallest first.
+    sizes: tuple[str, ...] = ()
+    backend: str = ""
+    traffic_split: tuple[_Share, ...] = ()
+    max_attempts: int = 1
+    anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: int = 0
+
+
+class _Model(_Wire, frozen=True, rename="pascal"):
+    name: str
+    # Price of 1,000 generated tokens.
+    cost: float = 0.0
+
+
+class _Engine(_Wire, frozen=True, rename="pascal"):
+    slots: int = 0
+    kv_capacity_tokens: int = 0
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(_Wire, frozen=True, rename="pascal"):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Org(_Wire, frozen=True, rename="pascal"):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Limits(_Wire, frozen=True, rename="pascal"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class _Config(_Wire, frozen=True, rename="pascal"):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    # Services, not their workers.
+    backends: tuple[_Service, ...] = ()
+    limits: _Limits = _Limits()
+    tenants: tuple[_Org, ...] = ()
+
+
+class _Server(_Wire, frozen=True, rename="pascal"):
+    # The service that it works for.
+    backend: str
+    address: str
+    zone: str = ""
+    # Of its software or weights: what roll-outs move.
+    version: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+class RolloutOrder(_Wire, frozen=True, rename="pascal"):
+    """An operator's order to move a service to a version."""
+
+    backend: str
+    target_version: str
+    duration_s: float = 10.0
+
+
+class RolloutStatus(_Wire, frozen=True, rename="pascal"):
+    """How far a roll-out is, as the system tells the operator.
+
+    ``order`` and ``began`` (ms of the time of day) are the system's own additions: with
+    them a box that starts midway goes on where the others are.
+    """
+
+    backend: str
+    target_version: str
+    state: str
+    order: int = -1
+    began: int = 0
+
+
+class StoreItem(_Wire, frozen=True, rename="pascal"):
+    """The newest record of one key, as the store tells it."""
+
+    # The key; no file is meant.
+    key_file: str
+    value: str = ""
+    offset: int = 0
+
+    def content(self) -> bytes:
+        """Return the record's value."""
+        return base64.b64decode(self.value)
+
+
+class NewestPage(_Wire, frozen=True, rename="pascal"):
+    """A page of the newest records of a topic."""
+
+    items: tuple[StoreItem, ...] = ()
+    more_pages: bool = False
+    end: int = 0
+
+
+class Appended(_Wire, frozen=True, rename="pascal"):
+    """Where appended records stand."""
+
+    offset: int
+    end: int
+
+
+T = t.TypeVar("T")
+
+
+def decode(raw: bytes, kind: type[T]) -> Result[T, str]:
+    """Decode a body; the error names the field and what is allowed."""
+    try:
+        return Ok(msgspec.json.decode(raw, type=kind))
+    except (msgspec.MsgspecError, ValueError) as exc:
+        return Err(str(exc))
+
+
+def decode_catalog(raw: bytes) -> Result[Catalog, str]:
+    """Decode the operators' configuration."""
+    decoded = decode(raw, _Config)
+    if isinstance(decoded, Err):
+        return decoded
+    config = decoded.ok_value
+    limits = config.limits
+    return Ok(
+        index(
+            Catalog(
+                version=config.version,
+                routes=tuple(_route(row) for row in config.routes),
+                services={
+                    ServiceId(row.name): _service(row) for row in config.backends
+                },
+                orgs=tuple(
+                    OrgRow(OrgId(row.name), row.api_keys, row.priority)
+                    for row in config.tenants
+                ),
+                limits=CallerLimits(
+                    header_bytes=limits.max_header_bytes,
+                    body_bytes=limits.max_body_bytes,
+                    header_timeout_ms=Millis(limits.header_timeout_ms),
+                    idle_timeout_ms=Millis(limits.idle_timeout_ms),
+                ),
+            )
+        )
+    )
+
+
+def decode_worker(key: str, raw: bytes) -> Result[ListedWorker, str]:
+    """Decode a backend server's entry; its key is its id."""
+    decoded = decode(raw, _Server)
+    if isinstance(decoded, Err):
+        return decoded
+    server = decoded.ok_value
+    row = WorkerRow(
+        name=WorkerId(key),
+        address=server.address,
+        service=ServiceId(server.backend),
+        domain=DomainId(server.zone),
+        versions=frozenset({VersionId(server.version)}),
+        slots=max(1, server.slots),
+    )
+    return Ok(ListedWorker(row, draining=server.state != "ready"))
+
+
+def decode_verdict(word: str) -> Verdict:
+    """Return what a status says; a word not known counts as running."""
+    return _VERDICTS.get(word, Verdict.RUNNING)
+
+
+def _route(row: _Route) -> RouteRow:
+    split = row.traffic_split or (_Share(row.backend),)
+    return RouteRow(
+        name=row.name,
+        host=row.hostname.lower(),
+        prefix=row.path_prefix,
+        kind=_KINDS.get(row.route_type, RequestKind.ONCE),
+        shares=tuple(Share(ServiceId(part.backend), part.weight) for part in split),
+        timeout_ms=Millis(row.timeout_ms),
+        aim_ms=Millis(row.target_latency_ms),
+        models=tuple(ModelId(name) for name in row.sizes),
+        resumable=row.stream_resume,
+        most_attempts=max(1, row.max_attempts),
+        gap_aim_ms=Millis(row.gap_aim_ms),
+        rank=row.priority,
+        anonymous=row.anonymous,
+    )
+
+
+def _service(row: _Service) -> ServiceRow:
+    if row.engine is None:
+        return ServiceRow(ServiceId(row.name))
+    return ServiceRow(
+        name=ServiceId(row.name),
+        is_engine=True,
+        slots=row.engine.slots,
+        memory_tokens=row.engine.kv_capacity_tokens,
+        costs={ModelId(model.name): model.cost for model in row.engine.models},
+    )
--- /dev/null
+++ b/src/spanshunt/platform/workers.py
@@ -0,0 +1,214 @@
+"""Requests to backend servers, and their answers, on the platform's wire."""
+
+import asyncio
+import typing as t
+from functools import partial
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from result import Err
+from result import Ok
+from result import Result
+from yarl import URL
+
+from ..ports import Answer
+from ..ports import BrokenAnswerError
+from ..ports import Dispatch
+from ..ports import SendFault
+from ..systems.placing import Load
+from . import wire
+
+CONNECT_TIMEOUT_S = 0.4
+"""How long a connection may take to come up, in s: a worker's handshake takes about
+1 ms and two domains are 1 to 2 ms apart; a lost first packet is sent again after 1
+s."""
+
+KEEP_ALIVE_S = 3.0
+"""How long an idle connection is kept, in s: workers close theirs after some
+seconds."""
+
+ONCE_BYTES = 65_536
+"""Requests with longer bodies take a connection of their own: a worker may answer
+before it has read all of one, and what follows must not be taken for the rest."""
+
+_SKIPPED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class _Connection(ResponseHandler):
+    """A connection that takes no byte for an answer that isn't asked for.
+
+    Bytes that come while no answer is due end it, and a reset while an answer without a
+    length is read leaves that answer incomplete.
+    """
+
+    def set_response_params(self, **params: t.Any) -> None:
+        self._payload = None
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        if self._payload is not None and self._payload.is_eof() and data:
+            self.force_close()
+            if self.transport is not None:
+                self.transport.close()
+            return
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        super().connection_lost(exc)
+
+
+class HttpAnswer(Answer):
+    """An answer that is being read from a connection."""
+
+    def __init__(self, resp: aiohttp.ClientResponse, request: str) -> None:
+        self._resp = resp
+        headers = resp.headers
+        self.status = resp.status
+        self.headers = _end_to_end(headers)
+        self.not_run = wire.NOT_RUN in headers
+        self.replaced = resp.status == 421
+        self.confidence = _sureness(headers.get(wire.SURENESS))
+        self.load = _load(headers.get(wire.LOAD))
+        self.flaw = _flaw(resp, request)
+
+    async def read(self) -> bytes:
+        """Return the whole body, or raise ``BrokenAnswerError``."""
+        try:
+            return await self._resp.read()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise BrokenAnswerError(f"body: {type(exc).__name__}") from exc
+
+    async def next_block(self) -> bytes:
+        """Return the next bytes, empty at the end, or raise ``BrokenAnswerError``."""
+        try:
+            return await self._resp.content.readany()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise BrokenAnswerError(f"stream: {type(exc).__name__}") from exc
+
+    def close(self) -> None:
+        """Let go of it; one that is not read to its end is cut off at the worker."""
+        self._resp.close()
+
+
+class WorkerClient:
+    """Sends to workers, over kept connections where a request may be repeated."""
+
+    def __init__(self) -> None:
+        self._kept: aiohttp.ClientSession | None = None
+        self._fresh: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the sessions."""
+        self._kept = _session(force_close=False)
+        self._fresh = _session(force_close=True)
+
+    async def stop(self) -> None:
+        """Close the sessions."""
+        for session in (self._kept, self._fresh):
+            if session is not None:
+                await session.close()
+
+    async def send(self, dispatch: Dispatch) -> Result[Answer, SendFault]:
+        """Send a request and return the head of its answer."""
+        call, worker = dispatch.call, dispatch.worker
+        alone = dispatch.once or len(call.body) > ONCE_BYTES
+        session = self._fresh if alone else self._kept
+        assert session is not None
+        url = URL(f"http://{worker.address}{call.target}", encoded=True)
+        try:
+            resp = await session.request(
+                call.method,
+                url,
+                headers=_request_headers(dispatch),
+                data=call.body or None,
+                skip_auto_headers=_SKIPPED,
+                allow_redirects=False,
+            )
+        except aiohttp.ClientConnectorError as exc:
+            return Err(SendFault(True, f"not reached: {exc.os_error}"))
+        except aiohttp.ConnectionTimeoutError:
+            return Err(SendFault(True, "not reached: the connection did not come up"))
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            return Err(SendFault(False, f"{type(exc).__name__}: {exc}"))
+        return Ok(HttpAnswer(resp, call.request))
+
+
+def _session(*, force_close: bool) -> aiohttp.ClientSession:
+    if force_close:
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    else:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
+    loop = asyncio.get_running_loop()
+    connector._factory = t.cast(t.Any, partial(_Connection, loop=loop))
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+    session = aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    # The library sends again by itself when a kept connection breaks; what may be
+    # repeated is decided by the request path alone.
+    session._retry_connection = False
+    return session
+
+
+def _request_headers(dispatch: Dispatch) -> CIMultiDict[str]:
+    call = dispatch.call
+    headers = call.headers.copy()
+    headers[wire.DEADLINE] = str(max(1, dispatch.left_ms))
+    headers[wire.WORKER_ID] = dispatch.worker.name
+    if dispatch.org:
+        headers[wire.ORGANISATION] = dispatch.org
+    model = dispatch.model or call.model
+    if model:
+        headers[wire.MODEL] = model
+        headers[wire.URGENCY] = str(min(9, dispatch.urgency))
+    if dispatch.resume_after is not None:
+        headers[wire.LAST_EVENT] = str(dispatch.resume_after)
+    return headers
+
+
+def _end_to_end(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in wire.CONNECTION_HEADERS
+    )
+
+
+def _flaw(resp: aiohttp.ClientResponse, request: str) -> str:
+    """Return what makes an answer none to this request, empty if it is one."""
+    headers = resp.headers
+    found = headers.get(wire.REQUEST_ID)
+    if found is not None and found != request:
+        return "answers another request"
+    if resp.status >= 300:
+        return ""
+    if found is None:
+        return "names no request"
+    if wire.SEAL not in headers:
+        return "has no seal"
+    if headers.get("Content-Encoding", "identity").lower() != "identity":
+        return "is encoded"
+    return ""
+
+
+def _sureness(text: str | None) -> float | None:
+    try:
+        return min(1.0, max(0.0, float(text) / 100)) if text else None
+    except ValueError:
+        return None
+
+
+def _load(text: str | None) -> Load | None:
+    """Decode ``running,waiting,slots``; anything else tells nothing."""
+    parts = (text or "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return Load(running, waiting, slots)
--- a/src/spanshunt/ratings.py
+++ b/src/spanshunt/ratings.py
@@ -6,9 +6,9 @@
 from result import Ok
 
 from .admission import ChatCall
+from .backing.rater import RatingRequest
+from .backing.rater import fetch_rating
 from .logs import log_event
-from .platform.rater import RatingRequest
-from .platform.rater import fetch_rating
 from .router import Router
 from .systems.learning import GOOD_SCORE
 from .systems.learning import observe
--- a/src/spanshunt/refusals.py
+++ b/src/spanshunt/refusals.py
@@ -1,16 +1,12 @@
-"""Refusals: RFC 9457 problem documents that say whether the request ran."""
+"""Refusals as values: what was wrong, and whether the request ran."""
 
 import enum
-import math
 
 import msgspec
-from aiohttp import web
 
 from .ids import Millis
 from .ids import RequestId
 
-CONTENT_TYPE = "application/problem+json"
-
 
 class Run(enum.Enum):
     """Whether a refused request ran."""
@@ -92,22 +88,3 @@
         run=refusal.run.value,
         request=request,
     )
-
-
-def refusal_response(refusal: Refusal, request: RequestId) -> web.Response:
-    """Return the HTTP response of a refusal."""
-    headers: dict[str, str] = {"X-Request-Id": request}
-    if refusal.retry_ms is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(refusal.retry_ms / 1000)))
-    return web.Response(
-        body=msgspec.json.encode(document(refusal, request)),
-        status=refusal.problem.status,
-        content_type=CONTENT_TYPE,
-        headers=headers,
-    )
-
-
-def error_event(refusal: Refusal, request: RequestId) -> bytes:
-    """Return the event that ends a stream which can't be finished."""
-    body = msgspec.json.encode(document(refusal, request))
-    return b"event: error\ndata: " + body + b"\n\n"
--- /dev/null
+++ b/src/spanshunt/relaying.py
@@ -0,0 +1,105 @@
+"""Streams: passed on event by event, dropped for a better model, taken up elsewhere."""
+
+import asyncio
+
+from .course import Attempt
+from .course import Core
+from .course import Course
+from .events import EventSplitter
+from .logs import log_event
+from .planning import load_for
+from .ports import Answer
+from .ports import BrokenAnswerError
+from .ports import Reply
+from .systems.cascading import note_confidence
+from .systems.cascading import sureness_needed
+from .systems.repeats import may_repeat
+from .systems.timing import gap_limit_ms
+
+
+def wants_better(
+    core: Core, course: Course, attempt: Attempt, found: Answer, first_ms: int
+) -> bool:
+    """Tell whether to drop a small model's answer at its head for a larger model's."""
+    if found.confidence is None or not attempt.model:
+        return False
+    note_confidence(core.fleet, attempt.model, found.confidence)
+    ladder, call = course.ladder, course.call
+    if ladder is None or course.raised or attempt.model == ladder.last:
+        return False
+    if call.resume_after is not None or course.last_event is not None:
+        return False
+    route = course.admitted.route
+    catalog = core.fleet.catalog
+    service = catalog.services.get(attempt.service) if catalog else None
+    if service is None or course.runs >= route.most_attempts:
+        return False
+    load = load_for(core, course, ladder.last)
+    needed = sureness_needed(core.fleet, route, service, call.effort, load)
+    now = core.clock.now()
+    affordable = may_repeat(
+        core.fleet, attempt.service, now, core.bounds, for_quality=True
+    )
+    course.raised = found.confidence < needed and affordable
+    log_event(
+        "INFO",
+        "model choice",
+        request=call.request,
+        model=attempt.model,
+        sureness=found.confidence,
+        needed=round(needed, 2),
+        load=round(load, 2),
+        budget=affordable,
+        raised=course.raised,
+        first_ms=first_ms,
+    )
+    return course.raised
+
+
+async def relay_stream(
+    core: Core, course: Course, attempt: Attempt, found: Answer, reply: Reply
+) -> None:
+    """Pass a stream on; the head and the events before are those of earlier attempts.
+
+    Raises
+    ------
+    BrokenAnswerError
+        If it ends before it is whole or falls silent while it could go on elsewhere.
+    """
+    splitter = EventSplitter(course.last_event)
+    while True:
+        block = await _next_block(core, course, attempt, found)
+        if not block:
+            break
+        events = splitter.feed(block)
+        if not events.block:
+            continue
+        if not reply.begun:
+            await reply.begin(found.status, found.headers)
+        await reply.write(events.block)
+        if events.last_id is not None:
+            course.last_event = events.last_id
+    if splitter.rest:
+        detail = f"ends inside an event, {len(splitter.rest)} bytes in"
+        raise BrokenAnswerError(detail)
+    if not reply.begun:
+        await reply.begin(found.status, found.headers)
+    await reply.end()
+
+
+async def _next_block(
+    core: Core, course: Course, attempt: Attempt, found: Answer
+) -> bytes:
+    """Return the next bytes; a silence is a break where the stream can be resumed."""
+    route = course.admitted.route
+    if not route.resumable or course.runs >= route.most_attempts:
+        return await found.next_block()
+    limit_ms = gap_limit_ms(route)
+    try:
+        async with asyncio.timeout(limit_ms / 1_000):
+            return await found.next_block()
+    except TimeoutError:
+        if core.clock.now() >= course.limit:
+            raise
+        detail = f"worker {attempt.worker.name} silent for {limit_ms:.0f} ms"
+        raise BrokenAnswerError(detail) from None
--- a/src/spanshunt/reports.py
+++ b/src/spanshunt/reports.py
@@ -5,13 +5,13 @@
 from result import Ok
 from result import Result
 
+from .backing.outcomes import PlatformFault
 from .histograms import Summary
 from .ids import Micros
 from .ids import Millis
 from .ids import Offset
 from .ids import OrgId
 from .ids import ServiceId
-from .platform.outcomes import PlatformFault
 from .router import Router
 from .systems.choice import Asked
 from .systems.choice import choose
--- a/src/spanshunt/router.py
+++ b/src/spanshunt/router.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .appender import Appender
+from .backing.log import LogClient
 from .bill_keeper import BillKeeper
 from .bill_reader import BillReader
 from .claimer import Claimer
@@ -22,7 +23,6 @@
 from .ids import VersionId
 from .metrics import Metrics
 from .peers.client import PeerClient
-from .platform.log import LogClient
 from .session_tokens import SessionSigner
 from .settings import Settings
 from .systems.choice import Preferences
--- a/src/spanshunt/standins/boxes.py
+++ b/src/spanshunt/standins/boxes.py
@@ -5,7 +5,7 @@
 import msgspec
 from aiohttp import web
 
-from ..platform.boxes import BoxList
+from ..backing.boxes import BoxList
 
 
 class BoxListStandin:
--- a/src/spanshunt/standins/log.py
+++ b/src/spanshunt/standins/log.py
@@ -13,11 +13,11 @@
 import msgspec
 from aiohttp import web
 
+from ..backing.log import WireAppended
+from ..backing.log import WireRead
+from ..backing.log import WireRecord
 from ..clock import Clock
 from ..ids import Millis
-from ..platform.log import WireAppended
-from ..platform.log import WireRead
-from ..platform.log import WireRecord
 
 MAX_RECORD_BYTES = 1_048_576
 
--- a/src/spanshunt/standins/main.py
+++ b/src/spanshunt/standins/main.py
@@ -8,9 +8,9 @@
 import msgspec
 from aiohttp import web
 
+from ..backing.boxes import BoxList
 from ..clock import Clock
 from ..ids import VersionId
-from ..platform.boxes import BoxList
 from ..version import __version__
 from .boxes import BoxListStandin
 from .engine import EngineModel
--- a/src/spanshunt/standins/rater.py
+++ b/src/spanshunt/standins/rater.py
@@ -6,8 +6,8 @@
 import msgspec
 from aiohttp import web
 
-from ..platform.rater import Rating
-from ..platform.rater import RatingRequest
+from ..backing.rater import Rating
+from ..backing.rater import RatingRequest
 
 _GOOD = 0.9
 _BAD = 0.2
--- /dev/null
+++ b/src/spanshunt/systems/cascading.py
@@ -0,0 +1,122 @@
+"""Choice of a model: the value of a better answer against its price and the load.
+
+A small model's answer tells at its head how sure the model is. The larger model is
+asked instead while the caller has nothing yet, if what the answer gains outweighs what
+the larger model costs, in money and in places that others wait for.
+"""
+
+import msgspec
+
+from ..ids import ModelId
+from ..tables.catalog import RouteRow
+from ..tables.catalog import ServiceRow
+from ..tables.fleet import Fleet
+from ..tables.fleet import ModelStats
+
+VALUE_PER_TOKEN = 0.0003
+"""Worth of an answer for each token of its size (read, plus ten times generated), in
+the catalog's price unit, at rank 1. Fitted to the workload sheets of both first users:
+their classes lie between 0.8 and 1.8 times this, by rank."""
+
+RANK_FACTORS = (2.0, 1.0, 0.5)
+"""How a route's urgency scales the worth of its answers; later ranks count as the last.
+From the same sheets: rank says what an operator values a token at."""
+
+GENERATED_WEIGHT = 10
+"""How many read tokens a generated one counts as in an answer's size."""
+
+READ_PRICE_PART = 0.25
+"""Price of a read token against a generated one."""
+
+LATE_LOSS = 0.7
+"""Part of an answer's worth that is lost when it comes late."""
+
+CROWDED, FULL = 0.55, 1.25
+"""Load, in parts of a batch, at which larger answers begin to come late, and at which
+all do."""
+
+DIRECT_FROM = 0.8
+"""Sureness that the small model would need, from which on it is not asked first: its
+answer would be dropped at least this often."""
+
+PRIOR_ANSWERS = 20
+"""Answers that the prior mean of a model's sureness counts as."""
+
+_SMOOTHING = 0.02
+
+
+class Effort(msgspec.Struct, frozen=True):
+    """How large a request is, in tokens: read, and generated at most."""
+
+    read: int
+    generated: int
+
+
+class Ladder(msgspec.Struct, frozen=True):
+    """The models that may answer one request, and how to move between them.
+
+    Attributes
+    ----------
+    first : str
+        The model to ask first.
+    last : str
+        The model to ask when the first is not sure enough.
+    needed : float
+        How sure the first must be for its answer to be kept, in 0 to 1.
+    """
+
+    first: ModelId
+    last: ModelId
+    needed: float
+
+
+def plan_models(
+    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort, load: float
+) -> Ladder:
+    """Plan which models to ask; `load` is that of the worker the last would go to."""
+    smallest, largest = route.models[0], route.models[-1]
+    if smallest == largest:
+        return Ladder(smallest, largest, 0.0)
+    needed = sureness_needed(fleet, route, service, effort, load)
+    first = largest if needed >= DIRECT_FROM else smallest
+    return Ladder(first, largest, needed)
+
+
+def sureness_needed(
+    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort, load: float
+) -> float:
+    """Return how sure the small model must be for its answer to be worth keeping."""
+    worth = value(route, effort)
+    price = cost(service, route.models[-1], effort)
+    late = min(1.0, max(0.0, (load - CROWDED) / (FULL - CROWDED)))
+    reached = expected(fleet, route.models[-1]) * (1.0 - LATE_LOSS * late)
+    return max(0.0, reached - price / max(worth, 1e-9))
+
+
+def value(route: RouteRow, effort: Effort) -> float:
+    """Return the worth of a good answer in time, in the catalog's price unit."""
+    factor = RANK_FACTORS[min(route.rank, len(RANK_FACTORS) - 1)]
+    size = effort.read + GENERATED_WEIGHT * effort.generated
+    return VALUE_PER_TOKEN * factor * size
+
+
+def cost(service: ServiceRow, model: ModelId, effort: Effort) -> float:
+    """Return the price of one run of `model`."""
+    tokens = effort.generated + READ_PRICE_PART * effort.read
+    return service.costs.get(model, 0.0) * tokens / 1_000
+
+
+def expected(fleet: Fleet, model: ModelId) -> float:
+    """Return how likely a model's answer is good: the mean of its own opinion."""
+    stats = fleet.models.get(model)
+    return stats.confidence if stats is not None else 0.9
+
+
+def note_confidence(fleet: Fleet, model: ModelId, confidence: float) -> None:
+    """Take one answer's sureness, in 0 to 1, into the model's mean."""
+    stats = fleet.models.get(model)
+    if stats is None:
+        stats = fleet.models[model] = ModelStats(confidence=0.9)
+    stats.answers += 1
+    step = max(_SMOOTHING, 1.0 / (PRIOR_ANSWERS + stats.answers))
+    stats.confidence += step * (confidence - stats.confidence)
--- /dev/null
+++ b/src/spanshunt/systems/following_workers.py
@@ -0,0 +1,126 @@
+"""The list of backend servers: what a new list means for the workers' table.
+
+A worker leaves when its entry says so or is gone. Entries also lapse while the store is
+away; a worker whose entry is missing is kept until a grace after the store's return, as
+long as nothing else speaks against it.
+"""
+
+import msgspec
+
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import WorkerId
+from ..tables.fleet import Fleet
+from ..tables.workers import WorkerRow
+from ..tables.workers import WorkerState
+
+RETURN_GRACE_MS = 2_000
+"""How long after the store's return a lapsed entry is waited for, in ms: workers that
+live write theirs again within about two seconds (the users' letter, point 8)."""
+
+
+class ListedWorker(msgspec.Struct, frozen=True):
+    """One entry of the list."""
+
+    row: WorkerRow
+    draining: bool
+
+
+class ListChange(msgspec.Struct, frozen=True):
+    """What a list changed, for logs."""
+
+    came: tuple[WorkerId, ...] = ()
+    leaving: tuple[WorkerId, ...] = ()
+    gone: tuple[WorkerId, ...] = ()
+    kept: tuple[WorkerId, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing changed."""
+        return not (self.came or self.leaving or self.gone or self.kept)
+
+
+def take_list(
+    fleet: Fleet, listed: list[ListedWorker], end: Offset, now: Millis
+) -> ListChange:
+    """Take a whole list into the table; one older than the last taken is ignored."""
+    if end < fleet.workers_end:
+        return ListChange()
+    fleet.workers_end = end
+    present = {item.row.name for item in listed}
+    came, leaving = _take_present(fleet, listed)
+    gone, kept = _take_missing(fleet, present, now)
+    fleet.workers.changed()
+    return ListChange(came, leaving, gone, kept)
+
+
+def _take_present(
+    fleet: Fleet, listed: list[ListedWorker]
+) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
+    workers = fleet.workers
+    came, leaving = [], []
+    for item in listed:
+        fresh = item.row
+        fleet.missing.pop(fresh.name, None)
+        known = workers.rows.get(fresh.name)
+        if known is None:
+            workers.rows[fresh.name] = fresh
+            came.append(fresh.name)
+        else:
+            known.address, known.domain = fresh.address, fresh.domain
+            known.versions, known.service = fresh.versions, fresh.service
+        if item.draining and fresh.name not in workers.leaving:
+            _mark_leaving(fleet, fresh.name)
+            leaving.append(fresh.name)
+    return tuple(came), tuple(leaving)
+
+
+def _take_missing(
+    fleet: Fleet, present: set[WorkerId], now: Millis
+) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
+    store = fleet.store
+    awaited = store.returned_at >= 0 and now < store.returned_at + RETURN_GRACE_MS
+    gone, kept = [], []
+    for name in set(fleet.workers.rows) - present:
+        if awaited and name not in fleet.workers.leaving:
+            if fleet.missing.setdefault(name, now) == now:
+                kept.append(name)
+            continue
+        fleet.missing.pop(name, None)
+        _mark_leaving(fleet, name)
+        fleet.workers.leaving.discard(name)
+        del fleet.workers.rows[name]
+        gone.append(name)
+    return tuple(gone), tuple(kept)
+
+
+def _mark_leaving(fleet: Fleet, name: WorkerId) -> None:
+    """Stop giving new work to a worker, for as long as its entry stands."""
+    fleet.workers.leaving.add(name)
+    row = fleet.workers.rows.get(name)
+    if row is not None:
+        row.state = WorkerState.LEAVING
+
+
+def note_replaced(fleet: Fleet, row: WorkerRow) -> None:
+    """Take in that another worker answered at this worker's address: it has ended."""
+    _mark_leaving(fleet, row.name)
+
+
+def note_store_answer(fleet: Fleet, now: Millis) -> bool:
+    """Take in that the store answered; return whether it had been away."""
+    store = fleet.store
+    store.answered_at = now
+    if store.failing_since < 0:
+        return False
+    store.failing_since = Millis(-1)
+    store.returned_at = now
+    return True
+
+
+def note_store_failure(fleet: Fleet, now: Millis) -> bool:
+    """Take in that a call to the store failed; return whether this is new."""
+    if fleet.store.failing_since >= 0:
+        return False
+    fleet.store.failing_since = now
+    return True
--- /dev/null
+++ b/src/spanshunt/systems/ramping.py
@@ -0,0 +1,311 @@
+"""Roll-outs: which version answers a request, and when an order is done or undone.
+
+Sessions decide the version by a hash, so that all boxes agree without a message. The
+share of the entering version is a function of the order's age: a canary first, then
+steps up, each short enough that a version which only fails under load is taken back
+before its exposure matters. Evidence is pooled over boxes and tested against the
+leaving version's own answers.
+"""
+
+import typing as t
+
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..tables.fleet import Fleet
+from ..tables.rollouts import EPOCH_MS
+from ..tables.rollouts import EvidenceKey
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import SessionRow
+from ..tables.rollouts import Tally
+from ..tables.rollouts import Verdict
+from ..utils import unit_hash
+from .sequential import log_change_above
+
+STEPS = ((0.0, 0.08), (0.5, 0.25), (0.58, 0.5), (0.66, 1.0))
+"""From which part of the order's time on, which share of sessions the entering version
+gets. Sessions must stay on their version in the first half; a bad version may get 0.15
+of all requests, which the canary at 0.08 leaves room under for the steps."""
+
+DONE_AT = 0.86
+"""Part of the order's time after which an entering version that stayed sound has
+succeeded: by then answers that the leaving version had begun are mostly complete, and a
+writer that fails leaves time for another."""
+
+CEILING_FLOOR = 0.06
+"""Share of bad answers that no version is blamed for: single answers fail on sound
+workers too, when a worker or a link breaks."""
+
+CEILING_FACTOR = 2.0
+"""How many times the leaving version's share of bad answers is still sound."""
+
+EVIDENCE = 5.0
+"""Natural log of the change statistic at which a version is bad: a sound version
+reaches it about once in 150 epochs for each series looked at."""
+
+LEAST_BAD = 3
+"""Bad answers without which no version is judged bad."""
+
+
+SESSION_TTL_MS = 6_000
+"""How long a session is remembered after its last answer, in ms: a little longer than
+sessions may pause (5 s on both sites)."""
+
+
+class VersionRule(t.NamedTuple):
+    """The version that must answer, or the one that must not; None for no rule."""
+
+    only: VersionId | None
+    never: VersionId | None
+
+    def admits(self, versions: t.Collection[VersionId]) -> bool:
+        """Tell whether a worker that holds `versions` may answer."""
+        if self.only is not None:
+            return self.only in versions
+        return self.never is None or self.never not in versions
+
+
+class Judgement(t.NamedTuple):
+    """A verdict and, for people, the evidence that it rests on."""
+
+    verdict: Verdict
+    reason: str = ""
+
+
+def share_at(row: RolloutRow, now: Millis) -> float:
+    """Return the share of sessions that the entering version gets now."""
+    if row.verdict is Verdict.SUCCEEDED:
+        return 1.0
+    if row.verdict is Verdict.ROLLED_BACK:
+        return 0.0
+    age = (now - row.began) / max(1, row.duration_ms)
+    share = 0.0
+    for start, value in STEPS:
+        if age >= start:
+            share = value
+    return share
+
+
+def in_first_half(row: RolloutRow, now: Millis) -> bool:
+    """Tell whether sessions must stay on the version that they are on."""
+    return now - row.began < row.duration_ms / 2
+
+
+def version_for(
+    fleet: Fleet, service: ServiceId, session: str, draw: str, now: Millis
+) -> VersionRule:
+    """Return which version a request must run on.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    service : str
+        The service.
+    session : str
+        The caller's session; empty for none.
+    draw : str
+        What decides for a request without a session: its id.
+    now : int
+        The time, in ms.
+    """
+    row = fleet.rollouts.rows.get(service)
+    if row is None:
+        return VersionRule(None, None)
+    if row.verdict is Verdict.SUCCEEDED:
+        return VersionRule(row.version, None)
+    if row.verdict is Verdict.ROLLED_BACK:
+        return VersionRule(None, row.version)
+    known = fleet.rollouts.sessions.get((service, session)) if session else None
+    if known is not None and now - known.ended > SESSION_TTL_MS:
+        known = None
+    if known is not None and known.version == row.version:
+        return VersionRule(row.version, None)
+    if known is not None and in_first_half(row, now):
+        return VersionRule(None, row.version)
+    entering = unit_hash(str(row.order), session or draw) < share_at(row, now)
+    if entering and _has_workers(fleet, service, row.version):
+        return VersionRule(row.version, None)
+    return VersionRule(None, row.version)
+
+
+def note_session(
+    fleet: Fleet, service: ServiceId, session: str, version: VersionId, now: Millis
+) -> None:
+    """Remember which version answered a session."""
+    if session:
+        fleet.rollouts.sessions[(service, session)] = SessionRow(version, now)
+
+
+def forget_sessions(fleet: Fleet, now: Millis) -> None:
+    """Forget sessions that ended."""
+    sessions = fleet.rollouts.sessions
+    for key in [k for k, row in sessions.items() if now - row.ended > SESSION_TTL_MS]:
+        del sessions[key]
+
+
+def take_order(
+    fleet: Fleet,
+    service: ServiceId,
+    version: VersionId,
+    order: Offset,
+    duration_ms: Millis,
+    began: Millis,
+) -> bool:
+    """Take an order in; return whether it is new."""
+    known = fleet.rollouts.rows.get(service)
+    if known is not None and known.order >= order:
+        known.began = min(known.began, began) if known.order == order else known.began
+        return False
+    fleet.rollouts.rows[service] = RolloutRow(
+        service, version, order, duration_ms, began
+    )
+    return True
+
+
+def take_verdict(
+    row: RolloutRow, verdict: Verdict, reason: str, now: Millis, *, recorded: bool
+) -> bool:
+    """Take a verdict in; return whether it is new.
+
+    A verdict that stands in the store wins over one that a box only reached itself.
+    """
+    if verdict is Verdict.RUNNING:
+        return False
+    changed = row.verdict is not verdict and (
+        row.verdict is Verdict.RUNNING or (recorded and not row.recorded)
+    )
+    if changed:
+        row.verdict, row.reason, row.judged_at = verdict, reason, now
+    if row.verdict is verdict:
+        row.recorded = row.recorded or recorded
+    return changed
+
+
+def note_result(
+    fleet: Fleet,
+    service: ServiceId,
+    route: str,
+    versions: t.Collection[VersionId],
+    now: Millis,
+    *,
+    bad: bool,
+) -> None:
+    """Count an answer as evidence while a roll-out of its service runs."""
+    row = fleet.rollouts.rows.get(service)
+    if row is None or row.verdict is not Verdict.RUNNING:
+        return
+    epoch = max(0, now - row.began) // EPOCH_MS
+    key = EvidenceKey(route, row.version in versions, epoch)
+    tally = row.own.setdefault(key, Tally())
+    tally.answers += 1
+    tally.bad += bad
+
+
+def judge(row: RolloutRow, now: Millis) -> Judgement:
+    """Judge a running roll-out by the pooled evidence."""
+    pooled = _pool(row)
+    for route in sorted({key.route for key in pooled} | {""}):
+        reason = _blame(pooled, route)
+        if reason:
+            return Judgement(Verdict.ROLLED_BACK, reason)
+    age = (now - row.began) / max(1, row.duration_ms)
+    if age >= DONE_AT:
+        answers = sum(tally.answers for key, tally in pooled.items() if key.entering)
+        reason = f"{answers} answers, no test reached its threshold"
+        return Judgement(Verdict.SUCCEEDED, reason)
+    return Judgement(Verdict.RUNNING)
+
+
+def _blame(pooled: dict[EvidenceKey, Tally], route: str) -> str:
+    """Return the evidence against the entering version on a route ("" for all)."""
+    before = _series(pooled, route, entering=False)
+    after = _series(pooled, route, entering=True)
+    bad = sum(epoch[1] for epoch in after)
+    if bad < LEAST_BAD:
+        return ""
+    answers = sum(epoch[0] for epoch in before)
+    usual = sum(epoch[1] for epoch in before) / answers if answers else 0.0
+    ceiling = min(0.5, max(CEILING_FLOOR, CEILING_FACTOR * usual))
+    log_evidence = log_change_above(after, ceiling)
+    if log_evidence < EVIDENCE:
+        return ""
+    total = sum(epoch[0] for epoch in after)
+    where = f"route {route}" if route else "all routes"
+    return f"{where}: {bad} of {total} answers bad, log evidence {log_evidence:.1f}"
+
+
+def _series(
+    pooled: dict[EvidenceKey, Tally], route: str, *, entering: bool
+) -> list[tuple[int, int]]:
+    """Return answers and bad ones by epoch, oldest first; route "" takes all."""
+    epochs: dict[int, list[int]] = {}
+    for key, tally in pooled.items():
+        if key.entering is entering and route in ("", key.route):
+            epoch = epochs.setdefault(key.epoch, [0, 0])
+            epoch[0] += tally.answers
+            epoch[1] += tally.bad
+    return [(epochs[n][0], epochs[n][1]) for n in sorted(epochs)]
+
+
+def _pool(row: RolloutRow) -> dict[EvidenceKey, Tally]:
+    pooled: dict[EvidenceKey, Tally] = {}
+    for tallies in (row.own, *row.peers.values()):
+        for key, tally in tallies.items():
+            into = pooled.setdefault(key, Tally())
+            into.answers += tally.answers
+            into.bad += tally.bad
+    return pooled
+
+
+def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
+    return any(
+        row.name not in fleet.workers.leaving
+        for row in fleet.workers.able(service, version)
+    )
+
+
+WRITER_STEP_MS = 700
+"""How much longer each next box waits before it records a verdict itself, in ms: longer
+than a call to a slow store takes."""
+
+PEER_LIVE_MS = 2_000
+"""A peer not heard for this long is not counted on to record a verdict, in ms."""
+
+
+def writer_delay(fleet: Fleet, now: Millis) -> Millis:
+    """Return how long this box leaves the recording of a verdict to others, in ms.
+
+    Boxes that are heard take turns in the order of their names, so that usually one
+    writes; the store's condition decides where two do.
+    """
+    before = sum(
+        peer.box < fleet.me.box and 0 <= now - peer.heard < PEER_LIVE_MS
+        for peer in fleet.peers.values()
+        if peer.heard >= 0
+    )
+    return Millis(before * WRITER_STEP_MS)
+
+
+def due_verdict(fleet: Fleet, row: RolloutRow, now: Millis) -> Judgement | None:
+    """Return the verdict that this box must record now, if any.
+
+    A version judged bad is taken back here at once, recorded or not.
+    """
+    if row.recorded:
+        return None
+    if row.verdict is not Verdict.RUNNING:
+        due_at = row.judged_at
+        judgement = Judgement(row.verdict, row.reason)
+    else:
+        judgement = judge(row, now)
+        if judgement.verdict is Verdict.RUNNING:
+            return None
+        due_at = Millis(row.began + int(DONE_AT * row.duration_ms))
+        if judgement.verdict is Verdict.ROLLED_BACK:
+            take_verdict(row, judgement.verdict, judgement.reason, now, recorded=False)
+            due_at = now
+    if now < due_at + writer_delay(fleet, now):
+        return None
+    return judgement
--- /dev/null
+++ b/src/spanshunt/systems/timing.py
@@ -0,0 +1,75 @@
+"""How long is long: limits of waiting that follow what answers usually take."""
+
+from ..ids import ModelId
+from ..tables.catalog import RouteRow
+from ..tables.fleet import FirstTimes
+from ..tables.fleet import Fleet
+
+FIRST_FACTOR = 5.0
+"""A first byte later than this many times its usual time is not waited for, where the
+request may be sent elsewhere. Within a batch, times vary by about three."""
+
+FIRST_AIM_PART = 0.55
+"""A first byte is waited for at least this part of the route's aim: what is left must
+suffice for the answer from elsewhere."""
+
+GAP_AIM_PART = 0.6
+"""A stream is silent for too long after this part of the longest pause that is still in
+time; the rest is for the next event from elsewhere."""
+
+GAP_LEAST_MS = 500
+"""A shorter silence is not taken for a stall, in ms: an engine reads long prompts
+between the tokens of others, some 500 ms for the longest here."""
+
+SLOW_FACTOR = 3.0
+"""An answer counts as slow if its first byte took this many times the usual time."""
+
+SLOW_LEAST_MS = 400.0
+"""Answers faster than this never count as slow, in ms."""
+
+_SMOOTHING = 0.05
+
+
+def first_limit_ms(fleet: Fleet, route: RouteRow, model: ModelId, read: int) -> float:
+    """Return how long to wait for a first byte before asking elsewhere, in ms."""
+    usual = usual_first_ms(fleet, route, model, read)
+    return max(FIRST_AIM_PART * route.aim_ms, FIRST_FACTOR * usual)
+
+
+def gap_limit_ms(route: RouteRow) -> float:
+    """Return how long a stream may be silent before it is taken up elsewhere, in ms."""
+    return max(GAP_LEAST_MS, GAP_AIM_PART * (route.gap_aim_ms or route.aim_ms))
+
+
+def usual_first_ms(fleet: Fleet, route: RouteRow, model: ModelId, read: int) -> float:
+    """Return the usual time to the first byte of a prompt of `read` tokens, in ms."""
+    usual = fleet.first_times.get((route.name, model))
+    if usual is None:
+        return 0.0
+    return usual.first_ms * max(1.0, read / max(1.0, usual.read))
+
+
+def is_slow(
+    fleet: Fleet, route: RouteRow, model: ModelId, read: int, first_ms: float
+) -> bool:
+    """Tell whether an answer was several times slower than usual."""
+    usual = usual_first_ms(fleet, route, model, read)
+    return usual > 0.0 and first_ms > max(SLOW_LEAST_MS, SLOW_FACTOR * usual)
+
+
+def note_first_time(
+    fleet: Fleet, route: RouteRow, model: ModelId, read: int, first_ms: float
+) -> None:
+    """Take a time to the first byte into the route's means.
+
+    A slow answer counts as the bound of slowness, so that a version that turns slow
+    does not make slowness usual at once.
+    """
+    key = (route.name, model)
+    usual = fleet.first_times.get(key)
+    if usual is None:
+        fleet.first_times[key] = FirstTimes(first_ms, read)
+        return
+    bound = max(SLOW_LEAST_MS, SLOW_FACTOR * usual.first_ms)
+    usual.first_ms += _SMOOTHING * (min(first_ms, bound) - usual.first_ms)
+    usual.read += _SMOOTHING * (read - usual.read)
--- /dev/null
+++ b/src/spanshunt/tables/fleet.py
@@ -0,0 +1,150 @@
+"""All tables of a box that routes for the platform's catalog."""
+
+import collections
+
+import msgspec
+
+from ..ids import BoxId
+from ..ids import DomainId
+from ..ids import Incarnation
+from ..ids import Millis
+from ..ids import ModelId
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import WorkerId
+from .catalog import Catalog
+from .rollouts import Rollouts
+from .workers import Workers
+
+
+class Self(msgspec.Struct, frozen=True):
+    """Who this box is; ``address`` is where its peers reach it."""
+
+    box: BoxId
+    domain: DomainId
+    address: str
+    incarnation: Incarnation
+
+
+class PeerRow(msgspec.Struct):
+    """Another box.
+
+    Attributes
+    ----------
+    box, address : str
+        Its name and where its peer protocol listens.
+    incarnation : str
+        Its run when it was last heard.
+    heard : int
+        When it last answered or called, in ms; -1 for never.
+    asked : int
+        When it was last called, in ms.
+    failures : int
+        Calls to it that failed since it last answered.
+    """
+
+    box: BoxId
+    address: str
+    incarnation: Incarnation = Incarnation("")
+    heard: Millis = Millis(-1)
+    asked: Millis = Millis(-1)
+    failures: int = 0
+
+
+class TrafficSecond(msgspec.Struct):
+    """Requests and arrivals beyond their first in one second of the clock."""
+
+    number: int
+    requests: int = 0
+    repeats: int = 0
+
+
+class Traffic(msgspec.Struct):
+    """Requests and repeats of one service in this box's last seconds, oldest first."""
+
+    seconds: collections.deque[TrafficSecond] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=32)
+    )
+
+
+class ModelStats(msgspec.Struct):
+    """What answers told of a model: the moving mean of its confidence, in 0 to 1."""
+
+    confidence: float = 0.5
+    answers: int = 0
+
+
+class FirstTimes(msgspec.Struct):
+    """Usual time to the first byte, in ms, and the prompt that it was for, in tokens.
+
+    Both are moving means over good answers.
+    """
+
+    first_ms: float = 0.0
+    read: float = 0.0
+
+
+class StoreHealth(msgspec.Struct):
+    """What this box sees of the platform's store.
+
+    Attributes
+    ----------
+    answered_at : int
+        When it last answered, in ms; -1 for never.
+    failing_since : int
+        When calls began to fail, in ms; -1 while they do not.
+    returned_at : int
+        When it last came back after failing, in ms; -1 for never.
+    """
+
+    answered_at: Millis = Millis(-1)
+    failing_since: Millis = Millis(-1)
+    returned_at: Millis = Millis(-1)
+
+
+class Fleet(msgspec.Struct):
+    """Everything that decisions read.
+
+    Attributes
+    ----------
+    me : Self
+        Who this box is.
+    catalog : Catalog or None
+        The newest catalog known; never replaced by an older one.
+    catalog_raw : bytes
+        The same as it came, for peers.
+    workers : Workers
+        Backend servers.
+    workers_end : int
+        The end of the workers' stream at the newest list taken in.
+    missing : dict
+        Workers that a list lacked while the store was away, with the time since, in ms.
+    peers : dict
+        Other boxes.
+    rollouts : Rollouts
+        Orders and their evidence.
+    traffic : dict
+        Requests and repeats by service.
+    models : dict
+        What is known of models.
+    first_times : dict
+        Usual times to the first byte by route name and model ("" where it has none).
+    store : StoreHealth
+        The platform's store.
+    stopping : bool
+        Whether a planned stop is under way.
+    """
+
+    me: Self
+    catalog: Catalog | None = None
+    catalog_raw: bytes = b""
+    workers: Workers = msgspec.field(default_factory=Workers)
+    workers_end: Offset = Offset(-1)
+    missing: dict[WorkerId, Millis] = {}
+    peers: dict[BoxId, PeerRow] = {}
+    rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
+    traffic: dict[ServiceId, Traffic] = {}
+    models: dict[ModelId, ModelStats] = {}
+    first_times: dict[tuple[str, ModelId], FirstTimes] = {}
+    store: StoreHealth = msgspec.field(default_factory=StoreHealth)
+    stopping: bool = False
--- /dev/null
+++ b/src/spanshunt/tables/rollouts.py
@@ -0,0 +1,109 @@
+"""Roll-outs of versions that the platform's operators order, and their evidence."""
+
+import enum
+
+import msgspec
+
+from ..ids import BoxId
+from ..ids import Incarnation
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import VersionId
+
+EPOCH_MS = 1_000
+"""Width of the epochs that answers are counted in, in ms. The change test needs a few
+epochs to see a version that turns bad later; a second holds a few answers of a canary
+at the smallest fleets served."""
+
+
+class Verdict(enum.Enum):
+    """How far a roll-out is."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    ROLLED_BACK = "rolled_back"
+
+
+class Tally(msgspec.Struct):
+    """Answers of one version on one route in one epoch."""
+
+    answers: int = 0
+    bad: int = 0
+
+
+class EvidenceKey(msgspec.Struct, frozen=True):
+    """What a tally is of: a route, the old or the new version, an epoch.
+
+    Epochs are counted from the first sight of the order on the box that counts.
+    """
+
+    route: str
+    entering: bool
+    epoch: int
+
+
+class RolloutRow(msgspec.Struct):
+    """One order to move a service to a version.
+
+    Attributes
+    ----------
+    service, version : str
+        What moves and where to.
+    order : int
+        The order's place in the operators' stream; a greater one replaces this.
+    duration_ms : int
+        How long it may take.
+    began : int
+        When it began, in ms of this box's monotonic clock; taken from whoever saw the
+        order first.
+    verdict : Verdict
+        How it ended, or that it runs.
+    reason : str
+        The evidence that a verdict rests on, for people.
+    recorded : bool
+        Whether the verdict is known to stand in the platform's store.
+    judged_at : int
+        When this box learned of the verdict, in ms.
+    own : dict
+        This box's tallies.
+    peers : dict
+        Other boxes' tallies, by the run of the box.
+    """
+
+    service: ServiceId
+    version: VersionId
+    order: Offset
+    duration_ms: Millis
+    began: Millis
+    verdict: Verdict = Verdict.RUNNING
+    reason: str = ""
+    recorded: bool = False
+    judged_at: Millis = Millis(0)
+    own: dict[EvidenceKey, Tally] = {}
+    peers: dict[Incarnation, dict[EvidenceKey, Tally]] = {}
+
+
+class SessionRow(msgspec.Struct):
+    """The version that last answered a session here, and when in ms."""
+
+    version: VersionId
+    ended: Millis
+
+
+class Rollouts(msgspec.Struct):
+    """All orders, and the sessions that they must leave on their version.
+
+    Attributes
+    ----------
+    rows : dict
+        The newest order of each service.
+    sessions : dict
+        Sessions seen here, by service and session id.
+    first_writer : str
+        The box that records verdicts at present, for logs.
+    """
+
+    rows: dict[ServiceId, RolloutRow] = {}
+    sessions: dict[tuple[ServiceId, str], SessionRow] = {}
+    first_writer: BoxId = BoxId("")
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -25,7 +25,9 @@
     Attributes
     ----------
     name : str
-        ``host:port``.
+        ``host:port``, or the id of this run of the worker where it has one.
+    address : str
+        ``host:port``; empty where the name says it.
     service : str
         The service that it answers.
     domain : str
@@ -52,11 +54,16 @@
         Moving mean of the time to the first byte, in ms.
     token_ms : float
         Moving mean of the time between tokens, in ms.
+    error_rate : float
+        Moving mean of the share of answers that failed, in 0 to 1.
+    queued : int
+        Requests waiting at the worker, by its last report.
     """
 
     name: WorkerId
     service: ServiceId
     domain: DomainId
+    address: str = ""
     versions: frozenset[VersionId] = frozenset()
     state: WorkerState = WorkerState.LIVE
     inflight: int = 0
@@ -68,6 +75,8 @@
     back_at: Millis = Millis(0)
     ttft_ms: float = 0.0
     token_ms: float = 0.0
+    error_rate: float = 0.0
+    queued: int = 0
 
 
 class Workers(msgspec.Struct):
--- a/src/spanshunt/watchers.py
+++ b/src/spanshunt/watchers.py
@@ -7,15 +7,15 @@
 from result import Err
 from result import Ok
 
+from .backing.boxes import BoxList
+from .backing.boxes import BoxState
+from .backing.boxes import ListedBox
+from .backing.boxes import fetch_boxes
 from .clock import Clock
 from .gossiper import Gossiper
 from .ids import VersionId
 from .ids import WorkerId
 from .logs import log_event
-from .platform.boxes import BoxList
-from .platform.boxes import BoxState
-from .platform.boxes import ListedBox
-from .platform.boxes import fetch_boxes
 from .settings import Settings
 from .tables.state import State
 from .tables.workers import WorkerRow
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -9,11 +9,11 @@
 import msgspec
 from aiohttp import web
 
+from spanshunt.backing.boxes import BoxList
+from spanshunt.backing.boxes import ListedBox
 from spanshunt.clock import Clock
 from spanshunt.daemon import Daemon
 from spanshunt.intents import IntentDocument
-from spanshunt.platform.boxes import BoxList
-from spanshunt.platform.boxes import ListedBox
 from spanshunt.records import Confirm
 from spanshunt.records import LogRecord
 from spanshunt.records import encode_record
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -4,9 +4,9 @@
 import typing as t
 
 from builders import serve
+from spanshunt.backing.log import LogClient
+from spanshunt.backing.outcomes import Fault
 from spanshunt.clock import Clock
-from spanshunt.platform.log import LogClient
-from spanshunt.platform.outcomes import Fault
 from spanshunt.records import Stream
 from spanshunt.standins.log import LogFaults
 from spanshunt.standins.log import LogStandin
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -23,8 +23,8 @@
 from builders import some_settings
 from builders import whole_answer
 from builders import words_of
-from spanshunt.platform.boxes import BoxList
-from spanshunt.platform.boxes import ListedBox
+from spanshunt.backing.boxes import BoxList
+from spanshunt.backing.boxes import ListedBox
 from spanshunt.standins.engine import EngineModel
 
 BIN = pathlib.Path(sys.executable).parent / "spanshuntd"
