Stalls are told by the worker as a whole

Cause: busy engines read long prompts between tokens, so events come 0.7 s apart; asking elsewhere after 0.72 s doubled the load (343 of 2,855 arrivals rejected). Ruled out: slots (mean load 0.22 of a batch). Change: a worker that sends bytes on any request is waited for 2.5 times longer; a larger model costs 1.6 times its price, and less is asked of it as its first events come later.

--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from result import Err
+from result import Result
 
 from .course import Attempt
 from .course import Core
@@ -45,7 +46,9 @@
 from .systems.repeats import may_repeat
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
+from .systems.timing import ALIVE_FACTOR
 from .systems.timing import first_limit_ms
+from .systems.timing import is_alive
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
 from .tables.catalog import RequestKind
@@ -186,26 +189,46 @@
         resume_after=course.last_event,
         once=once,
     )
-    limit = _first_limit(core, course, attempt)
+    sending = asyncio.ensure_future(core.send(dispatch))
     try:
-        async with asyncio.timeout(limit):
-            opened = await core.send(dispatch)
-    except TimeoutError:
-        if limit is None or core.clock.now() >= course.limit:
-            raise
-        return SendFault(False, f"no answer within {limit * 1_000:.0f} ms")
+        waited = await _await_head(core, course, attempt, sending)
+        if not sending.done():
+            return SendFault(False, f"no answer within {waited:.0f} ms")
+        opened = sending.result()
+    finally:
+        if not sending.done():
+            sending.cancel()
     return opened.err_value if isinstance(opened, Err) else opened.ok_value
 
 
+async def _await_head(
+    core: Core,
+    course: Course,
+    attempt: Attempt,
+    sending: asyncio.Future[Result[Answer, SendFault]],
+) -> float:
+    """Wait for the head while that makes sense; return how long it was, in ms."""
+    limit = _first_limit(core, course, attempt)
+    if limit is None:
+        await asyncio.wait({sending})
+        return 0.0
+    await asyncio.wait({sending}, timeout=limit / 1_000)
+    if sending.done() or not is_alive(attempt.worker, core.clock.now()):
+        return limit
+    longer = limit * ALIVE_FACTOR
+    await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
+    return longer
+
+
 def _first_limit(core: Core, course: Course, attempt: Attempt) -> float | None:
-    """Return how long to wait for the head, in s; None for as long as there is time."""
+    """Return how long to wait for the head, in ms; None for as long as there is time."""
     route = course.admitted.route
     if not route.repeatable or course.runs >= route.most_attempts:
         return None
     if not _budget_allows(core, course):
         return None
     read = course.call.effort.read
-    return first_limit_ms(core.fleet, route, attempt.model, read) / 1_000
+    return first_limit_ms(core.fleet, route, attempt.model, read)
 
 
 def _note_fault(
@@ -234,6 +257,7 @@
 ) -> Ending:
     """Read an answer and pass it on, or tell why not."""
     now = core.clock.now()
+    attempt.worker.heard_at = now
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
     if found.replaced:
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -46,7 +46,7 @@
         return Err(_no_worker(core, course, "the route names no service"))
     course.service = service.name
     rule = _version_rule(core, course)
-    model = _model(core, course, service, rule)
+    model = _model(core, course, service)
     placed = _place(core, course, rule, model)
     if placed is None:
         detail = f"no worker of {service.name} takes work now"
@@ -69,12 +69,6 @@
     return Millis(int(middle * (0.5 + core.rng.random())))
 
 
-def load_for(core: Core, course: Course, model: ModelId) -> float:
-    """Return the load of the worker that `model` would run on, in parts of a batch."""
-    placed = _place(core, course, _version_rule(core, course), model)
-    return placed.load if placed is not None else float("inf")
-
-
 def _admit_again(core: Core, course: Course) -> Result[None, Refusal]:
     """Check again what a newer catalog may have taken away."""
     catalog = core.fleet.catalog
@@ -112,17 +106,13 @@
     )
 
 
-def _model(
-    core: Core, course: Course, service: ServiceRow, rule: VersionRule
-) -> ModelId:
+def _model(core: Core, course: Course, service: ServiceRow) -> ModelId:
     """Return the model to name; empty where the caller named one or none is needed."""
     route, call = course.admitted.route, course.call
     if call.model or not route.models:
         return ModelId("")
     if course.ladder is None:
-        placed = _place(core, course, rule, route.models[-1])
-        load = placed.load if placed is not None else 0.0
-        course.ladder = plan_models(core.fleet, route, service, call.effort, load)
+        course.ladder = plan_models(core.fleet, route, service, call.effort)
     return course.ladder.last if course.raised else course.ladder.first
 
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -7,14 +7,15 @@
 from .course import Course
 from .events import EventSplitter
 from .logs import log_event
-from .planning import load_for
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Reply
 from .systems.cascading import note_confidence
 from .systems.cascading import sureness_needed
 from .systems.repeats import may_repeat
+from .systems.timing import ALIVE_FACTOR
 from .systems.timing import gap_limit_ms
+from .systems.timing import is_alive
 
 
 def wants_better(
@@ -34,8 +35,7 @@
     service = catalog.services.get(attempt.service) if catalog else None
     if service is None or course.runs >= route.most_attempts:
         return False
-    load = load_for(core, course, ladder.last)
-    needed = sureness_needed(core.fleet, route, service, call.effort, load)
+    needed = sureness_needed(core.fleet, route, service, call.effort)
     now = core.clock.now()
     affordable = may_repeat(
         core.fleet, attempt.service, now, core.bounds, for_quality=True
@@ -48,7 +48,6 @@
         model=attempt.model,
         sureness=found.confidence,
         needed=round(needed, 2),
-        load=round(load, 2),
         budget=affordable,
         raised=course.raised,
         first_ms=first_ms,
@@ -91,15 +90,23 @@
     core: Core, course: Course, attempt: Attempt, found: Answer
 ) -> bytes:
     """Return the next bytes; a silence is a break where the stream can be resumed."""
-    route = course.admitted.route
+    route, worker = course.admitted.route, attempt.worker
     if not route.resumable or course.runs >= route.most_attempts:
         return await found.next_block()
     limit_ms = gap_limit_ms(route)
-    try:
-        async with asyncio.timeout(limit_ms / 1_000):
-            return await found.next_block()
-    except TimeoutError:
-        if core.clock.now() >= course.limit:
-            raise
-        detail = f"worker {attempt.worker.name} silent for {limit_ms:.0f} ms"
-        raise BrokenAnswerError(detail) from None
+    silent_ms = 0.0
+    while True:
+        try:
+            async with asyncio.timeout(limit_ms / 1_000):
+                block = await found.next_block()
+        except TimeoutError:
+            now = core.clock.now()
+            if now >= course.limit:
+                raise
+            silent_ms += limit_ms
+            if is_alive(worker, now) and silent_ms < ALIVE_FACTOR * limit_ms:
+                continue
+            detail = f"worker {worker.name} silent for {silent_ms:.0f} ms"
+            raise BrokenAnswerError(detail) from None
+        worker.heard_at = core.clock.now()
+        return block
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -12,6 +12,7 @@
 from ..tables.catalog import ServiceRow
 from ..tables.fleet import Fleet
 from ..tables.fleet import ModelStats
+from .timing import usual_first_ms
 
 VALUE_PER_TOKEN = 0.0003
 """Worth of an answer for each token of its size (read, plus ten times generated), in
@@ -31,9 +32,13 @@
 LATE_LOSS = 0.7
 """Part of an answer's worth that is lost when it comes late."""
 
-CROWDED, FULL = 0.55, 1.25
-"""Load, in parts of a batch, at which larger answers begin to come late, and at which
-all do."""
+PLACE_FACTOR = 1.6
+"""What a run of a larger model costs in all, in parts of its price: the time of an
+engine that it takes from others has no price of its own."""
+
+EARLY_PART, LATE_PART = 0.35, 1.0
+"""Usual time to the larger model's first event, in parts of the route's aim, from which
+on its answers begin to come late, and at which all do."""
 
 DIRECT_FROM = 0.8
 """Sureness that the small model would need, from which on it is not asked first: its
@@ -71,24 +76,26 @@
 
 
 def plan_models(
-    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort, load: float
+    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort
 ) -> Ladder:
-    """Plan which models to ask; `load` is that of the worker the last would go to."""
+    """Plan which models to ask."""
     smallest, largest = route.models[0], route.models[-1]
     if smallest == largest:
         return Ladder(smallest, largest, 0.0)
-    needed = sureness_needed(fleet, route, service, effort, load)
+    needed = sureness_needed(fleet, route, service, effort)
     first = largest if needed >= DIRECT_FROM else smallest
     return Ladder(first, largest, needed)
 
 
 def sureness_needed(
-    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort, load: float
+    fleet: Fleet, route: RouteRow, service: ServiceRow, effort: Effort
 ) -> float:
     """Return how sure the small model must be for its answer to be worth keeping."""
     worth = value(route, effort)
-    price = cost(service, route.models[-1], effort)
-    late = min(1.0, max(0.0, (load - CROWDED) / (FULL - CROWDED)))
+    price = PLACE_FACTOR * cost(service, route.models[-1], effort)
+    usual = usual_first_ms(fleet, route, route.models[-1], effort.read)
+    part = usual / max(1, route.aim_ms)
+    late = min(1.0, max(0.0, (part - EARLY_PART) / (LATE_PART - EARLY_PART)))
     reached = expected(fleet, route.models[-1]) * (1.0 - LATE_LOSS * late)
     return max(0.0, reached - price / max(worth, 1e-9))
 
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -1,9 +1,11 @@
 """How long is long: limits of waiting that follow what answers usually take."""
 
+from ..ids import Millis
 from ..ids import ModelId
 from ..tables.catalog import RouteRow
 from ..tables.fleet import FirstTimes
 from ..tables.fleet import Fleet
+from ..tables.workers import WorkerRow
 
 FIRST_FACTOR = 5.0
 """A first byte later than this many times its usual time is not waited for, where the
@@ -13,13 +15,17 @@
 """A first byte is waited for at least this part of the route's aim: what is left must
 suffice for the answer from elsewhere."""
 
-GAP_AIM_PART = 0.6
-"""A stream is silent for too long after this part of the longest pause that is still in
-time; the rest is for the next event from elsewhere."""
+GAP_LEAST_MS = 700
+"""A shorter silence in a stream is not taken for a stall, in ms: an engine that reads
+long prompts between the tokens of others makes an event in up to 0.8 s here."""
 
-GAP_LEAST_MS = 500
-"""A shorter silence is not taken for a stall, in ms: an engine reads long prompts
-between the tokens of others, some 500 ms for the longest here."""
+ALIVE_MS = 400
+"""A worker that sent bytes on any request within this time is alive, in ms: what it owes
+is waited for longer, as it is more likely busy than stuck."""
+
+ALIVE_FACTOR = 2.5
+"""How many times longer a worker that is alive is waited for. Asking elsewhere sooner
+doubled the load of engines that were merely busy."""
 
 SLOW_FACTOR = 3.0
 """An answer counts as slow if its first byte took this many times the usual time."""
@@ -31,14 +37,19 @@
 
 
 def first_limit_ms(fleet: Fleet, route: RouteRow, model: ModelId, read: int) -> float:
-    """Return how long to wait for a first byte before asking elsewhere, in ms."""
+    """Return how long to wait for a first byte of a silent worker, in ms."""
     usual = usual_first_ms(fleet, route, model, read)
     return max(FIRST_AIM_PART * route.aim_ms, FIRST_FACTOR * usual)
 
 
 def gap_limit_ms(route: RouteRow) -> float:
-    """Return how long a stream may be silent before it is taken up elsewhere, in ms."""
-    return max(GAP_LEAST_MS, GAP_AIM_PART * (route.gap_aim_ms or route.aim_ms))
+    """Return how long a stream of a silent worker is waited for, in ms."""
+    return max(GAP_LEAST_MS, FIRST_AIM_PART * (route.gap_aim_ms or route.aim_ms))
+
+
+def is_alive(worker: WorkerRow, now: Millis) -> bool:
+    """Tell whether a worker sent bytes on any request just now."""
+    return now - worker.heard_at < ALIVE_MS
 
 
 def usual_first_ms(fleet: Fleet, route: RouteRow, model: ModelId, read: int) -> float:
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -58,6 +58,8 @@
         Moving mean of the share of answers that failed, in 0 to 1.
     queued : int
         Requests waiting at the worker, by its last report.
+    heard_at : int
+        When the last byte came from it on any request, in ms.
     """
 
     name: WorkerId
@@ -77,6 +79,7 @@
     token_ms: float = 0.0
     error_rate: float = 0.0
     queued: int = 0
+    heard_at: Millis = Millis(0)
 
 
 class Workers(msgspec.Struct):
