A stopping box closes idle connections itself

Cause: LOST on both sites' rolling stops: kept connections were used for seconds after SIGTERM; the library's own closing left idle ones open without a handler. Change: after 2.6 s a stopping box stops listening, closes idle connections and ends others after their answer; the end of the process is bounded. A silent head looks again for budget instead of waiting until the limit.

--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -60,6 +60,9 @@
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
 
+BUDGET_STEP_S = 0.2
+"""How often a request whose worker is silent looks whether it may be repeated, in s."""
+
 LEFT_LEAST_MS = 5
 """With less time left than this, in ms, no worker is asked any more: a round trip
 within a failure domain already takes about a millisecond."""
@@ -207,28 +210,24 @@
     attempt: Attempt,
     sending: asyncio.Future[Result[Answer, SendFault]],
 ) -> float:
-    """Wait for the head while that makes sense; return how long it was, in ms."""
-    limit = _first_limit(core, course, attempt)
-    if limit is None:
-        await asyncio.wait({sending})
-        return 0.0
-    await asyncio.wait({sending}, timeout=limit / 1_000)
-    if sending.done() or not is_alive(attempt.worker, core.clock.now()):
-        return limit
-    longer = limit * ALIVE_FACTOR
-    await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
-    return longer
+    """Wait for the head while that makes sense; return how long it was, in ms.
 
-
-def _first_limit(core: Core, course: Course, attempt: Attempt) -> float | None:
-    """Return how long to wait for the head, in ms; None for as long as there is time."""
+    A worker that is alive is waited for longer, and any one for as long as the request
+    could not be sent elsewhere anyway.
+    """
     route = course.admitted.route
     if not route.repeatable or course.runs >= route.most_attempts:
-        return None
-    if not _budget_allows(core, course):
-        return None
+        await asyncio.wait({sending})
+        return 0.0
     read = course.call.effort.read
-    return first_limit_ms(core.fleet, route, attempt.model, read)
+    limit = first_limit_ms(core.fleet, route, attempt.model, read)
+    await asyncio.wait({sending}, timeout=limit / 1_000)
+    if not sending.done() and is_alive(attempt.worker, core.clock.now()):
+        longer = limit * ALIVE_FACTOR
+        await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
+    while not sending.done() and not _budget_allows(core, course):
+        await asyncio.wait({sending}, timeout=BUDGET_STEP_S)
+    return float(core.clock.now() - attempt.sent)
 
 
 def _note_fault(
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -90,9 +90,18 @@
 
     def __init__(self, core: Core) -> None:
         self._core = core
-
-    def server(self) -> web.Server:
-        """Return the HTTP server."""
+        self._busy: set[RequestHandler] = set()
+        self.server = self._make_server()
+
+    def end_idle_connections(self) -> None:
+        """End connections without a request, and the others after their answer."""
+        for connection in list(self.server.connections):
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
+
+    def _make_server(self) -> web.Server:
         return web.Server(
             self._handle,
             request_factory=self._make_request,
@@ -128,16 +137,23 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         reply = HttpReply(req, self._core)
+        self._busy.add(req.protocol)
+        try:
+            await self._answer(req, reply)
+        finally:
+            self._busy.discard(req.protocol)
+        if reply.response is None:
+            # The connection is closing; the library drops what it is given for it.
+            return web.Response(status=Problem.BACKEND_FAILED.status)
+        return reply.response
+
+    async def _answer(self, req: web.BaseRequest, reply: HttpReply) -> None:
         began = self._core.clock.now()
         read = await _read_call(req, began)
         if isinstance(read, Err):
             await reply.refuse(read.err_value)
         else:
             await answer(self._core, read.ok_value, reply)
-        if reply.response is None:
-            # The connection is closing; the library drops what it is given for it.
-            return web.Response(status=Problem.BACKEND_FAILED.status)
-        return reply.response
 
 
 async def _read_call(req: web.BaseRequest, began: int) -> Result[Call, Refusal]:
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -63,9 +63,15 @@
 """How long a stopping box goes on taking requests, in ms: the balancer asks each second
 and takes a box out at the second miss."""
 
-STOP_MARGIN_MS = 500
+STOP_MARGIN_MS = 900
 """What is left of the grace when the last requests are given up, in ms."""
 
+STOP_STEP_S = 0.05
+"""How often a stopping box looks whether requests are under way, in s."""
+
+CLOSE_S = 0.4
+"""Longest that letting go of connections may take at the end, in s."""
+
 
 class Node:
     """One box.
@@ -95,6 +101,7 @@
         self.histograms = Histograms()
         self._background = Background(self._on_broken)
         self._runners: list[web.ServerRunner] = []
+        self._sites: list[web.TCPSite] = []
         self._workers = WorkerClient()
         self._store = StoreClient(
             settings.store.address, settings.store.timeout_ms, self.counters.add
@@ -117,6 +124,7 @@
         self.followers = Followers(
             self.fleet, clock, self._store, int(bounds.draining_ms * POLL_PART)
         )
+        self._front = Front(self.core)
         self._recorder = Recorder(self.fleet, clock, self._store)
         self._exchange = Exchange(
             self.fleet, clock, rng, wire.decode_catalog, settings.seeds
@@ -131,7 +139,7 @@
         listen = self.settings.listen
         await self._serve(web.Server(self._answer_ready), listen.readiness)
         await self._serve(web.Server(self._answer_metrics), listen.metrics)
-        await self._serve(Front(self.core).server(), listen.callers)
+        self._sites.append(await self._serve(self._front.server, listen.callers))
         host, _, port = listen.peers.rpartition(":")
         await self._server.start(host, int(port))
         jobs = self._background
@@ -166,13 +174,23 @@
         self.fleet.stopping = True
         log_event("INFO", "stopping", running=len(self.core.running))
         last = begun + self.settings.bounds.grace_s * 1_000 - STOP_MARGIN_MS
-        while self.clock.now() < last and not self.broken:
-            lingering = self.clock.now() < begun + LINGER_MS
-            if not lingering and not self.core.running:
-                break
-            await asyncio.sleep(0.05)
+        while self.clock.now() < begun + LINGER_MS and not self.broken:
+            await asyncio.sleep(STOP_STEP_S)
+        await self._end_idle_connections()
+        while self.core.running and self.clock.now() < last and not self.broken:
+            await asyncio.sleep(STOP_STEP_S)
         log_event("INFO", "stopped", running=len(self.core.running))
-        await self.close()
+        try:
+            async with asyncio.timeout(CLOSE_S):
+                await self.close()
+        except TimeoutError:
+            log_event("WARNING", "connections left open", after_s=CLOSE_S)
+
+    async def _end_idle_connections(self) -> None:
+        """Take no new connections; end idle ones, and others after their answer."""
+        for site in self._sites:
+            await site.stop()
+        self._front.end_idle_connections()
 
     async def close(self) -> None:
         """Let go of everything at once."""
@@ -202,12 +220,14 @@
     async def _sweep(self) -> None:
         forget_sessions(self.fleet, self.clock.now())
 
-    async def _serve(self, server: web.Server, address: str) -> None:
+    async def _serve(self, server: web.Server, address: str) -> web.TCPSite:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(server, shutdown_timeout=0.2)
         await runner.setup()
         self._runners.append(runner)
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        site = web.TCPSite(runner, host, int(port), backlog=1024)
+        await site.start()
+        return site
 
     async def _answer_ready(self, req: web.BaseRequest) -> web.StreamResponse:
         reason = self.why_not_ready()
