--- a/src/spanshunt/course.py
+++ b/src/spanshunt/course.py
@@ -97,6 +97,8 @@
         Whether the larger model is to be asked.
     tried : set
         Workers that had it.
+    failed_versions : set
+        Versions that failed it.
     sends : int
         Attempts that may have reached a worker.
     runs : int
@@ -118,6 +120,7 @@
     ladder: Ladder | None = None
     raised: bool = False
     tried: set[WorkerId] = set()
+    failed_versions: set[VersionId] = set()
     sends: int = 0
     runs: int = 0
     version: VersionId = VersionId("")
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -173,6 +173,8 @@
         worker.inflight -= 1
         if found is not None:
             found.close()
+    if ending in (Ending.FAILED, Ending.CUT):
+        course.failed_versions |= worker.versions
     took = core.clock.now() - attempt.sent
     course.trail.append(f"{worker.name}:{attempt.model}:{ending.value}:{took}ms")
     return ending
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -102,7 +102,12 @@
 def _version_rule(core: Core, course: Course) -> VersionRule:
     call = course.call
     return version_for(
-        core.fleet, course.service, call.session, call.request, core.clock.now()
+        core.fleet,
+        course.service,
+        call.session,
+        call.request,
+        core.clock.now(),
+        course.failed_versions,
     )
 
 
@@ -127,6 +132,7 @@
         memory_key=f"{model}/{call.memory_key}" if call.memory_key else "",
         shared_part=call.shared_part,
         avoid=course.tried,
+        again=course.admitted.route.repeatable,
     )
     return place(fleet.workers, wanted, core.clock.now(), core.rng)
 
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -70,7 +70,7 @@
         self.knows_orders = False
 
     async def follow_operators(self) -> None:
-        """Read the newest of everything, then wait for records; begin anew on faults."""
+        """Read all that is newest, then wait for records; begin anew on faults."""
         while True:
             end = await self._read_operators()
             while end is not None:
@@ -159,7 +159,7 @@
             )
 
     async def _read_status(self) -> bool:
-        """Take in what is recorded of the orders; needed by a box that starts midway."""
+        """Take in what is recorded of the orders, for a box that starts midway."""
         listing = await self._newest(wire.STATUS_TOPIC)
         if listing is None:
             return False
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -202,7 +202,7 @@
 
 
 def _end_to_end(headers: t.Mapping[str, str], *, keep_model: bool) -> CIMultiDict[str]:
-    """Return the headers that travel on: none of one connection, none of the system's."""
+    """Return the headers that travel on: no connection's, none of the system's."""
     named = headers.get("Connection", "").lower().split(",")
     dropped = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS
     dropped |= {name.strip() for name in named}
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -64,7 +64,7 @@
             self._announced[row.service] = row.order
 
     async def _record(self, row: RolloutRow, judgement: Judgement) -> bool:
-        """Record a state unless one of this order stands already; tell whether it does."""
+        """Record a state unless one of this order stands; tell whether one does."""
         listing = await self._store.newest(wire.STATUS_TOPIC)
         if isinstance(listing, Err):
             return False
--- a/src/spanshunt/platform/store.py
+++ b/src/spanshunt/platform/store.py
@@ -194,7 +194,7 @@
 
 
 def _decode_tail(raw: bytes, since: Offset) -> Result[Tail, StoreFault]:
-    """Cut a read's answer into records: 4 bytes of length, 1 of the key's, key, value."""
+    """Cut an answer into records: length (4 bytes), the key's (1), key, value."""
     if len(raw) < _HEADER_BYTES:
         return Err(StoreFault(StoreProblem.ODD, f"/log-read: {len(raw)} bytes"))
     records: list[KeyedRecord] = []
--- /dev/null
+++ b/src/spanshunt/standins/worker.py
@@ -0,0 +1,257 @@
+"""A stand-in of the platform's workers: plain answers, event streams, and their faults.
+
+Written from the published protocol, on bare sockets: several of the faults are answers
+that an HTTP library would not write.
+"""
+
+import asyncio
+import enum
+import typing as t
+
+import msgspec
+
+from .resets import reset
+
+CUT_AFTER = 2
+"""Events after which a stream is cut by the faults that cut one."""
+
+
+class WorkerFault(enum.Enum):
+    """What a worker does wrong, or what keeps it from running a request.
+
+    ``FULL`` and ``REPLACED`` say truly that the request has not run. ``ERROR``: its own
+    500 after a run. ``MUTE``: it runs the request and says nothing. ``CUT``: a stream
+    breaks off inside an event. ``STALL``: a stream falls silent. ``RESET``: an answer
+    without a length is reset. ``OTHER``: the answer is another request's. ``EXTRA``: a
+    second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
+    ``UNSEALED``: the answer lacks its seal. ``DROP``: the connection is closed unread.
+    """
+
+    NONE = "none"
+    FULL = "full"
+    REPLACED = "replaced"
+    ERROR = "error"
+    MUTE = "mute"
+    CUT = "cut"
+    STALL = "stall"
+    RESET = "reset"
+    OTHER = "other"
+    EXTRA = "extra"
+    LATE_EXTRA = "late extra"
+    UNSEALED = "unsealed"
+    DROP = "drop"
+
+
+class SeenRequest(msgspec.Struct, frozen=True):
+    """A request as it reached the worker."""
+
+    request: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class WorkerStandin:
+    """One worker.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    version : str
+        Its software's version.
+    """
+
+    def __init__(self, name: str, version: str = "v1") -> None:
+        self.name = name
+        self.version = version
+        self.fault = WorkerFault.NONE
+        self.faults_left = -1
+        self.events = 4
+        self.event_s = 0.0
+        self.sureness: dict[str, int] = {}
+        self.seen: list[SeenRequest] = []
+        self.ran: list[str] = []
+        self.cancelled: list[str] = []
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Begin to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop at once, cutting what is under way."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while (seen := await _read_request(reader)) is not None:
+                self.seen.append(seen)
+                if not await self._answer(seen, reader, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    def _take_fault(self) -> WorkerFault:
+        if self.fault is WorkerFault.NONE or self.faults_left == 0:
+            return WorkerFault.NONE
+        if self.faults_left > 0:
+            self.faults_left -= 1
+        return self.fault
+
+    async def _answer(
+        self,
+        seen: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one request; tell whether the connection goes on."""
+        fault = self._take_fault()
+        expected = seen.headers.get("expect-instance", self.name)
+        if fault is WorkerFault.DROP:
+            return False
+        if expected != self.name or fault is WorkerFault.REPLACED:
+            writer.write(_head(421, seen.request, length=0, sealed=False))
+            await writer.drain()
+            return True
+        if fault is WorkerFault.FULL:
+            extra = {"Not-Executed": "1"}
+            writer.write(_head(503, seen.request, length=0, sealed=False, extra=extra))
+            await writer.drain()
+            return True
+        self.ran.append(seen.request)
+        if fault is WorkerFault.MUTE:
+            await self._until_closed(seen, reader)
+            return False
+        if "model" in seen.headers:
+            return await self._stream(seen, reader, writer, fault)
+        return await self._whole(seen, writer, fault)
+
+    async def _whole(
+        self, seen: SeenRequest, writer: asyncio.StreamWriter, fault: WorkerFault
+    ) -> bool:
+        body = f"answer to {seen.request} by {self.name}".encode()
+        status = 500 if fault is WorkerFault.ERROR else 200
+        request = "someone-else" if fault is WorkerFault.OTHER else seen.request
+        sealed = fault is not WorkerFault.UNSEALED
+        if fault is WorkerFault.RESET:
+            writer.write(_head(status, request, length=None, sealed=sealed))
+            writer.write(body[:5])
+            await writer.drain()
+            # What was written must be on its way before the reset drops the rest.
+            await asyncio.sleep(0.02)
+            reset(t.cast(asyncio.Transport, writer.transport))
+            return False
+        answer = _head(status, request, length=len(body), sealed=sealed) + body
+        writer.write(answer)
+        surplus = _head(200, "surplus", length=7, sealed=True) + b"surplus"
+        if fault is WorkerFault.EXTRA:
+            writer.write(surplus)
+        await writer.drain()
+        if fault is WorkerFault.LATE_EXTRA:
+            await asyncio.sleep(0.05)
+            writer.write(surplus)
+        return True
+
+    async def _stream(
+        self,
+        seen: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        fault: WorkerFault,
+    ) -> bool:
+        status = 500 if fault is WorkerFault.ERROR else 200
+        sealed = fault is not WorkerFault.UNSEALED
+        extra = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        sure = self.sureness.get(seen.headers["model"])
+        if sure is not None:
+            extra["Confidence"] = str(sure)
+        writer.write(_head(status, seen.request, None, sealed=sealed, extra=extra))
+        begin = int(seen.headers.get("last-event-id", "0")) + 1
+        for sent, number in enumerate(range(begin, self.events + 1)):
+            event = f"id: {number}\ndata: {seen.request}/{number}\n\n".encode()
+            if sent == CUT_AFTER and fault is WorkerFault.CUT:
+                await asyncio.sleep(0.03)
+                writer.write(_chunk(event[:9]))
+                await writer.drain()
+                return False
+            if sent == CUT_AFTER and fault is WorkerFault.STALL:
+                await self._until_closed(seen, reader)
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+            if self.event_s and await self._closed_within(reader, self.event_s):
+                self.cancelled.append(seen.request)
+                return False
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    async def _until_closed(
+        self, seen: SeenRequest, reader: asyncio.StreamReader
+    ) -> None:
+        await reader.read(1)
+        self.cancelled.append(seen.request)
+
+    async def _closed_within(self, reader: asyncio.StreamReader, wait: float) -> bool:
+        try:
+            async with asyncio.timeout(wait):
+                return not await reader.read(1)
+        except TimeoutError:
+            return False
+
+
+def _head(
+    status: int,
+    request: str,
+    length: int | None,
+    *,
+    sealed: bool,
+    extra: dict[str, str] | None = None,
+) -> bytes:
+    headers = {"Attempt-Id": request, "Instance-Load": "1,0,8", **(extra or {})}
+    if sealed:
+        headers["Response-Seal"] = f"seal-of-{request}"
+    if length is not None:
+        headers["Content-Length"] = str(length)
+    lines = [f"HTTP/1.1 {status} Said"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+async def _read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = raw.decode("latin-1").strip().split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return SeenRequest(headers.get("attempt-id", ""), method, target, headers, body)
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -78,6 +78,8 @@
         The part of the prompt that they are, in 0 to 1.
     avoid : collection of str
         Workers that had the request already.
+    again : bool
+        Whether one of these is better than none.
     """
 
     service: ServiceId
@@ -86,6 +88,7 @@
     memory_key: str = ""
     shared_part: float = 0.0
     avoid: t.Collection[WorkerId] = ()
+    again: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -123,14 +126,16 @@
 
 def candidates(workers: Workers, wanted: Wanted, now: Millis) -> list[WorkerRow]:
     """Return workers that take work; a suspect one only where no other is left."""
-    rows = [
+    able = [
         row
         for row in workers.able(wanted.service, wanted.rule.only)
-        if row.name not in wanted.avoid
-        and wanted.rule.admits(row.versions)
+        if wanted.rule.admits(row.versions)
         and row.name not in workers.leaving
         and row.state is not WorkerState.LEAVING
     ]
+    rows = [row for row in able if row.name not in wanted.avoid]
+    if not rows and wanted.again:
+        rows = able
     live = [row for row in rows if row.back_at <= now]
     return live or rows
 
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -93,7 +93,12 @@
 
 
 def version_for(
-    fleet: Fleet, service: ServiceId, session: str, draw: str, now: Millis
+    fleet: Fleet,
+    service: ServiceId,
+    session: str,
+    draw: str,
+    now: Millis,
+    failed: t.Collection[VersionId] = (),
 ) -> VersionRule:
     """Return which version a request must run on.
 
@@ -109,6 +114,9 @@
         What decides for a request without a session: its id.
     now : int
         The time, in ms.
+    failed : collection of str
+        Versions that failed this request already: one that is entering is not asked
+        again, so that a bad one costs its callers one attempt.
     """
     row = fleet.rollouts.rows.get(service)
     if row is None:
@@ -118,6 +126,8 @@
     if row.verdict is Verdict.ROLLED_BACK:
         return VersionRule(None, row.version)
     known = fleet.rollouts.sessions.get((service, session)) if session else None
+    if row.version in failed:
+        return VersionRule(None, row.version)
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
     if known is not None and known.version == row.version:
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -20,8 +20,8 @@
 long prompts between the tokens of others makes an event in up to 0.8 s here."""
 
 ALIVE_MS = 400
-"""A worker that sent bytes on any request within this time is alive, in ms: what it owes
-is waited for longer, as it is more likely busy than stuck."""
+"""A worker that sent bytes on any request within this time is alive, in ms: what it
+owes is waited for longer, as it is more likely busy than stuck."""
 
 ALIVE_FACTOR = 2.5
 """How many times longer a worker that is alive is waited for. Asking elsewhere sooner
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,362 @@
+"""The request path of a whole box over stand-ins, fault by fault."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from fleet_builders import HOST
+from fleet_builders import KEY
+from fleet_builders import TestFleet
+from fleet_builders import config
+from fleet_builders import running_fleet
+from fleet_builders import until
+from fleet_builders import without_key
+from spanshunt.standins.worker import WorkerFault
+
+
+def _all(fleet: TestFleet, service: str, fault: WorkerFault, left: int = -1) -> None:
+    prefix = {"writer": "w-", "web": "p-"}[service]
+    for name, worker in fleet.workers.items():
+        if name.startswith(prefix):
+            worker.fault, worker.faults_left = fault, left
+
+
+def _runs(fleet: TestFleet, request: str) -> int:
+    return sum(worker.ran.count(request) for worker in fleet.workers.values())
+
+
+def _events(body: bytes) -> list[int]:
+    return [
+        int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")
+    ]
+
+
+class TestWhole:
+    """Plain requests: the worker's answer, unchanged, or a true refusal."""
+
+    async def test_answer_is_the_workers(self):
+        async with running_fleet() as fleet:
+            reply = await fleet.ask(fleet.boxes[0], "/view/a?b=c%20d", Attempt_Id="me")
+            assert reply.status == 200
+            assert reply.headers["Response-Seal"] == "seal-of-me"
+            assert reply.headers["Attempt-Id"] == "me"
+            seen = next(
+                seen for worker in fleet.workers.values() for seen in worker.seen
+            )
+            assert seen.target == "/view/a?b=c%20d"
+            assert seen.headers["tenant"] == "museo"
+            assert "credential" not in seen.headers
+
+    async def test_headers_of_the_system_do_not_come_from_callers(self):
+        forged = {
+            "Tenant": "radio",
+            "Hold": "h",
+            "Pin-Ms": "9",
+            "Kv-From": "x",
+            "Kv-Backup": "x",
+            "Kv-Fetch": "x",
+            "Expect-Instance": "other",
+            "Request-Priority": "0",
+        }
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            headers = fleet.headers("/view/", KEY, {}) | forged
+            async with fleet.http.post(box.base + "/view/", headers=headers) as resp:
+                assert resp.status == 200
+            seen = next(
+                seen for worker in fleet.workers.values() for seen in worker.seen
+            )
+            assert seen.headers["tenant"] == "museo"
+            left = {"hold", "pin-ms", "kv-from", "kv-backup", "kv-fetch"}
+            assert not left & set(seen.headers)
+
+    async def test_deadline_handed_on_is_what_is_left(self):
+        async with running_fleet() as fleet:
+            await fleet.ask(fleet.boxes[0], "/view/", Deadline_Ms="900")
+            seen = next(
+                seen for worker in fleet.workers.values() for seen in worker.seen
+            )
+            assert 0 < int(seen.headers["deadline-ms"]) <= 900
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [("/nowhere/", KEY, 404), ("/view/", "unknown", 401), ("/view/", "", 401)],
+    )
+    async def test_refused_entry(self, path: str, key: str, status: int):
+        async with running_fleet() as fleet:
+            reply = await fleet.ask(fleet.boxes[0], path, key=key)
+            assert reply.status == status
+
+    async def test_full_workers_are_a_true_refusal(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.FULL)
+            reply = await fleet.ask(fleet.boxes[0], "/view/", Attempt_Id="full")
+            assert reply.status == 503
+            assert 0 < float(reply.headers["Retry-After"]) < 1
+            assert _runs(fleet, "full") == 0
+
+    async def test_full_worker_leads_to_another(self):
+        async with running_fleet() as fleet:
+            fleet.workers["p-1"].fault = WorkerFault.FULL
+            for number in range(6):
+                reply = await fleet.ask(
+                    fleet.boxes[0], "/view/", Attempt_Id=f"n{number}"
+                )
+                assert reply.status == 200
+                assert _runs(fleet, f"n{number}") == 1
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            WorkerFault.MUTE,
+            WorkerFault.DROP,
+            WorkerFault.OTHER,
+            WorkerFault.RESET,
+            WorkerFault.UNSEALED,
+        ],
+    )
+    async def test_once_runs_once_and_is_not_said_to_have_not_run(self, fault):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", fault)
+            reply = await fleet.ask(
+                fleet.boxes[0], "/view/", Attempt_Id="once", Deadline_Ms="700"
+            )
+            assert reply.status in (502, 504)
+            assert "Response-Seal" not in reply.headers
+            reached = sum(
+                seen.request == "once"
+                for worker in fleet.workers.values()
+                for seen in worker.seen
+            )
+            assert reached == 1
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            WorkerFault.ERROR,
+            WorkerFault.MUTE,
+            WorkerFault.DROP,
+            WorkerFault.OTHER,
+            WorkerFault.RESET,
+            WorkerFault.UNSEALED,
+        ],
+    )
+    async def test_repeatable_is_sent_elsewhere(self, fault):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", fault, left=0)
+            first, second = fleet.workers["p-1"], fleet.workers["p-2"]
+            first.fault, first.faults_left = fault, -1
+            for number in range(4):
+                reply = await fleet.ask(
+                    fleet.boxes[0], "/look/", Attempt_Id=f"r{number}"
+                )
+                assert reply.status == 200, number
+                assert reply.headers["Response-Seal"] == f"seal-of-r{number}"
+            assert second.ran
+
+    async def test_own_failure_of_a_worker_is_passed_on(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.ERROR)
+            reply = await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id="bad")
+            assert reply.status == 500
+            assert reply.headers["Response-Seal"] == "seal-of-bad"
+            assert _runs(fleet, "bad") == 2
+
+    @pytest.mark.parametrize("fault", [WorkerFault.EXTRA, WorkerFault.LATE_EXTRA])
+    async def test_surplus_answers_reach_nobody(self, fault):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", fault)
+            for number in range(8):
+                name = f"s{number}"
+                reply = await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id=name)
+                assert reply.status == 200
+                assert name.encode() in reply.body
+                await asyncio.sleep(0.03 * (number % 3))
+
+    async def test_replaced_worker_gets_nothing_more(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.REPLACED)
+            fleet.workers["p-2"].fault = WorkerFault.NONE
+            for number in range(5):
+                reply = await fleet.ask(
+                    fleet.boxes[0], "/view/", Attempt_Id=f"q{number}"
+                )
+                assert reply.status == 200
+            assert len(fleet.workers["p-1"].seen) <= 1
+
+    async def test_final_answer_at_the_routes_time(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.MUTE)
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            reply = await fleet.ask(fleet.boxes[0], "/view/")
+            took = loop.time() - begun
+            assert reply.status == 504
+            assert 1.4 < took < 2.0
+
+
+class TestStream:
+    """Streams: whole events once, from one run or taken up after the last of them."""
+
+    async def test_events_and_model(self):
+        async with running_fleet() as fleet:
+            reply = await fleet.ask(fleet.boxes[0], "/long/", Attempt_Id="st")
+            assert reply.status == 200
+            assert _events(reply.body) == [1, 2, 3, 4]
+            models = {
+                seen.headers["model"]
+                for worker in fleet.workers.values()
+                for seen in worker.seen
+            }
+            assert models <= {"small", "large"}
+
+    @pytest.mark.parametrize("fault", [WorkerFault.CUT, WorkerFault.STALL])
+    async def test_broken_stream_goes_on_elsewhere(self, fault):
+        async with running_fleet() as fleet:
+            _all(fleet, "writer", fault, left=1)
+            reply = await fleet.ask(fleet.boxes[0], "/long/", Attempt_Id="cut")
+            assert reply.status == 200
+            assert _events(reply.body) == [1, 2, 3, 4]
+            assert reply.headers["Response-Seal"] == "seal-of-cut"
+
+    async def test_stream_that_cannot_be_finished_does_not_look_whole(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "writer", WorkerFault.CUT)
+            for worker in fleet.workers.values():
+                worker.events = 40
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await fleet.ask(fleet.boxes[0], "/long/")
+
+    async def test_stream_without_resume_is_not_sent_again(self):
+        async with running_fleet() as fleet:
+            routes = [{**route, "StreamResume": False} for route in config()["Routes"]]
+            await fleet.configure(config(8, Routes=routes))
+            box = fleet.boxes[0]
+            await until(lambda: box.node.fleet.catalog.version == 8, "version 8")
+            _all(fleet, "writer", WorkerFault.CUT)
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await fleet.ask(box, "/long/", Attempt_Id="uncut")
+            assert _runs(fleet, "uncut") == 1
+
+    async def test_unsure_answer_is_dropped_for_the_largest_model(self):
+        async with running_fleet() as fleet:
+            for worker in fleet.workers.values():
+                worker.sureness = {"small": 2, "large": 90}
+            reply = await fleet.ask(
+                fleet.boxes[0], "/long/", Attempt_Id="up", Token_Counts="4000,10"
+            )
+            assert _events(reply.body) == [1, 2, 3, 4]
+            models = [
+                seen.headers["model"]
+                for worker in fleet.workers.values()
+                for seen in worker.seen
+                if seen.request == "up"
+            ]
+            assert sorted(models) == ["large", "small"]
+
+    async def test_named_model_is_left_alone(self):
+        async with running_fleet() as fleet:
+            await fleet.ask(fleet.boxes[0], "/long/", Model="middle")
+            models = {
+                seen.headers["model"]
+                for worker in fleet.workers.values()
+                for seen in worker.seen
+            }
+            assert models == {"middle"}
+
+    async def test_gone_caller_is_cancelled_at_the_worker(self):
+        async with running_fleet() as fleet:
+            for worker in fleet.workers.values():
+                worker.event_s, worker.events = 0.05, 400
+            box = fleet.boxes[0]
+            headers = fleet.headers("/long/", KEY, {"Attempt-Id": "left"})
+            async with fleet.http.post(box.base + "/long/", headers=headers) as resp:
+                await resp.content.readany()
+                resp.close()
+            cancelled = [worker.cancelled for worker in fleet.workers.values()]
+            await until(lambda: any("left" in row for row in cancelled), "cancel", 0.5)
+
+
+class TestConfiguration:
+    """What a box believes: in force soon, never going back."""
+
+    async def test_box_without_catalog_says_not_ready(self):
+        fleet = TestFleet()
+        try:
+            box = await fleet.add_box()
+            reply = await fleet.ask(box, "/view/")
+            assert reply.status == 503
+            async with fleet.http.get(box.ready + "/ready") as resp:
+                assert resp.status == 503
+        finally:
+            await fleet.stop()
+
+    async def test_key_taken_away_counts_on_open_connections(self):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            assert (await fleet.ask(box, "/view/")).status == 200
+            await fleet.configure(without_key(config(9), KEY))
+            await until(lambda: box.node.fleet.catalog.version == 9, "version 9")
+            assert (await fleet.ask(box, "/view/")).status == 401
+
+    async def test_older_version_is_not_taken(self):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            await fleet.configure(config(20))
+            await until(lambda: box.node.fleet.catalog.version == 20, "version 20")
+            await fleet.configure(config(19))
+            await fleet.configure(config(21))
+            await until(lambda: box.node.fleet.catalog.version == 21, "version 21")
+
+    async def test_forgotten_history_is_read_anew(self):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            await fleet.configure(config(30))
+            fleet.store.forget("keyed.op")
+            await until(lambda: box.node.fleet.catalog.version == 30, "version 30")
+
+
+class TestLogs:
+    """A failed request's way through the log."""
+
+    async def test_lines_name_request_inputs_and_outcome(self, monkeypatch):
+        lines: list[tuple[str, dict[str, object]]] = []
+
+        def keep(level: str, message: str, **fields: object) -> None:
+            lines.append((message, fields))
+
+        monkeypatch.setattr("spanshunt.forwarding.log_event", keep)
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.ERROR)
+            await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id="why")
+            mine = [(name, row) for name, row in lines if row.get("request") == "why"]
+            assert [name for name, _ in mine] == [
+                "dispatch",
+                "bad answer",
+                "dispatch",
+                "bad answer",
+                "settled",
+            ]
+            sent = mine[0][1]
+            assert sent["catalog"] == 7 and "load_age_ms" in sent
+            assert mine[-1][1]["outcome"] == "worker_failure"
+            json.dumps([row for _, row in mine])
+
+    async def test_metrics_page(self):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            await fleet.ask(box, "/view/")
+            async with fleet.http.get(box.metrics + "/metrics") as resp:
+                page = await resp.text()
+            assert "spanshunt_requests.delivered 1" in page
+            assert 'spanshunt_total_us_count{org="museo",class="r-view"} 1' in page
+
+
+async def test_host_decides_the_route():
+    async with running_fleet() as fleet:
+        reply = await fleet.ask(fleet.boxes[0], "/view/", Host=HOST.upper())
+        assert reply.status == 200
+        reply = await fleet.ask(fleet.boxes[0], "/view/", Host="elsewhere.example")
+        assert reply.status == 404
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,277 @@
+"""Whole boxes on the platform: its store's faults, roll-outs, planned stops."""
+
+import asyncio
+import json
+import pathlib
+import re
+
+import aiohttp
+import msgspec
+import pytest
+
+from fleet_builders import KEY
+from fleet_builders import TestFleet
+from fleet_builders import config
+from fleet_builders import running_fleet
+from fleet_builders import until
+from fleet_builders import without_key
+from spanshunt.exceptions import SettingsError
+from spanshunt.ids import ServiceId
+from spanshunt.platform.settings import load_node_settings
+from spanshunt.standins.store import DoorFault
+from spanshunt.standins.worker import WorkerFault
+from spanshunt.tables.rollouts import Verdict
+
+SOURCES = pathlib.Path(__file__).parent.parent / "src" / "spanshunt"
+REFUSING = [DoorFault.BUSY, DoorFault.MANY, DoorFault.SILENT, DoorFault.RESET]
+
+
+def status_of(fleet: TestFleet, service: str = "writer") -> str:
+    raw = fleet.store.topic("keyed.status").values.get(f"rollout/{service}")
+    return json.loads(raw)["State"] if raw else ""
+
+
+async def order(fleet: TestFleet, version: str, seconds: float) -> None:
+    body = {"Backend": "writer", "TargetVersion": version, "DurationS": seconds}
+    await fleet.store.put("keyed.op", "rollout/writer", body)
+
+
+async def ask_all(fleet: TestFleet, seconds: float, **headers: str) -> list[int]:
+    """Ask long requests of all boxes for some time; return the statuses."""
+    statuses = []
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    number = 0
+    while loop.time() < end:
+        box = fleet.boxes[number % len(fleet.boxes)]
+        name = f"session-{number % 40}"
+        reply = await fleet.ask(box, "/long/", Session=name, **headers)
+        statuses.append(reply.status)
+        number += 1
+        await asyncio.sleep(0.005)
+    return statuses
+
+
+class TestStoreRefusesOneBox:
+    """A box that the store turns away lives on what its peers tell it."""
+
+    @pytest.mark.parametrize("fault", REFUSING)
+    async def test_configuration_comes_by_peers(self, fault):
+        async with running_fleet(boxes=2) as fleet:
+            served, refused = fleet.boxes
+            refused.door.fault = fault
+            await fleet.configure(without_key(config(11), KEY))
+            await until(
+                lambda: refused.node.fleet.catalog.version == 11, "version 11", 5
+            )
+            assert (await fleet.ask(refused, "/view/")).status == 401
+            assert served.node.fleet.catalog.version == 11
+
+    async def test_leaving_workers_come_by_peers(self):
+        async with running_fleet(boxes=2) as fleet:
+            refused = fleet.boxes[1]
+            refused.door.fault = DoorFault.BUSY
+            await fleet.list_worker("p-1", service="web", state="draining")
+            await until(
+                lambda: "p-1" in refused.node.fleet.workers.leaving, "p-1 leaves", 6
+            )
+            for _ in range(4):
+                assert (await fleet.ask(refused, "/view/")).status == 200
+            assert not fleet.workers["p-1"].seen
+
+    async def test_box_starts_while_the_store_is_away(self):
+        async with running_fleet() as fleet:
+            first = fleet.boxes[0]
+            seeds = (first.node.settings.listen.peers,)
+            second = await fleet.add_box(seeds=seeds)
+            second.door.fault = DoorFault.SILENT
+            await until(lambda: not second.node.why_not_ready(), "ready", 6)
+            assert (await fleet.ask(second, "/view/")).status == 200
+
+
+async def test_lapsed_entries_are_waited_for():
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        box.door.fault = DoorFault.BUSY
+        lost = "spanshunt_store_status_503"
+        await until(lambda: box.node.fleet.store.failing_since >= 0, lost)
+        await fleet.store.put("keyed.servers", "p-1", None)
+        box.door.fault = DoorFault.NONE
+        await until(lambda: "p-1" in box.node.fleet.missing, "p-1 is missed")
+        assert "p-1" in box.node.fleet.workers.rows
+        await fleet.list_worker("p-1", service="web")
+        await until(lambda: "p-1" not in box.node.fleet.missing, "p-1 is back")
+        assert "p-1" in box.node.fleet.workers.rows
+
+
+class TestRollOut:
+    """Orders carried to their end, by whichever box is there."""
+
+    async def test_sound_version_succeeds_and_gets_everything(self):
+        async with running_fleet(boxes=2) as fleet:
+            await fleet.add_worker("n-1", version="v2")
+            await order(fleet, "v2", 4.0)
+            statuses = await ask_all(fleet, 3.0)
+            assert set(statuses) == {200}
+            await until(lambda: status_of(fleet) == "succeeded", "succeeded", 3)
+            done = [box.node.fleet.rollouts.rows for box in fleet.boxes]
+            service = ServiceId("writer")
+            await until(
+                lambda: all(
+                    rows[service].verdict is Verdict.SUCCEEDED for rows in done
+                ),
+                "both boxes know",
+            )
+            before = len(fleet.workers["w-1"].seen) + len(fleet.workers["w-2"].seen)
+            await ask_all(fleet, 0.3)
+            after = len(fleet.workers["w-1"].seen) + len(fleet.workers["w-2"].seen)
+            assert after == before
+
+    async def test_bad_version_is_rolled_back_and_gets_nothing_more(self):
+        async with running_fleet(boxes=2) as fleet:
+            bad = await fleet.add_worker("n-1", version="v2")
+            bad.fault = WorkerFault.ERROR
+            await order(fleet, "v2", 8.0)
+            statuses = []
+            for _ in range(12):
+                statuses += await ask_all(fleet, 0.5)
+                if status_of(fleet) == "rolled_back":
+                    break
+            assert status_of(fleet) == "rolled_back"
+            assert statuses.count(200) == len(statuses)
+            seen = len(bad.seen)
+            await ask_all(fleet, 0.5)
+            assert len(bad.seen) == seen
+            assert seen < 0.15 * len(statuses) + 30
+
+    async def test_write_whose_answer_is_lost_is_not_contradicted(self):
+        async with running_fleet(boxes=2) as fleet:
+            await fleet.add_worker("n-1", version="v2")
+            fleet.boxes[0].door.fault = DoorFault.LOST
+            await order(fleet, "v2", 2.0)
+            await until(lambda: status_of(fleet) == "succeeded", "succeeded", 6)
+            for box in fleet.boxes:
+                rows = box.node.fleet.rollouts.rows
+                await until(
+                    lambda rows=rows: rows[ServiceId("writer")].recorded, "recorded"
+                )
+            terminal = [
+                json.loads(record.value)["State"]
+                for record in fleet.store.topic("keyed.status").records
+            ]
+            assert set(terminal) <= {"running", "succeeded"}
+
+    async def test_box_that_starts_midway_goes_on_where_the_others_are(self):
+        async with running_fleet() as fleet:
+            await fleet.add_worker("n-1", version="v2")
+            await order(fleet, "v2", 20.0)
+            await until(lambda: status_of(fleet) == "running", "announced")
+            await asyncio.sleep(1.5)
+            second = await fleet.add_box()
+            rows = second.node.fleet.rollouts.rows
+            await until(lambda: ServiceId("writer") in rows, "the order is known")
+            age = second.node.clock.now() - rows[ServiceId("writer")].began
+            assert age > 1_300
+
+    async def test_ended_order_is_not_begun_again_by_a_new_box(self):
+        async with running_fleet() as fleet:
+            await fleet.add_worker("n-1", version="v2")
+            await order(fleet, "v2", 1.0)
+            await until(lambda: status_of(fleet) == "succeeded", "succeeded", 5)
+            second = await fleet.add_box()
+            rows = second.node.fleet.rollouts.rows
+            await until(lambda: ServiceId("writer") in rows, "the order is known")
+            await until(
+                lambda: rows[ServiceId("writer")].verdict is Verdict.SUCCEEDED, "ended"
+            )
+
+
+class TestStop:
+    """A planned stop cuts nothing, and kept connections end in order."""
+
+    async def test_stream_under_way_is_finished_and_idle_connections_end(self):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            for worker in fleet.workers.values():
+                worker.event_s, worker.events = 0.2, 16
+            async with aiohttp.ClientSession() as idle:
+                headers = fleet.headers("/view/", KEY, {})
+                async with idle.post(box.base + "/view/", headers=headers) as resp:
+                    await resp.read()
+                asking = asyncio.create_task(fleet.ask(box, "/long/"))
+                await asyncio.sleep(0.3)
+                stopping = asyncio.create_task(box.node.stop())
+                await asyncio.sleep(0.2)
+                async with fleet.http.get(box.ready + "/ready") as resp:
+                    assert resp.status == 503
+                late = await fleet.ask(box, "/view/")
+                assert late.status == 200
+                assert late.headers["Connection"].lower() == "close"
+                reply = await asking
+                assert reply.body.count(b"id:") == 16
+                await stopping
+                connector = idle.connector
+                assert connector is not None
+                with pytest.raises(aiohttp.ClientError):
+                    headers = fleet.headers("/view/", KEY, {})
+                    await idle.post(box.base + "/view/", headers=headers)
+
+
+class TestSettings:
+    """Settings of a box: checked, with the field named."""
+
+    def test_unknown_and_bad_fields_are_named(self, tmp_path):
+        good = {
+            "box": "b",
+            "domain": "north",
+            "listen": {
+                "callers": "127.0.0.1:1",
+                "readiness": "127.0.0.1:2",
+                "peers": "127.0.0.1:3",
+                "metrics": "127.0.0.1:4",
+            },
+            "store": {"address": "127.0.0.1:5"},
+        }
+        path = tmp_path / "settings.json"
+        path.write_bytes(msgspec.json.encode(good))
+        assert load_node_settings(str(path)).domain == "north"
+        for change, field in (
+            ({"box": ""}, "$.box"),
+            ({"extra": 1}, "extra"),
+            ({"bounds": {"grace_s": -1}}, "$.bounds.grace_s"),
+            ({"seeds": ["nowhere"]}, "$.seeds[0]"),
+        ):
+            path.write_bytes(msgspec.json.encode(good | change))
+            with pytest.raises(SettingsError) as caught:
+                load_node_settings(str(path))
+            assert field in str(caught.value)
+        with pytest.raises(SettingsError, match="can't be read"):
+            load_node_settings(str(tmp_path / "none.json"))
+
+
+class TestWall:
+    """The platform's names stand in the adapter alone, and it decides nothing."""
+
+    def test_no_name_of_the_wire_outside_the_adapter(self):
+        names = re.compile(
+            r"Attempt-Id|Response-Seal|Token-Counts|Prompt-Prefix|Not-Executed"
+            r"|Expect-Instance|Instance-Load|Request-Priority|Credential\""
+            r"|keyed\.|log-newest|log-read|log-append|TrafficSplit|StreamResume"
+        )
+        found = [
+            str(path.relative_to(SOURCES))
+            for path in SOURCES.rglob("*.py")
+            if path.parent.name not in ("platform", "standins")
+            and names.search(path.read_text())
+        ]
+        assert found == []
+
+    def test_adapter_does_not_decide(self):
+        """What chooses, judges or budgets is called by the product, not from here."""
+        deciding = re.compile(
+            r"systems\.(placing|cascading|repeats|sequential|timing|admitting) import "
+            r"(?!Load$|Effort$|RepeatBounds$)\w+",
+            re.MULTILINE,
+        )
+        for path in (SOURCES / "platform").glob("*.py"):
+            assert not deciding.findall(path.read_text()), path.name
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,133 @@
+"""Choice of a worker: load, distance, prompt memory, health, leaving."""
+
+import collections
+
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from fleet_builders import seeded
+from spanshunt.ids import DomainId
+from spanshunt.ids import ServiceId
+from spanshunt.ids import VersionId
+from spanshunt.systems.placing import Load
+from spanshunt.systems.placing import Wanted
+from spanshunt.systems.placing import estimate
+from spanshunt.systems.placing import note_answer
+from spanshunt.systems.placing import note_load
+from spanshunt.systems.placing import note_unreached
+from spanshunt.systems.placing import place
+from spanshunt.systems.ramping import VersionRule
+from spanshunt.tables.fleet import Fleet
+
+ANY = VersionRule(None, None)
+
+
+def wanted(**changes):
+    return Wanted(
+        **{
+            "service": ServiceId("writer"),
+            "rule": ANY,
+            "domain": DomainId("north"),
+            **changes,
+        }
+    )
+
+
+def chosen(fleet: Fleet, now: int = 0, **changes) -> collections.Counter[str]:
+    rng = seeded()
+    found = collections.Counter()
+    for _ in range(50):
+        placed = place(fleet.workers, wanted(**changes), now, rng)
+        found[placed.worker.name if placed else ""] += 1
+    return found
+
+
+def fleet_of(*names: str, domain: str = "north") -> Fleet:
+    fleet = make_fleet()
+    for name in names:
+        add_worker(fleet, make_worker(name, domain=domain))
+    return fleet
+
+
+def test_least_loaded_is_taken():
+    fleet = fleet_of("a", "b")
+    fleet.workers.rows["a"].inflight = 4
+    assert set(chosen(fleet)) == {"b"}
+
+
+def test_near_is_taken_until_it_is_much_busier():
+    fleet = fleet_of("near")
+    far = add_worker(fleet, make_worker("far", domain="south"))
+    assert set(chosen(fleet)) == {"near"}
+    fleet.workers.rows["near"].inflight = 5
+    assert far.inflight == 0
+    assert set(chosen(fleet)) == {"far"}
+
+
+def test_prompt_memory_draws_to_one_worker_unless_it_is_busy():
+    fleet = fleet_of("a", "b", "c")
+    found = chosen(fleet, memory_key="large/abc", shared_part=0.6)
+    assert len(found) == 1
+    owner = next(iter(found))
+    fleet.workers.rows[owner].inflight = 8
+    assert owner not in chosen(fleet, memory_key="large/abc", shared_part=0.6)
+
+
+def test_leaving_workers_get_nothing_even_when_no_other_is_left():
+    fleet = fleet_of("a")
+    fleet.workers.leaving.add("a")
+    assert set(chosen(fleet)) == {""}
+
+
+def test_unreached_worker_is_left_out_for_a_while_only():
+    fleet = fleet_of("a", "b")
+    note_unreached(fleet.workers.rows["a"], ms(1))
+    assert set(chosen(fleet, ms(1.1))) == {"b"}
+    assert "a" in chosen(fleet, ms(9))
+
+
+def test_suspect_worker_is_better_than_none():
+    fleet = fleet_of("a")
+    note_unreached(fleet.workers.rows["a"], ms(1))
+    assert set(chosen(fleet, ms(1.1))) == {"a"}
+
+
+def test_worker_that_fails_part_of_its_answers_gets_less():
+    fleet = fleet_of("a", "b")
+    row = fleet.workers.rows["a"]
+    for number in range(20):
+        note_answer(row, 50.0, good=number % 2 == 0, now=ms(1))
+    found = chosen(fleet, ms(2))
+    assert found["b"] == 50
+
+
+def test_good_answer_ends_a_suspicion():
+    fleet = fleet_of("a", "b")
+    row = fleet.workers.rows["a"]
+    note_unreached(row, ms(1))
+    note_answer(row, 10.0, good=True, now=ms(1.1))
+    assert row.back_at == 0
+
+
+def test_report_loses_weight_with_age_and_does_not_count_own_twice():
+    row = make_worker("a")
+    row.inflight = 2
+    note_load(row, Load(running=6, waiting=0, slots=8), ms(1))
+    fresh, old = estimate(row, ms(1)), estimate(row, ms(5))
+    assert fresh == (2 + 4) / 8
+    assert 2 / 8 <= old < 2.1 / 8
+
+
+def test_version_rule_is_kept():
+    fleet = fleet_of("old")
+    add_worker(fleet, make_worker("new", version="v2"))
+    v2 = VersionId("v2")
+    assert set(chosen(fleet, rule=VersionRule(v2, None))) == {"new"}
+    assert set(chosen(fleet, rule=VersionRule(None, v2))) == {"old"}
+
+
+def test_worker_tried_already_is_taken_again_only_where_that_is_allowed():
+    fleet = fleet_of("a")
+    assert set(chosen(fleet, avoid={"a"})) == {""}
+    assert set(chosen(fleet, avoid={"a"}, again=True)) == {"a"}
--- /dev/null
+++ b/tests/test_ramping.py
@@ -0,0 +1,247 @@
+"""Roll-outs: who gets the entering version, what condemns it, who records it."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from spanshunt.ids import BoxId
+from spanshunt.ids import Millis
+from spanshunt.ids import Offset
+from spanshunt.ids import ServiceId
+from spanshunt.ids import VersionId
+from spanshunt.systems.ramping import WRITER_STEP_MS
+from spanshunt.systems.ramping import due_verdict
+from spanshunt.systems.ramping import forget_sessions
+from spanshunt.systems.ramping import judge
+from spanshunt.systems.ramping import note_result
+from spanshunt.systems.ramping import note_session
+from spanshunt.systems.ramping import share_at
+from spanshunt.systems.ramping import take_order
+from spanshunt.systems.ramping import take_verdict
+from spanshunt.systems.ramping import version_for
+from spanshunt.systems.ramping import writer_delay
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.rollouts import Verdict
+
+SERVICE = ServiceId("writer")
+OLD, NEW = VersionId("v1"), VersionId("v2")
+DURATION = ms(24)
+
+
+def rolling(box: str = "box-1", order: int = 5) -> Fleet:
+    fleet = make_fleet(box)
+    add_worker(fleet, make_worker("old"))
+    add_worker(fleet, make_worker("new", version="v2"))
+    take_order(fleet, SERVICE, NEW, Offset(order), DURATION, Millis(0))
+    return fleet
+
+
+def row_of(fleet: Fleet):
+    return fleet.rollouts.rows[SERVICE]
+
+
+def entering(fleet: Fleet, session: str, now: int) -> bool:
+    return version_for(fleet, SERVICE, session, "r", now).only == NEW
+
+
+def part_entering(fleet: Fleet, now: int) -> float:
+    count = 2_000
+    return sum(entering(fleet, f"s{n}", now) for n in range(count)) / count
+
+
+def feed(
+    fleet: Fleet, seconds: int, share_bad: float, *, version=NEW, route="r", a_second=5
+):
+    rng = random.Random(3)
+    for number in range(seconds * a_second):
+        note_result(
+            fleet,
+            SERVICE,
+            route,
+            {version},
+            ms(number / a_second),
+            bad=rng.random() < share_bad,
+        )
+
+
+def test_share_grows_and_all_boxes_agree():
+    one, other = rolling("box-1"), rolling("box-2")
+    shares = [part_entering(one, ms(at)) for at in (1, 11, 13, 15, 17)]
+    assert shares == sorted(shares)
+    assert shares[0] < 0.12 and shares[-1] == 1.0
+    for number in range(100):
+        name = f"s{number}"
+        assert entering(one, name, ms(14)) == entering(other, name, ms(14))
+
+
+def test_session_stays_on_its_version_in_the_first_half():
+    fleet = rolling()
+    for number in range(500):
+        note_session(fleet, SERVICE, f"s{number}", OLD, ms(1))
+    assert part_entering(fleet, ms(2)) < 0.12
+    assert not any(entering(fleet, f"s{n}", ms(2)) for n in range(500))
+
+
+def test_session_on_the_entering_version_stays_there():
+    fleet = rolling()
+    note_session(fleet, SERVICE, "mine", NEW, ms(1))
+    assert all(entering(fleet, "mine", ms(at)) for at in (1.5, 3, 6.5))
+
+
+def test_session_that_ended_is_forgotten():
+    fleet = rolling()
+    note_session(fleet, SERVICE, "mine", OLD, ms(1))
+    forget_sessions(fleet, ms(30))
+    assert not fleet.rollouts.sessions
+
+
+def test_entering_version_without_workers_gets_nothing():
+    fleet = rolling()
+    fleet.workers.leaving.add("new")
+    assert part_entering(fleet, ms(20)) == 0.0
+
+
+@pytest.mark.parametrize("share_bad", [0.35, 0.5, 0.9])
+def test_bad_version_is_condemned_within_seconds(share_bad):
+    fleet = rolling()
+    feed(fleet, 8, 0.01, version=OLD, a_second=50)
+    feed(fleet, 8, share_bad)
+    judgement = judge(row_of(fleet), ms(8))
+    assert judgement.verdict is Verdict.ROLLED_BACK
+    assert "answers bad" in judgement.reason
+
+
+def test_version_bad_on_one_route_only_is_condemned():
+    fleet = rolling()
+    feed(fleet, 10, 0.0, route="well", a_second=10)
+    feed(fleet, 10, 0.5, route="ill", a_second=2)
+    assert judge(row_of(fleet), ms(10)).verdict is Verdict.ROLLED_BACK
+
+
+def test_sound_versions_are_not_condemned():
+    condemned = 0
+    for seed in range(200):
+        fleet = rolling()
+        rng = random.Random(seed)
+        for number in range(24 * 5):
+            note_result(
+                fleet, SERVICE, "r", {NEW}, ms(number / 5), bad=rng.random() < 0.02
+            )
+        condemned += judge(row_of(fleet), ms(20)).verdict is Verdict.ROLLED_BACK
+    assert condemned <= 4
+
+
+def test_failures_of_both_versions_alike_condemn_none():
+    fleet = rolling()
+    feed(fleet, 10, 0.3, version=OLD, a_second=40)
+    feed(fleet, 10, 0.3, version=NEW)
+    assert judge(row_of(fleet), ms(10)).verdict is Verdict.RUNNING
+
+
+def test_sound_version_succeeds_before_the_deadline():
+    fleet = rolling()
+    feed(fleet, 20, 0.0)
+    due = due_verdict(fleet, row_of(fleet), ms(22))
+    assert due is not None and due.verdict is Verdict.SUCCEEDED
+    assert share_at(row_of(fleet), ms(21)) == 1.0
+
+
+def test_condemned_version_gets_nothing_before_it_is_recorded():
+    fleet = rolling()
+    feed(fleet, 8, 0.9)
+    due_verdict(fleet, row_of(fleet), ms(8))
+    assert not row_of(fleet).recorded
+    assert part_entering(fleet, ms(8)) == 0.0
+    note_session(fleet, SERVICE, "mine", NEW, ms(8))
+    assert not entering(fleet, "mine", ms(8))
+
+
+def test_recorded_verdict_wins_over_own():
+    fleet = rolling()
+    row = row_of(fleet)
+    take_verdict(row, Verdict.ROLLED_BACK, "own", ms(1), recorded=False)
+    take_verdict(row, Verdict.SUCCEEDED, "recorded", ms(2), recorded=True)
+    assert row.verdict is Verdict.SUCCEEDED
+    take_verdict(row, Verdict.ROLLED_BACK, "late", ms(3), recorded=False)
+    assert row.verdict is Verdict.SUCCEEDED
+
+
+def test_boxes_record_in_turn():
+    fleet = rolling("box-3")
+    for name in ("box-1", "box-2", "box-4"):
+        fleet.peers[name] = PeerRow(BoxId(name), "a", heard=ms(9))
+    assert writer_delay(fleet, ms(10)) == 2 * WRITER_STEP_MS
+    assert writer_delay(fleet, ms(60)) == 0
+
+
+def test_newer_order_replaces_an_ended_one():
+    fleet = rolling()
+    take_verdict(row_of(fleet), Verdict.ROLLED_BACK, "", ms(1), recorded=True)
+    assert take_order(fleet, SERVICE, VersionId("v3"), Offset(9), DURATION, ms(30))
+    assert row_of(fleet).verdict is Verdict.RUNNING
+    assert not take_order(fleet, SERVICE, NEW, Offset(5), DURATION, ms(31))
+
+
+class HandOver(RuleBasedStateMachine):
+    """Boxes that judge, record and hear of each other in any order.
+
+    The store keeps the first verdict; every box that hears of it must end with it, and
+    a box never changes a recorded verdict.
+    """
+
+    @initialize()
+    def begin(self):
+        self.boxes = [rolling(f"box-{n}") for n in range(3)]
+        self.stored: Verdict | None = None
+        self.now = 0
+        self.seen: dict[int, Verdict] = {}
+
+    @rule(step=st.integers(100, 6_000))
+    def wait(self, step):
+        self.now += step
+
+    @rule(box=st.integers(0, 2), share=st.sampled_from([0.0, 0.8]))
+    def answers(self, box, share):
+        rng = random.Random(self.now)
+        for _ in range(10):
+            bad = rng.random() < share
+            note_result(self.boxes[box], SERVICE, "r", {NEW}, self.now, bad=bad)
+
+    @rule(box=st.integers(0, 2))
+    def record(self, box):
+        fleet = self.boxes[box]
+        due = due_verdict(fleet, row_of(fleet), self.now)
+        if due is None:
+            return
+        if self.stored is None:
+            self.stored = due.verdict
+        take_verdict(row_of(fleet), self.stored, "", self.now, recorded=True)
+
+    @rule(teller=st.integers(0, 2), hearer=st.integers(0, 2))
+    def tell(self, teller, hearer):
+        told = row_of(self.boxes[teller])
+        heard = row_of(self.boxes[hearer])
+        take_verdict(heard, told.verdict, told.reason, self.now, recorded=told.recorded)
+
+    @invariant()
+    def recorded_verdicts_are_the_stores(self):
+        for number, fleet in enumerate(getattr(self, "boxes", [])):
+            row = row_of(fleet)
+            if row.recorded:
+                assert row.verdict is self.stored
+                assert self.seen.setdefault(number, row.verdict) is row.verdict
+
+
+HandOver.TestCase.settings = settings(max_examples=60, deadline=None)
+TestHandOver = HandOver.TestCase
