A request stays admitted: a key taken away does not cut its stream

Ruled out: the worker (another held the request's model and version). Change: a request is admitted once; what its attempts check anew are workers and versions.

--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -1,7 +1,8 @@
 """The plan of one attempt: service, version, model, worker, on the tables as they are.
 
-Each attempt is planned anew, so that a worker that leaves, a key that is taken away and
-a verdict on a version count for repeats, too.
+Each attempt is planned anew, so that a worker that leaves and a verdict on a version
+count for repeats, too. A request stays admitted once it is: what an operator takes away
+meanwhile does not cut it.
 """
 
 from result import Err
@@ -16,8 +17,6 @@
 from .ids import ServiceId
 from .refusals import Problem
 from .refusals import Refusal
-from .systems.admitting import Asked
-from .systems.admitting import admit
 from .systems.cascading import plan_models
 from .systems.placing import Placed
 from .systems.placing import Wanted
@@ -38,9 +37,6 @@
 
 def plan(core: Core, course: Course) -> Result[Attempt, Refusal]:
     """Choose service, version, model and worker for the next attempt."""
-    again = _admit_again(core, course)
-    if isinstance(again, Err):
-        return again
     service = _service(core, course)
     if service is None:
         return Err(_no_worker(core, course, "the route names no service"))
@@ -69,19 +65,6 @@
     return Millis(int(middle * (0.5 + core.rng.random())))
 
 
-def _admit_again(core: Core, course: Course) -> Result[None, Refusal]:
-    """Check again what a newer catalog may have taken away."""
-    catalog = core.fleet.catalog
-    if catalog is None or catalog.version == course.admitted.catalog_version:
-        return Ok(None)
-    call = course.call
-    admitted = admit(catalog, Asked(call.host, call.path, call.credential))
-    if isinstance(admitted, Err):
-        return admitted
-    course.admitted = admitted.ok_value
-    return Ok(None)
-
-
 def _service(core: Core, course: Course) -> ServiceRow | None:
     """Draw the service by the route's shares, the same for all of a session."""
     shares = course.admitted.route.shares
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -174,11 +174,10 @@
         self.fleet.stopping = True
         log_event("INFO", "stopping", running=len(self.core.running))
         last = begun + self.settings.bounds.grace_s * 1_000 - STOP_MARGIN_MS
-        while self.clock.now() < begun + LINGER_MS and not self.broken:
-            await asyncio.sleep(STOP_STEP_S)
-        await self._end_idle_connections()
-        while self.core.running and self.clock.now() < last and not self.broken:
-            await asyncio.sleep(STOP_STEP_S)
+        if not self.broken:
+            await asyncio.sleep(LINGER_MS / 1_000)
+            await self._end_idle_connections()
+            await self._until_idle(last)
         log_event("INFO", "stopped", running=len(self.core.running))
         try:
             async with asyncio.timeout(CLOSE_S):
@@ -186,6 +185,13 @@
         except TimeoutError:
             log_event("WARNING", "connections left open", after_s=CLOSE_S)
 
+    async def _until_idle(self, last: float) -> None:
+        """Wait until no request is under way, at most until `last`, in ms."""
+        while True:
+            if not self.core.running or self.clock.now() >= last:
+                return
+            await asyncio.sleep(STOP_STEP_S)
+
     async def _end_idle_connections(self) -> None:
         """Take no new connections; end idle ones, and others after their answer."""
         for site in self._sites:
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -96,6 +96,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def break_off(self) -> None:
+        """Cut all answers under way, and go on serving."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -107,7 +112,7 @@
                 self.seen.append(seen)
                 if not await self._answer(seen, reader, writer):
                     break
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
             self._tasks.discard(task)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -301,6 +301,22 @@
             await until(lambda: box.node.fleet.catalog.version == 9, "version 9")
             assert (await fleet.ask(box, "/view/")).status == 401
 
+    async def test_stream_admitted_before_goes_on_after_its_key_is_taken_away(self):
+        """Hunt on hmt-detbuch, hunt-1836-15: cut as its worker broke off then."""
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            for worker in fleet.workers.values():
+                worker.event_s, worker.events = 0.15, 12
+            asking = asyncio.create_task(fleet.ask(box, "/long/"))
+            await asyncio.sleep(0.2)
+            await fleet.configure(without_key(config(9), KEY))
+            await until(lambda: box.node.fleet.catalog.version == 9, "version 9")
+            _all(fleet, "writer", WorkerFault.NONE)
+            running = [worker for worker in fleet.workers.values() if worker.ran]
+            for worker in running:
+                worker.break_off()
+            assert _events((await asking).body) == list(range(1, 13))
+
     async def test_older_version_is_not_taken(self):
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
