Worker choice sees prompts that wait; larger models cost 2.5 times their price

Cause: slots tell little of engines that read long prompts (load 0.2 while first events came late). Change: slowness of first bytes and waiting prompt tokens in a worker's estimate; place factor 1.6 -> 2.5; idle is what the HTTP library still waits on.

--- a/src/spanshunt/course.py
+++ b/src/spanshunt/course.py
@@ -68,6 +68,8 @@
         Workers that the choice was among.
     sent : int
         When it was sent, in ms.
+    slow : bool
+        Whether its first byte came several times later than usual.
     """
 
     worker: WorkerRow
@@ -77,6 +79,7 @@
     report_age_ms: int
     candidates: int
     sent: Millis = Millis(0)
+    slow: bool = False
 
 
 class Course(msgspec.Struct):
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -40,6 +40,7 @@
 from .systems.invariants import check_single_send
 from .systems.placing import note_answer
 from .systems.placing import note_load
+from .systems.placing import note_slowness
 from .systems.placing import note_unreached
 from .systems.ramping import note_result
 from .systems.ramping import note_session
@@ -51,6 +52,7 @@
 from .systems.timing import is_alive
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
+from .systems.timing import usual_first_ms
 from .tables.catalog import RequestKind
 
 MOST_REFUSED_SENDS = 3
@@ -160,10 +162,14 @@
     course.sends += 1
     course.runs += 1
     worker.inflight += 1
+    worker.pending_read += course.call.effort.read
     _log_dispatch(core, course, attempt)
     found: Answer | None = None
     try:
-        opened = await _open(core, course, attempt, once=once)
+        try:
+            opened = await _open(core, course, attempt, once=once)
+        finally:
+            worker.pending_read -= course.call.effort.read
         if isinstance(opened, SendFault):
             ending = _note_fault(core, course, attempt, opened)
         else:
@@ -272,6 +278,7 @@
     if found.status >= 300:
         return await _use_failure(core, course, attempt, found)
     first_ms = now - attempt.sent
+    _note_first(core, course, attempt, first_ms)
     if wants_better(core, course, attempt, found, first_ms):
         return Ending.BETTER
     course.version = _version_of(attempt)
@@ -305,14 +312,20 @@
     return Ending.FAILED
 
 
-def _note_good(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
-    now = core.clock.now()
+def _note_first(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
+    """Take in how soon a worker began to answer."""
     fleet, route = core.fleet, course.admitted.route
     read = course.call.effort.read
-    slow = is_slow(fleet, route, attempt.model, read, first_ms)
-    note_answer(attempt.worker, first_ms, good=True, now=now)
+    usual = usual_first_ms(fleet, route, attempt.model, read)
+    note_slowness(attempt.worker, first_ms, usual, core.clock.now())
+    attempt.slow = is_slow(fleet, route, attempt.model, read, first_ms)
     note_first_time(fleet, route, attempt.model, read, first_ms)
-    _note_evidence(core, course, attempt, bad=slow)
+
+
+def _note_good(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
+    now = core.clock.now()
+    note_answer(attempt.worker, first_ms, good=True, now=now)
+    _note_evidence(core, course, attempt, bad=attempt.slow)
     total = now - course.call.began
     core.histograms.record(
         course.org, course.request_class, Measure.TTFT, first_ms * 1_000
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -90,16 +90,18 @@
 
     def __init__(self, core: Core) -> None:
         self._core = core
-        self._busy: set[RequestHandler] = set()
         self.server = self._make_server()
 
     def end_idle_connections(self) -> None:
         """End connections without a request, and the others after their answer."""
         for connection in list(self.server.connections):
-            if connection in self._busy:
-                connection.close()
-            else:
+            # A request that has been read counts before its handler begins, so what
+            # tells is whether the library still waits for one.
+            waiter = connection._waiter
+            if waiter is not None and not waiter.done():
                 connection.force_close()
+            else:
+                connection.close()
 
     def _make_server(self) -> web.Server:
         return web.Server(
@@ -137,11 +139,7 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         reply = HttpReply(req, self._core)
-        self._busy.add(req.protocol)
-        try:
-            await self._answer(req, reply)
-        finally:
-            self._busy.discard(req.protocol)
+        await self._answer(req, reply)
         if reply.response is None:
             # The connection is closing; the library drops what it is given for it.
             return web.Response(status=Problem.BACKEND_FAILED.status)
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -19,7 +19,7 @@
 the catalog's price unit, at rank 1. Fitted to the workload sheets of both first users:
 their classes lie between 0.8 and 1.8 times this, by rank."""
 
-RANK_FACTORS = (2.0, 1.0, 0.5)
+RANK_FACTORS = (2.0, 1.0, 0.7)
 """How a route's urgency scales the worth of its answers; later ranks count as the last.
 From the same sheets: rank says what an operator values a token at."""
 
@@ -32,7 +32,7 @@
 LATE_LOSS = 0.7
 """Part of an answer's worth that is lost when it comes late."""
 
-PLACE_FACTOR = 1.6
+PLACE_FACTOR = 2.5
 """What a run of a larger model costs in all, in parts of its price: the time of an
 engine that it takes from others has no price of its own."""
 
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -31,6 +31,21 @@
 ERROR_COST = 2.0
 """What a worker costs that fails all its answers, in parts of a batch."""
 
+SLOW_COST = 0.15
+"""What a worker costs whose first bytes come twice as late as usual, in parts of a
+batch; in proportion else. Slots tell little of an engine that reads long prompts: at a
+load of 0.2 of a batch, answers already came late."""
+
+SLOWNESS_MOST = 6.0
+"""Times the usual that one answer counts as at most."""
+
+SLOWNESS_HALF_LIFE_MS = 1_500
+"""How fast a worker's slowness is forgotten while it tells nothing, in ms: a queue of
+prompts is read in about a second."""
+
+PENDING_TOKENS = 60_000
+"""Prompt tokens of this box that wait at a worker and count as one whole batch."""
+
 NOISE = 0.04
 """Size of the random part, in parts of a batch: about one request of a batch of 32."""
 
@@ -51,6 +66,7 @@
 
 _ERROR_SMOOTHING = 0.15
 _TIME_SMOOTHING = 0.2
+_SLOWNESS_SMOOTHING = 0.3
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -116,6 +132,8 @@
             + (FAR_COST if row.domain != wanted.domain else 0.0)
             + (2 * MISS_COST * wanted.shared_part if miss else 0.0)
             + ERROR_COST * row.error_rate
+            + SLOW_COST * max(0.0, slowness(row, now) - 1.0)
+            + row.pending_read / PENDING_TOKENS
             + NOISE * rng.random()
         )
 
@@ -149,6 +167,25 @@
     return (row.inflight + others * weight + queued) / max(1, row.slots)
 
 
+def slowness(row: WorkerRow, now: Millis) -> float:
+    """Return how slow a worker is now, in parts of the usual; 1 if that is unknown."""
+    age = max(0, now - row.slowness_at)
+    kept: float = 0.5 ** (age / SLOWNESS_HALF_LIFE_MS)
+    return 1.0 + (row.slowness - 1.0) * kept
+
+
+def note_slowness(
+    row: WorkerRow, first_ms: float, usual_ms: float, now: Millis
+) -> None:
+    """Take a time to the first byte into the worker's slowness."""
+    if usual_ms <= 0.0:
+        return
+    before = slowness(row, now)
+    told = min(SLOWNESS_MOST, first_ms / usual_ms)
+    row.slowness = before + _SLOWNESS_SMOOTHING * (told - before)
+    row.slowness_at = now
+
+
 def note_load(row: WorkerRow, load: Load, now: Millis) -> None:
     """Take a worker's own word of its load into its row."""
     row.reported = load.running + load.waiting
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -58,6 +58,12 @@
         Moving mean of the share of answers that failed, in 0 to 1.
     queued : int
         Requests waiting at the worker, by its last report.
+    slowness : float
+        Moving mean of its times to the first byte, in parts of the usual time.
+    slowness_at : int
+        When that was last told, in ms.
+    pending_read : int
+        Prompt tokens of this box's requests that wait for their first byte there.
     heard_at : int
         When the last byte came from it on any request, in ms.
     """
@@ -79,6 +85,9 @@
     token_ms: float = 0.0
     error_rate: float = 0.0
     queued: int = 0
+    slowness: float = 1.0
+    slowness_at: Millis = Millis(0)
+    pending_read: int = 0
     heard_at: Millis = Millis(0)
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -216,6 +216,23 @@
                     headers = fleet.headers("/view/", KEY, {})
                     await idle.post(box.base + "/view/", headers=headers)
 
+    async def test_request_taken_just_before_idle_connections_end_is_answered(self):
+        """Hunt on andino-archivo, hunt-5d96-7: read, but its handler not begun."""
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            front = box.node._front
+            make = front.server.request_factory
+
+            def make_and_end(*args):
+                request = make(*args)
+                front.end_idle_connections()
+                return request
+
+            front.server.request_factory = make_and_end
+            headers = fleet.headers("/view/", KEY, {})
+            async with fleet.http.post(box.base + "/view/", headers=headers) as resp:
+                assert resp.status == 200
+
 
 class TestSettings:
     """Settings of a box: checked, with the field named."""
