--- a/src/spanshunt/cli.py
+++ b/src/spanshunt/cli.py
@@ -15,6 +15,8 @@
 
 from .exceptions import SettingsError
 from .settings import load_settings
+from .traces import show
+from .traces import trace
 from .version import __version__
 
 EXIT_OK = 0
@@ -137,6 +139,30 @@
             print(f"excluded  {text}")
 
 
+@cappa.command(name="trace", help="Show a request's way through boxes' logs.")
+@dataclass
+class TraceCommand:
+    """Arguments of ``trace``."""
+
+    request: t.Annotated[str, cappa.Arg(help="The request's id.")]
+    logs: t.Annotated[
+        list[str], cappa.Arg(help="Log files of boxes, - for standard input.")
+    ]
+
+    def __call__(self) -> None:
+        """Read the logs and show what bears on the request."""
+        raw = [line for file in self.logs for line in _read(file).splitlines()]
+        found = trace(raw, self.request)
+        if not any("request" in line for line in found.lines):
+            message = f"{self.request}: not in {len(raw)} lines"
+            raise cappa.Exit(message, code=EXIT_REFUSED)
+        begin = float(found.lines[0].get("at", 0.0))
+        for line in found.lines:
+            print(show(line, begin))
+        if found.unreadable:
+            print(f"{found.unreadable} lines are no log lines", file=sys.stderr)
+
+
 @cappa.command(name="check", help="Check settings files, as the daemon would.")
 @dataclass
 class CheckCommand:
@@ -253,6 +279,7 @@
         | ConfirmCommand
         | DrainCommand
         | ExplainCommand
+        | TraceCommand
         | CheckCommand
         | StatusCommand
         | VersionsCommand
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,124 @@
+"""docs/OPERATIONS.md: from a failed request's id to its cause, by the page's steps."""
+
+import contextlib
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+import pytest
+from loguru import logger
+
+from fleet_builders import KEY
+from fleet_builders import TestFleet
+from fleet_builders import config
+from fleet_builders import running_fleet
+from fleet_builders import until
+from fleet_builders import without_key
+from spanshunt.logs import LineQueue
+from spanshunt.logs import _json_sink
+from spanshunt.standins.worker import WorkerFault
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
+
+
+@contextlib.contextmanager
+def logging_to(path: pathlib.Path):
+    fd = os.open(path, os.O_CREAT | os.O_WRONLY)
+    queue = LineQueue(fd)
+    handler = logger.add(_json_sink(queue, "box-1"), format="{message}")
+    try:
+        yield
+    finally:
+        logger.remove(handler)
+        queue.flush()
+        os.close(fd)
+
+
+def traced(path: pathlib.Path, request: str) -> list[str]:
+    """Follow the page's second step and return the lines marked as the request's."""
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "from spanshunt.cli import main; main()",
+            "trace",
+            request,
+            str(path),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    return done.stdout.splitlines()
+
+
+def mine(lines: list[str]) -> list[str]:
+    return [line for line in lines if line.startswith(">")]
+
+
+def web(fleet: TestFleet, fault: WorkerFault) -> None:
+    for name in ("p-1", "p-2"):
+        fleet.workers[name].fault = fault
+
+
+async def test_worker_failure(tmp_path):
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            web(fleet, WorkerFault.ERROR)
+            reply = await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id="f1")
+            assert reply.status == 500
+    lines = mine(traced(path, "f1"))
+    assert "outcome=worker_failure" in lines[-1]
+    blamed = [line for line in lines if "bad answer" in line]
+    assert all("detail=status 500" in line for line in blamed)
+    assert any("worker=p-1" in line for line in blamed)
+    assert any("worker=p-2" in line for line in blamed)
+
+
+async def test_deadline(tmp_path):
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            web(fleet, WorkerFault.MUTE)
+            reply = await fleet.ask(fleet.boxes[0], "/view/", Attempt_Id="f2")
+            assert reply.status == 504
+    lines = mine(traced(path, "f2"))
+    assert "outcome=deadline" in lines[-1]
+    assert "dispatch" in lines[-2] and "worker=p-" in lines[-2]
+    assert not any("bad answer" in line for line in lines)
+
+
+async def test_key_taken_away(tmp_path):
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            await fleet.configure(without_key(config(8), KEY))
+            await until(lambda: box.node.fleet.catalog.version == 8, "version 8")
+            reply = await fleet.ask(box, "/view/", Attempt_Id="f3")
+            assert reply.status == 401
+    lines = traced(path, "f3")
+    refused = mine(lines)[-1]
+    assert "outcome=bad-credential" in refused and "catalog=8" in refused
+    taken = [line for line in lines if "catalog: version=8" in line]
+    assert taken and "source=store" in taken[0]
+
+
+def test_unknown_request_is_said():
+    with tempfile.NamedTemporaryFile() as log:
+        log.write(b'{"event":"started","box":"b","at":1.0}\n')
+        log.flush()
+        with pytest.raises(AssertionError, match="not in 1 lines"):
+            traced(pathlib.Path(log.name), "nobody")
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    ["worker_failure", "deadline", "not-found", "bad-credential", "cut", "no-worker"],
+)
+def test_page_names_each_outcome(outcome):
+    assert f"`{outcome}`" in PAGE.read_text()
