One box of a failure domain reads the workers for the others

Ruled out: fewer polls by each box: a leaving worker must get nothing new within 2 s. Change: the first box by name that is heard reads the list; the others take it with the exchange, by digest, and read themselves when it is older than 0.7 of the bound. Evidence of roll-outs is told box by box within a domain and as sums between domains; peers of other domains are asked one a round. Operators' records are awaited 20 s.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -8,19 +8,26 @@
 from result import Result
 
 from .clock import Clock
+from .ids import DomainId
+from .ids import Incarnation
 from .ids import Millis
 from .ids import Offset
 from .logs import log_event
 from .peers.news import News
 from .peers.news import PeerNews
 from .peers.news import RolloutNews
+from .peers.news import TallyGroup
 from .peers.news import TallyNews
 from .peers.news import WorkerNews
 from .peers.news import tell
 from .peers.unary import Channels
 from .systems.following_workers import ListedWorker
+from .systems.following_workers import list_digest
+from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
+from .systems.ramping import add_up
 from .systems.ramping import take_order
+from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
 from .tables.catalog import Catalog
 from .tables.fleet import Fleet
@@ -32,8 +39,10 @@
 from .tables.rollouts import Verdict
 from .tables.workers import WorkerRow
 
-ASKED_EACH_ROUND = 3
-"""Peers asked in a round: news reach 6 boxes in two rounds, 91 in five."""
+NEAR_ASKED, FAR_ASKED = 1, 1
+"""Peers of this and of other failure domains asked in a round, beside the box that
+reads the workers' list: bytes between domains are priced, and news pass on within a
+domain."""
 
 TIMEOUT_S = 0.8
 """How long a peer may take, in s: a slowed box still answers in a few tenths."""
@@ -44,10 +53,6 @@
 TALLY_EPOCHS = 3
 """Newest epochs of evidence told: older ones were told before."""
 
-AWAY_MS = 1_200
-"""A store that has not answered for this long is taken as away, in ms: one missed
-poll."""
-
 BACK_OFF_MS = 1_000
 """How long a peer that did not answer is left alone, times its failures, in ms."""
 
@@ -101,29 +106,39 @@
     async def hear(self, news: News) -> News:
         """Take a peer's news in and answer with this box's."""
         self.take(news)
-        return self.news_for(news.catalog_version, cut_off=news.cut_off)
+        return self.news_for(news)
 
-    def news_for(self, catalog_version: int | None, *, cut_off: bool) -> News:
-        """Return what to tell a box that has this catalog; None if that is unknown."""
+    def news_for(self, asker: News | None) -> News:
+        """Return what to tell a box that told this; None before it has told."""
         fleet = self._fleet
         now = self._clock.now()
         mine = fleet.catalog.version if fleet.catalog is not None else -1
-        behind = catalog_version is not None and catalog_version < mine
+        behind = asker is not None and asker.catalog_version < mine
+        digest = list_digest(fleet)
+        wants_list = (
+            asker is not None
+            and asker.workers_digest != digest
+            and asker.workers_end < fleet.workers_end
+        )
         peers = list(fleet.peers.values())
         told = self._rng.sample(peers, min(PEERS_TOLD, len(peers)))
         return News(
             box=fleet.me.box,
             address=fleet.me.address,
+            domain=fleet.me.domain,
             incarnation=fleet.me.incarnation,
             catalog_version=mine,
             catalog_raw=fleet.catalog_raw if behind else b"",
-            cut_off=is_cut_off(fleet, now),
             workers_end=fleet.workers_end,
-            workers=_workers_news(fleet) if cut_off else (),
+            workers_age_ms=max(0, now - fleet.workers_read_at),
+            workers_digest=digest,
+            workers=_workers_news(fleet) if wants_list else (),
             rollouts=tuple(
-                _rollout_news(row, now) for row in fleet.rollouts.rows.values()
+                _rollout_news(fleet, row, now) for row in fleet.rollouts.rows.values()
             ),
-            peers=tuple(PeerNews(peer.box, peer.address) for peer in told),
+            peers=tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in told)
+            if asker is not None
+            else (),
         )
 
     def take(self, news: News) -> None:
@@ -135,13 +150,25 @@
         self._take_peers(news, now)
         if news.catalog_raw:
             take_catalog(fleet, news.catalog_raw, self._decode, source=news.box)
-        if news.workers and is_cut_off(fleet, now):
+        self._take_workers(news, now)
+        for item in news.rollouts:
+            self._take_rollout(news, item, now)
+
+    def _take_workers(self, news: News, now: Millis) -> None:
+        """Take in a newer list, or that this box's is as new as the teller's."""
+        fleet = self._fleet
+        if news.workers_end < fleet.workers_end or not news.workers_digest:
+            return
+        read_at = Millis(now - news.workers_age_ms)
+        if news.workers:
             listed = [_listed(item) for item in news.workers]
             change = take_list(fleet, listed, Offset(news.workers_end), now)
+            fleet.workers_read_at = max(fleet.workers_read_at, read_at)
             if not change.empty:
                 log_event("INFO", "workers", source=news.box, **_shown(change))
-        for item in news.rollouts:
-            self._take_rollout(news, item, now)
+        elif news.workers_digest == list_digest(fleet):
+            fleet.workers_end = Offset(news.workers_end)
+            fleet.workers_read_at = max(fleet.workers_read_at, read_at)
 
     def _take_peers(self, news: News, now: Millis) -> None:
         peers = self._fleet.peers
@@ -149,10 +176,11 @@
         if row is None:
             row = peers[news.box] = PeerRow(news.box, news.address)
         row.address, row.incarnation = news.address, news.incarnation
+        row.domain = news.domain
         row.heard, row.failures = now, 0
         for item in news.peers:
             if item.box != self._fleet.me.box and item.box not in peers:
-                peers[item.box] = PeerRow(item.box, item.address)
+                peers[item.box] = PeerRow(item.box, item.address, item.domain)
 
     def _take_rollout(self, news: News, item: RolloutNews, now: Millis) -> None:
         fleet = self._fleet
@@ -175,36 +203,52 @@
         verdict, reason = Verdict(item.verdict), item.reason
         if take_verdict(row, verdict, reason, now, recorded=item.recorded):
             log_verdict(row, news.box)
-        tallies = row.peers.setdefault(news.incarnation, {})
-        for tally in item.tallies:
+        for group in item.groups:
+            self._take_group(row, group)
+
+    def _take_group(self, row: RolloutRow, group: TallyGroup) -> None:
+        """Take in evidence: boxes of this domain one by one, others as sums."""
+        me = self._fleet.me
+        near = group.domain == me.domain
+        if near != bool(group.box) or group.box == me.incarnation:
+            return
+        into = (
+            row.near.setdefault(group.box, {})
+            if near
+            else row.far.setdefault(group.domain, {})
+        )
+        for tally in group.tallies:
             key = EvidenceKey(tally.route, tally.entering, tally.epoch)
-            tallies[key] = Tally(tally.answers, tally.bad)
+            take_tally(into, key, tally.answers, tally.bad)
 
     def _whom_to_ask(self) -> list[str]:
-        now = self._clock.now()
+        fleet, now = self._fleet, self._clock.now()
+        peers = list(fleet.peers.values())
+        if not any(peer.heard >= 0 for peer in peers):
+            known = {peer.address for peer in peers} | {fleet.me.address}
+            unknown = [seed for seed in self._seeds if seed not in known]
+            return unknown + [peer.address for peer in peers][:PEERS_TOLD]
         ready = [
             peer
-            for peer in self._fleet.peers.values()
+            for peer in peers
             if now >= peer.asked + BACK_OFF_MS * min(peer.failures, BACK_OFF_MOST)
         ]
-        known = {peer.address for peer in self._fleet.peers.values()}
-        seeds = [seed for seed in self._seeds if seed not in known]
-        if not any(peer.heard >= 0 for peer in self._fleet.peers.values()):
-            return [seed for seed in seeds if seed != self._fleet.me.address]
-        drawn = self._rng.sample(ready, min(ASKED_EACH_ROUND, len(ready)))
-        return [peer.address for peer in drawn]
+        reader = reader_of(fleet, now)
+        near = [peer for peer in ready if peer.domain == fleet.me.domain]
+        far = [peer for peer in ready if peer.domain != fleet.me.domain]
+        asked = [peer for peer in near if peer.box == reader]
+        asked += self._rng.sample(near, min(NEAR_ASKED, len(near)))
+        asked += self._rng.sample(far, min(FAR_ASKED, len(far)))
+        return list({peer.address: None for peer in asked})
 
     async def _ask(self, address: str) -> None:
         row = next(
             (peer for peer in self._fleet.peers.values() if peer.address == address),
             None,
         )
-        version = None
         if row is not None:
             row.asked = self._clock.now()
-        told = await tell(
-            self._channels, address, self.news_for(version, cut_off=False), TIMEOUT_S
-        )
+        told = await tell(self._channels, address, self.news_for(None), TIMEOUT_S)
         if isinstance(told, Err):
             if row is not None:
                 row.failures += 1
@@ -217,11 +261,6 @@
         self.take(told.ok_value)
 
 
-def is_cut_off(fleet: Fleet, now: Millis) -> bool:
-    """Tell whether the store has not answered this box for a while."""
-    return now - fleet.store.answered_at > AWAY_MS
-
-
 def take_catalog(fleet: Fleet, raw: bytes, decode: Decode, *, source: str) -> bool:
     """Take a catalog in if it is newer; what a box believes never goes back."""
     decoded = decode(raw)
@@ -286,9 +325,18 @@
     return ListedWorker(row, draining=item.draining)
 
 
-def _rollout_news(row: RolloutRow, now: Millis) -> RolloutNews:
-    newest = max(0, now - row.began) // EPOCH_MS
+def _rollout_news(fleet: Fleet, row: RolloutRow, now: Millis) -> RolloutNews:
+    me = fleet.me
     running = row.verdict is Verdict.RUNNING
+    oldest = max(0, now - row.began) // EPOCH_MS - TALLY_EPOCHS
+    groups = [
+        _group(me.domain, me.incarnation, row.own, oldest),
+        _group(me.domain, Incarnation(""), add_up(row.own, *row.near.values()), oldest),
+        *(
+            _group(domain, Incarnation(""), tallies, oldest)
+            for domain, tallies in row.far.items()
+        ),
+    ]
     return RolloutNews(
         service=row.service,
         version=row.version,
@@ -298,12 +346,22 @@
         verdict=row.verdict.value,
         reason=row.reason,
         recorded=row.recorded,
-        tallies=tuple(
-            TallyNews(key.route, key.entering, key.epoch, tally.answers, tally.bad)
-            for key, tally in row.own.items()
-            if running and key.epoch > newest - TALLY_EPOCHS
-        ),
+        groups=tuple(group for group in groups if running and group.tallies),
+    )
+
+
+def _group(
+    domain: DomainId,
+    box: Incarnation,
+    tallies: dict[EvidenceKey, Tally],
+    oldest: int,
+) -> TallyGroup:
+    told = tuple(
+        TallyNews(key.route, key.entering, key.epoch, tally.answers, tally.bad)
+        for key, tally in tallies.items()
+        if key.epoch > oldest
     )
+    return TallyGroup(domain, box, told)
 
 
 def _shown(change: t.Any) -> dict[str, object]:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -33,6 +33,24 @@
     bad: int
 
 
+class TallyGroup(msgspec.Struct, frozen=True, array_like=True):
+    """The tallies of one source: a run of a box, or a whole failure domain.
+
+    Attributes
+    ----------
+    domain : str
+        The failure domain.
+    box : str
+        The run of the box; empty for the sum over the domain.
+    tallies : tuple of TallyNews
+        The newest epochs.
+    """
+
+    domain: DomainId
+    box: Incarnation
+    tallies: tuple[TallyNews, ...]
+
+
 class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
     """An order as the teller knows it, and its own evidence.
 
@@ -46,8 +64,8 @@
         How it ended, or ``running``.
     recorded : bool
         Whether the verdict stands in the platform's store.
-    tallies : tuple of TallyNews
-        The newest epochs.
+    groups : tuple of TallyGroup
+        The teller's own evidence and, for other domains, the sums that it knows.
     """
 
     service: ServiceId
@@ -58,7 +76,7 @@
     verdict: str
     reason: str
     recorded: bool
-    tallies: tuple[TallyNews, ...] = ()
+    groups: tuple[TallyGroup, ...] = ()
 
 
 class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
@@ -78,6 +96,7 @@
 
     box: BoxId
     address: str
+    domain: DomainId
 
 
 class News(msgspec.Struct, frozen=True, array_like=True):
@@ -85,18 +104,20 @@
 
     Attributes
     ----------
-    box, address, incarnation
+    box, address, domain, incarnation
         Who tells.
     catalog_version : int
         The newest catalog that it knows; -1 for none.
     catalog_raw : bytes
         That catalog, if the other's is older; else empty.
-    cut_off : bool
-        Whether the store does not answer it, so that it wants the workers' list.
     workers_end : int
         How new its list of workers is.
+    workers_age_ms : int
+        How long ago that list was read from the store, by whoever read it.
+    workers_digest : int
+        Says whether two lists are alike; 0 for none.
     workers : tuple of WorkerNews
-        That list, for a box that is cut off.
+        The list, for a box whose list differs.
     rollouts : tuple of RolloutNews
         The orders.
     peers : tuple of PeerNews
@@ -105,11 +126,13 @@
 
     box: BoxId
     address: str
+    domain: DomainId
     incarnation: Incarnation
     catalog_version: int
     catalog_raw: bytes = b""
-    cut_off: bool = False
     workers_end: int = -1
+    workers_age_ms: int = 0
+    workers_digest: int = 0
     workers: tuple[WorkerNews, ...] = ()
     rollouts: tuple[RolloutNews, ...] = ()
     peers: tuple[PeerNews, ...] = ()
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -9,12 +9,14 @@
 from ..exchange import log_verdict
 from ..exchange import take_catalog
 from ..ids import BoxId
+from ..ids import DomainId
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..logs import log_event
 from ..systems.following_workers import ListedWorker
+from ..systems.following_workers import must_read
 from ..systems.following_workers import note_store_answer
 from ..systems.following_workers import note_store_failure
 from ..systems.following_workers import take_list
@@ -28,20 +30,29 @@
 from .store import StoreClient
 from .store import StoreFault
 
-TAIL_WAIT_MS = 8_000
+TAIL_WAIT_MS = 20_000
 """How long a read of the operators' records waits for one, in ms: each read is
-priced, a record ends it at once, and the workers' polls tell sooner whether the
-store answers."""
+priced, a record ends it at once, and peers tell of what a dead connection keeps from
+this box."""
+
+LOOK_MS = 100
+"""How often a box looks whether it must read the workers' list, in ms."""
+
+POLL_PART = 0.45
+"""Pause between two readings of the workers' list, as a part of the time within which a
+leaving worker must get nothing new: a reading that fails once is made up for in
+time."""
 
 RETRY_MS = 400
 """Pause after a call that failed, in ms: well within what configuration may take to be
 in force (2 s), and 2.5 priced calls a second."""
 
-BOXES_AT_MS = (700, 2_500, 8_000)
-"""When a box looks for others after its start, in ms; all start within 0.3 s."""
+BOXES_FIRST_MS = 1_500
+"""When a box first looks for others after it told them of itself, in ms: boxes of one
+deployment start within 0.3 s, and peers tell each other of those that come later."""
 
-BOXES_EVERY_MS = 20_000
-"""And how often after that, in ms: peers tell of others in between."""
+BOXES_EVERY_MS = 60_000
+"""And how often after that, in ms."""
 
 
 class Followers:
@@ -55,19 +66,17 @@
         The source of time.
     store : StoreClient
         The store.
-    poll_ms : int
-        Pause between two readings of the workers' list, in ms.
+    draining_ms : int
+        Within which a worker that leaves must get nothing new, in ms.
     """
 
     def __init__(
-        self, fleet: Fleet, clock: Clock, store: StoreClient, poll_ms: int
+        self, fleet: Fleet, clock: Clock, store: StoreClient, draining_ms: int
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._store = store
-        self._poll_ms = poll_ms
-        self.knows_workers = False
-        self.knows_orders = False
+        self._draining_ms = draining_ms
 
     async def follow_operators(self) -> None:
         """Read all that is newest, then wait for records; begin anew on faults."""
@@ -78,30 +87,28 @@
             await asyncio.sleep(RETRY_MS / 1_000)
 
     async def follow_workers(self) -> None:
-        """Read the workers' list again and again."""
+        """Read the workers' list where it is this box's turn, or where nobody did."""
         while True:
-            pause = self._poll_ms
-            if not await self._read_workers():
-                pause = RETRY_MS
+            pause = LOOK_MS
+            if must_read(self._fleet, self._clock.now(), self._draining_ms):
+                read = await self._read_workers()
+                pause = int(self._draining_ms * POLL_PART) if read else RETRY_MS
             await asyncio.sleep(pause / 1_000)
 
     async def follow_boxes(self) -> None:
         """Tell the others where this box is, and look where they are."""
         me = self._fleet.me
-        begun = self._clock.now()
-        address = me.address.encode()
+        place = f"{me.address} {me.domain}".encode()
         while True:
-            done = await self._store.append(wire.BOXES_TOPIC, me.box, address)
+            done = await self._store.append(wire.BOXES_TOPIC, me.box, place)
             if not isinstance(done, Err):
                 break
             self._note(done.err_value)
             await asyncio.sleep(RETRY_MS / 1_000)
-        for at in BOXES_AT_MS:
-            await asyncio.sleep(max(0, begun + at - self._clock.now()) / 1_000)
-            await self._read_boxes()
+        await asyncio.sleep(BOXES_FIRST_MS / 1_000)
         while True:
-            await asyncio.sleep(BOXES_EVERY_MS / 1_000)
             await self._read_boxes()
+            await asyncio.sleep(BOXES_EVERY_MS / 1_000)
 
     async def _read_operators(self) -> Offset | None:
         listing = await self._newest(wire.OPERATORS_TOPIC)
@@ -113,7 +120,6 @@
             orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
         if orders and not await self._read_status():
             return None
-        self.knows_orders = True
         return listing.end
 
     async def _await_operators(self, end: Offset) -> Offset | None:
@@ -178,8 +184,10 @@
                 log_event("ERROR", "worker unreadable", detail=detail)
                 continue
             listed.append(decoded.ok_value)
-        change = take_list(self._fleet, listed, listing.end, self._clock.now())
-        self.knows_workers = True
+        now = self._clock.now()
+        change = take_list(self._fleet, listed, listing.end, now)
+        if listing.end >= self._fleet.workers_end:
+            self._fleet.workers_read_at = now
         if not change.empty:
             log_event(
                 "INFO",
@@ -199,9 +207,10 @@
             return
         fleet = self._fleet
         for item in listing.items:
-            box, address = BoxId(item.key_file), item.content().decode()
+            box = BoxId(item.key_file)
+            address, _, domain = item.content().decode().partition(" ")
             if box != fleet.me.box and box not in fleet.peers:
-                fleet.peers[box] = PeerRow(box, address)
+                fleet.peers[box] = PeerRow(box, address, DomainId(domain))
                 log_event("INFO", "peer listed", peer=box, address=address)
 
     async def _newest(self, topic: str) -> Listing | None:
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -42,12 +42,7 @@
 from .store import StoreClient
 from .workers import WorkerClient
 
-POLL_PART = 0.45
-"""Pause between two readings of the workers' list, as a part of the time within which a
-leaving worker must get nothing new: a reading that fails once is made up for in
-time."""
-
-EXCHANGE_MS = 500
+EXCHANGE_MS = 400
 """Period of exchanges with peers, in ms."""
 
 JUDGE_MS = 250
@@ -121,9 +116,7 @@
             histograms=self.histograms,
             count=self.counters.add,
         )
-        self.followers = Followers(
-            self.fleet, clock, self._store, int(bounds.draining_ms * POLL_PART)
-        )
+        self.followers = Followers(self.fleet, clock, self._store, bounds.draining_ms)
         self._front = Front(self.core)
         self._recorder = Recorder(self.fleet, clock, self._store)
         self._exchange = Exchange(
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -5,8 +5,11 @@
 long as nothing else speaks against it.
 """
 
+import zlib
+
 import msgspec
 
+from ..ids import BoxId
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import WorkerId
@@ -19,6 +22,15 @@
 live write theirs again within about two seconds (the users' letter, point 8)."""
 
 
+HEARD_MS = 1_500
+"""A peer not heard for this long is not relied on to read the list, in ms: three rounds
+of exchanges."""
+
+OLD_PART = 0.7
+"""A list older than this part of the time within which a leaving worker must get
+nothing new is read anew by any box, whoever should have: a call then still fits in."""
+
+
 class ListedWorker(msgspec.Struct, frozen=True):
     """One entry of the list."""
 
@@ -124,3 +136,35 @@
         return False
     fleet.store.failing_since = now
     return True
+
+
+def reader_of(fleet: Fleet, now: Millis) -> BoxId:
+    """Return which box of this failure domain reads the list for the others.
+
+    It is the first by name of those heard of late; where boxes disagree, two read.
+    """
+    near = [
+        peer.box
+        for peer in fleet.peers.values()
+        if peer.domain == fleet.me.domain and 0 <= peer.heard > now - HEARD_MS
+    ]
+    return min([*near, fleet.me.box])
+
+
+def must_read(fleet: Fleet, now: Millis, draining_ms: int) -> bool:
+    """Tell whether this box reads the list itself now."""
+    if fleet.workers_read_at < 0 or reader_of(fleet, now) == fleet.me.box:
+        return True
+    return now - fleet.workers_read_at > OLD_PART * draining_ms
+
+
+def list_digest(fleet: Fleet) -> int:
+    """Return a number that is alike for lists that say the same; 0 for none."""
+    if fleet.workers_read_at < 0:
+        return 0
+    said = sorted(
+        f"{row.name} {row.address} {row.service} {sorted(row.versions)} "
+        f"{row.name in fleet.workers.leaving}"
+        for row in fleet.workers.rows.values()
+    )
+    return zlib.crc32("\n".join(said).encode()) or 1
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -215,7 +215,7 @@
 
 def judge(row: RolloutRow, now: Millis) -> Judgement:
     """Judge a running roll-out by the pooled evidence."""
-    pooled = _pool(row)
+    pooled = add_up(row.own, *row.near.values(), *row.far.values())
     for route in sorted({key.route for key in pooled} | {""}):
         reason = _blame(pooled, route)
         if reason:
@@ -259,9 +259,10 @@
     return [(epochs[n][0], epochs[n][1]) for n in sorted(epochs)]
 
 
-def _pool(row: RolloutRow) -> dict[EvidenceKey, Tally]:
+def add_up(*parts: dict[EvidenceKey, Tally]) -> dict[EvidenceKey, Tally]:
+    """Return the sum of tallies."""
     pooled: dict[EvidenceKey, Tally] = {}
-    for tallies in (row.own, *row.peers.values()):
+    for tallies in parts:
         for key, tally in tallies.items():
             into = pooled.setdefault(key, Tally())
             into.answers += tally.answers
@@ -269,6 +270,15 @@
     return pooled
 
 
+def take_tally(
+    into: dict[EvidenceKey, Tally], key: EvidenceKey, answers: int, bad: int
+) -> None:
+    """Take a told tally; counts only rise, so the greatest told is the newest."""
+    tally = into.setdefault(key, Tally())
+    tally.answers = max(tally.answers, answers)
+    tally.bad = max(tally.bad, bad)
+
+
 def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
     return any(
         row.name not in fleet.workers.leaving
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -31,8 +31,8 @@
 
     Attributes
     ----------
-    box, address : str
-        Its name and where its peer protocol listens.
+    box, address, domain : str
+        Its name, where its peer protocol listens, and its failure domain.
     incarnation : str
         Its run when it was last heard.
     heard : int
@@ -45,6 +45,7 @@
 
     box: BoxId
     address: str
+    domain: DomainId = DomainId("")
     incarnation: Incarnation = Incarnation("")
     heard: Millis = Millis(-1)
     asked: Millis = Millis(-1)
@@ -117,6 +118,9 @@
         Backend servers.
     workers_end : int
         The end of the workers' stream at the newest list taken in.
+    workers_read_at : int
+        When that list was read from the store, by this box or by the one that told it,
+        in ms; -1 for never.
     missing : dict
         Workers that a list lacked while the store was away, with the time since, in ms.
     peers : dict
@@ -140,6 +144,7 @@
     catalog_raw: bytes = b""
     workers: Workers = msgspec.field(default_factory=Workers)
     workers_end: Offset = Offset(-1)
+    workers_read_at: Millis = Millis(-1)
     missing: dict[WorkerId, Millis] = {}
     peers: dict[BoxId, PeerRow] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..ids import BoxId
+from ..ids import DomainId
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import Offset
@@ -67,8 +68,10 @@
         When this box learned of the verdict, in ms.
     own : dict
         This box's tallies.
-    peers : dict
-        Other boxes' tallies, by the run of the box.
+    near : dict
+        Tallies of the other boxes of this failure domain, by the run of the box.
+    far : dict
+        Sums of other failure domains.
     """
 
     service: ServiceId
@@ -81,7 +84,8 @@
     recorded: bool = False
     judged_at: Millis = Millis(0)
     own: dict[EvidenceKey, Tally] = {}
-    peers: dict[Incarnation, dict[EvidenceKey, Tally]] = {}
+    near: dict[Incarnation, dict[EvidenceKey, Tally]] = {}
+    far: dict[DomainId, dict[EvidenceKey, Tally]] = {}
 
 
 class SessionRow(msgspec.Struct):
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -1,14 +1,22 @@
 """The list of workers: leaving, lapsed with the store, coming back."""
 
+import pytest
+
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from spanshunt.ids import BoxId
+from spanshunt.ids import DomainId
 from spanshunt.ids import Offset
 from spanshunt.systems.following_workers import ListedWorker
+from spanshunt.systems.following_workers import list_digest
+from spanshunt.systems.following_workers import must_read
 from spanshunt.systems.following_workers import note_store_answer
 from spanshunt.systems.following_workers import note_store_failure
+from spanshunt.systems.following_workers import reader_of
 from spanshunt.systems.following_workers import take_list
 from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
 
 
 def listed(*names: str, draining: tuple[str, ...] = ()) -> list[ListedWorker]:
@@ -77,3 +85,43 @@
     assert not note_store_failure(fleet, ms(2))
     assert note_store_answer(fleet, ms(3))
     assert not note_store_answer(fleet, ms(4))
+
+
+def with_peer(box: str, domain: str = "north", heard: float = 9.9) -> Fleet:
+    fleet = make_fleet("box-2")
+    row = PeerRow(BoxId(box), "a", DomainId(domain), heard=ms(heard))
+    fleet.peers[row.box] = row
+    fleet.workers_read_at = ms(9.5)
+    return fleet
+
+
+@pytest.mark.parametrize(
+    ("fleet", "reads"),
+    [
+        (with_peer("box-1"), False),
+        (with_peer("box-3"), True),
+        (with_peer("box-1", domain="south"), True),
+        (with_peer("box-1", heard=8.0), True),
+    ],
+    ids=["first is heard", "is first", "other domain", "first is silent"],
+)
+def test_one_box_of_a_domain_reads_for_the_others(fleet, reads):
+    assert must_read(fleet, ms(10), 2_000) is reads
+
+
+def test_old_list_is_read_by_any_box():
+    """A reader that froze is heard no more only after a while; a list ages sooner."""
+    fleet = with_peer("box-1", heard=10.9)
+    assert reader_of(fleet, ms(11)) == "box-1"
+    assert must_read(fleet, ms(11), 2_000)
+
+
+def test_lists_that_say_the_same_have_one_digest():
+    one, other = make_fleet(), make_fleet()
+    for fleet, names in ((one, ("a", "b")), (other, ("b", "a"))):
+        assert list_digest(fleet) == 0
+        take_list(fleet, listed(*names), Offset(3), ms(1))
+        fleet.workers_read_at = ms(1)
+    assert list_digest(one) == list_digest(other)
+    take_list(one, listed("a", "b", draining=("b",)), Offset(4), ms(2))
+    assert list_digest(one) != list_digest(other)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -89,6 +89,19 @@
             assert (await fleet.ask(second, "/view/")).status == 200
 
 
+async def test_one_box_reads_the_workers_for_its_domain():
+    async with running_fleet(boxes=3) as fleet:
+        await asyncio.sleep(1.5)
+        before = len(fleet.store.calls)
+        await asyncio.sleep(3.0)
+        calls = fleet.store.calls[before:]
+        assert calls.count("/log-newest keyed.servers") <= 5
+        await fleet.list_worker("p-1", service="web", state="draining")
+        for box in fleet.boxes:
+            leaving = box.node.fleet.workers.leaving
+            await until(lambda leaving=leaving: "p-1" in leaving, "leaves", 2)
+
+
 async def test_lapsed_entries_are_waited_for():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
