A silent stream is not ended when it can't go on elsewhere

Change: whether a request may go on is one module, asked before a silence is a break. Figures: the test fails before and passes after.

--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -32,6 +32,8 @@
 from .refusals import Run
 from .relaying import relay_stream
 from .relaying import wants_better
+from .repeating import budget_allows
+from .repeating import may_go_on
 from .systems.admitting import Admitted
 from .systems.admitting import Asked
 from .systems.admitting import admit
@@ -44,7 +46,6 @@
 from .systems.placing import note_unreached
 from .systems.ramping import note_result
 from .systems.ramping import note_session
-from .systems.repeats import may_repeat
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
 from .systems.timing import ALIVE_FACTOR
@@ -55,20 +56,12 @@
 from .systems.timing import usual_first_ms
 from .tables.catalog import RequestKind
 
-MOST_REFUSED_SENDS = 3
-"""Workers that may turn one request away before the caller is told to come back:
-each is an arrival that the budget of repeats pays for."""
-
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
 
 BUDGET_STEP_S = 0.2
 """How often a request whose worker is silent looks whether it may be repeated, in s."""
 
-LEFT_LEAST_MS = 5
-"""With less time left than this, in ms, no worker is asked any more: a round trip
-within a failure domain already takes about a millisecond."""
-
 
 async def answer(core: Core, call: Call, reply: Reply) -> None:
     """Answer a request, whatever happens on the way."""
@@ -120,35 +113,11 @@
         if ending is Ending.DELIVERED:
             _settle(core, course, "delivered", version=course.version)
             return
-        if not _may_go_on(core, course, ending):
+        if ending is not Ending.BETTER and not may_go_on(core, course):
             break
     await _give_up(core, course, reply, refusal)
 
 
-def _may_go_on(core: Core, course: Course, ending: Ending) -> bool:
-    """Tell whether another worker may get the request now."""
-    route = course.admitted.route
-    if ending is Ending.BETTER:
-        return True
-    if core.clock.now() + LEFT_LEAST_MS >= course.limit:
-        return False
-    if course.runs and not route.repeatable:
-        return False
-    if course.runs >= route.most_attempts or course.sends >= MOST_REFUSED_SENDS + 1:
-        return False
-    return _budget_allows(core, course)
-
-
-def _budget_allows(core: Core, course: Course, *, for_quality: bool = False) -> bool:
-    return may_repeat(
-        core.fleet,
-        course.service,
-        core.clock.now(),
-        core.bounds,
-        for_quality=for_quality,
-    )
-
-
 async def _attempt(
     core: Core, course: Course, attempt: Attempt, reply: Reply
 ) -> Ending:
@@ -233,7 +202,7 @@
     if not sending.done() and is_alive(attempt.worker, core.clock.now()):
         longer = limit * ALIVE_FACTOR
         await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
-    while not sending.done() and not _budget_allows(core, course):
+    while not sending.done() and not budget_allows(core, course):
         await asyncio.wait({sending}, timeout=BUDGET_STEP_S)
     return float(core.clock.now() - attempt.sent)
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -10,9 +10,10 @@
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Reply
+from .repeating import budget_allows
+from .repeating import may_go_on
 from .systems.cascading import note_confidence
 from .systems.cascading import sureness_needed
-from .systems.repeats import may_repeat
 from .systems.timing import ALIVE_FACTOR
 from .systems.timing import gap_limit_ms
 from .systems.timing import is_alive
@@ -36,10 +37,7 @@
     if service is None or course.runs >= route.most_attempts:
         return False
     needed = sureness_needed(core.fleet, route, service, call.effort)
-    now = core.clock.now()
-    affordable = may_repeat(
-        core.fleet, attempt.service, now, core.bounds, for_quality=True
-    )
+    affordable = budget_allows(core, course, for_quality=True)
     course.raised = found.confidence < needed and affordable
     log_event(
         "INFO",
@@ -89,7 +87,7 @@
 async def _next_block(
     core: Core, course: Course, attempt: Attempt, found: Answer
 ) -> bytes:
-    """Return the next bytes; a silence is a break where the stream can be resumed."""
+    """Return the next bytes; silence is a break if the stream can go on elsewhere."""
     route, worker = course.admitted.route, attempt.worker
     if not route.resumable or course.runs >= route.most_attempts:
         return await found.next_block()
@@ -106,6 +104,8 @@
             silent_ms += limit_ms
             if is_alive(worker, now) and silent_ms < ALIVE_FACTOR * limit_ms:
                 continue
+            if not may_go_on(core, course):
+                continue
             detail = f"worker {worker.name} silent for {silent_ms:.0f} ms"
             raise BrokenAnswerError(detail) from None
         worker.heard_at = core.clock.now()
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -12,6 +12,9 @@
 
 from .resets import reset
 
+PAUSE_S = 1.6
+"""How long a stream is silent that goes on by itself, in s."""
+
 CUT_AFTER = 2
 """Events after which a stream is cut by the faults that cut one."""
 
@@ -21,7 +24,8 @@
 
     ``FULL`` and ``REPLACED`` say truly that the request has not run. ``ERROR``: its own
     500 after a run. ``MUTE``: it runs the request and says nothing. ``CUT``: a stream
-    breaks off inside an event. ``STALL``: a stream falls silent. ``RESET``: an answer
+    breaks off inside an event. ``STALL``: a stream falls silent. ``PAUSE``: it does for
+    ``PAUSE_S``, then goes on. ``RESET``: an answer
     without a length is reset. ``OTHER``: the answer is another request's. ``EXTRA``: a
     second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
     ``UNSEALED``: the answer lacks its seal. ``DROP``: the connection is closed unread.
@@ -34,6 +38,7 @@
     MUTE = "mute"
     CUT = "cut"
     STALL = "stall"
+    PAUSE = "pause"
     RESET = "reset"
     OTHER = "other"
     EXTRA = "extra"
@@ -201,6 +206,10 @@
                 writer.write(_chunk(event[:9]))
                 await writer.drain()
                 return False
+            pauses = sent == CUT_AFTER and fault is WorkerFault.PAUSE
+            if pauses and await self._closed_within(reader, PAUSE_S):
+                self.cancelled.append(seen.request)
+                return False
             if sent == CUT_AFTER and fault is WorkerFault.STALL:
                 await self._until_closed(seen, reader)
                 return False
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -14,6 +14,7 @@
 from fleet_builders import until
 from fleet_builders import without_key
 from spanshunt.standins.worker import WorkerFault
+from spanshunt.systems.repeats import RepeatBounds
 
 
 def _all(fleet: TestFleet, service: str, fault: WorkerFault, left: int = -1) -> None:
@@ -221,6 +222,16 @@
             assert _events(reply.body) == [1, 2, 3, 4]
             assert reply.headers["Response-Seal"] == "seal-of-cut"
 
+    async def test_silent_stream_is_not_ended_when_it_cannot_go_on_elsewhere(self):
+        """Hunt on hmt-detbuch, scale-2 --seed 141447562733: the budget was empty."""
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            box.node.core.bounds = RepeatBounds(ratio=0.0, slack=0.0)
+            _all(fleet, "writer", WorkerFault.PAUSE)
+            reply = await fleet.ask(box, "/long/", Attempt_Id="still")
+            assert _events(reply.body) == [1, 2, 3, 4]
+            assert _runs(fleet, "still") == 1
+
     async def test_stream_that_cannot_be_finished_does_not_look_whole(self):
         async with running_fleet() as fleet:
             _all(fleet, "writer", WorkerFault.CUT)
