A fault soak of real processes, with a planted bug for each promise

Change: bench/soak_processes: daemons as processes, links that delay, reset, silence or cut one way, signals, a store that misbehaves, workers that fail; promises checked from what callers and workers see. A broken invariant in a request now stops the process.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 DEV_READY := $(VENV)/.dev-ready
 
 DURATION_S ?= 20
+SEEDS ?= 3
 
-.PHONY: demo test lint format soak mutants measure slopes bench clean
+.PHONY: demo test lint format soak soak-processes mutants measure slopes bench clean
 
 $(RUN_READY): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -38,6 +39,9 @@
 soak: $(DEV_READY)
 	$(BIN)/python -m bench.soak $(DURATION_S)
 
+soak-processes: $(DEV_READY)
+	$(BIN)/python -m bench.soak_processes --seeds $(SEEDS) --duration $(DURATION_S)
+
 mutants: $(DEV_READY)
 	$(BIN)/python -m bench.mutants
 
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -13,6 +13,7 @@
 from result import Result
 
 from ..course import Core
+from ..exceptions import InvariantError
 from ..forwarding import answer
 from ..ids import ModelId
 from ..ids import RequestId
@@ -86,10 +87,21 @@
 
 
 class Front:
-    """Takes callers' requests in and gives them to the request path."""
-
-    def __init__(self, core: Core) -> None:
+    """Takes callers' requests in and gives them to the request path.
+
+    Parameters
+    ----------
+    core : Core
+        What requests share.
+    on_broken : callable
+        Called with the error when an invariant broke.
+    """
+
+    def __init__(
+        self, core: Core, on_broken: t.Callable[[InvariantError], None]
+    ) -> None:
         self._core = core
+        self._on_broken = on_broken
         self.server = self._make_server()
 
     def end_idle_connections(self) -> None:
@@ -151,7 +163,15 @@
         if isinstance(read, Err):
             await reply.refuse(read.err_value)
         else:
-            await answer(self._core, read.ok_value, reply)
+            await self._answer_call(read.ok_value, reply)
+
+    async def _answer_call(self, call: Call, reply: HttpReply) -> None:
+        """Answer; a broken invariant is told to the process, which stops."""
+        try:
+            await answer(self._core, call, reply)
+        except InvariantError as exc:
+            reply.abort()
+            self._on_broken(exc)
 
 
 async def _read_call(req: web.BaseRequest, began: int) -> Result[Call, Refusal]:
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -117,7 +117,7 @@
             count=self.counters.add,
         )
         self.followers = Followers(self.fleet, clock, self._store, bounds.draining_ms)
-        self._front = Front(self.core)
+        self._front = Front(self.core, self._on_broken)
         self._recorder = Recorder(self.fleet, clock, self._store)
         self._exchange = Exchange(
             self.fleet, clock, rng, wire.decode_catalog, settings.seeds
--- /dev/null
+++ b/tests/test_soak_processes.py
@@ -0,0 +1,28 @@
+"""A short seeded run of the process soak, and every seed that ever failed."""
+
+import pytest
+from bench.soak_processes import PLANTS
+from bench.soak_processes import REGRESSIONS
+from bench.soak_processes import ROOT
+from bench.soak_processes import run_seed
+
+SHORT_S = 8.0
+
+
+@pytest.mark.parametrize("seed", [7, *REGRESSIONS])
+def test_seed_keeps_the_promises(seed):
+    soak = run_seed(seed, SHORT_S)
+    assert soak.broken == []
+    assert soak.answered > 50
+
+
+def test_soak_can_fail():
+    soak = run_seed(7, SHORT_S, plant="organisation")
+    assert any(text.startswith("organisation") for text in soak.broken)
+
+
+@pytest.mark.parametrize("name", PLANTS)
+def test_plants_still_fit_the_code(name):
+    plant = PLANTS[name]
+    text = (ROOT / "src" / "spanshunt" / plant.file).read_text()
+    assert text.count(plant.old) >= 1
