Slow answers and failed ones are weighed apart; sessions stay for repeats

Ruled out: failures of the version (none in the log). Change: an answer fails or is slow; ceilings 0.1 and 0.25 apart. A silent worker counts as slow. A session on the entering version is repeated there.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -219,7 +219,7 @@
         )
         for tally in group.tallies:
             key = EvidenceKey(tally.route, tally.entering, tally.epoch)
-            take_tally(into, key, tally.answers, tally.bad)
+            take_tally(into, key, Tally(tally.answers, tally.failed, tally.slow))
 
     def _whom_to_ask(self) -> list[str]:
         fleet, now = self._fleet, self._clock.now()
@@ -357,7 +357,14 @@
     oldest: int,
 ) -> TallyGroup:
     told = tuple(
-        TallyNews(key.route, key.entering, key.epoch, tally.answers, tally.bad)
+        TallyNews(
+            route=key.route,
+            entering=key.entering,
+            epoch=key.epoch,
+            answers=tally.answers,
+            failed=tally.failed,
+            slow=tally.slow,
+        )
         for key, tally in tallies.items()
         if key.epoch > oldest
     )
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -27,6 +27,7 @@
 from .ports import Dispatch
 from .ports import Reply
 from .ports import SendFault
+from .ports import SilentWorkerError
 from .refusals import Problem
 from .refusals import Refusal
 from .refusals import Run
@@ -55,6 +56,7 @@
 from .systems.timing import note_first_time
 from .systems.timing import usual_first_ms
 from .tables.catalog import RequestKind
+from .tables.rollouts import Finding
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
@@ -224,7 +226,8 @@
     if fault.unreached:
         course.runs -= 1
         return Ending.NOT_RUN
-    _note_evidence(core, course, attempt, bad=True)
+    # A silent worker may be busy: that is no failure of its version.
+    _note_evidence(core, course, attempt, Finding.SLOW)
     return Ending.FAILED
 
 
@@ -258,6 +261,9 @@
         else:
             body = await found.read()
             await reply.whole(found.status, found.headers, body)
+    except SilentWorkerError as exc:
+        _note_bad(core, course, attempt, str(exc), Finding.SLOW)
+        return Ending.CUT if reply.begun else Ending.FAILED
     except BrokenAnswerError as exc:
         _note_bad(core, course, attempt, str(exc))
         return Ending.CUT if reply.begun else Ending.FAILED
@@ -294,7 +300,7 @@
 def _note_good(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
     now = core.clock.now()
     note_answer(attempt.worker, first_ms, good=True, now=now)
-    _note_evidence(core, course, attempt, bad=attempt.slow)
+    _note_evidence(core, course, attempt, Finding.SLOW if attempt.slow else None)
     total = now - course.call.began
     core.histograms.record(
         course.org, course.request_class, Measure.TTFT, first_ms * 1_000
@@ -304,10 +310,16 @@
     )
 
 
-def _note_bad(core: Core, course: Course, attempt: Attempt, detail: str) -> None:
+def _note_bad(
+    core: Core,
+    course: Course,
+    attempt: Attempt,
+    detail: str,
+    finding: Finding = Finding.FAILED,
+) -> None:
     now = core.clock.now()
     note_answer(attempt.worker, 0.0, good=False, now=now)
-    _note_evidence(core, course, attempt, bad=True)
+    _note_evidence(core, course, attempt, finding)
     log_event(
         "WARNING",
         "bad answer",
@@ -319,14 +331,16 @@
     )
 
 
-def _note_evidence(core: Core, course: Course, attempt: Attempt, *, bad: bool) -> None:
+def _note_evidence(
+    core: Core, course: Course, attempt: Attempt, finding: Finding | None
+) -> None:
     note_result(
         core.fleet,
         attempt.service,
         course.admitted.route.name,
         attempt.worker.versions,
         core.clock.now(),
-        bad=bad,
+        finding,
     )
 
 
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -30,7 +30,8 @@
     entering: bool
     epoch: int
     answers: int
-    bad: int
+    failed: int
+    slow: int
 
 
 class TallyGroup(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -48,6 +48,9 @@
 JUDGE_MS = 250
 """Period of judging roll-outs, in ms."""
 
+EXIT_SETTINGS = 2
+"""Exit status when the settings can't be used."""
+
 FLUSH_MS = 200
 """Period of writing log lines, in ms."""
 
@@ -243,7 +246,7 @@
         settings = load_node_settings(path)
     except SettingsError as exc:
         print(f"spanshunt-node: {exc}", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(EXIT_SETTINGS)
     lines = set_up_logs(settings.logging, settings.box)
     sys.exit(uvloop.run(_run(settings, path, lines)))
 
@@ -255,7 +258,12 @@
         loop.add_signal_handler(name, node.stop_asked.set)
     loop.add_signal_handler(signal.SIGHUP, node.reload, path)
     flusher = asyncio.create_task(_flush(lines))
-    await node.start()
+    try:
+        await node.start()
+    except OSError as exc:
+        log_event("ERROR", "not started", detail=f"can't listen: {exc}")
+        lines.flush()
+        return EXIT_SETTINGS
     await node.stop_asked.wait()
     await node.stop()
     flusher.cancel()
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -25,6 +25,10 @@
     """
 
 
+class SilentWorkerError(BrokenAnswerError):
+    """A worker that is silent for too long in the middle of an answer."""
+
+
 class Call(msgspec.Struct):
     """One request of a caller, in the product's own terms.
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -10,6 +10,7 @@
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Reply
+from .ports import SilentWorkerError
 from .repeating import budget_allows
 from .repeating import may_go_on
 from .systems.cascading import note_confidence
@@ -107,6 +108,6 @@
             if not may_go_on(core, course):
                 continue
             detail = f"worker {worker.name} silent for {silent_ms:.0f} ms"
-            raise BrokenAnswerError(detail) from None
+            raise SilentWorkerError(detail) from None
         worker.heard_at = core.clock.now()
         return block
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -16,6 +16,7 @@
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
+from ..tables.rollouts import Finding
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import SessionRow
 from ..tables.rollouts import Tally
@@ -33,12 +34,13 @@
 succeeded: by then answers that the leaving version had begun are mostly complete, and a
 writer that fails leaves time for another."""
 
-CEILING_FLOOR = 0.06
-"""Share of bad answers that no version is blamed for: single answers fail on sound
-workers too, when a worker or a link breaks."""
+CEILING_FLOORS = {Finding.FAILED: 0.1, Finding.SLOW: 0.25}
+"""Shares of answers with a fault that no version is blamed for. Single answers fail on
+sound workers, too, when a worker or a link breaks; and a sound version is slow at
+first, while its engines keep no prompts: one in ten answers on a calm day."""
 
 CEILING_FACTOR = 2.0
-"""How many times the leaving version's share of bad answers is still sound."""
+"""How many times the leaving version's share of such answers is still sound."""
 
 EVIDENCE = 5.0
 """Natural log of the change statistic at which a version is bad: a sound version
@@ -116,7 +118,8 @@
         The time, in ms.
     failed : collection of str
         Versions that failed this request already: one that is entering is not asked
-        again, so that a bad one costs its callers one attempt.
+        again, so that a bad one costs its callers one attempt; but sessions that are on
+        it stay.
     """
     row = fleet.rollouts.rows.get(service)
     if row is None:
@@ -126,12 +129,12 @@
     if row.verdict is Verdict.ROLLED_BACK:
         return VersionRule(None, row.version)
     known = fleet.rollouts.sessions.get((service, session)) if session else None
-    if row.version in failed:
-        return VersionRule(None, row.version)
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
     if known is not None and known.version == row.version:
         return VersionRule(row.version, None)
+    if row.version in failed:
+        return VersionRule(None, row.version)
     if known is not None and in_first_half(row, now):
         return VersionRule(None, row.version)
     entering = unit_hash(str(row.order), session or draw) < share_at(row, now)
@@ -199,8 +202,7 @@
     route: str,
     versions: t.Collection[VersionId],
     now: Millis,
-    *,
-    bad: bool,
+    finding: Finding | None,
 ) -> None:
     """Count an answer as evidence while a roll-out of its service runs."""
     row = fleet.rollouts.rows.get(service)
@@ -210,16 +212,18 @@
     key = EvidenceKey(route, row.version in versions, epoch)
     tally = row.own.setdefault(key, Tally())
     tally.answers += 1
-    tally.bad += bad
+    tally.failed += finding is Finding.FAILED
+    tally.slow += finding is Finding.SLOW
 
 
 def judge(row: RolloutRow, now: Millis) -> Judgement:
     """Judge a running roll-out by the pooled evidence."""
     pooled = add_up(row.own, *row.near.values(), *row.far.values())
     for route in sorted({key.route for key in pooled} | {""}):
-        reason = _blame(pooled, route)
-        if reason:
-            return Judgement(Verdict.ROLLED_BACK, reason)
+        for finding in Finding:
+            reason = _blame(pooled, route, finding)
+            if reason:
+                return Judgement(Verdict.ROLLED_BACK, reason)
     age = (now - row.began) / max(1, row.duration_ms)
     if age >= DONE_AT:
         answers = sum(tally.answers for key, tally in pooled.items() if key.entering)
@@ -228,35 +232,45 @@
     return Judgement(Verdict.RUNNING)
 
 
-def _blame(pooled: dict[EvidenceKey, Tally], route: str) -> str:
+def _blame(pooled: dict[EvidenceKey, Tally], route: str, finding: Finding) -> str:
     """Return the evidence against the entering version on a route ("" for all)."""
-    before = _series(pooled, route, entering=False)
-    after = _series(pooled, route, entering=True)
-    bad = sum(epoch[1] for epoch in after)
-    if bad < LEAST_BAD:
+    before = _series(pooled, route, finding, entering=False)
+    after = _series(pooled, route, finding, entering=True)
+    faulty = sum(epoch.faulty for epoch in after)
+    if faulty < LEAST_BAD:
         return ""
-    answers = sum(epoch[0] for epoch in before)
-    usual = sum(epoch[1] for epoch in before) / answers if answers else 0.0
-    ceiling = min(0.5, max(CEILING_FLOOR, CEILING_FACTOR * usual))
-    log_evidence = log_change_above(after, ceiling)
-    if log_evidence < EVIDENCE:
+    answers = sum(epoch.answers for epoch in before)
+    usual = sum(epoch.faulty for epoch in before) / answers if answers else 0.0
+    ceiling = min(0.6, max(CEILING_FLOORS[finding], CEILING_FACTOR * usual))
+    log_evidence = log_change_above([(epoch.answers, epoch.faulty) for epoch in after],
+    ceiling) if log_evidence < EVIDENCE:
         return ""
-    total = sum(epoch[0] for epoch in after)
+    total = sum(epoch.answers for epoch in after)
     where = f"route {route}" if route else "all routes"
-    return f"{where}: {bad} of {total} answers bad, log evidence {log_evidence:.1f}"
+    return (
+        f"{where}: {faulty} of {total} answers {finding.value}, "
+        f"log evidence {log_evidence:.1f}"
+    )
+
+
+class Epoch(t.NamedTuple):
+    """Answers of one epoch, and those with a fault."""
+
+    answers: int
+    faulty: int
 
 
 def _series(
-    pooled: dict[EvidenceKey, Tally], route: str, *, entering: bool
-) -> list[tuple[int, int]]:
-    """Return answers and bad ones by epoch, oldest first; route "" takes all."""
-    epochs: dict[int, list[int]] = {}
+    pooled: dict[EvidenceKey, Tally], route: str, finding: Finding, *, entering: bool
+) -> list[Epoch]:
+    """Return answers and faulty ones by epoch, oldest first; route "" takes all."""
+    epochs: dict[int, Epoch] = {}
     for key, tally in pooled.items():
         if key.entering is entering and route in ("", key.route):
-            epoch = epochs.setdefault(key.epoch, [0, 0])
-            epoch[0] += tally.answers
-            epoch[1] += tally.bad
-    return [(epochs[n][0], epochs[n][1]) for n in sorted(epochs)]
+            old = epochs.get(key.epoch, Epoch(0, 0))
+            faulty = old.faulty + tally.count_of(finding)
+            epochs[key.epoch] = Epoch(old.answers + tally.answers, faulty)
+    return [epochs[number] for number in sorted(epochs)]
 
 
 def add_up(*parts: dict[EvidenceKey, Tally]) -> dict[EvidenceKey, Tally]:
@@ -266,17 +280,17 @@
         for key, tally in tallies.items():
             into = pooled.setdefault(key, Tally())
             into.answers += tally.answers
-            into.bad += tally.bad
+            into.failed += tally.failed
+            into.slow += tally.slow
     return pooled
 
 
-def take_tally(
-    into: dict[EvidenceKey, Tally], key: EvidenceKey, answers: int, bad: int
-) -> None:
+def take_tally(into: dict[EvidenceKey, Tally], key: EvidenceKey, told: Tally) -> None:
     """Take a told tally; counts only rise, so the greatest told is the newest."""
     tally = into.setdefault(key, Tally())
-    tally.answers = max(tally.answers, answers)
-    tally.bad = max(tally.bad, bad)
+    tally.answers = max(tally.answers, told.answers)
+    tally.failed = max(tally.failed, told.failed)
+    tally.slow = max(tally.slow, told.slow)
 
 
 def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -26,11 +26,23 @@
     ROLLED_BACK = "rolled_back"
 
 
+class Finding(enum.Enum):
+    """What can be wrong with an answer: it failed, or its first byte came late."""
+
+    FAILED = "failed"
+    SLOW = "slow"
+
+
 class Tally(msgspec.Struct):
-    """Answers of one version on one route in one epoch."""
+    """Answers of one version on one route in one epoch, and their faults."""
 
     answers: int = 0
-    bad: int = 0
+    failed: int = 0
+    slow: int = 0
+
+    def count_of(self, finding: Finding) -> int:
+        """Return how many answers had this fault."""
+        return self.failed if finding is Finding.FAILED else self.slow
 
 
 class EvidenceKey(msgspec.Struct, frozen=True):
