--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -242,8 +242,9 @@
     answers = sum(epoch.answers for epoch in before)
     usual = sum(epoch.faulty for epoch in before) / answers if answers else 0.0
     ceiling = min(0.6, max(CEILING_FLOORS[finding], CEILING_FACTOR * usual))
-    log_evidence = log_change_above([(epoch.answers, epoch.faulty) for epoch in after],
-    ceiling) if log_evidence < EVIDENCE:
+    series = [(epoch.answers, epoch.faulty) for epoch in after]
+    log_evidence = log_change_above(series, ceiling)
+    if log_evidence < EVIDENCE:
         return ""
     total = sum(epoch.answers for epoch in after)
     where = f"route {route}" if route else "all routes"
