The request path in three modules: forwarding, outcomes, settling

Change: attempt_outcomes (what an attempt teaches), settling (how a request ends), peers/news_rows (rows as news); settings.load_file serves both settings files, so a bad field's value is named for a box, too.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -64,7 +64,7 @@
         "False:\n        return False\n    if course.runs >= 2 + ",
     ),
     "not run": Plant(
-        "forwarding.py",
+        "settling.py",
         "        return Refusal(Problem.BACKEND_FAILED, detail, Run.UNKNOWN)",
         "        return Refusal(Problem.OVERLOADED, detail, Run.NO)",
     ),
--- /dev/null
+++ b/src/spanshunt/attempt_outcomes.py
@@ -0,0 +1,106 @@
+"""What the outcome of an attempt teaches: about workers, times and versions."""
+
+from .course import Attempt
+from .course import Core
+from .course import Course
+from .course import Ending
+from .histograms import Measure
+from .ids import VersionId
+from .logs import log_event
+from .ports import SendFault
+from .systems.placing import note_answer
+from .systems.placing import note_slowness
+from .systems.placing import note_unreached
+from .systems.ramping import note_result
+from .systems.timing import is_slow
+from .systems.timing import note_first_time
+from .systems.timing import usual_first_ms
+from .tables.rollouts import Finding
+
+
+def note_fault(
+    core: Core, course: Course, attempt: Attempt, fault: SendFault
+) -> Ending:
+    """Take in that a send brought no answer; return how the attempt ended."""
+    now = core.clock.now()
+    note_unreached(attempt.worker, now)
+    log_event(
+        "WARNING",
+        "attempt failed",
+        request=course.call.request,
+        worker=attempt.worker.name,
+        unreached=fault.unreached,
+        detail=fault.detail,
+        out_until_ms=max(0, attempt.worker.back_at - now),
+    )
+    if fault.unreached:
+        course.runs -= 1
+        return Ending.NOT_RUN
+    # A silent worker may be busy: that is no failure of its version.
+    note_evidence(core, course, attempt, Finding.SLOW)
+    return Ending.FAILED
+
+
+def note_first(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
+    """Take in how soon a worker began to answer."""
+    fleet, route = core.fleet, course.admitted.route
+    read = course.call.effort.read
+    usual = usual_first_ms(fleet, route, attempt.model, read)
+    note_slowness(attempt.worker, first_ms, usual, core.clock.now())
+    attempt.slow = is_slow(fleet, route, attempt.model, read, first_ms)
+    note_first_time(fleet, route, attempt.model, read, first_ms)
+
+
+def note_good(core: Core, course: Course, attempt: Attempt, first_ms: int) -> None:
+    """Take in a whole answer."""
+    now = core.clock.now()
+    note_answer(attempt.worker, first_ms, good=True, now=now)
+    note_evidence(core, course, attempt, Finding.SLOW if attempt.slow else None)
+    total = now - course.call.began
+    core.histograms.record(
+        course.org, course.request_class, Measure.TTFT, first_ms * 1_000
+    )
+    core.histograms.record(
+        course.org, course.request_class, Measure.TOTAL, total * 1_000
+    )
+
+
+def note_bad(
+    core: Core,
+    course: Course,
+    attempt: Attempt,
+    detail: str,
+    finding: Finding = Finding.FAILED,
+) -> None:
+    """Take in an answer that can't be passed on as a success."""
+    now = core.clock.now()
+    note_answer(attempt.worker, 0.0, good=False, now=now)
+    note_evidence(core, course, attempt, finding)
+    log_event(
+        "WARNING",
+        "bad answer",
+        request=course.call.request,
+        worker=attempt.worker.name,
+        version=version_of(attempt),
+        detail=detail,
+        error_rate=round(attempt.worker.error_rate, 2),
+    )
+
+
+def note_evidence(
+    core: Core, course: Course, attempt: Attempt, finding: Finding | None
+) -> None:
+    """Count an attempt as evidence for or against its version."""
+    note_result(
+        core.fleet,
+        attempt.service,
+        course.admitted.route.name,
+        attempt.worker.versions,
+        core.clock.now(),
+        finding,
+    )
+
+
+def version_of(attempt: Attempt) -> VersionId:
+    """Return the version that an attempt runs on."""
+    return min(attempt.worker.versions, default=VersionId(""))
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -8,8 +8,6 @@
 from result import Result
 
 from .clock import Clock
-from .ids import DomainId
-from .ids import Incarnation
 from .ids import Millis
 from .ids import Offset
 from .logs import log_event
@@ -17,27 +15,24 @@
 from .peers.news import PeerNews
 from .peers.news import RolloutNews
 from .peers.news import TallyGroup
-from .peers.news import TallyNews
-from .peers.news import WorkerNews
 from .peers.news import tell
+from .peers.news_rows import listed
+from .peers.news_rows import rollout_news
+from .peers.news_rows import workers_news
 from .peers.unary import Channels
-from .systems.following_workers import ListedWorker
 from .systems.following_workers import list_digest
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
-from .systems.ramping import add_up
 from .systems.ramping import take_order
 from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
 from .tables.catalog import Catalog
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
-from .tables.rollouts import EPOCH_MS
 from .tables.rollouts import EvidenceKey
 from .tables.rollouts import RolloutRow
 from .tables.rollouts import Tally
 from .tables.rollouts import Verdict
-from .tables.workers import WorkerRow
 
 NEAR_ASKED, FAR_ASKED = 1, 1
 """Peers of this and of other failure domains asked in a round, beside the box that
@@ -50,9 +45,6 @@
 PEERS_TOLD = 8
 """Other boxes named in one exchange."""
 
-TALLY_EPOCHS = 3
-"""Newest epochs of evidence told: older ones were told before."""
-
 BACK_OFF_MS = 1_000
 """How long a peer that did not answer is left alone, times its failures, in ms."""
 
@@ -132,9 +124,9 @@
             workers_end=fleet.workers_end,
             workers_age_ms=max(0, now - fleet.workers_read_at),
             workers_digest=digest,
-            workers=_workers_news(fleet) if wants_list else (),
+            workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
-                _rollout_news(fleet, row, now) for row in fleet.rollouts.rows.values()
+                rollout_news(fleet, row, now) for row in fleet.rollouts.rows.values()
             ),
             peers=tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in told)
             if asker is not None
@@ -161,8 +153,8 @@
             return
         read_at = Millis(now - news.workers_age_ms)
         if news.workers:
-            listed = [_listed(item) for item in news.workers]
-            change = take_list(fleet, listed, Offset(news.workers_end), now)
+            rows = [listed(item) for item in news.workers]
+            change = take_list(fleet, rows, Offset(news.workers_end), now)
             fleet.workers_read_at = max(fleet.workers_read_at, read_at)
             if not change.empty:
                 log_event("INFO", "workers", source=news.box, **_shown(change))
@@ -298,78 +290,5 @@
     )
 
 
-def _workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
-    return tuple(
-        WorkerNews(
-            name=row.name,
-            address=row.address,
-            service=row.service,
-            domain=row.domain,
-            versions=tuple(row.versions),
-            slots=row.slots,
-            draining=row.name in fleet.workers.leaving,
-        )
-        for row in fleet.workers.rows.values()
-    )
-
-
-def _listed(item: WorkerNews) -> ListedWorker:
-    row = WorkerRow(
-        name=item.name,
-        address=item.address,
-        service=item.service,
-        domain=item.domain,
-        versions=frozenset(item.versions),
-        slots=item.slots,
-    )
-    return ListedWorker(row, draining=item.draining)
-
-
-def _rollout_news(fleet: Fleet, row: RolloutRow, now: Millis) -> RolloutNews:
-    me = fleet.me
-    running = row.verdict is Verdict.RUNNING
-    oldest = max(0, now - row.began) // EPOCH_MS - TALLY_EPOCHS
-    groups = [
-        _group(me.domain, me.incarnation, row.own, oldest),
-        _group(me.domain, Incarnation(""), add_up(row.own, *row.near.values()), oldest),
-        *(
-            _group(domain, Incarnation(""), tallies, oldest)
-            for domain, tallies in row.far.items()
-        ),
-    ]
-    return RolloutNews(
-        service=row.service,
-        version=row.version,
-        order=row.order,
-        duration_ms=row.duration_ms,
-        age_ms=now - row.began,
-        verdict=row.verdict.value,
-        reason=row.reason,
-        recorded=row.recorded,
-        groups=tuple(group for group in groups if running and group.tallies),
-    )
-
-
-def _group(
-    domain: DomainId,
-    box: Incarnation,
-    tallies: dict[EvidenceKey, Tally],
-    oldest: int,
-) -> TallyGroup:
-    told = tuple(
-        TallyNews(
-            route=key.route,
-            entering=key.entering,
-            epoch=key.epoch,
-            answers=tally.answers,
-            failed=tally.failed,
-            slow=tally.slow,
-        )
-        for key, tally in tallies.items()
-        if key.epoch > oldest
-    )
-    return TallyGroup(domain, box, told)
-
-
 def _shown(change: t.Any) -> dict[str, object]:
     return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- /dev/null
+++ b/src/spanshunt/peers/news_rows.py
@@ -0,0 +1,97 @@
+"""Rows of tables as boxes tell them to each other, and back."""
+
+from ..ids import DomainId
+from ..ids import Incarnation
+from ..ids import Millis
+from ..systems.following_workers import ListedWorker
+from ..systems.ramping import add_up
+from ..tables.fleet import Fleet
+from ..tables.rollouts import EPOCH_MS
+from ..tables.rollouts import EvidenceKey
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Tally
+from ..tables.rollouts import Verdict
+from ..tables.workers import WorkerRow
+from .news import RolloutNews
+from .news import TallyGroup
+from .news import TallyNews
+from .news import WorkerNews
+
+TALLY_EPOCHS = 3
+"""Newest epochs of evidence told: older ones were told before."""
+
+
+def workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
+    """Return the list of workers as this box knows it."""
+    return tuple(
+        WorkerNews(
+            name=row.name,
+            address=row.address,
+            service=row.service,
+            domain=row.domain,
+            versions=tuple(row.versions),
+            slots=row.slots,
+            draining=row.name in fleet.workers.leaving,
+        )
+        for row in fleet.workers.rows.values()
+    )
+
+
+def listed(item: WorkerNews) -> ListedWorker:
+    """Return a told worker as an entry of the list."""
+    row = WorkerRow(
+        name=item.name,
+        address=item.address,
+        service=item.service,
+        domain=item.domain,
+        versions=frozenset(item.versions),
+        slots=item.slots,
+    )
+    return ListedWorker(row, draining=item.draining)
+
+
+def rollout_news(fleet: Fleet, row: RolloutRow, now: Millis) -> RolloutNews:
+    """Return what this box knows of an order, with the newest evidence."""
+    me = fleet.me
+    running = row.verdict is Verdict.RUNNING
+    oldest = max(0, now - row.began) // EPOCH_MS - TALLY_EPOCHS
+    groups = [
+        _group(me.domain, me.incarnation, row.own, oldest),
+        _group(me.domain, Incarnation(""), add_up(row.own, *row.near.values()), oldest),
+        *(
+            _group(domain, Incarnation(""), tallies, oldest)
+            for domain, tallies in row.far.items()
+        ),
+    ]
+    return RolloutNews(
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        duration_ms=row.duration_ms,
+        age_ms=now - row.began,
+        verdict=row.verdict.value,
+        reason=row.reason,
+        recorded=row.recorded,
+        groups=tuple(group for group in groups if running and group.tallies),
+    )
+
+
+def _group(
+    domain: DomainId,
+    box: Incarnation,
+    tallies: dict[EvidenceKey, Tally],
+    oldest: int,
+) -> TallyGroup:
+    told = tuple(
+        TallyNews(
+            route=key.route,
+            entering=key.entering,
+            epoch=key.epoch,
+            answers=tally.answers,
+            failed=tally.failed,
+            slow=tally.slow,
+        )
+        for key, tally in tallies.items()
+        if key.epoch > oldest
+    )
+    return TallyGroup(domain, box, told)
--- a/src/spanshunt/platform/settings.py
+++ b/src/spanshunt/platform/settings.py
@@ -1,15 +1,13 @@
 """Settings of a box on the platform: JSON, filled in by the deploy file's template."""
 
-import pathlib
 import typing as t
 
 import msgspec
 
-from ..exceptions import SettingsError
 from ..settings import Address
 from ..settings import Duration
 from ..settings import Logging
-from ..utils import split_problem
+from ..settings import load_file
 
 PATH_VARIABLE = "SPANSHUNT_NODE_FILE"
 """The environment variable that holds the path of the settings file."""
@@ -107,12 +105,4 @@
     SettingsError
         Naming file, field, what was found and what is allowed.
     """
-    try:
-        raw = pathlib.Path(path).read_bytes()
-    except OSError as exc:
-        raise SettingsError(path, "$", f"can't be read: {exc.strerror}") from exc
-    try:
-        return msgspec.json.decode(raw, type=NodeSettings)
-    except msgspec.MsgspecError as exc:
-        field, problem = split_problem(str(exc))
-        raise SettingsError(path, field, problem) from exc
+    return load_file(path, NodeSettings)
--- a/src/spanshunt/settings.py
+++ b/src/spanshunt/settings.py
@@ -20,6 +20,9 @@
 Count = t.Annotated[int, msgspec.Meta(ge=1)]
 
 
+T = t.TypeVar("T")
+
+
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     pass
 
@@ -230,6 +233,19 @@
 def load_settings(path: str) -> Settings:
     """Read and check a settings file.
 
+    Raises
+    ------
+    SettingsError
+        Naming file, field, what was found and what is allowed.
+    """
+    settings = load_file(path, Settings)
+    _check_secrets(path, settings)
+    return settings
+
+
+def load_file(path: str, kind: type[T]) -> T:
+    """Read a settings file and check it against its schema.
+
     Raises
     ------
     SettingsError
@@ -240,13 +256,11 @@
     except OSError as exc:
         raise SettingsError(path, "$", f"can't be read: {exc.strerror}") from exc
     try:
-        settings = msgspec.json.decode(raw, type=Settings)
+        return msgspec.json.decode(raw, type=kind)
     except msgspec.MsgspecError as exc:
         field, problem = split_problem(str(exc))
         found = _found_at(raw, field)
         raise SettingsError(path, field, f"{problem}{found}") from exc
-    _check_secrets(path, settings)
-    return settings
 
 
 def read_secret(secret: Secret, path: str, field: str) -> str:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -354,7 +354,8 @@
         def keep(level: str, message: str, **fields: object) -> None:
             lines.append((message, fields))
 
-        monkeypatch.setattr("spanshunt.forwarding.log_event", keep)
+        for module in ("attempt_outcomes", "settling"):
+            monkeypatch.setattr(f"spanshunt.{module}.log_event", keep)
         async with running_fleet() as fleet:
             _all(fleet, "web", WorkerFault.ERROR)
             await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id="why")
