An entry seen after the store's return is gone when it goes

Ruled out: the reader of the domain (it read in time). Change: only entries not seen since the return are waited for. Also: where the usual time to a first byte is unknown, 1.2 of the aim is waited; the first answers teach it faster.

--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -1,8 +1,8 @@
 """The list of backend servers: what a new list means for the workers' table.
 
 A worker leaves when its entry says so or is gone. Entries also lapse while the store is
-away; a worker whose entry is missing is kept until a grace after the store's return, as
-long as nothing else speaks against it.
+away; a worker whose entry has not been seen since the store's return is kept until a
+grace after it, as long as nothing else speaks against it.
 """
 
 import zlib
@@ -60,14 +60,14 @@
         return ListChange()
     fleet.workers_end = end
     present = {item.row.name for item in listed}
-    came, leaving = _take_present(fleet, listed)
+    came, leaving = _take_present(fleet, listed, now)
     gone, kept = _take_missing(fleet, present, now)
     fleet.workers.changed()
     return ListChange(came, leaving, gone, kept)
 
 
 def _take_present(
-    fleet: Fleet, listed: list[ListedWorker]
+    fleet: Fleet, listed: list[ListedWorker], now: Millis
 ) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
     workers = fleet.workers
     came, leaving = [], []
@@ -81,6 +81,7 @@
         else:
             known.address, known.domain = fresh.address, fresh.domain
             known.versions, known.service = fresh.versions, fresh.service
+        workers.rows[fresh.name].listed_at = now
         if item.draining and fresh.name not in workers.leaving:
             _mark_leaving(fleet, fresh.name)
             leaving.append(fresh.name)
@@ -94,7 +95,8 @@
     awaited = store.returned_at >= 0 and now < store.returned_at + RETURN_GRACE_MS
     gone, kept = [], []
     for name in set(fleet.workers.rows) - present:
-        if awaited and name not in fleet.workers.leaving:
+        lapsed = fleet.workers.rows[name].listed_at < store.returned_at
+        if awaited and lapsed and name not in fleet.workers.leaving:
             if fleet.missing.setdefault(name, now) == now:
                 kept.append(name)
             continue
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -15,6 +15,10 @@
 """A first byte is waited for at least this part of the route's aim: what is left must
 suffice for the answer from elsewhere."""
 
+UNKNOWN_AIM_PART = 1.2
+"""A first byte is waited for this part of the aim where nothing is known of its usual
+time: after a restart of all boxes, engines are busy with what callers ask again."""
+
 GAP_LEAST_MS = 700
 """A shorter silence in a stream is not taken for a stall, in ms: an engine that reads
 long prompts between the tokens of others makes an event in up to 0.8 s here."""
@@ -39,6 +43,8 @@
 def first_limit_ms(fleet: Fleet, route: RouteRow, model: ModelId, read: int) -> float:
     """Return how long to wait for a first byte of a silent worker, in ms."""
     usual = usual_first_ms(fleet, route, model, read)
+    if usual <= 0.0:
+        return UNKNOWN_AIM_PART * route.aim_ms
     return max(FIRST_AIM_PART * route.aim_ms, FIRST_FACTOR * usual)
 
 
@@ -82,5 +88,7 @@
         fleet.first_times[key] = FirstTimes(first_ms, read)
         return
     bound = max(SLOW_LEAST_MS, SLOW_FACTOR * usual.first_ms)
-    usual.first_ms += _SMOOTHING * (min(first_ms, bound) - usual.first_ms)
-    usual.read += _SMOOTHING * (read - usual.read)
+    usual.answers += 1
+    step = max(_SMOOTHING, 1.0 / usual.answers)
+    usual.first_ms += step * (min(first_ms, bound) - usual.first_ms)
+    usual.read += step * (read - usual.read)
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -78,11 +78,12 @@
 class FirstTimes(msgspec.Struct):
     """Usual time to the first byte, in ms, and the prompt that it was for, in tokens.
 
-    Both are moving means over good answers.
+    Both are moving means over so many answers.
     """
 
     first_ms: float = 0.0
     read: float = 0.0
+    answers: int = 1
 
 
 class StoreHealth(msgspec.Struct):
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -64,6 +64,8 @@
         When that was last told, in ms.
     pending_read : int
         Prompt tokens of this box's requests that wait for their first byte there.
+    listed_at : int
+        When a list last held its entry, in ms.
     heard_at : int
         When the last byte came from it on any request, in ms.
     """
@@ -88,6 +90,7 @@
     slowness: float = 1.0
     slowness_at: Millis = Millis(0)
     pending_read: int = 0
+    listed_at: Millis = Millis(0)
     heard_at: Millis = Millis(0)
 
 
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -62,6 +62,18 @@
     assert usable(fleet) == {"a"}
 
 
+def test_entry_seen_after_the_return_is_not_waited_for_when_it_goes():
+    """Trial on andino-archivo, trouble-1: DRAIN 2, a worker whose entry went 0.4 s
+    after the store's return."""
+    fleet = make_fleet()
+    take_list(fleet, listed("a", "b"), Offset(2), ms(1))
+    note_store_failure(fleet, ms(2))
+    note_store_answer(fleet, ms(6))
+    take_list(fleet, listed("a", "b"), Offset(4), ms(6))
+    take_list(fleet, listed("a"), Offset(5), ms(6.9))
+    assert usable(fleet) == {"a"}
+
+
 def test_entry_that_comes_back_is_used_again():
     fleet = make_fleet()
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
