--- a/src/spanshunt/tables/config.py
+++ b/src/spanshunt/tables/config.py
@@ -289,7 +289,7 @@
 
 
 class HistoryRow(msgspec.Struct, frozen=True):
-    """One confirmed plan or automatic step, for the operators' audit attempts."""
+    """One confirmed plan or automatic step, for the operators' audit trail."""
 
     offset: Offset
     at: Millis
