A stopping box waits for open connections, not for requests it has counted

Change: after idle connections are closed, the process waits for the rest to close. Figures: the test fails before (without the change) and passes after.

--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -182,9 +182,13 @@
             log_event("WARNING", "connections left open", after_s=CLOSE_S)
 
     async def _until_idle(self, last: float) -> None:
-        """Wait until no request is under way, at most until `last`, in ms."""
+        """Wait until no caller's connection is open, at most until `last`, in ms.
+
+        A request that was read counts before its handler begins; idle connections have
+        been closed, and the others close after their answer.
+        """
         while True:
-            if not self.core.running or self.clock.now() >= last:
+            if not self._front.server.connections or self.clock.now() >= last:
                 return
             await asyncio.sleep(STOP_STEP_S)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -256,6 +256,25 @@
             async with fleet.http.post(box.base + "/view/", headers=headers) as resp:
                 assert resp.status == 200
 
+    async def test_request_whose_handler_has_not_begun_is_finished(self, monkeypatch):
+        """Hunt on hmt-detbuch, trouble-2 --seed 112923417430: LOST 2: with no request
+        counted as under way, the process ended."""
+        monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            front = box.node._front
+            begin = front._answer
+
+            async def begin_late(req, reply):
+                await asyncio.sleep(1.5)
+                await begin(req, reply)
+
+            front._answer = begin_late
+            asking = asyncio.create_task(fleet.ask(box, "/view/"))
+            await asyncio.sleep(0.1)
+            await box.node.stop()
+            assert (await asking).status == 200
+
 
 class TestSettings:
     """Settings of a box: checked, with the field named."""
