A reading of the workers' list that hangs leaves time for another

What fits: connections of the domain's boxes were reset 0.3 s before; a call on a dead connection took its whole 1.5 s after the list had aged 1.4 s. Ruled out: the digest (a list that differs is told whole), an older list (its end is checked). Change: a reading takes a quarter of the bound at most, is tried again after 0.1 s, and a list is old at 0.6 of the bound. Figures: the test (a call that hangs for 1 s) fails before and passes after. Conclusion: kept; whether it was this cause is open.

--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -43,6 +43,14 @@
 leaving worker must get nothing new: a reading that fails once is made up for in
 time."""
 
+READ_PART = 0.25
+"""Longest that a reading of the workers' list may take, as a part of the same time: one
+that hangs on a dead connection must leave time for another. A slow store answers in
+about 240 ms."""
+
+FIRST_RETRY_MS = 100
+"""Pause after the first reading that failed, in ms; after others it is `RETRY_MS`."""
+
 RETRY_MS = 400
 """Pause after a call that failed, in ms: well within what configuration may take to be
 in force (2 s), and 2.5 priced calls a second."""
@@ -88,11 +96,15 @@
 
     async def follow_workers(self) -> None:
         """Read the workers' list where it is this box's turn, or where nobody did."""
+        failures = 0
         while True:
             pause = LOOK_MS
             if must_read(self._fleet, self._clock.now(), self._draining_ms):
                 read = await self._read_workers()
-                pause = int(self._draining_ms * POLL_PART) if read else RETRY_MS
+                failures = 0 if read else failures + 1
+                pause = FIRST_RETRY_MS if failures == 1 else RETRY_MS
+                if read:
+                    pause = int(self._draining_ms * POLL_PART)
             await asyncio.sleep(pause / 1_000)
 
     async def follow_boxes(self) -> None:
@@ -173,7 +185,8 @@
         return True
 
     async def _read_workers(self) -> bool:
-        listing = await self._newest(wire.WORKERS_TOPIC)
+        most_ms = int(self._draining_ms * READ_PART)
+        listing = await self._newest(wire.WORKERS_TOPIC, most_ms)
         if listing is None:
             return False
         listed: list[ListedWorker] = []
@@ -213,8 +226,8 @@
                 fleet.peers[box] = PeerRow(box, address, DomainId(domain))
                 log_event("INFO", "peer listed", peer=box, address=address)
 
-    async def _newest(self, topic: str) -> Listing | None:
-        got = await self._store.newest(topic)
+    async def _newest(self, topic: str, most_ms: int | None = None) -> Listing | None:
+        got = await self._store.newest(topic, most_ms)
         if isinstance(got, Err):
             self._note(got.err_value)
             return None
--- a/src/spanshunt/platform/store.py
+++ b/src/spanshunt/platform/store.py
@@ -109,8 +109,10 @@
         if self._http is not None:
             await self._http.close()
 
-    async def newest(self, topic: str) -> Result[Listing, StoreFault]:
-        """Return the newest record of each key of a topic."""
+    async def newest(
+        self, topic: str, most_ms: int | None = None
+    ) -> Result[Listing, StoreFault]:
+        """Return the newest record of each key; each page in `most_ms` at most."""
         items: list[StoreItem] = []
         end: int | None = None
         since = ""
@@ -118,7 +120,7 @@
             query = {"Topic": topic, "part": "0"}
             if since:
                 query["SinceRev"] = since
-            got = await self._call("GET", "/log-newest", query)
+            got = await self._call("GET", "/log-newest", query, most_ms=most_ms)
             if isinstance(got, Err):
                 return got
             page = decode(got.ok_value, NewestPage)
@@ -172,11 +174,13 @@
         query: dict[str, str],
         body: bytes | None = None,
         wait_ms: int = 0,
+        most_ms: int | None = None,
     ) -> Result[bytes, StoreFault]:
         assert self._http is not None
         self._count("store_calls")
+        answer_s = self._timeout if most_ms is None else most_ms / 1_000
         timeout = aiohttp.ClientTimeout(
-            total=self._timeout + wait_ms / 1_000, sock_connect=self._timeout
+            total=answer_s + wait_ms / 1_000, sock_connect=answer_s
         )
         try:
             async with self._http.request(
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -26,7 +26,7 @@
 """A peer not heard for this long is not relied on to read the list, in ms: three rounds
 of exchanges."""
 
-OLD_PART = 0.7
+OLD_PART = 0.6
 """A list older than this part of the time within which a leaving worker must get
 nothing new is read anew by any box, whoever should have: a call then still fits in."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -94,6 +94,20 @@
             assert (await fleet.ask(second, "/view/")).status == 200
 
 
+async def test_call_that_hangs_does_not_hold_the_workers_list_up():
+    """Hunt on andino-archivo, mix --seed 954449561794: DRAIN 1, three seconds after a
+    worker said that it leaves, with connections reset shortly before."""
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        box.node._store._timeout = 1.5
+        box.endpoint.fault = EndpointFault.SILENT
+        await asyncio.sleep(1.0)
+        box.endpoint.fault = EndpointFault.NONE
+        await fleet.list_worker("p-1", service="web", state="draining")
+        leaving = box.node.fleet.workers.leaving
+        await until(lambda: "p-1" in leaving, "p-1 leaves", 0.9)
+
+
 async def test_one_box_reads_the_workers_for_its_domain():
     async with running_fleet(boxes=3) as fleet:
         await asyncio.sleep(1.5)
