--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -180,15 +180,7 @@
         order = Offset(item.order)
         duration = Millis(item.duration_ms)
         if take_order(fleet, item.service, item.version, order, duration, began):
-            log_event(
-                "INFO",
-                "roll-out ordered",
-                service=item.service,
-                version=item.version,
-                order=item.order,
-                age_ms=item.age_ms,
-                source=news.box,
-            )
+            log_order(fleet.rollouts.rows[item.service], now, news.box)
         row = fleet.rollouts.rows[item.service]
         if row.order != order:
             return
@@ -276,6 +268,20 @@
     return True
 
 
+def log_order(row: RolloutRow, now: Millis, source: str) -> None:
+    """Log that this box took an order in."""
+    log_event(
+        "INFO",
+        "roll-out ordered",
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        duration_ms=row.duration_ms,
+        age_ms=now - row.began,
+        source=source,
+    )
+
+
 def log_verdict(row: RolloutRow, source: str) -> None:
     """Log what this box believes of a roll-out from now on."""
     log_event(
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from ..clock import Clock
+from ..exchange import log_order
 from ..exchange import log_verdict
 from ..exchange import take_catalog
 from ..ids import BoxId
@@ -157,24 +158,17 @@
             return
         order = decoded.ok_value
         service = ServiceId(order.backend)
+        now = self._clock.now()
         new = take_order(
             self._fleet,
             service,
             VersionId(order.target_version),
             offset,
             Millis(int(order.duration_s * 1_000)),
-            self._clock.now(),
+            now,
         )
         if new:
-            log_event(
-                "INFO",
-                "roll-out ordered",
-                service=service,
-                version=order.target_version,
-                order=offset,
-                duration_s=order.duration_s,
-                source="store",
-            )
+            log_order(self._fleet.rollouts.rows[service], now, "store")
 
     async def _read_status(self) -> bool:
         """Take in what is recorded of the orders, for a box that starts midway."""
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from ..ids import BoxId
 from ..ids import DomainId
 from ..ids import Incarnation
 from ..ids import Millis
@@ -116,10 +115,7 @@
         The newest order of each service.
     sessions : dict
         Sessions seen here, by service and session id.
-    first_writer : str
-        The box that records verdicts at present, for logs.
     """
 
     rows: dict[ServiceId, RolloutRow] = {}
     sessions: dict[tuple[ServiceId, str], SessionRow] = {}
-    first_writer: BoxId = BoxId("")
