A repeat after a broken answer gets a connection of its own

Both attempts of one request went over kept connections whose worker owed a surplus answer of the request before; each came just after the request was written, so its id showed another's answer, and the route's two attempts were spent. Any slow machine can hit that window, and so can a worker on the platform. Ruled out: reading on for the real answer on the same connection (foreign bytes there may be cut anywhere, so the next head can't be trusted). Change: an attempt after a broken one is sent on a fresh connection; the flag of a send is called fresh. Stand-in fault OWED makes the window certain.

--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -121,8 +121,7 @@
 ) -> Ending:
     """Send once and see it through; whatever happens is taken into the tables."""
     worker = attempt.worker
-    once = not state.admitted.route.repeatable
-    if once:
+    if not state.admitted.route.repeatable:
         check_single_send(state.runs, state.call.request)
     attempt.sent = core.clock.now()
     state.tried.add(worker.name)
@@ -134,7 +133,7 @@
     found: Answer | None = None
     try:
         try:
-            opened = await _open(core, state, attempt, once=once)
+            opened = await _open(core, state, attempt)
         finally:
             worker.pending_read -= state.call.tokens.read
         if isinstance(opened, SendFault):
@@ -148,15 +147,20 @@
             found.close()
     if ending in (Ending.FAILED, Ending.CUT):
         state.failed_versions |= worker.versions
+        state.broken = True
     took = core.clock.now() - attempt.sent
     state.attempts.append(f"{worker.name}:{attempt.model}:{ending.value}:{took}ms")
     return ending
 
 
 async def _open(
-    core: Core, state: RequestState, attempt: Attempt, *, once: bool
+    core: Core, state: RequestState, attempt: Attempt
 ) -> Answer | SendFault:
-    """Send the request; the head of the answer must come in time for another try."""
+    """Send the request; the head of the answer must come in time for another try.
+
+    A request that may run once only, or that a kept connection may have failed already,
+    gets a connection of its own: a kept one may be dead, or owe another's answer.
+    """
     dispatch = Dispatch(
         call=state.call,
         worker=attempt.worker,
@@ -165,7 +169,7 @@
         urgency=state.admitted.rank,
         left_ms=state.limit - core.clock.now(),
         resume_after=state.last_event,
-        once=once,
+        fresh=state.broken or not state.admitted.route.repeatable,
     )
     sending = asyncio.ensure_future(core.send(dispatch))
     try:
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -95,7 +95,7 @@
 
 
 class WorkerClient:
-    """Sends to workers, over kept connections where a request may be repeated."""
+    """Sends to workers, over kept connections where that is safe."""
 
     def __init__(self) -> None:
         self._kept: aiohttp.ClientSession | None = None
@@ -115,7 +115,7 @@
     async def send(self, dispatch: Dispatch) -> Result[Answer, SendFault]:
         """Send a request and return the head of its answer."""
         call, worker = dispatch.call, dispatch.worker
-        alone = dispatch.once or len(call.body) > ONCE_BYTES
+        alone = dispatch.fresh or len(call.body) > ONCE_BYTES
         session = self._fresh if alone else self._kept
         assert session is not None
         url = URL(f"http://{worker.address}{call.target}", encoded=True)
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -97,7 +97,7 @@
         How long the worker may take, in ms.
     resume_after : int or None
         The last event that the caller has.
-    once : bool
+    fresh : bool
         Whether it must not be sent on a connection that was used before.
     """
 
@@ -108,7 +108,7 @@
     urgency: int
     left_ms: int
     resume_after: int | None
-    once: bool
+    fresh: bool
 
 
 class SendFault(msgspec.Struct, frozen=True):
--- a/src/spanshunt/request_state.py
+++ b/src/spanshunt/request_state.py
@@ -102,6 +102,8 @@
         Workers that had it.
     failed_versions : set
         Versions that failed it.
+    broken : bool
+        Whether an attempt brought no whole answer.
     sends : int
         Attempts that may have reached a worker.
     runs : int
@@ -124,6 +126,7 @@
     raised: bool = False
     tried: set[WorkerId] = set()
     failed_versions: set[VersionId] = set()
+    broken: bool = False
     sends: int = 0
     runs: int = 0
     version: VersionId = VersionId("")
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -28,6 +28,7 @@
     ``PAUSE_S``, then goes on. ``RESET``: an answer
     without a length is reset. ``OTHER``: the answer is another request's. ``EXTRA``: a
     second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
+    ``OWED``: a second answer follows the first when the next request is read.
     ``UNSEALED``: the answer lacks its seal. ``DROP``: the connection is closed unread.
     """
 
@@ -43,6 +44,7 @@
     OTHER = "other"
     EXTRA = "extra"
     LATE_EXTRA = "late extra"
+    OWED = "owed"
     UNSEALED = "unsealed"
     DROP = "drop"
 
@@ -113,8 +115,12 @@
         assert task is not None
         self._tasks.add(task)
         try:
+            owes = False
             while (seen := await _read_request(reader)) is not None:
                 self.seen.append(seen)
+                if owes:
+                    writer.write(SURPLUS)
+                owes = self.fault is WorkerFault.OWED
                 if not await self._answer(seen, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -175,13 +181,12 @@
             return False
         answer = _head(status, request, length=len(body), sealed=sealed) + body
         writer.write(answer)
-        surplus = _head(200, "surplus", length=7, sealed=True) + b"surplus"
         if fault is WorkerFault.EXTRA:
-            writer.write(surplus)
+            writer.write(SURPLUS)
         await writer.drain()
         if fault is WorkerFault.LATE_EXTRA:
             await asyncio.sleep(0.05)
-            writer.write(surplus)
+            writer.write(SURPLUS)
         return True
 
     async def _stream(
@@ -258,6 +263,10 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
+SURPLUS = _head(200, "surplus", length=7, sealed=True) + b"surplus"
+"""An answer that nobody asked for."""
+
+
 async def _read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
     try:
         raw = await reader.readuntil(b"\r\n\r\n")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -176,6 +176,16 @@
                 assert name.encode() in reply.body
                 await asyncio.sleep(0.03 * (number % 3))
 
+    async def test_repeat_is_not_sent_where_another_answer_may_be_owed(self):
+        """CI of 2 December: both attempts met a surplus answer on a kept connection."""
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.OWED)
+            for number in range(12):
+                name = f"s{number}"
+                reply = await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id=name)
+                assert reply.status == 200, number
+                assert name.encode() in reply.body
+
     async def test_replaced_worker_gets_nothing_more(self):
         async with running_fleet() as fleet:
             _all(fleet, "web", WorkerFault.REPLACED)
