--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -2,17 +2,21 @@
 
 Sessions decide the version by a hash, so that all boxes agree without a message. The
 share of the entering version is a function of the order's age: a canary first, then
-steps up, each short enough that a version which only fails under load is taken back
-before its exposure matters. Evidence is pooled over boxes and tested against the
+steps up, each short enough that a version which fails late is taken back before its
+exposure matters. The share of the entering version's workers that are used grows with
+it, so that each of them is as busy as it will be at the end: a version that fails under
+load only does so while few get it. Evidence is pooled over boxes and tested against the
 leaving version's own answers.
 """
 
+import math
 import typing as t
 
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
+from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
@@ -21,13 +25,16 @@
 from ..tables.rollouts import SessionRow
 from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
+from ..utils import rendezvous
 from ..utils import unit_hash
 from .sequential import log_change_above
 
-STEPS = ((0.0, 0.08), (0.5, 0.25), (0.58, 0.5), (0.66, 1.0))
+STEPS = ((0.0, 0.06), (0.5, 0.15), (0.6, 0.25), (0.68, 0.45), (0.75, 1.0))
 """From which part of the order's time on, which share of sessions the entering version
 gets. Sessions must stay on their version in the first half; a bad version may get 0.15
-of all requests, which the canary at 0.08 leaves room under for the steps."""
+of all requests of the order's time. The steps give 0.1 of them until 0.75, so that a
+version which turns bad until then can still be judged (1.2 s, 0.05 to 0.07 of the usual
+orders) within the bound."""
 
 DONE_AT = 0.86
 """Part of the order's time after which an entering version that stayed sound has
@@ -56,10 +63,19 @@
 
 
 class VersionRule(t.NamedTuple):
-    """The version that must answer, or the one that must not; None for no rule."""
+    """The version that must answer, or the one that must not; None for no rule.
+
+    Attributes
+    ----------
+    only, never : str or None
+        The versions.
+    pool : frozenset of str
+        The workers to use for it before others; empty for any.
+    """
 
     only: VersionId | None
     never: VersionId | None
+    pool: frozenset[WorkerId] = frozenset()
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
@@ -132,17 +148,36 @@
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
     if known is not None and known.version == row.version:
-        return VersionRule(row.version, None)
+        return VersionRule(row.version, None, entering_pool(fleet, row, now))
     if row.version in failed:
         return VersionRule(None, row.version)
     if known is not None and in_first_half(row, now):
         return VersionRule(None, row.version)
     entering = unit_hash(str(row.order), session or draw) < share_at(row, now)
-    if entering and _has_workers(fleet, service, row.version):
-        return VersionRule(row.version, None)
+    pool = entering_pool(fleet, row, now) if entering else frozenset()
+    if pool:
+        return VersionRule(row.version, None, pool)
     return VersionRule(None, row.version)
 
 
+def entering_pool(fleet: Fleet, row: RolloutRow, now: Millis) -> frozenset[WorkerId]:
+    """Return the workers of the entering version that are used now.
+
+    Their part of all its workers is the version's share of the sessions; all boxes
+    choose the same ones.
+    """
+    names = [
+        worker.name
+        for worker in fleet.workers.able(row.service, row.version)
+        if worker.name not in fleet.workers.leaving
+    ]
+    count = math.ceil(share_at(row, now) * len(names))
+    if count >= len(names):
+        return frozenset(names)
+    chosen = rendezvous(str(row.order), names, count)
+    return frozenset(WorkerId(name) for name in chosen)
+
+
 def note_session(
     fleet: Fleet, service: ServiceId, session: str, version: VersionId, now: Millis
 ) -> None:
@@ -294,13 +329,6 @@
     tally.slow = max(tally.slow, told.slow)
 
 
-def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
-    return any(
-        row.name not in fleet.workers.leaving
-        for row in fleet.workers.able(service, version)
-    )
-
-
 WRITER_STEP_MS = 700
 """How much longer each next box waits before it records a verdict itself, in ms: longer
 than a call to a slow store takes."""
