A version that was taken back stays barred under the next order

The new order's row replaced the old one, so that from then on the rule was 'not v3': workers of v2, which drain some seconds after the verdict, were admitted again, and sessions moved to v2 and away from it as they ended. Change: an order's row keeps the versions that were taken back before (barred), told among boxes and in the recorded status, so that a box that starts later knows them, too. A rule names a set of versions that must not answer. Tests: test_version_taken_back_gets_nothing_under_the_next_order failed before; test_new_box_knows_what_was_taken_back_before (from the store, with and without the next order's own record). test_placing and one line of test_ramping follow the rule's new shape, with the same strictness.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -23,6 +23,7 @@
 from .systems.following_workers import list_digest
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
+from .systems.ramping import bar_versions
 from .systems.ramping import take_order
 from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
@@ -184,6 +185,7 @@
         row = fleet.rollouts.rows[item.service]
         if row.order != order:
             return
+        bar_versions(row, item.barred)
         verdict, reason = Verdict(item.verdict), item.reason
         if take_verdict(row, verdict, reason, now, recorded=item.recorded):
             log_verdict(row, news.box)
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -67,6 +67,8 @@
         Whether the verdict stands in the platform's store.
     groups : tuple of TallyGroup
         The teller's own evidence and, for other domains, the sums that it knows.
+    barred : tuple of str
+        Versions that were taken back before this order.
     """
 
     service: ServiceId
@@ -78,6 +80,7 @@
     reason: str
     recorded: bool
     groups: tuple[TallyGroup, ...] = ()
+    barred: tuple[VersionId, ...] = ()
 
 
 class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -73,6 +73,7 @@
         reason=row.reason,
         recorded=row.recorded,
         groups=tuple(group for group in groups if running and group.tallies),
+        barred=tuple(sorted(row.barred)),
     )
 
 
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -21,6 +21,7 @@
 from ..systems.following_workers import note_store_answer
 from ..systems.following_workers import note_store_failure
 from ..systems.following_workers import take_list
+from ..systems.ramping import bar_versions
 from ..systems.ramping import take_order
 from ..systems.ramping import take_verdict
 from ..tables.fleet import Fleet
@@ -251,11 +252,15 @@
             continue
         status = decoded.ok_value
         row = fleet.rollouts.rows.get(ServiceId(status.backend))
-        if row is None or status.target_version != row.version:
-            continue
-        if status.order not in (-1, row.order):
+        if row is None:
             continue
         verdict = wire.decode_verdict(status.state)
+        version = VersionId(status.target_version)
+        if version != row.version or status.order not in (-1, row.order):
+            if verdict is Verdict.ROLLED_BACK and status.order < row.order:
+                bar_versions(row, {version, *map(VersionId, status.barred)})
+            continue
+        bar_versions(row, [VersionId(name) for name in status.barred])
         if verdict is Verdict.RUNNING and status.began:
             age = max(0, clock.wall() - status.began)
             row.began = min(row.began, Millis(now - age))
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -83,6 +83,7 @@
             state=judgement.verdict.value,
             order=row.order,
             began=self._clock.wall() - (now - row.began),
+            barred=tuple(sorted(row.barred)),
         )
         value = msgspec.json.encode(status)
         done = await self._store.append(wire.STATUS_TOPIC, key, value, known.end)
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -192,8 +192,9 @@
 class RolloutStatus(_Wire, frozen=True, rename="pascal"):
     """How far a roll-out is, as the system tells the operator.
 
-    ``order`` and ``began`` (ms of the time of day) are the system's own additions: with
-    them a box that starts midway goes on where the others are.
+    ``order``, ``began`` (ms of the time of day) and ``barred`` (versions that were
+    taken back before) are the system's own additions: with them a box that starts
+    midway goes on where the others are.
     """
 
     backend: str
@@ -201,6 +202,7 @@
     state: str
     order: int = -1
     began: int = 0
+    barred: tuple[str, ...] = ()
 
 
 class StoreItem(_Wire, frozen=True, rename="pascal"):
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -63,25 +63,27 @@
 
 
 class VersionRule(t.NamedTuple):
-    """The version that must answer, or the one that must not; None for no rule.
+    """The version that must answer, or those that must not.
 
     Attributes
     ----------
-    only, never : str or None
-        The versions.
+    only : str or None
+        The one that must; None for any.
+    never : frozenset of str
+        Those that must not.
     pool : frozenset of str
         The workers to use for it before others; empty for any.
     """
 
-    only: VersionId | None
-    never: VersionId | None
+    only: VersionId | None = None
+    never: frozenset[VersionId] = frozenset()
     pool: frozenset[WorkerId] = frozenset()
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
         if self.only is not None:
             return self.only in versions
-        return self.never is None or self.never not in versions
+        return self.never.isdisjoint(versions)
 
 
 class Judgement(t.NamedTuple):
@@ -139,25 +141,26 @@
     """
     row = fleet.rollouts.rows.get(service)
     if row is None:
-        return VersionRule(None, None)
+        return VersionRule()
     if row.verdict is Verdict.SUCCEEDED:
-        return VersionRule(row.version, None)
+        return VersionRule(only=row.version)
+    before = VersionRule(never=row.barred | {row.version})
     if row.verdict is Verdict.ROLLED_BACK:
-        return VersionRule(None, row.version)
+        return before
     known = fleet.rollouts.sessions.get((service, session)) if session else None
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
     if known is not None and known.version == row.version:
-        return VersionRule(row.version, None, entering_pool(fleet, row, now))
+        return VersionRule(row.version, pool=entering_pool(fleet, row, now))
     if row.version in failed:
-        return VersionRule(None, row.version)
+        return before
     if known is not None and in_first_half(row, now):
-        return VersionRule(None, row.version)
+        return before
     entering = unit_hash(str(row.order), session or draw) < share_at(row, now)
     pool = entering_pool(fleet, row, now) if entering else frozenset()
     if pool:
-        return VersionRule(row.version, None, pool)
-    return VersionRule(None, row.version)
+        return VersionRule(row.version, pool=pool)
+    return before
 
 
 def entering_pool(fleet: Fleet, row: RolloutRow, now: Millis) -> frozenset[WorkerId]:
@@ -206,12 +209,19 @@
     if known is not None and known.order >= order:
         known.began = min(known.began, began) if known.order == order else known.began
         return False
-    fleet.rollouts.rows[service] = RolloutRow(
-        service, version, order, duration_ms, began
-    )
+    row = RolloutRow(service, version, order, duration_ms, began)
+    if known is not None:
+        taken_back = known.verdict is Verdict.ROLLED_BACK
+        bar_versions(row, known.barred | ({known.version} if taken_back else set()))
+    fleet.rollouts.rows[service] = row
     return True
 
 
+def bar_versions(row: RolloutRow, versions: t.Collection[VersionId]) -> None:
+    """Give nothing more to versions that were taken back before this order."""
+    row.barred = row.barred.union(versions) - {row.version}
+
+
 def take_verdict(
     row: RolloutRow, verdict: Verdict, reason: str, now: Millis, *, recorded: bool
 ) -> bool:
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -77,6 +77,9 @@
         Whether the verdict is known to stand in the platform's store.
     judged_at : int
         When this box learned of the verdict, in ms.
+    barred : frozenset of str
+        Versions that earlier orders brought in and that were taken back: their workers
+        may still be listed.
     own : dict
         This box's tallies.
     near : dict
@@ -94,6 +97,7 @@
     reason: str = ""
     recorded: bool = False
     judged_at: Millis = Millis(0)
+    barred: frozenset[VersionId] = frozenset()
     own: dict[EvidenceKey, Tally] = {}
     near: dict[Incarnation, dict[EvidenceKey, Tally]] = {}
     far: dict[DomainId, dict[EvidenceKey, Tally]] = {}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -222,6 +222,24 @@
                 lambda: rows[ServiceId("writer")].verdict is Verdict.SUCCEEDED, "ended"
             )
 
+    @pytest.mark.parametrize("announced", [False, True])
+    async def test_new_box_knows_what_was_taken_back_before(self, announced):
+        async with running_fleet() as fleet:
+            bad = await fleet.add_worker("n-1", version="v2")
+            bad.fault = WorkerFault.ERROR
+            await order(fleet, "v2", 8.0)
+            while status_of(fleet) != "rolled_back":
+                await ask_all(fleet, 0.5)
+            if not announced:
+                fleet.boxes[0].endpoint.fault = EndpointFault.SILENT
+            await order(fleet, "v3", 20.0)
+            if announced:
+                await until(lambda: status_of(fleet) == "running", "announced")
+            second = await fleet.add_box()
+            rows = second.node.fleet.rollouts.rows
+            await until(lambda: ServiceId("writer") in rows, "the order is known")
+            await until(lambda: rows[ServiceId("writer")].barred == {"v2"}, "barred")
+
 
 class TestStop:
     """A planned stop cuts nothing, and kept connections end in order."""
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -20,7 +20,7 @@
 from spanshunt.systems.ramping import VersionRule
 from spanshunt.tables.fleet import Fleet
 
-ANY = VersionRule(None, None)
+ANY = VersionRule()
 
 
 def wanted(**changes):
@@ -58,7 +58,7 @@
 
 def test_pool_of_an_entering_version_is_used_until_it_is_a_batch_busier():
     fleet = fleet_of("a", "b")
-    rule = VersionRule(VersionId("v1"), None, frozenset({"a"}))
+    rule = VersionRule(VersionId("v1"), pool=frozenset({"a"}))
     fleet.workers.rows["a"].inflight = 7
     assert set(chosen(fleet, rule=rule)) == {"a"}
     fleet.workers.rows["a"].inflight = 12
@@ -135,8 +135,8 @@
     fleet = fleet_of("old")
     add_worker(fleet, make_worker("new", version="v2"))
     v2 = VersionId("v2")
-    assert set(chosen(fleet, rule=VersionRule(v2, None))) == {"new"}
-    assert set(chosen(fleet, rule=VersionRule(None, v2))) == {"old"}
+    assert set(chosen(fleet, rule=VersionRule(only=v2))) == {"new"}
+    assert set(chosen(fleet, rule=VersionRule(never=frozenset({v2})))) == {"old"}
 
 
 def test_worker_tried_already_is_taken_again_only_where_that_is_allowed():
--- a/tests/test_ramping.py
+++ b/tests/test_ramping.py
@@ -139,7 +139,7 @@
 def test_request_of_no_session_is_repeated_on_the_leaving_version():
     fleet = rolling()
     found = version_for(fleet, SERVICE, "", "r", ms(20), failed={NEW})
-    assert found.never == NEW
+    assert found.never == {NEW}
 
 
 def test_sound_version_that_is_slow_under_full_load_is_not_condemned():
@@ -256,6 +256,29 @@
     assert not take_order(fleet, SERVICE, NEW, Offset(5), DURATION, ms(31))
 
 
+def test_version_taken_back_gets_nothing_under_the_next_order():
+    """hmt-detbuch, mix 164690367760: PINNED, its workers were still listed."""
+    fleet = rolling()
+    add_worker(fleet, make_worker("newer", version="v3"))
+    take_verdict(row_of(fleet), Verdict.ROLLED_BACK, "", ms(8), recorded=False)
+    take_order(fleet, SERVICE, VersionId("v3"), Offset(9), DURATION, ms(9))
+    for at in (9.5, 22, 28):
+        for number in range(200):
+            found = version_for(fleet, SERVICE, f"s{number}", "r", ms(at))
+            assert not found.admits({NEW})
+    take_verdict(row_of(fleet), Verdict.ROLLED_BACK, "", ms(29), recorded=False)
+    found = version_for(fleet, SERVICE, "s", "r", ms(30))
+    assert found.admits({OLD}) and not found.admits({NEW})
+
+
+def test_version_ordered_again_is_no_longer_barred():
+    fleet = rolling()
+    take_verdict(row_of(fleet), Verdict.ROLLED_BACK, "", ms(8), recorded=True)
+    take_order(fleet, SERVICE, VersionId("v3"), Offset(9), DURATION, ms(9))
+    take_order(fleet, SERVICE, NEW, Offset(11), DURATION, ms(20))
+    assert NEW not in row_of(fleet).barred
+
+
 class HandOver(RuleBasedStateMachine):
     """Boxes that judge, record and hear of each other in any order.
 
