--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -1,11 +1,11 @@
 """Roll-outs: which version answers a request, and when an order is done or undone.
 
 Sessions decide the version by a hash, so that all boxes agree without a message. The
-share of the entering version is a function of the order's age: a canary for most of it,
-then steps up, so late and short that a version which nothing speaks against has had no
-more than its bound of the order's requests when it succeeds. Few of its workers are
-used while its share is small, so that each is as busy as it will be at the end: a
-version that fails only under load fails while few get it. Evidence is pooled over boxes and tested against the
+share of the entering version is a function of the order's age: a canary, then a probe,
+then all, so late that a version which nothing speaks against has had no more than its
+bound of the order's requests when it succeeds. The probe goes to few of the version's
+workers, so that each is busier than it will be at the end: a version that fails only
+under load fails while few get it. Evidence is pooled over boxes and tested against the
 leaving version's own answers.
 """
 
@@ -28,14 +28,19 @@
 from ..utils import unit_hash
 from .sequential import log_change_above
 
-STEPS = ((0.0, 0.05), (0.5, 0.1), (0.9, 0.3), (0.93, 1.0))
+STEPS = ((0.0, 0.03), (0.6, 0.2), (0.94, 1.0))
 """From which part of the order's time on, which share of sessions the entering version
 gets. Sessions must stay on their version in the first half, and a bad version may get
 0.15 of all requests of the order's time, whether it shows in its answers or not: the
-steps give 0.144. The canary meets 2.5 requests a second at the smallest fleet, of which
-a bad version fails a third or more: judged within about ten seconds."""
+steps give 0.146. The canary meets 1.5 requests a second at the smallest fleet, of which
+a bad version fails a third or more; it is judged in the probe at the latest."""
 
-DONE_AT = 0.945
+PROBE_LOAD = 2.0
+"""How many times busier than at the end the workers used are meant to be: engines of
+both first users are half full at their peaks, and a version bad under load failed from
+half full on (andino-archivo, bench/days/under-load-slow.toml)."""
+
+DONE_AT = 0.955
 """Part of the order's time after which an entering version that stayed sound has
 succeeded: by then answers that the leaving version had begun are mostly complete, and a
 second writer still has its turn within an order of 16 s, the shortest seen."""
@@ -165,7 +170,7 @@
 def entering_pool(fleet: Fleet, row: RolloutRow, now: Millis) -> frozenset[WorkerId]:
     """Return the workers of the entering version that are used now.
 
-    They are the part of its workers that its share is of all sessions, at least one; all
+    They are so few that each is busier than it will be at the end, at least one; all
     boxes choose the same ones.
     """
     names = [
@@ -176,7 +181,8 @@
     share = share_at(row, now)
     if share >= 1.0 or not names:
         return frozenset(names)
-    chosen = rendezvous(str(row.order), names, max(1, int(share * len(names))))
+    count = max(1, int(share * len(names) / PROBE_LOAD))
+    chosen = rendezvous(str(row.order), names, count)
     return frozenset(WorkerId(name) for name in chosen)
 
 
