A gone worker does not come back by a peer that still waits for its entry

Two boxes are cut off from all others until 24.5 s; a worker's entry goes at 24.1 s. Ruled out: a late reading of the list (sur-1 read it every 0.9 s); the new steps of the roll-out (the version had been taken back at 10 s). Change: (1) what a box tells is the store's list, without entries it waits for; (2) an outage is a time in which no box read the list, not one in which this box was refused: boxes tell each other since when the list has been read without a gap, and one that hears of such readings stops waiting; (3) what is waited for is dropped when the grace ends, not at the next list that differs. Beside it: the digest of the list is kept until the list changes. Tests: three new ones fail without it. The older tests of the grace said 'the store failed and answered'; they now say 'no box read the list', with the same expectations, and the test of a whole box makes its outage last that long.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -21,6 +21,7 @@
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
 from .systems.following_workers import list_digest
+from .systems.following_workers import note_reading
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
 from .systems.ramping import bar_versions
@@ -105,6 +106,7 @@
         """Return what to tell a box that told this; None before it has told."""
         fleet = self._fleet
         now = self._clock.now()
+        readings = fleet.readings
         mine = fleet.catalog.version if fleet.catalog is not None else -1
         behind = asker is not None and asker.catalog_version < mine
         digest = list_digest(fleet)
@@ -124,6 +126,8 @@
             catalog_raw=fleet.catalog_raw if behind else b"",
             workers_end=fleet.workers_end,
             workers_age_ms=max(0, now - fleet.workers_read_at),
+            read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
+            read_unbroken_ms=readings.last - readings.since,
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
@@ -150,6 +154,9 @@
     def _take_workers(self, news: News, now: Millis) -> None:
         """Take in a newer list, or that this box's is as new as the teller's."""
         fleet = self._fleet
+        if news.read_age_ms >= 0:
+            last = Millis(now - news.read_age_ms)
+            note_reading(fleet, last, Millis(last - news.read_unbroken_ms))
         if news.workers_end < fleet.workers_end or not news.workers_digest:
             return
         read_at = Millis(now - news.workers_age_ms)
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -126,6 +126,10 @@
         The orders.
     peers : tuple of PeerNews
         Some of the boxes it knows.
+    read_age_ms : int
+        How long ago any box that the teller hears of read the list; -1 for unknown.
+    read_unbroken_ms : int
+        For how long, up to then, the list was read without a gap.
     """
 
     box: BoxId
@@ -140,6 +144,8 @@
     workers: tuple[WorkerNews, ...] = ()
     rollouts: tuple[RolloutNews, ...] = ()
     peers: tuple[PeerNews, ...] = ()
+    read_age_ms: int = -1
+    read_unbroken_ms: int = 0
 
 
 async def tell(
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -22,7 +22,7 @@
 
 
 def workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
-    """Return the list of workers as this box knows it."""
+    """Return the list of workers as the store gave it."""
     return tuple(
         WorkerNews(
             name=row.name,
@@ -34,6 +34,7 @@
             draining=row.name in fleet.workers.leaving,
         )
         for row in fleet.workers.rows.values()
+        if row.name not in fleet.missing
     )
 
 
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -17,7 +17,9 @@
 from ..ids import VersionId
 from ..logs import log_event
 from ..systems.following_workers import ListedWorker
+from ..systems.following_workers import drop_missing
 from ..systems.following_workers import must_read
+from ..systems.following_workers import note_reading
 from ..systems.following_workers import note_store_answer
 from ..systems.following_workers import note_store_failure
 from ..systems.following_workers import take_list
@@ -101,6 +103,9 @@
         failures = 0
         while True:
             pause = LOOK_MS
+            dropped = drop_missing(self._fleet, self._clock.now())
+            if dropped:
+                log_event("INFO", "workers", source="grace over", gone=list(dropped))
             if must_read(self._fleet, self._clock.now(), self._draining_ms):
                 read = await self._read_workers()
                 failures = 0 if read else failures + 1
@@ -193,6 +198,7 @@
                 continue
             listed.append(decoded.ok_value)
         now = self._clock.now()
+        note_reading(self._fleet, now)
         change = take_list(self._fleet, listed, listing.end, now)
         if listing.end >= self._fleet.workers_end:
             self._fleet.workers_read_at = now
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -1,8 +1,9 @@
 """The list of backend servers: what a new list means for the workers' table.
 
 A worker leaves when its entry says so or is gone. Entries also lapse while the store is
-away; a worker whose entry has not been seen since the store's return is kept until a
-grace after it, as long as nothing else speaks against it.
+away, which shows as a time in which no box read the list. A worker whose entry has not
+been seen since is kept until a grace after it, as long as nothing else speaks against
+it.
 """
 
 import zlib
@@ -21,6 +22,10 @@
 """How long after the store's return a lapsed entry is waited for, in ms: workers that
 live write theirs again within about two seconds (the users' letter, point 8)."""
 
+READ_GAP_MS = 1_500
+"""Longest time between two readings of the list, by any box, in which the store is not
+taken to have been away, in ms: a reader reads every 0.9 to 1.4 s, and entries lapse
+after three heartbeats of silence, about 3.6 s."""
 
 HEARD_MS = 1_500
 """A peer not heard for this long is not relied on to read the list, in ms: three rounds
@@ -32,7 +37,15 @@
 
 
 class ListedWorker(msgspec.Struct, frozen=True):
-    """One entry of the list."""
+    """One entry of the list.
+
+    Attributes
+    ----------
+    row : WorkerRow
+        The worker.
+    draining : bool
+        Whether its entry says that it leaves.
+    """
 
     row: WorkerRow
     draining: bool
@@ -73,7 +86,7 @@
     came, leaving = [], []
     for item in listed:
         fresh = item.row
-        fleet.missing.pop(fresh.name, None)
+        fleet.missing.discard(fresh.name)
         known = workers.rows.get(fresh.name)
         if known is None:
             workers.rows[fresh.name] = fresh
@@ -91,23 +104,71 @@
 def _take_missing(
     fleet: Fleet, present: set[WorkerId], now: Millis
 ) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
-    store = fleet.store
-    awaited = store.returned_at >= 0 and now < store.returned_at + RETURN_GRACE_MS
+    waits = awaits_entries(fleet, now)
     gone, kept = [], []
     for name in set(fleet.workers.rows) - present:
-        lapsed = fleet.workers.rows[name].listed_at < store.returned_at
-        if awaited and lapsed and name not in fleet.workers.leaving:
-            if fleet.missing.setdefault(name, now) == now:
+        lapsed = fleet.workers.rows[name].listed_at < fleet.readings.since
+        if waits and lapsed and name not in fleet.workers.leaving:
+            if name not in fleet.missing:
                 kept.append(name)
+            fleet.missing.add(name)
             continue
-        fleet.missing.pop(name, None)
-        _mark_leaving(fleet, name)
-        fleet.workers.leaving.discard(name)
-        del fleet.workers.rows[name]
+        _remove(fleet, name)
         gone.append(name)
     return tuple(gone), tuple(kept)
 
 
+def awaits_entries(fleet: Fleet, now: Millis) -> bool:
+    """Tell whether entries that the list lacks may yet come back.
+
+    They may just after a time in which no box read the list. A box that was cut off
+    waits only until it hears of one that read on: then no entry lapsed.
+    """
+    return now < fleet.readings.since + RETURN_GRACE_MS
+
+
+def drop_missing(fleet: Fleet, now: Millis) -> tuple[WorkerId, ...]:
+    """Remove the workers whose entries are no longer waited for; return them."""
+    if not fleet.missing or awaits_entries(fleet, now):
+        return ()
+    dropped = tuple(name for name in fleet.missing if name in fleet.workers.rows)
+    fleet.missing.clear()
+    for name in dropped:
+        _remove(fleet, name)
+    fleet.workers.changed()
+    return dropped
+
+
+def _remove(fleet: Fleet, name: WorkerId) -> None:
+    fleet.missing.discard(name)
+    _mark_leaving(fleet, name)
+    fleet.workers.leaving.discard(name)
+    del fleet.workers.rows[name]
+
+
+def note_reading(
+    fleet: Fleet, read_at: Millis, unbroken_since: Millis | None = None
+) -> None:
+    """Take in that the list was read from the store.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    read_at : int
+        When, in ms, by this box or by the one that told it.
+    unbroken_since : int or None
+        Since when the teller knows of readings without a gap up to that one, in ms.
+    """
+    readings = fleet.readings
+    reaches = read_at >= readings.last - READ_GAP_MS
+    if readings.last < 0 or read_at - readings.last > READ_GAP_MS:
+        readings.since = read_at
+    if unbroken_since is not None and reaches:
+        readings.since = min(readings.since, unbroken_since)
+    readings.last = max(readings.last, read_at)
+
+
 def _mark_leaving(fleet: Fleet, name: WorkerId) -> None:
     """Stop giving new work to a worker, for as long as its entry stands."""
     fleet.workers.leaving.add(name)
@@ -119,6 +180,7 @@
 def note_replaced(fleet: Fleet, row: WorkerRow) -> None:
     """Take in that another worker answered at this worker's address: it has ended."""
     _mark_leaving(fleet, row.name)
+    fleet.workers.changed()
 
 
 def note_store_answer(fleet: Fleet, now: Millis) -> bool:
@@ -128,7 +190,6 @@
     if store.failing_since < 0:
         return False
     store.failing_since = Millis(-1)
-    store.returned_at = now
     return True
 
 
@@ -161,12 +222,22 @@
 
 
 def list_digest(fleet: Fleet) -> int:
-    """Return a number that is alike for lists that say the same; 0 for none."""
+    """Return a number that is alike for lists that say the same; 0 for none.
+
+    Workers whose entries lapsed are left out: each box waits for them by itself.
+    """
     if fleet.workers_read_at < 0:
         return 0
+    if not fleet.workers.digest:
+        fleet.workers.digest = _digest(fleet)
+    return fleet.workers.digest
+
+
+def _digest(fleet: Fleet) -> int:
     said = sorted(
         f"{row.name} {row.address} {row.service} {sorted(row.versions)} "
         f"{row.name in fleet.workers.leaving}"
         for row in fleet.workers.rows.values()
+        if row.name not in fleet.missing
     )
     return zlib.crc32("\n".join(said).encode()) or 1
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -28,10 +28,6 @@
 """What a worker costs that probably lacks the prompt's shared parts, in parts of a
 batch, for a prompt whose shared parts are half of it; in proportion else."""
 
-POOL_COST = 0.5
-"""What a worker costs that is outside the pool of an entering version, in parts of a
-batch: the pool is used until its workers have that much more to do than the others."""
-
 ERROR_COST = 2.0
 """What a worker costs that fails all its answers, in parts of a batch."""
 
@@ -128,7 +124,6 @@
     if not rows:
         return None
     owners = _owners(rows, wanted)
-    pool = wanted.rule.pool
 
     def cost(row: WorkerRow) -> float:
         miss = row.name not in owners
@@ -136,7 +131,6 @@
             estimate(row, now)
             + (FAR_COST if row.domain != wanted.domain else 0.0)
             + (2 * MISS_COST * wanted.shared_part if miss else 0.0)
-            + (POOL_COST if pool and row.name not in pool else 0.0)
             + ERROR_COST * row.error_rate
             + SLOW_COST * max(0.0, slowness(row, now) - 1.0)
             + row.pending_read / PENDING_TOKENS
@@ -233,8 +227,7 @@
     """Return who probably keeps the prompt's shared parts: one near, one anywhere."""
     if not wanted.memory_key:
         return [row.name for row in rows]
-    used = [row for row in rows if row.name in wanted.rule.pool] or rows
-    near = [row.name for row in used if row.domain == wanted.domain]
-    names = near or [row.name for row in used]
+    near = [row.name for row in rows if row.domain == wanted.domain]
+    names = near or [row.name for row in rows]
     owners = rendezvous(wanted.memory_key, names, 1)
     return [WorkerId(name) for name in owners]
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -87,13 +87,23 @@
         When it last answered, in ms; -1 for never.
     failing_since : int
         When calls began to fail, in ms; -1 while they do not.
-    returned_at : int
-        When it last came back after failing, in ms; -1 for never.
     """
 
     answered_at: Millis = Millis(-1)
     failing_since: Millis = Millis(-1)
-    returned_at: Millis = Millis(-1)
+
+
+class Readings(msgspec.Struct):
+    """A row of readings of the workers' list, by any boxes, without a gap between them.
+
+    Attributes
+    ----------
+    since, last : int
+        The first and the newest, in ms; -1 for none.
+    """
+
+    since: Millis = Millis(-1)
+    last: Millis = Millis(-1)
 
 
 class Fleet(msgspec.Struct):
@@ -114,8 +124,11 @@
     workers_read_at : int
         When that list was read from the store, by this box or by the one that told it,
         in ms; -1 for never.
-    missing : dict
-        Workers that a list lacked while the store was away, with the time since, in ms.
+    readings : Readings
+        Readings of the list by any box that this one hears of.
+    missing : set
+        Workers that the list lacks just after the store's return: their entries may
+        come back.
     peers : dict
         Other boxes.
     rollouts : Rollouts
@@ -138,7 +151,8 @@
     workers: Workers = msgspec.field(default_factory=Workers)
     workers_end: Offset = Offset(-1)
     workers_read_at: Millis = Millis(-1)
-    missing: dict[WorkerId, Millis] = {}
+    readings: Readings = msgspec.field(default_factory=Readings)
+    missing: set[WorkerId] = set()
     peers: dict[BoxId, PeerRow] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -107,12 +107,15 @@
         Those that failed too often.
     index : dict
         Workers by service, and by service and version; see :meth:`able`.
+    digest : int
+        What the list says, as a number; 0 until it is worked out.
     """
 
     rows: dict[WorkerId, WorkerRow] = {}
     leaving: set[WorkerId] = set()
     ejected: set[WorkerId] = set()
     index: dict[tuple[ServiceId, VersionId | None], list[WorkerRow]] = {}
+    digest: int = 0
 
     def able(self, service: ServiceId, version: VersionId | None) -> list[WorkerRow]:
         """Return the workers of `service` that hold `version`, whatever their state."""
@@ -124,5 +127,6 @@
         return self.index.get((service, version), [])
 
     def changed(self) -> None:
-        """Note that workers came or went, or that what they hold changed."""
+        """Note that workers came or went, or that what is known of them changed."""
         self.index.clear()
+        self.digest = 0
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -8,9 +8,13 @@
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
 from spanshunt.ids import Offset
+from spanshunt.peers.news_rows import listed as told_worker
+from spanshunt.peers.news_rows import workers_news
 from spanshunt.systems.following_workers import ListedWorker
+from spanshunt.systems.following_workers import drop_missing
 from spanshunt.systems.following_workers import list_digest
 from spanshunt.systems.following_workers import must_read
+from spanshunt.systems.following_workers import note_reading
 from spanshunt.systems.following_workers import note_store_answer
 from spanshunt.systems.following_workers import note_store_failure
 from spanshunt.systems.following_workers import reader_of
@@ -52,9 +56,9 @@
 
 def test_entry_that_lapsed_with_the_store_is_waited_for():
     fleet = make_fleet()
+    note_reading(fleet, ms(1))
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
-    note_store_failure(fleet, ms(2))
-    note_store_answer(fleet, ms(6))
+    note_reading(fleet, ms(6))
     change = take_list(fleet, listed("a"), Offset(4), ms(6))
     assert change.kept == ("b",)
     assert usable(fleet) == {"a", "b"}
@@ -66,14 +70,51 @@
     """Trial on andino-archivo, trouble-1: DRAIN 2, a worker whose entry went 0.4 s
     after the store's return."""
     fleet = make_fleet()
+    note_reading(fleet, ms(1))
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
-    note_store_failure(fleet, ms(2))
-    note_store_answer(fleet, ms(6))
+    note_reading(fleet, ms(6))
     take_list(fleet, listed("a", "b"), Offset(4), ms(6))
     take_list(fleet, listed("a"), Offset(5), ms(6.9))
     assert usable(fleet) == {"a"}
 
 
+def test_entry_that_went_while_other_boxes_read_the_list_is_not_waited_for():
+    """andino-archivo, trouble-1: DRAIN, a worker left as a cut of one box healed."""
+    fleet = make_fleet()
+    note_reading(fleet, ms(1))
+    take_list(fleet, listed("a", "b"), Offset(2), ms(1))
+    note_reading(fleet, ms(6))
+    assert take_list(fleet, listed("a"), Offset(4), ms(6)).kept == ("b",)
+    note_reading(fleet, ms(5.9), unbroken_since=ms(0.5))
+    assert drop_missing(fleet, ms(6.2)) == ("b",)
+    assert usable(fleet) == {"a"}
+
+
+def test_entry_that_a_peer_waits_for_is_not_taken_up_again():
+    """andino-archivo, trouble-1: DRAIN, a gone worker came back by a peer's list."""
+    fleet = make_fleet()
+    take_list(fleet, listed("a", "b"), Offset(2), ms(1))
+    take_list(fleet, listed("a"), Offset(3), ms(2))
+    peer = make_fleet("box-2")
+    note_reading(peer, ms(1))
+    take_list(peer, listed("a", "b"), Offset(2), ms(1))
+    note_reading(peer, ms(5))
+    assert take_list(peer, listed("a"), Offset(4), ms(5)).kept == ("b",)
+    told = [told_worker(item) for item in workers_news(peer)]
+    assert take_list(fleet, told, Offset(4), ms(5.1)).empty
+    assert usable(fleet) == {"a"}
+
+
+def test_outage_of_all_boxes_breaks_the_row_of_readings():
+    fleet = make_fleet()
+    for at in (1, 2, 3):
+        note_reading(fleet, ms(at), unbroken_since=ms(0))
+    note_reading(fleet, ms(8), unbroken_since=ms(7.5))
+    assert fleet.readings.since == ms(7.5)
+    note_reading(fleet, ms(3), unbroken_since=ms(0))
+    assert fleet.readings.since == ms(7.5)
+
+
 def test_entry_that_comes_back_is_used_again():
     fleet = make_fleet()
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
@@ -84,9 +125,9 @@
 
 def test_draining_worker_is_not_kept_over_the_stores_return():
     fleet = make_fleet()
+    note_reading(fleet, ms(1))
     take_list(fleet, listed("a", "b", draining=("b",)), Offset(2), ms(1))
-    note_store_failure(fleet, ms(2))
-    note_store_answer(fleet, ms(3))
+    note_reading(fleet, ms(3))
     take_list(fleet, listed("a"), Offset(4), ms(3))
     assert usable(fleet) == {"a"}
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 from spanshunt.platform.settings import load_node_settings
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.worker import WorkerFault
+from spanshunt.systems.following_workers import READ_GAP_MS
 from spanshunt.tables.rollouts import Verdict
 
 SOURCES = pathlib.Path(__file__).parent.parent / "src" / "spanshunt"
@@ -127,6 +128,7 @@
         box.endpoint.fault = EndpointFault.BUSY
         lost = "spanshunt_store_status_503"
         await until(lambda: box.node.fleet.store.failing_since >= 0, lost)
+        await asyncio.sleep(READ_GAP_MS / 1_000)
         await fleet.store.put("keyed.servers", "p-1", None)
         box.endpoint.fault = EndpointFault.NONE
         await until(lambda: "p-1" in box.node.fleet.missing, "p-1 is missed")
