--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -1,12 +1,10 @@
 """Roll-outs: which version answers a request, and when an order is done or undone.
 
 Sessions decide the version by a hash, so that all boxes agree without a message. The
-share of the entering version is a function of the order's age: a canary, then a probe,
-then all, so late that a version which nothing speaks against has had no more than its
-bound of the order's requests when it succeeds. The probe goes to few of the version's
-workers, so that each is busier than it will be at the end: a version that fails only
-under load fails while few get it. Evidence is pooled over boxes and tested against the
-leaving version's own answers.
+share of the entering version is a function of the order's age: a canary for most of it,
+then steps up, so late and short that a version which nothing speaks against has had no
+more than its bound of the order's requests when it succeeds. Evidence is pooled over
+boxes and tested against the leaving version's own answers.
 """
 
 import typing as t
@@ -15,7 +13,6 @@
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
-from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
@@ -24,23 +21,17 @@
 from ..tables.rollouts import SessionRow
 from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
-from ..utils import rendezvous
 from ..utils import unit_hash
 from .sequential import log_change_above
 
-STEPS = ((0.0, 0.03), (0.6, 0.2), (0.94, 1.0))
+STEPS = ((0.0, 0.05), (0.5, 0.1), (0.9, 0.3), (0.93, 1.0))
 """From which part of the order's time on, which share of sessions the entering version
 gets. Sessions must stay on their version in the first half, and a bad version may get
 0.15 of all requests of the order's time, whether it shows in its answers or not: the
-steps give 0.146. The canary meets 1.5 requests a second at the smallest fleet, of which
-a bad version fails a third or more; it is judged in the probe at the latest."""
+steps give 0.144. The canary meets 2.5 requests a second at the smallest fleet, of which
+a bad version fails a third or more: judged within about ten seconds."""
 
-PROBE_LOAD = 2.0
-"""How many times busier than at the end the workers used are meant to be: engines of
-both first users are half full at their peaks, and a version bad under load failed from
-half full on (andino-archivo, bench/days/under-load-slow.toml)."""
-
-DONE_AT = 0.955
+DONE_AT = 0.945
 """Part of the order's time after which an entering version that stayed sound has
 succeeded: by then answers that the leaving version had begun are mostly complete, and a
 second writer still has its turn within an order of 16 s, the shortest seen."""
@@ -75,13 +66,10 @@
         The one that must; None for any.
     never : frozenset of str
         Those that must not.
-    pool : frozenset of str
-        The workers to use before others; empty for any.
     """
 
     only: VersionId | None = None
     never: frozenset[VersionId] = frozenset()
-    pool: frozenset[WorkerId] = frozenset()
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
@@ -155,37 +143,17 @@
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
     if known is not None and known.version == row.version:
-        return VersionRule(only=row.version, pool=entering_pool(fleet, row, now))
+        return VersionRule(only=row.version)
     if row.version in failed:
         return before
     if known is not None and in_first_half(row, now):
         return before
     entering = unit_hash(str(row.order), session or draw) < share_at(row, now)
-    pool = entering_pool(fleet, row, now) if entering else frozenset()
-    if pool:
-        return VersionRule(only=row.version, pool=pool)
+    if entering and _has_workers(fleet, service, row.version):
+        return VersionRule(only=row.version)
     return before
 
 
-def entering_pool(fleet: Fleet, row: RolloutRow, now: Millis) -> frozenset[WorkerId]:
-    """Return the workers of the entering version that are used now.
-
-    They are so few that each is busier than it will be at the end, at least one; all
-    boxes choose the same ones.
-    """
-    names = [
-        worker.name
-        for worker in fleet.workers.able(row.service, row.version)
-        if worker.name not in fleet.workers.leaving
-    ]
-    share = share_at(row, now)
-    if share >= 1.0 or not names:
-        return frozenset(names)
-    count = max(1, int(share * len(names) / PROBE_LOAD))
-    chosen = rendezvous(str(row.order), names, count)
-    return frozenset(WorkerId(name) for name in chosen)
-
-
 def note_session(
     fleet: Fleet, service: ServiceId, session: str, version: VersionId, now: Millis
 ) -> None:
@@ -344,6 +312,13 @@
     tally.slow = max(tally.slow, told.slow)
 
 
+def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
+    return any(
+        row.name not in fleet.workers.leaving
+        for row in fleet.workers.able(service, version)
+    )
+
+
 WRITER_STEP_MS = 700
 """How much longer each next box waits before it records a verdict itself, in ms: longer
 than a call to a slow store takes."""
