--- /dev/null
+++ b/bench/soak_callers.py
@@ -0,0 +1,123 @@
+"""Callers of a fault soak, and the promises as callers and workers see them."""
+
+import asyncio
+
+import aiohttp
+
+from .soak_fleet import HOST
+from .soak_fleet import KEYS
+from .soak_fleet import Sent
+from .soak_fleet import Soak
+
+CALLERS = 12
+"""Callers that ask at once."""
+
+DRAINING_S = 2.0
+"""Within which a worker that leaves must get nothing new, in s."""
+
+IN_FORCE_S = 2.0
+"""Within which a configuration must be in force, in s."""
+
+CALM_S = 8.0
+"""A box counts for promises with a time bound when nothing struck it for this long, in
+s: what a box in touch needs, and the longest stretch that an unstable store allows."""
+
+
+async def _call(soak: Soak, http: aiohttp.ClientSession, number: int) -> None:
+    rng = soak.rng
+    box = rng.choice(soak.boxes)
+    path = rng.choice(("once", "safe", "stream"))
+    org, key = rng.choice(list(KEYS.items()))
+    sent = Sent(f"try-{number}", path, org, key, box, soak.now())
+    soak.sent[sent.request] = sent
+    headers = {
+        "Host": HOST,
+        "Attempt-Id": sent.request,
+        "Deadline-Ms": "3000",
+        "Credential": key,
+    }
+    if path == "stream":
+        headers |= {
+            "Model": "*",
+            "Token-Counts": "900,60",
+            "Session": f"s-{number % 9}",
+        }
+    url = f"http://{box.callers}/{path}/x"
+    timeout = aiohttp.ClientTimeout(total=4.0)
+    try:
+        async with http.post(url, headers=headers, timeout=timeout) as resp:
+            body = await resp.read()
+            sent.status = resp.status
+            soak.answered += resp.status == 200
+            _check_answer(soak, sent, resp, body)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        sent.status = -1
+
+
+def _check_answer(
+    soak: Soak, sent: Sent, resp: aiohttp.ClientResponse, body: bytes
+) -> None:
+    if resp.status != 200:
+        return
+    if resp.headers.get("Response-Seal") != f"seal-of-{sent.request}":
+        soak.fail("own answer", f"{sent.request} got another's seal")
+    if sent.path == "stream":
+        text = body.decode()
+        numbers = [int(row[3:]) for row in text.splitlines() if row.startswith("id:")]
+        if numbers != list(range(1, 7)):
+            soak.fail("whole stream", f"{sent.request} got events {numbers}")
+    elif sent.request.encode() not in body.split():
+        soak.fail("own answer", f"{sent.request} got {body[:40]!r}")
+
+
+def check_records(soak: Soak) -> None:
+    """Check what the workers recorded against what callers sent and got."""
+    runs: dict[str, int] = {}
+    for name, worker in soak.workers.items():
+        for request in worker.ran:
+            runs[request] = runs.get(request, 0) + 1
+        for seen in worker.seen:
+            _check_seen(soak, name, seen.request, seen.headers.get("tenant", ""))
+    for request, count in runs.items():
+        sent = soak.sent.get(request)
+        if sent is None:
+            soak.fail("asked", f"{request} was sent by nobody")
+            continue
+        if sent.path == "once" and count > 1:
+            soak.fail("at most once", f"{request} ran {count} times")
+        if sent.status in (408, 421, 429, 503) and sent.path == "once":
+            soak.fail("true refusal", f"{request} got {sent.status} and ran")
+        _check_key(soak, sent)
+
+
+def _check_seen(soak: Soak, name: str, request: str, org: str) -> None:
+    sent = soak.sent.get(request)
+    if sent is None:
+        return
+    if org != sent.org:
+        soak.fail("organisation", f"{request} of {sent.org} reached {name} as {org}")
+    left = soak.draining.get(name)
+    calm = sent.box.struck + CALM_S < sent.at
+    if left is not None and calm and sent.at > left + DRAINING_S:
+        soak.fail("leaving worker", f"{request} reached {name} while it was leaving")
+
+
+def _check_key(soak: Soak, sent: Sent) -> None:
+    taken = soak.revoked.get(sent.key)
+    calm = sent.box.struck + CALM_S < sent.at
+    if taken is not None and calm and sent.at > taken + IN_FORCE_S:
+        soak.fail("configuration", f"{sent.request} ran with a key that was taken away")
+
+
+async def call_until(soak: Soak, end: float) -> None:
+    """Ask, from all callers at once, until `end`."""
+    numbers = iter(range(1_000_000))
+
+    async def caller() -> None:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            while soak.now() < end:
+                await _call(soak, http, next(numbers))
+                await asyncio.sleep(0.01)
+
+    await asyncio.gather(*(caller() for _ in range(CALLERS)))
--- /dev/null
+++ b/bench/soak_fleet.py
@@ -0,0 +1,214 @@
+"""The fleet of a fault soak: daemons as processes, stand-ins and links in this one."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import typing as t
+from dataclasses import dataclass
+from dataclasses import field
+
+from aiohttp import web
+
+from spanshunt.standins.store import StoreEndpoint
+from spanshunt.standins.store import StoreStandin
+from spanshunt.standins.worker import WorkerStandin
+
+from .links import Link
+
+HOST = "soak.example"
+"""The host that callers ask for."""
+
+KEYS = {"museo": "key-museo", "radio": "key-radio"}
+"""Each organisation's credential."""
+
+
+@dataclass
+class BoxProcess:
+    """One daemon: its process, its way to the store, and when it was last struck."""
+
+    name: str
+    settings: pathlib.Path
+    callers: str
+    readiness: str
+    endpoint: StoreEndpoint
+    link: Link
+    process: asyncio.subprocess.Process | None = None
+    struck: float = 0.0
+
+
+@dataclass
+class Sent:
+    """One request of a caller, and what came of it."""
+
+    request: str
+    path: str
+    org: str
+    key: str
+    box: BoxProcess
+    at: float
+    status: int = 0
+
+
+@dataclass
+class Soak:
+    """One schedule under way."""
+
+    rng: random.Random
+    folder: pathlib.Path
+    source: pathlib.Path
+    store: StoreStandin = field(default_factory=StoreStandin)
+    boxes: list[BoxProcess] = field(default_factory=list)
+    workers: dict[str, WorkerStandin] = field(default_factory=dict)
+    links: dict[str, Link] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
+    draining: dict[str, float] = field(default_factory=dict)
+    revoked: dict[str, float] = field(default_factory=dict)
+    sent: dict[str, Sent] = field(default_factory=dict)
+    broken: list[str] = field(default_factory=list)
+    runners: list[web.AppRunner] = field(default_factory=list)
+    version: int = 1
+    answered: int = 0
+    spared: int = 0
+
+    def now(self) -> float:
+        """Return the time, in s."""
+        return asyncio.get_running_loop().time()
+
+    def fail(self, promise: str, detail: str) -> None:
+        """Note a broken promise."""
+        self.broken.append(f"{promise}: {detail}")
+
+
+def _config(soak: Soak) -> dict[str, t.Any]:
+    def route(name: str, kind: str, service: str, **more: t.Any) -> dict[str, t.Any]:
+        base = {"Name": name, "Hostname": HOST, "PathPrefix": f"/{name}/"}
+        timing = {"TimeoutMs": 4000, "TargetLatencyMs": 400, "GapAimMs": 600}
+        return {**base, **timing, "RouteType": kind, "Backend": service, **more}
+
+    return {
+        "Version": soak.version,
+        "Routes": [
+            route("once", "unsafe", "web"),
+            route("safe", "safe", "web", MaxAttempts=2),
+            route(
+                "stream",
+                "streaming",
+                "writer",
+                MaxAttempts=3,
+                StreamResume=True,
+                Sizes=["small", "large"],
+            ),
+        ],
+        "Backends": [
+            {"Name": "web"},
+            {"Name": "writer", "Engine": {"Models": [{"Name": "large", "Cost": 0.1}]}},
+        ],
+        "Tenants": [
+            {"Name": org, "ApiKeys": [] if key in soak.revoked else [key]}
+            for org, key in KEYS.items()
+        ],
+    }
+
+
+async def configure(soak: Soak) -> None:
+    """Write the operators' configuration under a new version."""
+    soak.version += 1
+    await soak.store.put("keyed.op", "config", _config(soak))
+
+
+async def list_worker(soak: Soak, name: str, state: str = "ready") -> None:
+    """Write a worker's entry."""
+    body = {
+        "Backend": soak.services[name],
+        "Address": soak.links[name].address,
+        "Zone": "north",
+        "Version": soak.workers[name].version,
+        "Slots": 8,
+        "State": state,
+    }
+    await soak.store.put("keyed.servers", name, body)
+
+
+async def add_worker(soak: Soak, service: str, version: str = "v1") -> str:
+    """Start a worker behind a link, list it and return its name."""
+    name = f"{service}-{len(soak.workers)}"
+    worker = WorkerStandin(name, version)
+    worker.events, worker.event_s = 6, 0.02
+    worker.sureness = {"small": soak.rng.randrange(100), "large": 90}
+    await worker.start()
+    soak.workers[name], soak.services[name] = worker, service
+    soak.links[name] = Link(worker.address)
+    await soak.links[name].start()
+    await list_worker(soak, name)
+    return name
+
+
+async def add_box(soak: Soak, ports: list[int], seeds: list[str]) -> None:
+    """Start a daemon with a way of its own to the store."""
+    number = len(soak.boxes) + 1
+    endpoint = soak.store.endpoint()
+    runner = web.AppRunner(
+        endpoint.app(), handler_cancellation=True, shutdown_timeout=0.1
+    )
+    await runner.setup()
+    soak.runners.append(runner)
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    link = Link(f"127.0.0.1:{runner.addresses[0][1]}")
+    await link.start()
+    names = ("callers", "readiness", "peers", "metrics")
+    listen = {
+        name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
+    }
+    settings = {
+        "box": f"box-{number}",
+        "domain": "north" if number % 2 else "south",
+        "listen": listen,
+        "store": {"address": link.address, "timeout_ms": 800},
+        "seeds": seeds,
+        "bounds": {"repeat_ratio": 0.9, "repeat_slack": 60.0},
+    }
+    path = soak.folder / f"box-{number}.json"
+    path.write_text(json.dumps(settings))
+    box = BoxProcess(
+        f"box-{number}", path, listen["callers"], listen["readiness"], endpoint, link
+    )
+    soak.boxes.append(box)
+    await start(soak, box)
+
+
+async def start(soak: Soak, box: BoxProcess) -> None:
+    """Start a box's process."""
+    env = {**os.environ, "SPANSHUNT_NODE_FILE": str(box.settings)}
+    with (soak.folder / f"{box.name}.log").open("ab") as log:
+        box.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(soak.source / "spanshunt_node.py"),
+            env=env,
+            stdout=log,
+            stderr=log,
+        )
+
+
+def send_signal(box: BoxProcess, number: int) -> None:
+    """Send a signal to a box's process if it runs."""
+    if box.process is not None and box.process.returncode is None:
+        box.process.send_signal(number)
+
+
+async def stop_fleet(soak: Soak) -> None:
+    """End everything that the soak started."""
+    for box in soak.boxes:
+        send_signal(box, signal.SIGCONT)
+        send_signal(box, signal.SIGKILL)
+        if box.process is not None:
+            await box.process.wait()
+        await box.link.stop()
+    for name, worker in soak.workers.items():
+        await worker.stop()
+        await soak.links[name].stop()
+    for runner in soak.runners:
+        await runner.cleanup()
