The process soak orders roll-outs, and finds a version that comes back

The soak had no roll-outs, so the fault of PINNED (a version that was taken back gets requests under the next order) could not show in it. It now orders versions, half of them bad, and checks that nothing reaches a version two seconds after it is recorded as taken back. Sessions are 200 instead of 9, so that some enter.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -12,12 +12,19 @@
 CALLERS = 12
 """Callers that ask at once."""
 
+SESSIONS = 200
+"""Sessions that callers ask in: enough that a few are on an entering version."""
+
 DRAINING_S = 2.0
 """Within which a worker that leaves must get nothing new, in s."""
 
 IN_FORCE_S = 2.0
 """Within which a configuration must be in force, in s."""
 
+TAKEN_BACK_S = 2.0
+"""Within which a version that is recorded as taken back must get nothing new, in s: a
+few exchanges between boxes."""
+
 CALM_S = 8.0
 """A box counts for promises with a time bound when nothing struck it for this long, in
 s: what a box in touch needs, and the longest stretch that an unstable store allows."""
@@ -40,7 +47,7 @@
         headers |= {
             "Model": "*",
             "Token-Counts": "900,60",
-            "Session": f"s-{number % 9}",
+            "Session": f"s-{number % SESSIONS}",
         }
     url = f"http://{box.callers}/{path}/x"
     timeout = aiohttp.ClientTimeout(total=4.0)
@@ -100,6 +107,9 @@
     calm = sent.box.struck + CALM_S < sent.at
     if left is not None and calm and sent.at > left + DRAINING_S:
         soak.fail("leaving worker", f"{request} reached {name} while it was leaving")
+    judged = soak.taken_back.get(name)
+    if judged is not None and calm and sent.at > judged + TAKEN_BACK_S:
+        soak.fail("taken back", f"{request} reached {name} after its version was")
 
 
 def _check_key(soak: Soak, sent: Sent) -> None:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,6 +1,7 @@
 """Random faults of a fault soak, injected from outside the daemons."""
 
 import asyncio
+import json
 import signal
 
 from spanshunt.standins.store import EndpointFault
@@ -16,6 +17,30 @@
 from .soak_fleet import send_signal
 from .soak_fleet import start
 
+ORDER_S = 4
+"""How long a roll-out may take, in s: two fit into the shortest schedule."""
+
+LOOK_S = 0.05
+"""How often its state is looked at, in s."""
+
+ORDER_MARGIN_S = 1.0
+"""How long after that its state is still awaited, in s."""
+
+
+WEIGHTS = {
+    "kill": 2,
+    "term": 2,
+    "freeze": 2,
+    "hup": 1,
+    "store": 3,
+    "worker": 4,
+    "drain": 1,
+    "keys": 2,
+    "order": 3,
+    "forget": 1,
+}
+"""Actions, and how often each is drawn against the others."""
+
 
 async def _restart(soak: Soak, box: BoxProcess, number: int, pause: float) -> None:
     send_signal(box, number)
@@ -44,7 +69,7 @@
 
 
 async def _harm_worker(soak: Soak) -> None:
-    name = soak.rng.choice(list(soak.workers))
+    name = soak.rng.choice([name for name in soak.workers if name not in soak.bad])
     worker, link = soak.workers[name], soak.links[name]
     if soak.rng.random() < 0.6:
         worker.fault = soak.rng.choice(list(WorkerFault))
@@ -55,13 +80,50 @@
 
 
 async def _drain_worker(soak: Soak) -> None:
-    ready = [name for name in soak.workers if name not in soak.draining]
+    out = soak.draining.keys() | soak.bad
+    ready = [name for name in soak.workers if name not in out]
     name = soak.rng.choice(ready)
     await add_worker(soak, soak.services[name], soak.workers[name].version)
     await list_worker(soak, name, "draining")
     soak.draining[name] = soak.now()
 
 
+async def _order(soak: Soak) -> None:
+    """Order a roll-out, of a bad version in half of the cases, and see it through.
+
+    Workers of a version that was taken back stay listed while the next order may come;
+    those of one that was left are gone at once.
+    """
+    soak.orders += 1
+    version = f"v{soak.orders + 1}"
+    before = [name for name in soak.workers if soak.services[name] == "writer"]
+    entering = [await add_worker(soak, "writer", version) for _ in range(2)]
+    if soak.rng.random() < 0.5:
+        for name in entering:
+            soak.bad.add(name)
+            soak.workers[name].fault = WorkerFault.ERROR
+    body = {"Backend": "writer", "TargetVersion": version, "DurationS": ORDER_S}
+    await soak.store.put("keyed.op", "rollout/writer", body)
+    for _ in range(int((ORDER_S + ORDER_MARGIN_S) / LOOK_S)):
+        if _state_of(soak, version) not in ("", "running"):
+            break
+        await asyncio.sleep(LOOK_S)
+    if _state_of(soak, version) == "rolled_back":
+        soak.taken_back |= dict.fromkeys(entering, soak.now())
+        for name in entering:
+            # Sound again, so that only the verdict keeps requests away from them.
+            soak.workers[name].fault = WorkerFault.NONE
+    elif _state_of(soak, version) == "succeeded":
+        for name in before:
+            await soak.store.put("keyed.servers", name, None)
+
+
+def _state_of(soak: Soak, version: str) -> str:
+    raw = soak.store.topic("keyed.status").values.get("rollout/writer")
+    status = json.loads(raw) if raw else {}
+    return status["State"] if status.get("TargetVersion") == version else ""
+
+
 async def _change_keys(soak: Soak) -> None:
     if soak.revoked:
         soak.revoked.clear()
@@ -75,8 +137,8 @@
     rng = soak.rng
     box = rng.choice(soak.boxes[soak.spared :])
     kind = rng.choices(
-        ["kill", "term", "freeze", "hup", "store", "worker", "drain", "keys", "forget"],
-        [2, 2, 2, 1, 3, 4, 1, 2, 1],
+        list(WEIGHTS),
+        list(WEIGHTS.values()),
     )[0]
     lasting = box.process is not None and box.struck != float("inf")
     if kind in ("kill", "term", "freeze", "store") and lasting:
@@ -97,5 +159,9 @@
         await _drain_worker(soak)
     elif kind == "keys":
         await _change_keys(soak)
+    elif kind == "order" and not soak.ordering:
+        soak.ordering = True
+        await _order(soak)
+        soak.ordering = False
     elif kind == "forget":
         soak.store.forget("keyed.op")
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -55,7 +55,12 @@
 
 @dataclass
 class Soak:
-    """One schedule under way."""
+    """One schedule under way.
+
+    ``draining``, ``revoked`` and ``taken_back`` say since when a worker leaves, a key
+    is gone, and a worker's version is recorded as taken back. ``bad`` are the workers
+    of versions that fail all they get.
+    """
 
     rng: random.Random
     folder: pathlib.Path
@@ -67,6 +72,10 @@
     services: dict[str, str] = field(default_factory=dict)
     draining: dict[str, float] = field(default_factory=dict)
     revoked: dict[str, float] = field(default_factory=dict)
+    taken_back: dict[str, float] = field(default_factory=dict)
+    bad: set[str] = field(default_factory=set)
+    orders: int = 0
+    ordering: bool = False
     sent: dict[str, Sent] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     runners: list[web.AppRunner] = field(default_factory=list)
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -64,6 +64,11 @@
     "leaving": Mutation(
         "systems/following_workers.py", "if item.draining and", "if False and"
     ),
+    "taken back": Mutation(
+        "systems/ramping.py",
+        "taken_back = known.verdict is Verdict.ROLLED_BACK",
+        "taken_back = False",
+    ),
     "revoked": Mutation(
         "exchange.py",
         "catalog.version <= fleet.catalog.version",
