A forgotten connection does not put its worker out

Change: a send that breaks on a kept connection before any byte of the answer is marked stale; it is repeated within the budget (on a connection of its own) and says nothing of the worker or its version. Ruled out: sending again for free on a fresh connection (the worker may have run the request, so it stays an attempt). Tests: test_forgotten_connection_does_not_speak_against_its_worker fails before.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -23,21 +23,24 @@
 ) -> Ending:
     """Take in that a send brought no answer; return how the attempt ended."""
     now = core.clock.now()
-    note_unreached(attempt.worker, now)
+    if not fault.stale:
+        note_unreached(attempt.worker, now)
     log_event(
         "WARNING",
         "attempt failed",
         request=state.call.request,
         worker=attempt.worker.name,
         unreached=fault.unreached,
+        stale=fault.stale,
         detail=fault.detail,
         out_until_ms=max(0, attempt.worker.back_at - now),
     )
     if fault.unreached:
         state.runs -= 1
         return Ending.NOT_RUN
-    # A silent worker may be busy: that is no failure of its version.
-    note_evidence(core, state, attempt, Finding.SLOW)
+    if not fault.stale:
+        # A silent worker may be busy: that is no failure of its version.
+        note_evidence(core, state, attempt, Finding.SLOW)
     return Ending.FAILED
 
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -132,6 +132,8 @@
             return Err(SendFault(True, f"not reached: {exc.os_error}"))
         except aiohttp.ConnectionTimeoutError:
             return Err(SendFault(True, "not reached: the connection did not come up"))
+        except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as exc:
+            return Err(SendFault(False, f"{type(exc).__name__}: {exc}", not alone))
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             return Err(SendFault(False, f"{type(exc).__name__}: {exc}"))
         return Ok(HttpAnswer(resp, call.request))
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -120,10 +120,14 @@
         Whether it is certain that no byte of the request left.
     detail : str
         For people.
+    stale : bool
+        Whether a kept connection broke before any byte of the answer: workers forget
+        idle ones, so this tells nothing of the worker.
     """
 
     unreached: bool
     detail: str
+    stale: bool = False
 
 
 class Answer(t.Protocol):
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -28,8 +28,9 @@
     ``PAUSE_S``, then goes on. ``RESET``: an answer
     without a length is reset. ``OTHER``: the answer is another request's. ``EXTRA``: a
     second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
-    ``OWED``: a second answer follows the first when the next request is read.
-    ``UNSEALED``: the answer lacks its seal. ``DROP``: the connection is closed unread.
+    ``FORGET``: a connection that is used again is reset. ``OWED``: a second answer
+    follows the first when the next request is read. ``UNSEALED``: the answer lacks its
+    seal. ``DROP``: the connection is closed unread.
     """
 
     NONE = "none"
@@ -45,6 +46,7 @@
     EXTRA = "extra"
     LATE_EXTRA = "late extra"
     OWED = "owed"
+    FORGET = "forget"
     UNSEALED = "unsealed"
     DROP = "drop"
 
@@ -115,9 +117,13 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            owes = False
+            owes = used = False
             while (seen := await _read_request(reader)) is not None:
                 self.seen.append(seen)
+                if used and self.fault is WorkerFault.FORGET:
+                    reset(t.cast(asyncio.Transport, writer.transport))
+                    break
+                used = True
                 if owes:
                     writer.write(SURPLUS)
                 owes = self.fault is WorkerFault.OWED
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -186,6 +186,17 @@
                 assert reply.status == 200, number
                 assert name.encode() in reply.body
 
+    async def test_forgotten_connection_does_not_speak_against_its_worker(self):
+        async with running_fleet() as fleet:
+            _all(fleet, "web", WorkerFault.FORGET)
+            for number in range(8):
+                reply = await fleet.ask(
+                    fleet.boxes[0], "/look/", Attempt_Id=f"f{number}"
+                )
+                assert reply.status == 200, number
+            rows = fleet.boxes[0].node.fleet.workers.rows
+            assert {rows[name].back_at for name in ("p-1", "p-2")} == {0}
+
     async def test_replaced_worker_gets_nothing_more(self):
         async with running_fleet() as fleet:
             _all(fleet, "web", WorkerFault.REPLACED)
