--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -20,6 +20,7 @@
 from .peers.news_rows import rollout_news
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
+from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
 from .systems.following_workers import note_reading
 from .systems.following_workers import reader_of
@@ -128,6 +129,7 @@
             workers_age_ms=max(0, now - fleet.workers_read_at),
             read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
             read_unbroken_ms=readings.last - readings.since,
+            served=is_served(fleet, now),
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
@@ -176,7 +178,7 @@
         if row is None:
             row = peers[news.box] = PeerRow(news.box, news.address)
         row.address, row.incarnation = news.address, news.incarnation
-        row.domain = news.domain
+        row.domain, row.served = news.domain, news.served
         row.heard, row.failures = now, 0
         for item in news.peers:
             if item.box != self._fleet.me.box and item.box not in peers:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -130,6 +130,8 @@
         How long ago any box that the teller hears of read the list; -1 for unknown.
     read_unbroken_ms : int
         For how long, up to then, the list was read without a gap.
+    served : bool
+        Whether the store serves the teller.
     """
 
     box: BoxId
@@ -146,6 +148,7 @@
     peers: tuple[PeerNews, ...] = ()
     read_age_ms: int = -1
     read_unbroken_ms: int = 0
+    served: bool = True
 
 
 async def tell(
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -18,6 +18,7 @@
 from ..logs import log_event
 from ..systems.following_workers import ListedWorker
 from ..systems.following_workers import drop_missing
+from ..systems.following_workers import follows_operators
 from ..systems.following_workers import must_read
 from ..systems.following_workers import note_reading
 from ..systems.following_workers import note_store_answer
@@ -40,7 +41,7 @@
 this box."""
 
 LOOK_MS = 100
-"""How often a box looks whether it must read the workers' list, in ms."""
+"""How often a box looks whether it must read for itself, in ms."""
 
 POLL_PART = 0.45
 """Pause between two readings of the workers' list, as a part of the time within which a
@@ -91,12 +92,21 @@
         self._draining_ms = draining_ms
 
     async def follow_operators(self) -> None:
-        """Read all that is newest, then wait for records; begin anew on faults."""
+        """Read all that is newest, then wait for records; begin anew on faults.
+
+        While other boxes of the failure domain follow the records, this one does not.
+        """
         while True:
-            end = await self._read_operators()
-            while end is not None:
-                end = await self._await_operators(end)
-            await asyncio.sleep(RETRY_MS / 1_000)
+            pause = LOOK_MS
+            if self._follows_operators():
+                end = await self._read_operators()
+                while end is not None and self._follows_operators():
+                    end = await self._await_operators(end)
+                pause = RETRY_MS
+            await asyncio.sleep(pause / 1_000)
+
+    def _follows_operators(self) -> bool:
+        return follows_operators(self._fleet, self._clock.now())
 
     async def follow_workers(self) -> None:
         """Read the workers' list where it is this box's turn, or where nobody did."""
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -31,6 +31,15 @@
 """A peer not heard for this long is not relied on to read the list, in ms: three rounds
 of exchanges."""
 
+REFUSED_MS = 3_000
+"""How long after a failed call a box that calls no more is taken to be refused, in ms:
+while the store is away from all, each box tries that seldom."""
+
+OPERATOR_FOLLOWERS = 2
+"""Boxes of a failure domain that follow the operators' records: two, so that one which
+is frozen, cut or killed holds nobody up; what each further one costs is a priced call
+for each record and one every 20 s."""
+
 OLD_PART = 0.6
 """A list older than this part of the time within which a leaving worker must get
 nothing new is read anew by any box, whoever should have: a call then still fits in."""
@@ -195,6 +204,7 @@
 
 def note_store_failure(fleet: Fleet, now: Millis) -> bool:
     """Take in that a call to the store failed; return whether this is new."""
+    fleet.store.failed_at = now
     if fleet.store.failing_since >= 0:
         return False
     fleet.store.failing_since = now
@@ -206,12 +216,41 @@
 
     It is the first by name of those heard of late; where boxes disagree, two read.
     """
+    return _near_heard(fleet, now)[0]
+
+
+def follows_operators(fleet: Fleet, now: Millis) -> bool:
+    """Tell whether this box follows the operators' records itself.
+
+    The first boxes by name of each failure domain do, and any that knows no catalog
+    yet; the others hear of records from them.
+    """
+    if fleet.catalog is None:
+        return True
+    return fleet.me.box in _near_heard(fleet, now)[:OPERATOR_FOLLOWERS]
+
+
+def _near_heard(fleet: Fleet, now: Millis) -> list[BoxId]:
+    """Return this box and those of its failure domain heard of late, by name.
+
+    Boxes that the store does not serve are left out, unless it does not serve this one
+    either: then few of them should go on trying.
+    """
+    served = is_served(fleet, now)
     near = [
         peer.box
         for peer in fleet.peers.values()
-        if peer.domain == fleet.me.domain and 0 <= peer.heard > now - HEARD_MS
+        if peer.domain == fleet.me.domain
+        and 0 <= peer.heard > now - HEARD_MS
+        and (peer.served or not served)
     ]
-    return min([*near, fleet.me.box])
+    return sorted([*near, fleet.me.box])
+
+
+def is_served(fleet: Fleet, now: Millis) -> bool:
+    """Tell whether the store serves this box, as far as its newest calls tell."""
+    store = fleet.store
+    return store.failing_since < 0 or now >= store.failed_at + REFUSED_MS
 
 
 def must_read(fleet: Fleet, now: Millis, draining_ms: int) -> bool:
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -33,6 +33,8 @@
         When it was last called, in ms.
     failures : int
         Calls to it that failed since it last answered.
+    served : bool
+        Whether the store serves it, by its own word.
     """
 
     box: BoxId
@@ -42,6 +44,7 @@
     heard: Millis = Millis(-1)
     asked: Millis = Millis(-1)
     failures: int = 0
+    served: bool = True
 
 
 class TrafficSecond(msgspec.Struct):
@@ -87,10 +90,13 @@
         When it last answered, in ms; -1 for never.
     failing_since : int
         When calls began to fail, in ms; -1 while they do not.
+    failed_at : int
+        When the last call failed, in ms; -1 for never.
     """
 
     answered_at: Millis = Millis(-1)
     failing_since: Millis = Millis(-1)
+    failed_at: Millis = Millis(-1)
 
 
 class Readings(msgspec.Struct):
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -162,6 +162,21 @@
     assert must_read(fleet, ms(10), 2_000) is reads
 
 
+@pytest.mark.parametrize(
+    ("served", "refused_at", "reader"),
+    [(True, -1, "box-1"), (False, -1, "box-2"), (False, 9.0, "box-1")],
+    ids=["all served", "first is refused", "all refused"],
+)
+def test_box_that_the_store_refuses_does_not_read_for_others(
+    served, refused_at, reader
+):
+    fleet = with_peer("box-1")
+    fleet.peers["box-1"].served = served
+    if refused_at >= 0:
+        note_store_failure(fleet, ms(refused_at))
+    assert reader_of(fleet, ms(10)) == reader
+
+
 def test_old_list_is_read_by_any_box():
     """A reader that froze is heard no more only after a while; a list ages sooner."""
     fleet = with_peer("box-1", heard=10.9)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -122,6 +122,47 @@
             await until(lambda leaving=leaving: "p-1" in leaving, "leaves", 2)
 
 
+async def test_two_boxes_of_a_domain_follow_the_operators_for_it():
+    async with running_fleet(boxes=4) as fleet:
+        # Until boxes have heard of each other, each follows.
+        await asyncio.sleep(1.5)
+        await fleet.configure(config(9))
+        for box in fleet.boxes:
+            known = box.node.fleet
+            await until(lambda known=known: known.catalog.version == 9, "version 9", 2)
+        before = len(fleet.store.calls)
+        await fleet.configure(config(11))
+        for box in fleet.boxes:
+            known = box.node.fleet
+            await until(lambda known=known: known.catalog.version == 11, "11", 2)
+        await asyncio.sleep(0.5)
+        calls = fleet.store.calls[before:]
+        assert calls.count("/log-read keyed.op") <= 2
+
+
+@pytest.mark.parametrize("fault", REFUSING)
+async def test_others_follow_when_the_boxes_that_do_are_refused(fault):
+    async with running_fleet(boxes=4) as fleet:
+        await asyncio.sleep(1.0)
+        for box in fleet.boxes[:2]:
+            box.endpoint.fault = fault
+        await fleet.configure(config(11))
+        for box in fleet.boxes:
+            known = box.node.fleet
+            await until(lambda known=known: known.catalog.version == 11, "11", 4)
+
+
+async def test_few_boxes_try_on_while_the_store_is_away():
+    async with running_fleet(boxes=4) as fleet:
+        await asyncio.sleep(1.0)
+        for box in fleet.boxes:
+            box.endpoint.fault = EndpointFault.BUSY
+        await asyncio.sleep(2.0)
+        before = len(fleet.store.calls)
+        await asyncio.sleep(3.0)
+        assert len(fleet.store.calls) - before <= 30
+
+
 async def test_lapsed_entries_are_waited_for():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
