--- a/src/spanshunt/appender.py
+++ b/src/spanshunt/appender.py
@@ -16,11 +16,9 @@
 from .backing.log import LogClient
 from .backing.outcomes import Fault
 from .backing.outcomes import PlatformFault
-from .clock import Clock
 from .ids import Offset
 from .logs import log_event
-from .metrics import Metrics
-from .peers.client import PeerClient
+from .parts import Parts
 from .peers.messages import Gather
 from .peers.messages import Gathered
 from .peers.messages import GatherState
@@ -30,9 +28,7 @@
 from .records import Stream
 from .records import decode_record
 from .records import encode_record
-from .settings import Settings
 from .systems.gossip import live_members
-from .tables.state import State
 from .utils import rendezvous
 
 CLAIMS_PART = 0.4
@@ -55,25 +51,20 @@
 
     Parameters
     ----------
-    settings, state, clock, log, peers, metrics
-        The parts of the daemon that it works with.
+    parts : Parts
+        What the parts of the daemon share.
+    log
+        The other parts that it works with.
     """
 
     def __init__(
         self,
-        settings: Settings,
-        state: State,
-        clock: Clock,
+        parts: Parts,
         log: LogClient,
-        peers: PeerClient,
-        metrics: Metrics,
     ) -> None:
-        self._settings = settings
-        self._state = state
-        self._clock = clock
+        self._parts = parts
+        self._state, self._clock = parts.state, parts.clock
         self._log = log
-        self._peers = peers
-        self._metrics = metrics
         self._waiting: dict[Stream, list[_Waiting]] = {stream: [] for stream in _MERGED}
         self._flushes: dict[Stream, asyncio.Task[None]] = {}
 
@@ -81,7 +72,7 @@
         self, stream: Stream, record: Record
     ) -> Result[Offset, PlatformFault]:
         """Append one record by itself."""
-        self._metrics.count(f"log.append.{stream.value}")
+        self._parts.metrics.count(f"log.append.{stream.value}")
         return await self._log.append(stream, encode_record(record))
 
     async def append_merged(
@@ -92,8 +83,8 @@
         if address is None:
             return _as_result(await self._join(stream, record))
         part = Gather(stream, encode_record(record))
-        timeout = self._settings.platform.timeout_ms / 1000 + self.window(stream)
-        match await self._peers.gather(address, part, timeout):
+        timeout = self._parts.settings.platform.timeout_ms / 1000 + self.window(stream)
+        match await self._parts.peers.gather(address, part, timeout):
             case Ok(gathered):
                 return _as_result(gathered)
             case Err(fault):
@@ -111,10 +102,10 @@
         """Return how long a batch of `stream` is gathered, in seconds."""
         domains = {row.domain for row in self._state.members.rows.values()}
         domains.add(self._state.me.domain)
-        part = _MERGED[stream] * self._settings.platform.appends_per_s
+        part = _MERGED[stream] * self._parts.settings.platform.appends_per_s
         shortest = len(domains) / part
         if stream is Stream.BILLS:
-            return max(shortest, self._settings.journal.batch_ms / 1000)
+            return max(shortest, self._parts.settings.journal.batch_ms / 1000)
         return shortest
 
     def _gatherer(self) -> str | None:
@@ -123,7 +114,7 @@
         now = self._clock.now()
         near = {
             row.box: row.address
-            for row in live_members(state, now, self._settings.timing.suspect_ms)
+            for row in live_members(state, now, self._parts.settings.timing.suspect_ms)
             if row.domain == state.me.domain and not row.stopping
         }
         names = [*near, state.me.box]
--- a/src/spanshunt/bill_keeper.py
+++ b/src/spanshunt/bill_keeper.py
@@ -7,7 +7,6 @@
 from result import Ok
 
 from .appender import Appender
-from .clock import Clock
 from .ids import DomainId
 from .ids import Incarnation
 from .ids import Micros
@@ -16,14 +15,12 @@
 from .ids import RequestId
 from .ids import ServiceId
 from .logs import log_event
-from .metrics import Metrics
-from .peers.client import PeerClient
+from .parts import Parts
 from .peers.messages import CopyBills
 from .records import BillEntry
 from .records import Bills
 from .records import Stream
 from .records import Usage
-from .settings import Settings
 from .systems.gossip import live_members
 from .systems.invariants import check_bill
 from .systems.journaling import first_open
@@ -33,7 +30,6 @@
 from .systems.journaling import seal
 from .systems.journaling import settle
 from .tables.members import MemberRow
-from .tables.state import State
 from .utils import rendezvous
 
 PROTECT_WAIT_MS = 3_000
@@ -59,25 +55,20 @@
 
     Parameters
     ----------
-    settings, state, clock, appender, peers, metrics
-        The parts of the daemon that it works with.
+    parts : Parts
+        What the parts of the daemon share.
+    appender
+        The other parts that it works with.
     """
 
     def __init__(
         self,
-        settings: Settings,
-        state: State,
-        clock: Clock,
+        parts: Parts,
         appender: Appender,
-        peers: PeerClient,
-        metrics: Metrics,
     ) -> None:
-        self._settings = settings
-        self._state = state
-        self._clock = clock
+        self._parts = parts
+        self._state, self._clock = parts.state, parts.clock
         self._appender = appender
-        self._peers = peers
-        self._metrics = metrics
         self._pending: list[_Pending] = []
         self._wake = asyncio.Event()
         self._appending = asyncio.Lock()
@@ -88,7 +79,7 @@
 
     def can_take(self) -> bool:
         """Tell whether a new request's bill could be kept."""
-        if self._state.journal.size >= self._settings.journal.max_entries:
+        if self._state.journal.size >= self._parts.settings.journal.max_entries:
             return False
         since = self._failing_since
         return since is None or self._clock.now() - since < UNPROTECTED_MS
@@ -112,7 +103,7 @@
         check_bill(self._billed, entry, journal.incarnation, wall)
         self._billed.add(request)
         self._costs[request] = entry.cost
-        if self._settings.journal.copies > 0:
+        if self._parts.settings.journal.copies > 0:
             await self._protect(entry)
         return entry
 
@@ -146,7 +137,7 @@
                 self._settle(batch)
                 await self._tell_holders()
             case Err(fault):
-                self._metrics.count("bills.append_failed")
+                self._parts.metrics.count("bills.append_failed")
                 log_event("WARNING", "bills not appended", fault=fault.detail)
 
     async def append_orphans(self) -> None:
@@ -159,7 +150,7 @@
         match await self._appender.append_merged(Stream.BILLS, batch):
             case Ok(_):
                 self._settle(batch)
-                self._metrics.count("bills.taken_over")
+                self._parts.metrics.count("bills.taken_over")
                 log_event("INFO", "bills of gone boxes appended", owners=owners)
             case Err(fault):
                 log_event("WARNING", "bills not appended", fault=fault.detail)
@@ -191,7 +182,7 @@
         try:
             await asyncio.wait_for(fut, PROTECT_WAIT_MS / 1000)
         except TimeoutError:
-            self._metrics.count("bills.unprotected")
+            self._parts.metrics.count("bills.unprotected")
 
     async def _copy_or_append(self, pending: list[_Pending]) -> bool:
         entries = tuple(item.entry for item in pending)
@@ -213,7 +204,7 @@
         message = CopyBills(journal.incarnation, entries, first_open(journal))
         answers = await asyncio.gather(
             *(
-                self._peers.copy_bills(row.address, message, _COPY_TIMEOUT)
+                self._parts.peers.copy_bills(row.address, message, _COPY_TIMEOUT)
                 for row in targets
             )
         )
@@ -244,13 +235,13 @@
         message = CopyBills(journal.incarnation, (), first_open(journal))
         await asyncio.gather(
             *(
-                self._peers.copy_bills(address, message, _COPY_TIMEOUT)
+                self._parts.peers.copy_bills(address, message, _COPY_TIMEOUT)
                 for address in self._holders.values()
             )
         )
 
     def _live(self) -> list[MemberRow]:
-        suspect = self._settings.timing.suspect_ms
+        suspect = self._parts.settings.timing.suspect_ms
         live = live_members(self._state, self._clock.now(), suspect)
         return [row for row in live if not row.stopping]
 
@@ -271,7 +262,7 @@
             else:
                 taken.append(row)
                 domains.add(row.domain)
-        return (taken + spare)[: self._settings.journal.copies]
+        return (taken + spare)[: self._parts.settings.journal.copies]
 
     def _is_gone(self, incarnation: Incarnation, heard: Millis) -> bool:
         now = self._clock.now()
--- a/src/spanshunt/daemon.py
+++ b/src/spanshunt/daemon.py
@@ -35,6 +35,7 @@
 from .logs import set_up_logs
 from .metrics import Metrics
 from .operators import OperatorApi
+from .parts import Parts
 from .peers.client import PeerClient
 from .peers.codec import MsgpackCodec
 from .peers.service import PeerService
@@ -154,13 +155,12 @@
         log = LogClient(settings.platform.log, settings.platform.timeout_ms)
         await log.start()
         peers = PeerClient()
-        appender = Appender(settings, state, clock, log, peers, metrics)
+        parts = self._parts = Parts(settings, state, clock, peers, metrics)
+        appender = Appender(parts, log)
         claimer = Claimer(state, clock, appender, peers)
         follower = ConfigFollower(state, clock, log)
-        gossiper = Gossiper(
-            settings, state, clock, rng, peers, follower, appender, claimer
-        )
-        bills = BillKeeper(settings, state, clock, appender, peers, metrics)
+        gossiper = Gossiper(parts, rng, follower, appender, claimer)
+        bills = BillKeeper(parts, appender)
         keys = [
             read_secret(key, self._path, "$.session_keys")
             for key in settings.session_keys
@@ -206,14 +206,7 @@
         watcher = Watcher(
             self.settings, router.state, self.clock, router.http, router.gossiper
         )
-        duties = Duties(
-            self.settings,
-            router.state,
-            self.clock,
-            router.appender,
-            router.bill_reader,
-            router.metrics,
-        )
+        duties = Duties(self._parts, router.appender, router.bill_reader)
         jobs.forever(router.follower.run)
         jobs.forever(claims.run)
         jobs.forever(router.bills.run_copies)
--- a/src/spanshunt/duties.py
+++ b/src/spanshunt/duties.py
@@ -10,21 +10,18 @@
 
 from .appender import Appender
 from .bill_reader import BillReader
-from .clock import Clock
 from .ids import Millis
 from .ids import RolloutId
 from .logs import log_event
-from .metrics import Metrics
+from .parts import Parts
 from .records import RolloutStep
 from .records import Stream
 from .records import Verdict
-from .settings import Settings
 from .systems.fold import snapshot_of
 from .systems.following import snapshot_due
 from .systems.freshness import is_fresh
 from .systems.gossip import rank
 from .systems.guarding import judge_all
-from .tables.state import State
 from .tables.state import SuspendedRow
 
 TURN_MS = 2_000
@@ -36,25 +33,22 @@
 
     Parameters
     ----------
-    settings, state, clock, appender, bill_reader, metrics
-        The parts of the daemon that it works with.
+    parts : Parts
+        What the parts of the daemon share.
+    appender, bill_reader
+        The other parts that it works with.
     """
 
     def __init__(
         self,
-        settings: Settings,
-        state: State,
-        clock: Clock,
+        parts: Parts,
         appender: Appender,
         bill_reader: BillReader,
-        metrics: Metrics,
     ) -> None:
-        self._settings = settings
-        self._state = state
-        self._clock = clock
+        self._parts = parts
+        self._state, self._clock = parts.state, parts.clock
         self._appender = appender
         self._bill_reader = bill_reader
-        self._metrics = metrics
         self._due_since: dict[str, Millis] = {}
 
     async def judge_rollouts(self) -> None:
@@ -112,7 +106,7 @@
     async def _append_step(self, step: RolloutStep) -> None:
         match await self._appender.append_now(Stream.CONFIG, step):
             case Ok(_):
-                self._metrics.count(f"rollout.{step.verdict.value}")
+                self._parts.metrics.count(f"rollout.{step.verdict.value}")
                 log_event(
                     "INFO",
                     f"roll-out {step.verdict.value}",
@@ -137,9 +131,9 @@
         return now - since >= self._place(duty) * TURN_MS
 
     def _place(self, duty: str) -> int:
-        suspect_ms = self._settings.timing.suspect_ms
+        suspect_ms = self._parts.settings.timing.suspect_ms
         return rank(self._state, duty, self._clock.now(), suspect_ms)
 
     def _is_fresh(self) -> bool:
-        bound = self._settings.timing.fresh_ms
+        bound = self._parts.settings.timing.fresh_ms
         return is_fresh(self._state, self._clock.now(), bound)
--- a/src/spanshunt/gossiper.py
+++ b/src/spanshunt/gossiper.py
@@ -8,12 +8,11 @@
 
 from .appender import Appender
 from .claimer import Claimer
-from .clock import Clock
 from .followers import ConfigFollower
 from .ids import BoxId
 from .ids import DomainId
 from .ids import Incarnation
-from .peers.client import PeerClient
+from .parts import Parts
 from .peers.messages import AskCall
 from .peers.messages import CallStatus
 from .peers.messages import Copied
@@ -24,7 +23,6 @@
 from .peers.messages import Gathered
 from .peers.messages import MemberDigest
 from .peers.messages import Pin
-from .settings import Settings
 from .systems.gossip import answer
 from .systems.gossip import forget_silent
 from .systems.gossip import hear_answer
@@ -32,7 +30,6 @@
 from .systems.gossip import tell
 from .systems.journaling import take_copies
 from .tables.members import MemberRow
-from .tables.state import State
 
 _TIMEOUT = 1.0
 _MOST_AT_ONCE = 32
@@ -44,26 +41,23 @@
 
     Parameters
     ----------
-    settings, state, clock, rng, peers, follower, appender, claimer
-        The parts of the daemon that it works with.
+    parts : Parts
+        What the parts of the daemon share.
+    rng, follower, appender, claimer
+        The other parts that it works with.
     """
 
     def __init__(
         self,
-        settings: Settings,
-        state: State,
-        clock: Clock,
+        parts: Parts,
         rng: random.Random,
-        peers: PeerClient,
         follower: ConfigFollower,
         appender: Appender,
         claimer: Claimer,
     ) -> None:
-        self._settings = settings
-        self._state = state
-        self._clock = clock
+        self._parts = parts
+        self._state, self._clock = parts.state, parts.clock
         self._rng = rng
-        self._peers = peers
         self._follower = follower
         self._appender = appender
         self._claimer = claimer
@@ -74,12 +68,16 @@
         self._state.beat += 1
         forget_silent(self._state, self._clock.now())
         now = self._clock.now()
-        row = pick_peer(self._state, now, self._settings.timing.suspect_ms, self._rng)
+        row = pick_peer(
+            self._state, now, self._parts.settings.timing.suspect_ms, self._rng
+        )
         if row is not None:
             await self._exchange(row.address, row.incarnation)
             return
         others = [
-            seed for seed in self._settings.seeds if seed != self._state.me.address
+            seed
+            for seed in self._parts.settings.seeds
+            if seed != self._state.me.address
         ]
         if others:
             await self._exchange(self._rng.choice(others), Incarnation(""))
@@ -105,7 +103,11 @@
         """Answer a peer; pull from it at once if it is ahead."""
         ahead = told.sender.offset > self._state.config.next_offset
         reply = answer(
-            self._state, told, self._clock.now(), self._clock.wall(), self._rng
+            self._state,
+            told,
+            self._clock.now(),
+            self._clock.wall(),
+            self._rng,
         )
         if ahead:
             self._pull(told.sender)
@@ -114,7 +116,7 @@
     async def copy_bills(self, copy: CopyBills) -> Copied:
         """Hold copies, if there is room."""
         journal = self._state.journal
-        room = self._settings.journal.max_entries - journal.size
+        room = self._parts.settings.journal.max_entries - journal.size
         if len(copy.entries) > room:
             return Copied(held=False)
         take_copies(journal, copy.owner, copy.entries, copy.settled, self._clock.now())
@@ -141,11 +143,15 @@
     async def _exchange(self, address: str, incarnation: Incarnation) -> bool:
         sent = self._clock.now()
         told = tell(self._state, incarnation, sent, self._rng)
-        match await self._peers.exchange(address, told, _TIMEOUT):
+        match await self._parts.peers.exchange(address, told, _TIMEOUT):
             case Ok(got):
                 held = self._state.config.next_offset
                 hear_answer(
-                    self._state, got, sent, self._clock.now(), self._clock.wall()
+                    self._state,
+                    got,
+                    sent,
+                    self._clock.now(),
+                    self._clock.wall(),
                 )
                 if self._state.config.next_offset > held:
                     self._follower.note_grown()
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -138,8 +138,6 @@
 
 
 class _Engine(_Wire, frozen=True, rename="pascal"):
-    slots: int = 0
-    kv_capacity_tokens: int = 0
     models: tuple[_Model, ...] = ()
 
 
@@ -320,8 +318,5 @@
         return ServiceRow(ServiceId(row.name))
     return ServiceRow(
         name=ServiceId(row.name),
-        is_engine=True,
-        slots=row.engine.slots,
-        memory_tokens=row.engine.kv_capacity_tokens,
         costs={ModelId(model.name): model.cost for model in row.engine.models},
     )
--- a/src/spanshunt/tables/catalog.py
+++ b/src/spanshunt/tables/catalog.py
@@ -94,20 +94,12 @@
     ----------
     name : str
         Its name.
-    is_engine : bool
-        Whether its workers are model engines.
-    slots : int
-        Requests that one engine runs at once; 0 if not told.
-    memory_tokens : int
-        Prompt memory of one engine, in tokens.
     costs : dict
-        Price of 1,000 generated tokens by model; read tokens count a quarter.
+        Price of 1,000 generated tokens by model; read tokens count a quarter. Empty for
+        plain services.
     """
 
     name: ServiceId
-    is_engine: bool = False
-    slots: int = 0
-    memory_tokens: int = 0
     costs: dict[ModelId, float] = {}
 
 
