--- /dev/null
+++ b/tests/test_following_machine.py
@@ -0,0 +1,227 @@
+"""Boxes that follow the workers' list through a store that fails in parts.
+
+The store goes away and comes back, refuses single boxes, and single boxes are cut off
+from all; entries lapse while the store is away. What must hold is what callers would
+see: no calm box uses a worker that has left, and none loses one that lives.
+"""
+
+import random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from spanshunt.clock import ManualClock
+from spanshunt.exchange import Exchange
+from spanshunt.ids import BoxId
+from spanshunt.ids import DomainId
+from spanshunt.ids import Millis
+from spanshunt.ids import Offset
+from spanshunt.systems.following_workers import RETURN_GRACE_MS
+from spanshunt.systems.following_workers import ListedWorker
+from spanshunt.systems.following_workers import drop_missing
+from spanshunt.systems.following_workers import must_read
+from spanshunt.systems.following_workers import note_reading
+from spanshunt.systems.following_workers import note_store_answer
+from spanshunt.systems.following_workers import note_store_failure
+from spanshunt.systems.following_workers import take_list
+from spanshunt.tables.fleet import PeerRow
+
+DRAINING_MS = 2_000
+CALM_MS = 3_000
+TICK_MS = 100
+ROUND_TICKS = 4
+READ_TICKS = 9
+DOMAINS = ("north", "north", "north", "south")
+
+
+class OneBox:
+    """A box's tables and exchanges, and what strikes it."""
+
+    def __init__(self, number: int, clock: ManualClock) -> None:
+        self.fleet = make_fleet(f"box-{number}", DOMAINS[number])
+        self.exchange = Exchange(self.fleet, clock, random.Random(number), _none, ())
+        self.cut = self.refused = False
+        self.struck = 0
+        self.read_next = 0
+
+    @property
+    def name(self) -> BoxId:
+        return self.fleet.me.box
+
+    def usable(self) -> set[str]:
+        workers = self.fleet.workers
+        return set(workers.rows) - workers.leaving
+
+
+def _none(raw: bytes):
+    raise AssertionError(f"no catalog is told here: {raw!r}")
+
+
+class Following(RuleBasedStateMachine):
+    """Boxes in two failure domains, a store, and workers that come and go."""
+
+    @initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed):
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.boxes = [OneBox(number, self.clock) for number in range(len(DOMAINS))]
+        for box in self.boxes:
+            for other in self.boxes:
+                if other is not box:
+                    me = other.fleet.me
+                    row = PeerRow(me.box, me.address, DomainId(me.domain))
+                    box.fleet.peers[me.box] = row
+        self.entries: dict[str, bool] = {}
+        self.listed: dict[str, int] = {}
+        self.lapsed: dict[str, int] = {}
+        self.left: dict[str, int] = {}
+        self.end = 0
+        self.up = True
+        self.unstable = 0
+        self.born = 0
+        for _ in range(4):
+            self.worker_comes()
+        self.time_passes(20)
+
+    @rule()
+    def worker_comes(self):
+        self.born += 1
+        self._write(f"w-{self.born}", False)
+
+    @precondition(lambda self: self.up and len(self._living()) > 2)
+    @rule(draining=st.booleans())
+    def worker_leaves(self, draining):
+        name = self.rng.choice(self._living())
+        self.left[name] = self.clock.now()
+        if draining:
+            self._write(name, True)
+        else:
+            del self.entries[name]
+            self.end += 1
+
+    @precondition(lambda self: self.up)
+    @rule(ticks=st.integers(20, 60), lapse=st.booleans())
+    def store_goes_away(self, ticks, lapse):
+        """It is away for all; entries lapse, and come back if their workers live."""
+        self.up = False
+        self._pass(ticks)
+        self.up = True
+        now = self.clock.now()
+        self.unstable = now
+        for name in [name for name in self._living() if lapse]:
+            if self.rng.random() < 0.5:
+                del self.entries[name]
+                self.end += 1
+                if self.rng.random() < 0.8:
+                    self.lapsed[name] = now + self.rng.randrange(200, 1_800)
+                else:
+                    self.left[name] = now + RETURN_GRACE_MS
+
+    @rule(number=st.integers(0, 3), ticks=st.integers(5, 60))
+    def box_is_cut_off(self, number, ticks):
+        box = self.boxes[number]
+        box.cut = True
+        self._pass(ticks)
+        box.cut, box.struck = False, self.clock.now()
+
+    @rule(number=st.integers(0, 3), ticks=st.integers(5, 60))
+    def store_refuses_a_box(self, number, ticks):
+        box = self.boxes[number]
+        box.refused = True
+        self._pass(ticks)
+        box.refused = False
+
+    @rule(ticks=st.integers(1, 30))
+    def time_passes(self, ticks):
+        self._pass(ticks)
+
+    def _living(self) -> list[str]:
+        return [name for name in self.entries if name not in self.left]
+
+    def _write(self, name: str, draining: bool) -> None:
+        self.entries[name] = draining
+        self.listed[name] = self.clock.now()
+        self.end += 1
+
+    def _pass(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.clock.advance(TICK_MS)
+            now = self.clock.now()
+            for name in [name for name, at in self.lapsed.items() if at <= now]:
+                if self.up:
+                    del self.lapsed[name]
+                    self._write(name, False)
+            self.end += 1
+            for box in self.boxes:
+                self._read(box, now)
+            if now // TICK_MS % ROUND_TICKS == 0:
+                for box in self.boxes:
+                    self._exchange(box)
+            self._check(now)
+
+    def _read(self, box: OneBox, now: Millis) -> None:
+        fleet = box.fleet
+        drop_missing(fleet, now)
+        if now < box.read_next or not must_read(fleet, now, DRAINING_MS):
+            return
+        if box.cut or box.refused or not self.up:
+            note_store_failure(fleet, now)
+            box.read_next = now + 4 * TICK_MS
+            return
+        note_store_answer(fleet, now)
+        box.read_next = now + READ_TICKS * TICK_MS
+        rows = [
+            ListedWorker(make_worker(name), draining)
+            for name, draining in self.entries.items()
+        ]
+        note_reading(fleet, now)
+        take_list(fleet, rows, Offset(self.end), now)
+        fleet.workers_read_at = now
+
+    def _exchange(self, box: OneBox) -> None:
+        if box.cut:
+            return
+        others = [other for other in self.boxes if other is not box and not other.cut]
+        for other in self.rng.sample(others, min(2, len(others))):
+            told = box.exchange.news_for(None)
+            box.exchange.take(other.exchange.news_for(told))
+            other.exchange.take(told)
+
+    def _check(self, now: Millis) -> None:
+        for box in self.boxes:
+            struck = box.cut or now < box.struck + CALM_MS
+            if struck or not self.up or now < self.unstable + CALM_MS:
+                continue
+            late = [
+                name
+                for name in box.usable()
+                if name in self.left and now > self.left[name] + DRAINING_MS
+            ]
+            assert not late, (box.name, late, now, self.left)
+
+    @invariant()
+    def living_workers_are_used_in_calm_times(self):
+        if not getattr(self, "boxes", None) or not self.up:
+            return
+        now = self.clock.now()
+        for box in self.boxes:
+            struck = box.cut or now < box.struck + CALM_MS
+            if struck or now < self.unstable + CALM_MS + RETURN_GRACE_MS:
+                continue
+            known = {
+                name for name in self._living() if now > self.listed[name] + CALM_MS
+            }
+            assert known <= box.usable(), (box.name, known - box.usable())
+
+
+Following.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=20, deadline=None
+)
+TestFollowing = Following.TestCase
