--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -12,6 +12,7 @@
 from spanshunt.peers.news_rows import workers_news
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import drop_missing
+from spanshunt.systems.following_workers import follows_operators
 from spanshunt.systems.following_workers import list_digest
 from spanshunt.systems.following_workers import must_read
 from spanshunt.systems.following_workers import note_reading
@@ -19,6 +20,7 @@
 from spanshunt.systems.following_workers import note_store_failure
 from spanshunt.systems.following_workers import reader_of
 from spanshunt.systems.following_workers import take_list
+from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 
@@ -177,6 +179,27 @@
     assert reader_of(fleet, ms(10)) == reader
 
 
+@pytest.mark.parametrize(
+    ("box", "refused", "follows"),
+    [
+        ("box-1", (), True),
+        ("box-2", (), True),
+        ("box-3", (), False),
+        ("box-3", ("box-1",), True),
+        ("box-4", ("box-1",), False),
+    ],
+)
+def test_first_two_served_boxes_of_a_domain_follow_the_operators(box, refused, follows):
+    fleet = make_fleet(box)
+    for name in {"box-1", "box-2", "box-3", "box-4"} - {box}:
+        row = PeerRow(BoxId(name), "a", DomainId("north"), heard=ms(9.9))
+        row.served = name not in refused
+        fleet.peers[row.box] = row
+    assert follows_operators(fleet, ms(10))
+    fleet.catalog = Catalog(1, (), {}, ())
+    assert follows_operators(fleet, ms(10)) is follows
+
+
 def test_old_list_is_read_by_any_box():
     """A reader that froze is heard no more only after a while; a list ages sooner."""
     fleet = with_peer("box-1", heard=10.9)
