Cascade: a request's last attempt is kept for failures once one has failed

Ruled out: keeping it always (then a route of two attempts could never escalate). Change: an answer is not dropped at its head when an attempt has failed already and only one is left. Test fails before.

--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -35,7 +35,7 @@
     route = state.admitted.route
     catalog = core.fleet.catalog
     service = catalog.services.get(attempt.service) if catalog else None
-    if service is None or state.runs >= route.most_attempts:
+    if service is None or state.runs + _kept(state) >= route.most_attempts:
         return False
     needed = sureness_needed(core.fleet, route, service, call.tokens)
     affordable = budget_allows(core, state, for_quality=True)
@@ -54,6 +54,11 @@
     return state.raised
 
 
+def _kept(state: RequestState) -> int:
+    """Return the attempts kept for failures: one, where one has failed already."""
+    return 1 if state.broken else 0
+
+
 async def relay_stream(
     core: Core, state: RequestState, attempt: Attempt, found: Answer, reply: Reply
 ) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -13,6 +13,7 @@
 from fleet_builders import running_fleet
 from fleet_builders import until
 from fleet_builders import without_key
+from spanshunt.ids import WorkerId
 from spanshunt.standins.worker import WorkerFault
 from spanshunt.systems.repeats import RepeatBounds
 
@@ -288,6 +289,27 @@
             ]
             assert sorted(models) == ["large", "small"]
 
+    async def test_last_attempt_is_kept_for_failures(self):
+        """Incident 7ff2 of andino-archivo-grown: it was spent on a better model."""
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            box.node.fleet.workers.rows[WorkerId("w-2")].inflight = 30
+            failing = fleet.workers["w-1"]
+            failing.fault, failing.faults_left = WorkerFault.ERROR, 1
+            for worker in fleet.workers.values():
+                worker.sureness = {"small": 2, "large": 90}
+            reply = await fleet.ask(
+                box, "/long/", Attempt_Id="last", Token_Counts="4000,10"
+            )
+            assert _events(reply.body) == [1, 2, 3, 4]
+            models = [
+                seen.headers["model"]
+                for worker in fleet.workers.values()
+                for seen in worker.seen
+                if seen.request == "last"
+            ]
+            assert models == ["small", "small"]
+
     async def test_named_model_is_left_alone(self):
         async with running_fleet() as fleet:
             await fleet.ask(fleet.boxes[0], "/long/", Model="middle")
