Silent workers: a request that can't be sent elsewhere tells of its worker, too

Change: a request waits the usual limit, then its worker is left out for others while it waits on; if its time ends with no head of an answer, that counts as a send without an answer.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -44,6 +44,20 @@
         note_evidence(core, state, attempt, Finding.SLOW)
 
 
+def note_silent(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Leave a worker out that is silent for too long; its answer is waited for."""
+    now = core.clock.now()
+    note_unreached(attempt.worker, now)
+    log_event(
+        "WARNING",
+        "worker silent",
+        request=state.request,
+        worker=attempt.worker.name,
+        waited_ms=now - attempt.sent,
+        out_until_ms=max(0, attempt.worker.back_at - now),
+    )
+
+
 def note_first(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
 ) -> None:
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -10,6 +10,7 @@
 from .attempt_outcomes import note_fault
 from .attempt_outcomes import note_first
 from .attempt_outcomes import note_good
+from .attempt_outcomes import note_silent
 from .attempt_outcomes import version_of
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
@@ -69,7 +70,7 @@
         use=partial(_use, core),
         note_fault=partial(note_fault, core),
         note_bad=partial(note_bad, core),
-        note_late=lambda _state, _attempt: None,
+        note_late=partial(_note_late, core),
         may_go_on=partial(may_go_on, core),
         retry_ms=lambda state: retry_after(core, state.admitted.route),
     )
@@ -191,17 +192,19 @@
     """Wait for the head while that makes sense; return how long it was, in ms.
 
     A worker that is alive is waited for longer, and any one for as long as the request
-    could not be sent elsewhere anyway.
+    could not be sent elsewhere anyway; others are kept from it meanwhile.
     """
-    if not state.repeatable or state.runs >= state.most_attempts:
-        await asyncio.wait({sending})
-        return 0.0
     route, read = state.admitted.route, state.call.tokens.read
     limit = first_limit_ms(core.fleet, route, attempt.model, read)
     await asyncio.wait({sending}, timeout=limit / 1_000)
     if not sending.done() and is_alive(attempt.worker, core.clock.now()):
         longer = limit * ALIVE_FACTOR
         await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
+    if not state.repeatable or state.runs >= state.most_attempts:
+        if not sending.done():
+            note_silent(core, state, attempt)
+        await asyncio.wait({sending})
+        return 0.0
     while not sending.done() and not budget_allows(core, state):
         await asyncio.wait({sending}, timeout=BUDGET_STEP_S)
     return float(core.clock.now() - attempt.sent)
@@ -212,6 +215,7 @@
 ) -> None:
     """Take in that a worker answers, its load, and that it may be another one now."""
     now = core.clock.now()
+    attempt.answered = True
     attempt.worker.heard_at = now
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
@@ -219,6 +223,16 @@
         note_replaced(core.fleet, attempt.worker)
 
 
+def _note_late(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Take in that a worker said nothing until the request's time was over."""
+    waited = core.clock.now() - attempt.sent
+    route, read = state.admitted.route, state.call.tokens.read
+    limit = first_limit_ms(core.fleet, route, attempt.model, read)
+    if not attempt.answered and waited >= limit:
+        fault = SendFault(False, f"no answer within {waited} ms, the request's time")
+        note_fault(core, state, attempt, fault)
+
+
 async def _use(
     core: Core,
     state: CatalogRequest,
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -35,6 +35,8 @@
         Workers that the choice was among.
     slow : bool
         Whether its first byte came several times later than usual.
+    answered : bool
+        Whether the head of an answer came.
     """
 
     service: ServiceId
@@ -42,6 +44,7 @@
     report_age_ms: int
     candidates: int
     slow: bool = False
+    answered: bool = False
 
 
 class CatalogRequest(RequestState, kw_only=True):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -209,6 +209,25 @@
                 assert reply.status == 200
             assert len(fleet.workers["p-1"].seen) <= 1
 
+    async def test_silent_worker_is_left_out_after_a_request_that_runs_once(self):
+        """Incident d12b of hmt-detbuch-grown: 75 writes went to one silent worker."""
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            rows = box.node.fleet.workers.rows
+            fleet.workers["p-1"].fault = WorkerFault.MUTE
+            rows[WorkerId("p-2")].inflight = 30
+            asked = asyncio.create_task(
+                fleet.ask(box, "/view/", Attempt_Id="held", Deadline_Ms="900")
+            )
+            out = "p-1 is left out while its answer is waited for"
+            await until(lambda: rows[WorkerId("p-1")].back_at > 0, out, 0.8)
+            rows[WorkerId("p-2")].inflight = 0
+            for number in range(8):
+                reply = await fleet.ask(box, "/view/", Attempt_Id=f"n{number}")
+                assert reply.status == 200
+            assert (await asked).status == 504
+            assert rows[WorkerId("p-1")].failures >= 2
+
     async def test_final_answer_at_the_routes_time(self):
         async with running_fleet() as fleet:
             _all(fleet, "web", WorkerFault.MUTE)
