--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -192,7 +192,9 @@
     """Wait for the head while that makes sense; return how long it was, in ms.
 
     A worker that is alive is waited for longer, and any one for as long as the request
-    could not be sent elsewhere anyway; others are kept from it meanwhile.
+    could not be sent elsewhere anyway. One that may run once only keeps others from a
+    silent worker meanwhile; a silent engine is more likely busy than stuck, and leaving
+    out busy ones overloads the rest.
     """
     route, read = state.admitted.route, state.call.tokens.read
     limit = first_limit_ms(core.fleet, route, attempt.model, read)
@@ -201,7 +203,7 @@
         longer = limit * ALIVE_FACTOR
         await asyncio.wait({sending}, timeout=(longer - limit) / 1_000)
     if not state.repeatable or state.runs >= state.most_attempts:
-        if not sending.done():
+        if not sending.done() and not state.repeatable:
             note_silent(core, state, attempt)
         await asyncio.wait({sending})
         return 0.0
