--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -24,6 +24,7 @@
 from spanshunt.tables.config import VersionState
 
 from . import world
+from . import world_checks
 from .soak import run_schedule
 
 MOST_SCHEDULES = 400
@@ -83,20 +84,26 @@
 _moved = fold.moved
 
 MUTANTS = (
-    Mutant("a stale box goes on", world, "is_fresh", lambda *_a: True, world.IN_FORCE),
+    Mutant(
+        "a stale box goes on",
+        world,
+        "is_fresh",
+        lambda *_a: True,
+        world_checks.IN_FORCE,
+    ),
     Mutant(
         "one box is a majority",
         freshness,
         "majority",
         lambda _members: 1,
-        world.IN_FORCE,
+        world_checks.IN_FORCE,
     ),
     Mutant(
         "a fold that depends on chance",
         fold,
         "moved",
         _chancy_conflicts,
-        world.SAME_FOLD,
+        world_checks.SAME_FOLD,
     ),
     Mutant(
         "an older snapshot is taken",
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,7 +14,7 @@
 from spanshunt.systems.invariants import checks
 
 from .world import World
-from .world import change
+from .world_boxes import change
 
 STEPS = 250
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -9,11 +9,7 @@
 import random
 import typing as t
 
-import msgspec
-
-from spanshunt.exceptions import InvariantError
 from spanshunt.ids import BoxId
-from spanshunt.ids import DomainId
 from spanshunt.ids import Incarnation
 from spanshunt.ids import Micros
 from spanshunt.ids import Millis
@@ -22,13 +18,7 @@
 from spanshunt.ids import RequestId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
-from spanshunt.intents import AllowVersions
-from spanshunt.intents import DeclareOrg
-from spanshunt.intents import DeclareService
-from spanshunt.intents import DeclareVersion
-from spanshunt.intents import DisallowVersions
 from spanshunt.intents import Intent
-from spanshunt.intents import LeaveVersion
 from spanshunt.peers.messages import Exchange
 from spanshunt.peers.messages import ExchangeAnswer
 from spanshunt.records import Bills
@@ -36,12 +26,8 @@
 from spanshunt.records import Claims
 from spanshunt.records import Confirm
 from spanshunt.records import JournalPart
-from spanshunt.records import LogRecord
-from spanshunt.records import Record
 from spanshunt.records import Release
 from spanshunt.records import Usage
-from spanshunt.records import decode_record
-from spanshunt.records import encode_record
 from spanshunt.systems.choice import Asked
 from spanshunt.systems.choice import choose
 from spanshunt.systems.claiming import fold_claims
@@ -63,24 +49,28 @@
 from spanshunt.systems.invariants import check_claim
 from spanshunt.systems.invariants import check_version
 from spanshunt.systems.journaling import first_open
-from spanshunt.systems.journaling import fold_bills
 from spanshunt.systems.journaling import next_batch
 from spanshunt.systems.journaling import orphan_batch
 from spanshunt.systems.journaling import seal
 from spanshunt.systems.journaling import settle
 from spanshunt.systems.journaling import take_copies
 from spanshunt.systems.planner import make_plan
-from spanshunt.tables.billing import BillFold
 from spanshunt.tables.claims import CallState
 from spanshunt.tables.claims import OwnCall
-from spanshunt.tables.config import RequestClass
-from spanshunt.tables.config import ServiceKind
-from spanshunt.tables.identity import Identity
 from spanshunt.tables.preferences import Memory
-from spanshunt.tables.state import State
-from spanshunt.tables.state import new_state
 
-FRESH_MS = 4_000
+from .world_boxes import BASE_INTENTS
+from .world_boxes import Accepted
+from .world_boxes import Box
+from .world_boxes import Message
+from .world_boxes import over_the_wire
+from .world_checks import FRESH_MS
+from .world_checks import check_bills
+from .world_checks import check_in_force
+from .world_checks import check_same
+from .world_checks import check_same_fold
+from .world_log import FakeLog
+
 SUSPECT_MS = 3_000
 ORPHAN_MS = 10_000
 COPIES = 2
@@ -88,93 +78,6 @@
 SERVICE = ServiceId("s")
 ORG = OrgId("org")
 BACKEND = ServiceId("ledger")
-IN_FORCE = "in-force-within-the-bound"
-SAME_FOLD = "same-configuration-at-one-offset"
-
-
-class Stream:
-    """One stream of the fake log."""
-
-    def __init__(self) -> None:
-        self.records: list[LogRecord] = []
-        self.first = 0
-
-    @property
-    def next(self) -> int:
-        """The offset of the next record."""
-        return self.first + len(self.records)
-
-    def append(self, data: bytes, now: int) -> int:
-        """Keep a record."""
-        self.records.append(LogRecord(Offset(self.next), Millis(now), data))
-        return self.next - 1
-
-    def read(self, start: int) -> list[LogRecord] | None:
-        """Return the records from `start` on, None if some of them are gone."""
-        if start < self.first:
-            return None
-        return self.records[start - self.first :]
-
-    def drop(self, keep: int) -> None:
-        """Keep only the last `keep` records."""
-        gone = max(0, len(self.records) - keep)
-        self.first += gone
-        del self.records[:gone]
-
-
-class FakeLog:
-    """The log: it can be down, lose answers, and take an append late."""
-
-    def __init__(self) -> None:
-        self.streams = {"config": Stream(), "bills": Stream(), "claims": Stream()}
-        self.down = False
-        self.late: list[tuple[str, bytes]] = []
-
-    def append(self, name: str, record: Record, now: int, fate: str) -> int | None:
-        """Append; return the offset, None if there is no answer or no effect."""
-        data = encode_record(record)
-        if self.down or fate == "refused":
-            return None
-        if fate == "late":
-            self.late.append((name, data))
-            return None
-        offset = self.streams[name].append(data, now)
-        return None if fate == "lost" else offset
-
-    def take_late(self, now: int) -> None:
-        """Let appends take effect whose callers gave up on them."""
-        for name, data in self.late:
-            self.streams[name].append(data, now)
-        self.late.clear()
-
-
-class Box:
-    """One box: its tables, and what the world does to it."""
-
-    def __init__(self, name: str, domain: str, run: int, now: int) -> None:
-        incarnation = Incarnation(f"{name}.{run:06d}")
-        me = Identity(BoxId(name), DomainId(domain), name, incarnation)
-        self.state: State = new_state(me, Millis(now))
-        self.state.fresh_at = Millis(-1)
-        self.paused = False
-        self.billed_at = now
-        self.waiting: dict[str, RequestId] = {}
-
-
-class Message(t.NamedTuple):
-    """An answer under way, with the time at which the exchange was begun."""
-
-    to: str
-    got: ExchangeAnswer
-    sent: int
-    run: str
-
-
-class Accepted(t.NamedTuple):
-    """A configuration that an operator was told is accepted."""
-
-    offset: int
-    at: int
 
 
 class World:
@@ -254,7 +157,7 @@
         take_records(state, records)
         if state.config.next_offset >= stream.next:
             prove_fresh(state, Millis(self.now))
-        self._same_fold(state)
+        check_same_fold(self.hashes, state)
 
     def follow_claims(self, box: str) -> None:
         """Let a box read the claims."""
@@ -278,9 +181,9 @@
         asker.beat += 1
         now = Millis(self.now)
         told: Exchange = tell(asker, asked.me.incarnation, now, self.rng)
-        told = _over_the_wire(told, Exchange)
+        told = over_the_wire(told, Exchange)
         got = answer(asked, told, now, now, self.rng)
-        got = _over_the_wire(got, ExchangeAnswer)
+        got = over_the_wire(got, ExchangeAnswer)
         self.wire.append(Message(one, got, self.now, asker.me.incarnation))
 
     def deliver(self, index: int = 0) -> None:
@@ -293,7 +196,7 @@
             return
         now = Millis(self.now)
         hear_answer(box.state, message.got, Millis(message.sent), now, now)
-        self._same_fold(box.state)
+        check_same_fold(self.hashes, box.state)
 
     def request(self, box: str) -> None:
         """Let a caller ask a box for an answer."""
@@ -317,7 +220,7 @@
         if choice.is_err():
             return
         check_version(state.config, ORG, choice.unwrap().version)
-        self._check_in_force(state)
+        check_in_force(self.accepted, self.now, state)
         self._bill(box, choice.unwrap().version)
 
     def append_bills(self, box: str, fate: str = "ok") -> None:
@@ -442,47 +345,9 @@
         self.now += ORPHAN_MS * 2
         for name in self.names:
             self.append_bills(name)
-        self._check_bills()
-        self._check_same()
-
-    # What must hold.
-
-    def _check_in_force(self, state: State) -> None:
-        for accepted in self.accepted:
-            if self.now - accepted.at <= FRESH_MS:
-                continue
-            detail = f"{state.me.box} works at {state.config.next_offset}"
-            check(
-                IN_FORCE,
-                state.config.next_offset > accepted.offset,
-                f"{detail}, {accepted.offset} was accepted",
-            )
-
-    def _same_fold(self, state: State) -> None:
-        offset = state.config.next_offset
-        found = snapshot_of(state.config).hash
-        held = self.hashes.setdefault(offset, found)
-        check(SAME_FOLD, held == found, f"two folds at {offset}")
-
-    def _check_bills(self) -> None:
-        fold = BillFold()
-        counted: dict[RequestId, int] = {}
-        for record in self.log.streams["bills"].records:
-            bills = decode_record(record.data).unwrap()
-            if isinstance(bills, Bills):
-                for entry in fold_bills(fold, bills):
-                    counted[entry.request] = counted.get(entry.request, 0) + 1
-        for request, count in counted.items():
-            check("one-bill", count == 1, f"{request} billed {count} times")
-        for request, holders in self.answered.items():
-            if holders:
-                check("one-bill", request in counted, f"{request} is not billed")
-            elif request not in counted:
-                self._count("bills lost with all their holders")
-
-    def _check_same(self) -> None:
-        offsets = {box.state.config.next_offset for box in self.boxes.values()}
-        check(SAME_FOLD, len(offsets) == 1, f"boxes ended at {offsets}")
+        lost = check_bills(self.log, self.answered)
+        self._count("bills lost with all their holders", lost)
+        check_same(box.state for box in self.boxes.values())
 
     # Small helpers.
 
@@ -569,42 +434,13 @@
         self.numbers += 1
         return RequestId(f"r{self.numbers}")
 
-    def _count(self, event: str) -> None:
-        self.events[event] = self.events.get(event, 0) + 1
+    def _count(self, event: str, count: int = 1) -> None:
+        if count:
+            self.events[event] = self.events.get(event, 0) + count
 
     def _base(self) -> None:
         first = self.names[0]
-        intents: tuple[Intent, ...] = (
-            DeclareService("s", ServiceKind.MODEL, (RequestClass("default", 0.0),)),
-            DeclareService("ledger", ServiceKind.PLAIN),
-            DeclareVersion("cheap@1", "s", 1, 1, active=True),
-            DeclareVersion("dear@1", "s", 9, 9, active=True),
-            DeclareOrg("org", ("cheap", "dear", "ledger")),
-        )
-        for intent in intents:
+        for intent in BASE_INTENTS:
             self.follow(first)
             self.confirm(first, intent)
         self._work_once()
-
-
-def change(number: int) -> Intent:
-    """Return one of the changes that operators make."""
-    version = f"cheap@{number % 7 + 2}"
-    changes: tuple[Intent, ...] = (
-        DeclareVersion(version, "s", 1, 1, active=True),
-        LeaveVersion(f"cheap@{number % 7 + 1}"),
-        DisallowVersions("org", ("cheap",)),
-        AllowVersions("org", ("cheap",)),
-    )
-    return changes[number % len(changes)]
-
-
-_M = t.TypeVar("_M")
-
-
-def _over_the_wire(message: _M, kind: type[_M]) -> _M:
-    """Encode and decode, as between processes, so that no row is shared."""
-    return msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=kind)
-
-
-__all__ = ["InvariantError", "World", "change"]
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -255,7 +255,7 @@
             )
 
     def _note_answer(self) -> None:
-        if note_store_answer(self._fleet, self._clock.now()):
+        if note_store_answer(self._fleet):
             log_event("INFO", "store regained")
 
 
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -192,10 +192,9 @@
     fleet.workers.changed()
 
 
-def note_store_answer(fleet: Fleet, now: Millis) -> bool:
+def note_store_answer(fleet: Fleet) -> bool:
     """Take in that the store answered; return whether it had been away."""
     store = fleet.store
-    store.answered_at = now
     if store.failing_since < 0:
         return False
     store.failing_since = Millis(-1)
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -86,15 +86,12 @@
 
     Attributes
     ----------
-    answered_at : int
-        When it last answered, in ms; -1 for never.
     failing_since : int
         When calls began to fail, in ms; -1 while they do not.
     failed_at : int
         When the last call failed, in ms; -1 for never.
     """
 
-    answered_at: Millis = Millis(-1)
     failing_since: Millis = Millis(-1)
     failed_at: Millis = Millis(-1)
 
--- a/tests/test_following_machine.py
+++ b/tests/test_following_machine.py
@@ -175,7 +175,7 @@
             note_store_failure(fleet, now)
             box.read_next = now + 4 * TICK_MS
             return
-        note_store_answer(fleet, now)
+        note_store_answer(fleet)
         box.read_next = now + READ_TICKS * TICK_MS
         rows = [
             ListedWorker(make_worker(name), draining)
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -138,8 +138,8 @@
     fleet = make_fleet()
     assert note_store_failure(fleet, ms(1))
     assert not note_store_failure(fleet, ms(2))
-    assert note_store_answer(fleet, ms(3))
-    assert not note_store_answer(fleet, ms(4))
+    assert note_store_answer(fleet)
+    assert not note_store_answer(fleet)
 
 
 def with_peer(box: str, domain: str = "north", heard: float = 9.9) -> Fleet:
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -1,8 +1,8 @@
 """Freshness: a box that may be behind takes no work."""
 
 import pytest
-from bench.world import FRESH_MS
 from bench.world import World
+from bench.world_checks import FRESH_MS
 
 from spanshunt.intents import LeaveVersion
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -3,7 +3,7 @@
 import pytest
 from bench.soak import run_schedule
 from bench.world import World
-from bench.world import change
+from bench.world_boxes import change
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
