--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -14,6 +14,7 @@
 from .repeating import budget_allows
 from .repeating import may_go_on
 from .systems.cascading import note_confidence
+from .systems.cascading import note_repeat_wanted
 from .systems.cascading import sureness_needed
 from .systems.timing import ALIVE_FACTOR
 from .systems.timing import gap_limit_ms
@@ -43,7 +44,10 @@
         return False
     needed = sureness_needed(core.fleet, route, service, call.tokens)
     affordable = budget_allows(core, state, for_quality=True)
-    state.raised = found.confidence < needed and affordable
+    wanted = found.confidence < needed
+    if wanted:
+        note_repeat_wanted(core.fleet, service.name, allowed=affordable)
+    state.raised = wanted and affordable
     log_event(
         "INFO",
         "model choice",
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..ids import ModelId
+from ..ids import ServiceId
 from ..tables.catalog import RouteRow
 from ..tables.catalog import ServiceRow
 from ..tables.fleet import Fleet
@@ -40,9 +41,17 @@
 """Usual time to the larger model's first event, in parts of the route's aim, from which
 on its answers begin to come late, and at which all do."""
 
-DIRECT_FROM = 0.8
-"""Sureness that the small model would need, from which on it is not asked first: its
-answer would be dropped at least this often."""
+DIRECT_MARGIN = 0.02
+"""Part of an answer's worth that asking the larger model at once is favoured by: it
+comes sooner than a second answer."""
+
+SCARCE_STEP = 0.05
+"""How much dearer a repeat is taken to be after the budget of repeats denied one, in
+the catalog's price unit: a tenth of the worth of a short answer."""
+
+SCARCE_DENIED = 0.05
+"""Part of the repeats wanted for quality that the budget shall deny: the price of a
+repeat settles where this holds."""
 
 PRIOR_ANSWERS = 20
 """Answers that the prior mean of a model's sureness counts as."""
@@ -83,7 +92,8 @@
     if smallest == largest:
         return ModelPlan(smallest, largest, 0.0)
     needed = sureness_needed(fleet, route, service, tokens)
-    first = largest if needed >= DIRECT_FROM else smallest
+    at_once = _gain(fleet, route, service, tokens, repeat_price=0.0)
+    first = largest if at_once >= _cascade_gain(needed) - DIRECT_MARGIN else smallest
     return ModelPlan(first, largest, needed)
 
 
@@ -91,8 +101,41 @@
     fleet: Fleet, route: RouteRow, service: ServiceRow, tokens: RequestTokens
 ) -> float:
     """Return how sure the small model must be for its answer to be worth keeping."""
+    scarce = fleet.repeat_prices.get(service.name, 0.0)
+    return _gain(fleet, route, service, tokens, repeat_price=scarce)
+
+
+def note_repeat_wanted(fleet: Fleet, service: ServiceId, *, allowed: bool) -> None:
+    """Take in whether the budget allowed a repeat for quality: where it often does not,
+    only the answers that gain most shall be asked for again.
+    """
+    step = -SCARCE_STEP * SCARCE_DENIED if allowed else SCARCE_STEP
+    price = fleet.repeat_prices.get(service, 0.0) + step
+    fleet.repeat_prices[service] = max(0.0, price)
+
+
+def _cascade_gain(needed: float) -> float:
+    """Return the worth of asking the small model first, in parts of a good answer's.
+
+    Its sureness is spread evenly (measured on both first users' sheets), so the large
+    one is asked in `needed` of all cases and gains just that much there.
+    """
+    return 0.5 + needed * needed / 2
+
+
+def _gain(
+    fleet: Fleet,
+    route: RouteRow,
+    service: ServiceRow,
+    tokens: RequestTokens,
+    *,
+    repeat_price: float,
+) -> float:
+    """Return what the larger model's answer is worth, less its price, in parts of a
+    good answer's worth.
+    """
     worth = value(route, tokens)
-    price = PLACE_FACTOR * cost(service, route.models[-1], tokens)
+    price = PLACE_FACTOR * cost(service, route.models[-1], tokens) + repeat_price
     usual = usual_first_ms(fleet, route, route.models[-1], tokens.read)
     part = usual / max(1, route.aim_ms)
     late = min(1.0, max(0.0, (part - EARLY_PART) / (LATE_PART - EARLY_PART)))
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -140,6 +140,9 @@
         Requests and repeats by service.
     models : dict
         What is known of models.
+    repeat_prices : dict
+        What a repeat for quality is taken to cost by service, in the catalog's price
+        unit: above 0 where the budget of repeats is short.
     first_times : dict
         Usual times to the first byte by route name and model ("" where it has none).
     store : StoreHealth
@@ -160,6 +163,7 @@
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
     models: dict[ModelId, ModelStats] = {}
+    repeat_prices: dict[ServiceId, float] = {}
     first_times: dict[tuple[str, ModelId], FirstTimes] = {}
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     stopping: bool = False
--- a/tests/test_cascading.py
+++ b/tests/test_cascading.py
@@ -9,6 +9,7 @@
 from spanshunt.platform.wire import decode_catalog
 from spanshunt.systems.cascading import RequestTokens
 from spanshunt.systems.cascading import note_confidence
+from spanshunt.systems.cascading import note_repeat_wanted
 from spanshunt.systems.cascading import plan_models
 from spanshunt.systems.cascading import sureness_needed
 from spanshunt.systems.timing import note_first_time
@@ -52,6 +53,37 @@
     assert sureness_needed(fleet, route, service, tokens) < before - 0.2
 
 
+def test_short_budget_keeps_repeats_for_the_answers_that_gain_most():
+    """Trial with BudgetRatio 0.4: repeats went to whoever came first."""
+    route, service = parts()
+    fleet = make_fleet()
+    large, small = RequestTokens(6_000, 380), RequestTokens(600, 40)
+    before = [sureness_needed(fleet, route, service, size) for size in (large, small)]
+    for _ in range(6):
+        note_repeat_wanted(fleet, service.name, allowed=False)
+    after = [sureness_needed(fleet, route, service, size) for size in (large, small)]
+    assert after[0] > before[0] - 0.2
+    assert after[1] < before[1] - 0.3
+
+
+def test_short_budget_asks_the_largest_at_once_where_that_gains_more():
+    route, service = parts()
+    fleet, tokens = make_fleet(), RequestTokens(600, 300)
+    assert plan_models(fleet, route, service, tokens).first == "small"
+    for _ in range(20):
+        note_repeat_wanted(fleet, service.name, allowed=False)
+    assert plan_models(fleet, route, service, tokens).first == "large"
+
+
+def test_repeats_cost_nothing_more_while_the_budget_allows_them():
+    route, service = parts()
+    fleet, tokens = make_fleet(), RequestTokens(6_000, 300)
+    before = sureness_needed(fleet, route, service, tokens)
+    for _ in range(50):
+        note_repeat_wanted(fleet, service.name, allowed=True)
+    assert sureness_needed(fleet, route, service, tokens) == before
+
+
 def test_route_with_one_model_has_no_choice():
     route, service = parts()
     only = msgspec.structs.replace(route, models=(ModelId("middle"),))
