--- a/src/spanshunt/cli.py
+++ b/src/spanshunt/cli.py
@@ -12,8 +12,11 @@
 
 import aiohttp
 import cappa
+import msgspec
 
 from .exceptions import SettingsError
+from .fleet_report import FLEET_PATH
+from .fleet_report import FleetView
 from .settings import load_settings
 from .traces import show
 from .traces import trace
@@ -163,6 +166,35 @@
             print(f"{found.unreadable} lines are no log lines", file=sys.stderr)
 
 
+@cappa.command(name="fleet", help="Show what a box on the platform believes.")
+@dataclass
+class FleetCommand:
+    """Arguments of ``fleet``."""
+
+    source: t.Annotated[
+        str,
+        cappa.Arg(help="A box's metrics address (http://HOST:PORT), or a kept file."),
+    ]
+    as_json: AsJson = False
+
+    def __call__(self) -> None:
+        """Fetch or read what a box believes and show it."""
+        if self.source.startswith("http://"):
+            raw = _get(self.source.rstrip("/") + FLEET_PATH)
+        else:
+            raw = _read(self.source)
+        try:
+            view = msgspec.json.decode(raw, type=FleetView)
+        except msgspec.MsgspecError as exc:
+            message = f"{self.source}: no view of a fleet ({exc})"
+            raise cappa.Exit(message, code=EXIT_USAGE) from exc
+        built = json.loads(msgspec.json.encode(view))
+        if self.as_json:
+            _print_json(built)
+        else:
+            print(as_table(built))
+
+
 @cappa.command(name="check", help="Check settings files, as the daemon would.")
 @dataclass
 class CheckCommand:
@@ -280,6 +312,7 @@
         | DrainCommand
         | ExplainCommand
         | TraceCommand
+        | FleetCommand
         | CheckCommand
         | StatusCommand
         | VersionsCommand
@@ -314,7 +347,7 @@
     lines = []
     for name, value in answer.items():
         if isinstance(value, list) and value and isinstance(value[0], dict):
-            lines.append(as_table(value))
+            lines += ["", f"{name}:", as_table(value)]
         else:
             lines.append(f"{name:<14} {_cell(value)}")
     return lines
@@ -358,6 +391,21 @@
     raise cappa.Exit(message, code=code)
 
 
+def _get(url: str) -> bytes:
+    """Fetch a page that needs no credential."""
+    try:
+        return asyncio.run(_fetch_page(url))
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        raise cappa.Exit(f"{url}: not reached ({exc})", code=EXIT_NOT_REACHED) from exc
+
+
+async def _fetch_page(url: str) -> bytes:
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT)
+    async with aiohttp.ClientSession(timeout=timeout) as http, http.get(url) as res:
+        res.raise_for_status()
+        return await res.read()
+
+
 async def _fetch(
     url: str, method: str, path: str, body: bytes | None, secret: str
 ) -> tuple[int, t.Any]:
--- /dev/null
+++ b/src/spanshunt/fleet_report.py
@@ -0,0 +1,236 @@
+"""What one box believes of the whole fleet on the platform, for operators."""
+
+import msgspec
+
+from .ids import BoxId
+from .ids import DomainId
+from .ids import Incarnation
+from .ids import Millis
+from .ids import ModelId
+from .ids import ServiceId
+from .ids import VersionId
+from .ids import WorkerId
+from .systems.following_workers import reader_of
+from .systems.placing import estimate
+from .systems.placing import slowness
+from .systems.ramping import add_up
+from .systems.ramping import share_at
+from .systems.repeats import RepeatBounds
+from .systems.repeats import allowance
+from .tables.fleet import Fleet
+from .tables.fleet import PeerRow
+from .tables.rollouts import RolloutRow
+from .tables.workers import WorkerRow
+
+FLEET_PATH = "/fleet"
+"""Where the metrics address serves it."""
+
+
+class WorkerView(msgspec.Struct, frozen=True):
+    """A backend server: its load in parts of its batch, and why it is out, if so."""
+
+    worker: WorkerId
+    service: ServiceId
+    domain: DomainId
+    versions: tuple[VersionId, ...]
+    load: float
+    slots: int
+    inflight: int
+    error_rate: float
+    slowness: float
+    out: str
+
+
+class RolloutView(msgspec.Struct, frozen=True):
+    """A roll-out: how far it is and the answers that it rests on, of all boxes heard.
+
+    ``failed`` and ``slow`` are parts of ``answers``, of the entering version.
+    """
+
+    service: ServiceId
+    version: VersionId
+    verdict: str
+    reason: str
+    recorded: bool
+    share: float
+    age_ms: Millis
+    duration_ms: Millis
+    answers: int
+    failed: int
+    slow: int
+    barred: tuple[VersionId, ...]
+
+
+class BudgetView(msgspec.Struct, frozen=True):
+    """The box's part of the budget of repeats of one service, in the window now."""
+
+    service: ServiceId
+    requests: int
+    repeats: int
+    allowed: float
+    repeat_price: float
+
+
+class ModelView(msgspec.Struct, frozen=True):
+    """A model: answers seen here and the mean of its own sureness, in 0 to 1."""
+
+    model: ModelId
+    answers: int
+    sureness: float
+
+
+class PeerView(msgspec.Struct, frozen=True):
+    """Another box; ``heard_ms`` is how long ago it was heard, -1 for never."""
+
+    box: BoxId
+    domain: DomainId
+    heard_ms: Millis
+    served: bool
+    failures: int
+
+
+class FleetView(msgspec.Struct, frozen=True):
+    """All of it.
+
+    Attributes
+    ----------
+    box, domain, incarnation
+        Who tells.
+    ready : str
+        Why the box takes no new connections; "yes" if it does.
+    catalog, routes, organisations : int
+        The newest catalog's version (-1 for none) and size.
+    store_failing_ms : int
+        How long calls to the store have been failing; -1 while they do not.
+    list_age_ms : int
+        How long ago the workers' list was read, by any box; -1 for never.
+    list_reader : str
+        Which box reads it for this failure domain.
+    workers, rollouts, budgets, models, peers
+        Rows of each.
+    """
+
+    box: BoxId
+    domain: DomainId
+    incarnation: Incarnation
+    ready: str
+    catalog: int
+    routes: int
+    organisations: int
+    store_failing_ms: Millis
+    list_age_ms: Millis
+    list_reader: BoxId
+    workers: tuple[WorkerView, ...]
+    rollouts: tuple[RolloutView, ...]
+    budgets: tuple[BudgetView, ...]
+    models: tuple[ModelView, ...]
+    peers: tuple[PeerView, ...]
+
+
+def fleet_view(
+    fleet: Fleet, bounds: RepeatBounds, not_ready: str, now: Millis
+) -> FleetView:
+    """Return what a box believes now; `not_ready` is empty if it is ready."""
+    catalog = fleet.catalog
+    return FleetView(
+        box=fleet.me.box,
+        domain=fleet.me.domain,
+        incarnation=fleet.me.incarnation,
+        ready=not_ready or "yes",
+        catalog=catalog.version if catalog else -1,
+        routes=len(catalog.routes) if catalog else 0,
+        organisations=len(catalog.orgs) if catalog else 0,
+        store_failing_ms=_since(fleet.store.failing_since, now),
+        list_age_ms=_since(fleet.workers_read_at, now),
+        list_reader=reader_of(fleet, now),
+        workers=tuple(
+            _worker(fleet, row, now) for _, row in sorted(fleet.workers.rows.items())
+        ),
+        rollouts=tuple(_rollout(row, now) for row in fleet.rollouts.rows.values()),
+        budgets=tuple(
+            _budget(fleet, bounds, service, now) for service in sorted(fleet.traffic)
+        ),
+        models=tuple(
+            ModelView(name, row.answers, round(row.confidence, 3))
+            for name, row in sorted(fleet.models.items())
+        ),
+        peers=tuple(_peer(row, now) for _, row in sorted(fleet.peers.items())),
+    )
+
+
+def _since(at: Millis, now: Millis) -> Millis:
+    return Millis(now - at if at >= 0 else -1)
+
+
+def _worker(fleet: Fleet, row: WorkerRow, now: Millis) -> WorkerView:
+    return WorkerView(
+        worker=row.name,
+        service=row.service,
+        domain=row.domain,
+        versions=tuple(sorted(row.versions)),
+        load=round(estimate(row, now), 2),
+        slots=row.slots,
+        inflight=row.inflight,
+        error_rate=round(row.error_rate, 2),
+        slowness=round(slowness(row, now), 2),
+        out=_why_out(fleet, row, now),
+    )
+
+
+def _why_out(fleet: Fleet, row: WorkerRow, now: Millis) -> str:
+    """Return why a worker gets no new work here; empty if it may."""
+    if row.name in fleet.workers.leaving:
+        return "leaving"
+    barred = next(
+        (
+            rollout.version
+            for rollout in fleet.rollouts.rows.values()
+            if rollout.service == row.service and row.versions & rollout.barred
+        ),
+        None,
+    )
+    if barred is not None:
+        return f"its version was taken back before {barred}"
+    if row.back_at > now:
+        return f"failed {row.failures} times; out for {row.back_at - now} ms"
+    if row.name in fleet.missing:
+        return "kept, though its entry lapsed with the store"
+    return ""
+
+
+def _rollout(row: RolloutRow, now: Millis) -> RolloutView:
+    pooled = add_up(row.own, *row.near.values(), *row.far.values())
+    entering = [tally for key, tally in pooled.items() if key.entering]
+    return RolloutView(
+        service=row.service,
+        version=row.version,
+        verdict=row.verdict.value,
+        reason=row.reason,
+        recorded=row.recorded,
+        share=round(share_at(row, now), 2),
+        age_ms=Millis(now - row.began),
+        duration_ms=row.duration_ms,
+        answers=sum(tally.answers for tally in entering),
+        failed=sum(tally.failed for tally in entering),
+        slow=sum(tally.slow for tally in entering),
+        barred=tuple(sorted(row.barred)),
+    )
+
+
+def _budget(
+    fleet: Fleet, bounds: RepeatBounds, service: ServiceId, now: Millis
+) -> BudgetView:
+    window = allowance(fleet, service, now, bounds)
+    return BudgetView(
+        service=service,
+        requests=window.requests,
+        repeats=window.repeats,
+        allowed=round(window.allowed, 1),
+        repeat_price=round(fleet.repeat_prices.get(service, 0.0), 3),
+    )
+
+
+def _peer(row: PeerRow, now: Millis) -> PeerView:
+    return PeerView(
+        row.box, row.domain, _since(row.heard, now), row.served, row.failures
+    )
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+import msgspec
 import uvloop
 from aiohttp import web
 from grpclib.server import Server
@@ -18,6 +19,8 @@
 from ..exceptions import InvariantError
 from ..exceptions import SettingsError
 from ..exchange import Exchange
+from ..fleet_report import FLEET_PATH
+from ..fleet_report import fleet_view
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -240,6 +243,12 @@
         return web.Response(status=503 if reason else 200, text=reason)
 
     async def _answer_metrics(self, req: web.BaseRequest) -> web.StreamResponse:
+        if req.path == FLEET_PATH:
+            view = fleet_view(
+                self.fleet, self.core.bounds, self.why_not_ready(), self.clock.now()
+            )
+            body = msgspec.json.encode(view)
+            return web.Response(body=body, content_type="application/json")
         return web.Response(text=metrics_page(self.counters, self.histograms))
 
 
--- a/src/spanshunt/systems/repeats.py
+++ b/src/spanshunt/systems/repeats.py
@@ -49,6 +49,14 @@
     least_boxes: int = 6
 
 
+class Allowance(msgspec.Struct, frozen=True):
+    """Requests and repeats of a service in the window, and repeats that are allowed."""
+
+    requests: int
+    repeats: int
+    allowed: float
+
+
 def note_request(fleet: Fleet, service: ServiceId, now: Millis) -> None:
     """Count a request for `service`."""
     _second(fleet, service, now).requests += 1
@@ -71,18 +79,28 @@
 
     Repeats for quality stop at a part of the budget, so that failures find some left.
     """
-    traffic = fleet.traffic.get(service)
-    if traffic is None:
+    if service not in fleet.traffic:
         return True
+    window = allowance(fleet, service, now, bounds)
+    part = CHOICE_PART if for_quality else 1.0
+    return window.repeats + 1 <= part * window.allowed
+
+
+def allowance(
+    fleet: Fleet, service: ServiceId, now: Millis, bounds: RepeatBounds
+) -> Allowance:
+    """Return what this box did for `service` in the window, and what it may repeat."""
     oldest = now // 1_000 - bounds.window_s
+    traffic = fleet.traffic.get(service, Traffic())
     recent = [row for row in traffic.seconds if row.number >= oldest]
     requests = sum(row.requests for row in recent)
-    repeats = sum(row.repeats for row in recent)
     boxes = max(bounds.least_boxes, len(fleet.peers) + 1)
-    allowed = RATIO_USED * bounds.ratio * requests + SLACK_USED * bounds.slack / boxes
-    if for_quality:
-        allowed *= CHOICE_PART
-    return repeats + 1 <= allowed
+    return Allowance(
+        requests=requests,
+        repeats=sum(row.repeats for row in recent),
+        allowed=RATIO_USED * bounds.ratio * requests
+        + SLACK_USED * bounds.slack / boxes,
+    )
 
 
 def _second(fleet: Fleet, service: ServiceId, now: Millis) -> TrafficSecond:
--- /dev/null
+++ b/tests/test_fleet_report.py
@@ -0,0 +1,142 @@
+"""What a box tells operators of the whole fleet, and the tool that shows it."""
+
+import json
+import os
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from fleet_builders import running_fleet
+from spanshunt.fleet_report import fleet_view
+from spanshunt.ids import BoxId
+from spanshunt.ids import DomainId
+from spanshunt.ids import Offset
+from spanshunt.ids import ServiceId
+from spanshunt.ids import VersionId
+from spanshunt.standins.worker import WorkerFault
+from spanshunt.systems.placing import note_unreached
+from spanshunt.systems.ramping import bar_versions
+from spanshunt.systems.ramping import note_result
+from spanshunt.systems.ramping import take_order
+from spanshunt.systems.repeats import RepeatBounds
+from spanshunt.systems.repeats import note_repeat
+from spanshunt.systems.repeats import note_request
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.rollouts import Finding
+
+WRITER = ServiceId("writer")
+
+
+def view_of(fleet: Fleet, now: int = 100):
+    return fleet_view(fleet, RepeatBounds(), "", ms(now))
+
+
+def with_workers(*names: str) -> Fleet:
+    fleet = make_fleet()
+    for name in names:
+        fleet.workers.rows[name] = make_worker(name)
+    return fleet
+
+
+def spanshunt(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-c", "from spanshunt.cli import main; main()", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "NO_COLOR": "1"},
+    )
+
+
+def test_says_why_each_worker_is_out():
+    fleet = with_workers("a", "b", "c", "d")
+    fleet.workers.leaving.add("a")
+    note_unreached(fleet.workers.rows["b"], ms(100))
+    fleet.missing.add("c")
+    out = {row.worker: row.out for row in view_of(fleet).workers}
+    assert out["a"] == "leaving"
+    assert out["b"].startswith("failed 1 times; out for")
+    assert "lapsed" in out["c"]
+    assert out["d"] == ""
+
+
+def test_says_that_a_version_was_taken_back():
+    fleet = with_workers("a")
+    take_order(fleet, WRITER, VersionId("v2"), Offset(1), ms(10), ms(0))
+    bar_versions(fleet.rollouts.rows[WRITER], [VersionId("v1")])
+    assert "taken back" in view_of(fleet).workers[0].out
+
+
+def test_rollout_with_its_evidence():
+    fleet = with_workers("a")
+    take_order(fleet, WRITER, VersionId("v2"), Offset(1), ms(60), ms(0))
+    entering = frozenset({VersionId("v2")})
+    for finding in (None, None, Finding.FAILED, Finding.SLOW):
+        note_result(fleet, WRITER, "route", entering, ms(1), finding)
+    row = view_of(fleet).rollouts[0]
+    assert (row.version, row.verdict) == ("v2", "running")
+    assert (row.answers, row.failed, row.slow) == (4, 1, 1)
+
+
+def test_budget_of_repeats_and_peers():
+    fleet = make_fleet()
+    for _ in range(10):
+        note_request(fleet, WRITER, ms(99))
+    note_repeat(fleet, WRITER, ms(99))
+    fleet.peers[BoxId("x")] = PeerRow(
+        BoxId("x"), "x:1", DomainId("south"), heard=ms(98), served=False
+    )
+    view = view_of(fleet)
+    assert (view.budgets[0].requests, view.budgets[0].repeats) == (10, 1)
+    assert view.budgets[0].allowed > 1
+    assert (view.peers[0].heard_ms, view.peers[0].served) == (2_000, False)
+
+
+async def test_box_serves_it_beside_its_metrics():
+    async with running_fleet(boxes=2) as fleet:
+        box = fleet.boxes[0]
+        fleet.workers["p-1"].fault = WorkerFault.FULL
+        await fleet.ask(box, "/view/")
+        async with fleet.http.get(box.metrics + "/fleet") as resp:
+            view = await resp.json()
+        assert view["ready"] == "yes"
+        assert view["catalog"] == 7
+        assert {row["worker"] for row in view["workers"]} >= {"p-1", "w-1"}
+        async with fleet.http.get(box.metrics + "/metrics") as resp:
+            assert "spanshunt_" in await resp.text()
+
+
+def test_tool_reads_a_kept_view(tmp_path):
+    fleet = with_workers("a", "b")
+    fleet.workers.leaving.add("b")
+    kept = tmp_path / "view.json"
+    kept.write_bytes(msgspec.json.encode(view_of(fleet)))
+    shown = spanshunt("fleet", str(kept))
+    assert shown.returncode == 0, shown.stderr
+    assert "workers:" in shown.stdout and "leaving" in shown.stdout
+    as_json = spanshunt("fleet", str(kept), "--json")
+    assert json.loads(as_json.stdout)["box"] == "box-1"
+
+
+@pytest.mark.parametrize(
+    ("source", "words"),
+    [("no-such-file", "No such file"), ("http://127.0.0.1:9", "not reached")],
+)
+def test_tool_says_what_is_wrong(source: str, words: str):
+    shown = spanshunt("fleet", source)
+    assert shown.returncode != 0
+    assert words in " ".join(shown.stderr.split())
+
+
+def test_tool_refuses_a_file_that_is_no_view(tmp_path):
+    other = tmp_path / "other.json"
+    other.write_text('{"box": 3}')
+    shown = spanshunt("fleet", str(other))
+    assert shown.returncode == 2
+    assert "no view of a fleet" in " ".join(shown.stderr.split())
