Store away: boxes that another reads for try the less often the more they are

Cause: with an old list every box read by itself, 2.5 priced calls a second each; at 91 boxes 227 a second, worked out from the pause. Ruled out: leaving it to the reader alone (it may be the one that is refused or cut off). Change: the boxes of a failure domain make five tries a second together; two boxes try as before. The state machine of boxes that follow the workers holds.

--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -40,6 +40,11 @@
 is frozen, cut or killed holds nobody up; what each further one costs is a priced call
 for each record and one every 20 s."""
 
+TRY_MS = 200
+"""Pause of a box whose last call to the store failed and that another box should read
+for, in ms for each box of its failure domain: together they make five tries a second,
+however many they are. Two boxes try as often as the reader does."""
+
 OLD_PART = 0.6
 """A list older than this part of the time within which a leaving worker must get
 nothing new is read anew by any box, whoever should have: a call then still fits in."""
@@ -254,9 +259,13 @@
 
 def must_read(fleet: Fleet, now: Millis, draining_ms: int) -> bool:
     """Tell whether this box reads the list itself now."""
-    if fleet.workers_read_at < 0 or reader_of(fleet, now) == fleet.me.box:
+    near = _near_heard(fleet, now)
+    if fleet.workers_read_at < 0 or near[0] == fleet.me.box:
         return True
-    return now - fleet.workers_read_at > OLD_PART * draining_ms
+    if now - fleet.workers_read_at <= OLD_PART * draining_ms:
+        return False
+    store = fleet.store
+    return store.failing_since < 0 or now >= store.failed_at + TRY_MS * len(near)
 
 
 def list_digest(fleet: Fleet) -> int:
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -207,6 +207,20 @@
     assert must_read(fleet, ms(11), 2_000)
 
 
+@pytest.mark.parametrize(("boxes", "tries_at"), [(2, 10.4), (10, 12.0)])
+def test_many_boxes_try_seldom_while_the_store_is_away(boxes, tries_at):
+    """Each box tried 2.5 times a second, however many they were."""
+    fleet = with_peer("box-1", heard=tries_at)
+    for number in range(3, boxes + 1):
+        row = PeerRow(BoxId(f"box-{number}"), "a", DomainId("north"))
+        row.heard = ms(tries_at)
+        fleet.peers[row.box] = row
+    fleet.workers_read_at = ms(5)
+    note_store_failure(fleet, ms(10))
+    assert not must_read(fleet, ms(tries_at - 0.05), 2_000)
+    assert must_read(fleet, ms(tries_at), 2_000)
+
+
 def test_lists_that_say_the_same_have_one_digest():
     one, other = make_fleet(), make_fleet()
     for fleet, names in ((one, ("a", "b")), (other, ("b", "a"))):
