--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -61,7 +61,10 @@
 def test_commands_of_the_tool_are_documented():
     page = (ROOT / "docs/operators.md").read_text()
     kinds = Command.__annotations__["command"]
-    names = re.findall(r'name="([a-z]+)"', (ROOT / "src/spanshunt/cli.py").read_text())
+    sources = [ROOT / "src/spanshunt" / name for name in ("cli.py", "cli_files.py")]
+    text = "".join(source.read_text() for source in sources)
+    names = re.findall(r'name="([a-z]+)"', text)
+    assert {"plan", "trace", "fleet"} <= set(names)
     assert kinds is not None
     for name in names:
         assert f"spanshunt {name}" in page or name == "spanshunt", name
