--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -88,7 +88,12 @@
             assert reply.status == 504
     lines = mine(traced(path, "f2"))
     assert "outcome=deadline" in lines[-1]
-    assert "dispatch" in lines[-2] and "worker=p-" in lines[-2]
+    sent, silent, failed, settled = lines
+    assert "dispatch" in sent and "worker=p-" in sent
+    worker = sent.partition("worker=")[2].split()[0]
+    assert f"worker silent: worker={worker}" in silent
+    assert f"attempt failed: worker={worker}" in failed
+    assert f"{worker}::late:" in settled
     assert not any("bad answer" in line for line in lines)
 
 
