--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -19,9 +19,10 @@
 """A first byte is waited for this part of the aim where nothing is known of its usual
 time: after a restart of all boxes, engines are busy with what callers ask again."""
 
-GAP_LEAST_MS = 700
+GAP_LEAST_MS = 950
 """A shorter silence in a stream is not taken for a stall, in ms: an engine that reads
-long prompts between the tokens of others makes an event in up to 0.8 s here."""
+long prompts between the tokens of others makes an event in up to 0.8 s here, and what
+is taken up elsewhere is read again there. Measured against 700."""
 
 ALIVE_MS = 400
 """A worker that sent bytes on any request within this time is alive, in ms: what it
