--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -13,9 +13,12 @@
 from .systems.placing import note_slowness
 from .systems.placing import note_unreached
 from .systems.ramping import note_result
+from .systems.silence import Silence
+from .systems.silence import note_silence
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
 from .systems.timing import usual_first_ms
+from .tables.catalog import RequestKind
 from .tables.rollouts import Finding
 
 
@@ -26,6 +29,8 @@
     now = core.clock.now()
     if not fault.stale:
         note_unreached(attempt.worker, now)
+    if fault.silent:
+        _report_silence(core, state, attempt)
     log_event(
         "WARNING",
         "attempt failed",
@@ -48,6 +53,7 @@
     """Leave a worker out that is silent for too long; its answer is waited for."""
     now = core.clock.now()
     note_unreached(attempt.worker, now)
+    _report_silence(core, state, attempt)
     log_event(
         "WARNING",
         "worker silent",
@@ -58,6 +64,14 @@
     )
 
 
+def _report_silence(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Tell peers of a silent worker; an engine's silence tells too little."""
+    if state.admitted.route.kind is RequestKind.STREAM:
+        return
+    fleet, now = core.fleet, core.clock.now()
+    note_silence(fleet, Silence(attempt.worker.name, fleet.me.box, now), now)
+
+
 def note_first(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
 ) -> None:
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -174,7 +174,8 @@
     try:
         waited = await _await_head(core, state, attempt, sending)
         if not sending.done():
-            return SendFault(False, f"no answer within {waited:.0f} ms")
+            detail = f"no answer within {waited:.0f} ms"
+            return SendFault(False, detail, silent=True)
         opened = sending.result()
     finally:
         worker.pending_read -= read
@@ -231,7 +232,8 @@
     route, read = state.admitted.route, state.call.tokens.read
     limit = first_limit_ms(core.fleet, route, attempt.model, read)
     if not attempt.answered and waited >= limit:
-        fault = SendFault(False, f"no answer within {waited} ms, the request's time")
+        detail = f"no answer within {waited} ms, the request's time"
+        fault = SendFault(False, detail, silent=True)
         note_fault(core, state, attempt, fault)
 
 
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -14,6 +14,7 @@
 from .peers.news import News
 from .peers.news import PeerNews
 from .peers.news import RolloutNews
+from .peers.news import SilenceNews
 from .peers.news import TallyGroup
 from .peers.news import tell
 from .peers.news_rows import listed
@@ -29,6 +30,10 @@
 from .systems.ramping import take_order
 from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
+from .systems.silence import Silence
+from .systems.silence import newest_silences
+from .systems.silence import note_silence
+from .systems.silence import silent_workers
 from .tables.catalog import Catalog
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
@@ -130,6 +135,10 @@
             read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
             read_unbroken_ms=readings.last - readings.since,
             served=is_served(fleet, now),
+            silences=tuple(
+                SilenceNews(item.worker, item.box, now - item.at)
+                for item in newest_silences(fleet, now)
+            ),
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
@@ -152,6 +161,8 @@
         self._take_workers(news, now)
         for item in news.rollouts:
             self._take_rollout(news, item, now)
+        for told in news.silences:
+            self._take_silence(news, told, now)
 
     def _take_workers(self, news: News, now: Millis) -> None:
         """Take in a newer list, or that this box's is as new as the teller's."""
@@ -184,6 +195,22 @@
             if item.box != self._fleet.me.box and item.box not in peers:
                 peers[item.box] = PeerRow(item.box, item.address, item.domain)
 
+    def _take_silence(self, news: News, told: SilenceNews, now: Millis) -> None:
+        silence = Silence(told.worker, told.box, Millis(now - told.age_ms))
+        if told.box == self._fleet.me.box:
+            return
+        before = silent_workers(self._fleet, now)
+        note_silence(self._fleet, silence, now)
+        if told.worker in silent_workers(self._fleet, now) - before:
+            log_event(
+                "INFO",
+                "worker told silent",
+                worker=told.worker,
+                by=sorted(self._fleet.silences[told.worker]),
+                age_ms=told.age_ms,
+                source=news.box,
+            )
+
     def _take_rollout(self, news: News, item: RolloutNews, now: Millis) -> None:
         fleet = self._fleet
         began = Millis(now - item.age_ms)
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -17,6 +17,7 @@
 from .systems.ramping import share_at
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
+from .systems.silence import silent_workers
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
@@ -191,6 +192,9 @@
     )
     if barred is not None:
         return f"its version was taken back before {barred}"
+    if row.name in silent_workers(fleet, now):
+        boxes = ", ".join(sorted(fleet.silences[row.name]))
+        return f"silent to {boxes}"
     if row.back_at > now:
         return f"failed {row.failures} times; out for {row.back_at - now} ms"
     if row.name in fleet.missing:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -95,6 +95,14 @@
     draining: bool
 
 
+class SilenceNews(msgspec.Struct, frozen=True, array_like=True):
+    """A report that a worker was silent to a box, by the teller's clock."""
+
+    worker: WorkerId
+    box: BoxId
+    age_ms: int
+
+
 class PeerNews(msgspec.Struct, frozen=True, array_like=True):
     """A box and where its peers reach it."""
 
@@ -132,6 +140,8 @@
         For how long, up to then, the list was read without a gap.
     served : bool
         Whether the store serves the teller.
+    silences : tuple of SilenceNews
+        Workers that boxes found silent just now.
     """
 
     box: BoxId
@@ -149,6 +159,7 @@
     read_age_ms: int = -1
     read_unbroken_ms: int = 0
     served: bool = True
+    silences: tuple[SilenceNews, ...] = ()
 
 
 async def tell(
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -23,6 +23,7 @@
 from .systems.placing import place
 from .systems.ramping import VersionRule
 from .systems.ramping import version_for
+from .systems.silence import silent_workers
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
 from .utils import unit_hash
@@ -108,6 +109,7 @@
     core: Core, state: CatalogRequest, rule: VersionRule, model: ModelId
 ) -> Placed | None:
     call, fleet = state.call, core.fleet
+    now = core.clock.now()
     wanted = Wanted(
         service=state.service,
         rule=rule,
@@ -116,8 +118,9 @@
         shared_part=call.shared_part,
         avoid=state.tried,
         again=state.admitted.route.repeatable,
+        silent=silent_workers(fleet, now),
     )
-    return place(fleet.workers, wanted, core.clock.now(), core.rng)
+    return place(fleet.workers, wanted, now, core.rng)
 
 
 def _no_worker(core: Core, state: CatalogRequest, detail: str) -> Refusal:
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -123,11 +123,14 @@
     stale : bool
         Whether a kept connection broke before any byte of the answer: workers forget
         idle ones, so this tells nothing of the worker.
+    silent : bool
+        Whether the worker took the request and said nothing for too long.
     """
 
     unreached: bool
     detail: str
     stale: bool = False
+    silent: bool = False
 
 
 class Answer(t.Protocol):
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -96,6 +96,8 @@
         Workers that had the request already.
     again : bool
         Whether one of these is better than none.
+    silent : collection of str
+        Workers that boxes found silent.
     """
 
     service: ServiceId
@@ -105,6 +107,7 @@
     shared_part: float = 0.0
     avoid: t.Collection[WorkerId] = ()
     again: bool = False
+    silent: t.Collection[WorkerId] = ()
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -154,7 +157,7 @@
     rows = [row for row in able if row.name not in wanted.avoid]
     if not rows and wanted.again:
         rows = able
-    live = [row for row in rows if row.back_at <= now]
+    live = [row for row in rows if row.back_at <= now and row.name not in wanted.silent]
     return live or rows
 
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -132,6 +132,8 @@
     missing : set
         Workers that the list lacks just after the store's return: their entries may
         come back.
+    silences : dict
+        When which box found a worker silent, in ms, by worker and box.
     peers : dict
         Other boxes.
     rollouts : Rollouts
@@ -159,6 +161,7 @@
     workers_read_at: Millis = Millis(-1)
     readings: Readings = msgspec.field(default_factory=Readings)
     missing: set[WorkerId] = set()
+    silences: dict[WorkerId, dict[BoxId, Millis]] = {}
     peers: dict[BoxId, PeerRow] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
