--- a/src/spanshunt/standins/service.py
+++ b/src/spanshunt/standins/service.py
@@ -10,6 +10,10 @@
 
 _SLOTS = 64
 
+CUT_BODY_BYTES = 400_000
+"""Length of an answer that breaks off: long enough that half of it passes all buffers
+on its way."""
+
 
 class ServiceFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What fails.
@@ -22,11 +26,14 @@
         Each call takes this much longer, in ms.
     lose_answers : float
         The share of calls whose answer is lost after the effect.
+    cut_answers : float
+        The share of calls whose answer breaks off in the middle of its body.
     """
 
     down: bool = False
     slow_ms: int = 0
     lose_answers: float = 0.0
+    cut_answers: float = 0.0
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
@@ -87,6 +94,8 @@
             if req.transport is not None:
                 req.transport.abort()
             return web.Response(status=500)
+        if self._random.random() < self.faults.cut_answers:
+            return await _cut_answer(req)
         answer = ServiceAnswer(
             call=call,
             method=req.method,
@@ -112,3 +121,13 @@
     async def _leave(self, _req: web.Request) -> web.StreamResponse:
         self.leaving = True
         return web.Response(status=204)
+
+
+async def _cut_answer(req: web.Request) -> web.StreamResponse:
+    """Send the head and half of a body, then break the connection off."""
+    response = web.StreamResponse(headers={"Content-Length": str(CUT_BODY_BYTES)})
+    await response.prepare(req)
+    await response.write(b"x" * (CUT_BODY_BYTES // 2))
+    if req.transport is not None:
+        req.transport.close()
+    return response
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -95,6 +95,22 @@
                 status, _ = await system.call("GET", "/thumbnails/1")
                 assert status == 200
 
+    async def test_answer_that_breaks_off_is_refused_whole(self):
+        """Regression: a second head went out after the first part of the answer."""
+        async with a_system(services=1) as system:
+            system.services[0].faults = ServiceFaults(cut_answers=1.0)
+            status, problem = await system.call("PUT", "/rights/7")
+            assert status == 502
+            assert problem["run"] == "unknown"
+            assert list(system.services[0].effects.values()) == [1]
+
+    async def test_get_whose_answer_breaks_off_goes_to_another_worker(self):
+        async with a_system(services=2) as system:
+            system.services[0].faults = ServiceFaults(cut_answers=1.0)
+            for _ in range(6):
+                status, _ = await system.call("GET", "/thumbnails/1")
+                assert status == 200
+
     async def test_keyed_call_repeated_at_another_box_gets_the_first_answer(self):
         async with a_system(daemons=3) as system:
             one = await system.call("POST", "/rights", 0, Idempotency_Key="k1")
