--- a/bench/choice.py
+++ b/bench/choice.py
@@ -18,11 +18,11 @@
 from spanshunt.ids import OrgId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
-from spanshunt.systems.choice import Asked
-from spanshunt.systems.choice import Preferences
 from spanshunt.systems.choice import choose
+from spanshunt.systems.choice_rows import Asked
 from spanshunt.systems.learning import expire
 from spanshunt.systems.learning import observe
+from spanshunt.systems.preferring import Preferences
 from spanshunt.tables.config import Config
 from spanshunt.tables.evidence import Cell
 from spanshunt.tables.evidence import Counts
--- a/bench/world.py
+++ b/bench/world.py
@@ -28,8 +28,8 @@
 from spanshunt.records import JournalPart
 from spanshunt.records import Release
 from spanshunt.records import Usage
-from spanshunt.systems.choice import Asked
 from spanshunt.systems.choice import choose
+from spanshunt.systems.choice_rows import Asked
 from spanshunt.systems.claiming import fold_claims
 from spanshunt.systems.claiming import may_send
 from spanshunt.systems.claiming import start_at
--- a/src/spanshunt/admission.py
+++ b/src/spanshunt/admission.py
@@ -20,7 +20,7 @@
 from .refusals import Refusal
 from .router import Router
 from .session_tokens import SessionToken
-from .systems.choice import Asked
+from .systems.choice_rows import Asked
 from .systems.limiting import OverLimit
 from .systems.limiting import admit
 from .tables.config import Config
--- a/src/spanshunt/chat_state.py
+++ b/src/spanshunt/chat_state.py
@@ -9,7 +9,7 @@
 from .request_state import Attempt
 from .request_state import RequestState
 from .sse import TokenUsage
-from .systems.choice import Choice
+from .systems.choice_rows import Choice
 
 
 class ChatAttempt(Attempt, kw_only=True):
--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -41,8 +41,8 @@
 from .sse import check_whole
 from .sse import text_of_stream
 from .sse import text_of_whole
-from .systems.choice import Choice
 from .systems.choice import choose
+from .systems.choice_rows import Choice
 from .systems.invariants import OWN_ANSWER
 from .systems.invariants import check
 from .systems.invariants import check_session
--- a/src/spanshunt/observations.py
+++ b/src/spanshunt/observations.py
@@ -9,9 +9,9 @@
 from .ratings import rate_later
 from .router import Router
 from .sse import TokenUsage
-from .systems.choice import CONFIDENT
-from .systems.choice import UNSURE
 from .systems.learning import observe
+from .systems.preferring import CONFIDENT
+from .systems.preferring import UNSURE
 from .systems.worker_choice import note_failure
 from .systems.worker_choice import note_success
 from .tables.evidence import Cell
--- a/src/spanshunt/operators.py
+++ b/src/spanshunt/operators.py
@@ -26,7 +26,7 @@
 from .refusals import Refusal
 from .router import OperatorKey
 from .router import Router
-from .systems.choice import Asked
+from .systems.choice_rows import Asked
 from .tables.config import HistoryRow
 from .utils import decode_document
 from .utils import hash_secret
--- a/src/spanshunt/reports.py
+++ b/src/spanshunt/reports.py
@@ -13,8 +13,8 @@
 from .ids import OrgId
 from .ids import ServiceId
 from .router import Router
-from .systems.choice import Asked
 from .systems.choice import choose
+from .systems.choice_rows import Asked
 from .systems.freshness import fresh_age
 from .systems.invariants import checks
 from .systems.learning import estimate
--- a/src/spanshunt/router.py
+++ b/src/spanshunt/router.py
@@ -26,8 +26,8 @@
 from .peers.client import PeerClient
 from .session_tokens import SessionSigner
 from .settings import Settings
-from .systems.choice import Preferences
 from .systems.freshness import is_fresh
+from .systems.preferring import Preferences
 from .systems.worker_choice import Picker
 from .tables.config import OrgRow
 from .tables.preferences import Memory
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,9 +5,9 @@
 from builders import base_config
 from builders import confirm_of
 from builders import put
-from spanshunt.systems.choice import Asked
-from spanshunt.systems.choice import Rule
 from spanshunt.systems.choice import choose
+from spanshunt.systems.choice_rows import Asked
+from spanshunt.systems.choice_rows import Rule
 from spanshunt.systems.learning import estimate
 from spanshunt.systems.learning import merge
 from spanshunt.systems.learning import news_since
