--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -30,6 +30,7 @@
 from spanshunt.ids import WorkerId
 from spanshunt.peers.messages import Exchange
 from spanshunt.peers.messages import ExchangeAnswer
+from spanshunt.peers.news_rows import workers_news
 from spanshunt.records import Bills
 from spanshunt.records import Claim
 from spanshunt.records import Claims
@@ -57,6 +58,7 @@
 from spanshunt.tables.config import VersionRow
 from spanshunt.tables.evidence import Cell
 from spanshunt.tables.evidence import Counts
+from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.identity import Identity
 from spanshunt.tables.state import State
 from spanshunt.tables.state import new_state
@@ -238,6 +240,7 @@
     _table_slopes()
     _request_costs()
     _stream_sizes()
+    _list_sizes()
 
 
 def _config_slopes() -> None:
@@ -302,6 +305,26 @@
     show("evidence", "bytes, by rows (cells by epochs by origins)", rows)
 
 
+def _list_sizes() -> None:
+    """Bytes of the workers' list as a box on the platform tells it to another."""
+    points = []
+    for size in (300, 1_000, 3_000, 10_000):
+        me = Identity(BoxId("a"), DomainId("d"), "a:1", Incarnation("a.1"))
+        fleet = Fleet(me=me)
+        for number in range(size):
+            name = WorkerId(f"i-{number:010x}")
+            fleet.workers.rows[name] = WorkerRow(
+                name=name,
+                service=ServiceId("redactor-ia"),
+                domain=DomainId("nave-norte"),
+                address=f"10.1.{number // 250}.{number % 250}:8162",
+                versions=frozenset({VersionId("v1")}),
+            )
+        told = msgspec.msgpack.encode(workers_news(fleet))
+        points.append(Point(size, float(len(told))))
+    show("list told to a box", "bytes, by workers", points)
+
+
 def _with_workers(size: int) -> State:
     state = a_state(0)
     for number in range(size):
