--- a/src/spanshunt/settings.py
+++ b/src/spanshunt/settings.py
@@ -110,7 +110,7 @@
     header_bytes : int
         Longest header line.
     body_bytes : int
-        Largest body of a model request; bodies of plain services are streamed.
+        Largest body of a request, in bytes.
     body_timeout_ms : int
         How long a body may take to arrive, in ms.
     requests : int
