--- a/tests/builders.py
+++ b/tests/builders.py
@@ -319,13 +319,13 @@
             return res.status, dict(res.headers), await res.read()
 
     async def call(
-        self, method: str, path: str, index: int = 0, **headers: str
+        self, method: str, path: str, index: int = 0, body: bytes = b"", **headers: str
     ) -> tuple[int, t.Any]:
         """Call the plain service."""
         sent = {"Authorization": f"Bearer {CREDENTIAL}"}
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
         url = f"{self.url(index)}/services/servicio-web{path}"
-        async with self.http.request(method, url, headers=sent) as res:
+        async with self.http.request(method, url, headers=sent, data=body) as res:
             return res.status, msgspec.json.decode(await res.read())
 
     async def bills(self, index: int = 0) -> tuple[int, int]:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -53,6 +53,18 @@
             assert CREDENTIAL not in msgspec.json.encode(problem).decode()
             assert not system.daemons[0].router.running
 
+    async def test_long_body_of_a_plain_call_is_refused_and_a_short_one_arrives(self):
+        async with a_system() as system:
+            status, answer = await system.call("POST", "/rights", body=b"x" * 100_000)
+            assert status == 200
+            assert answer["size"] == 100_000
+            status, problem = await system.call(
+                "POST", "/rights", body=b"x" * 4_200_000
+            )
+            assert status == 413
+            assert "4194304" in problem["detail"] and problem["run"] == "no"
+            assert sum(len(service.effects) for service in system.services) == 1
+
     async def test_over_the_rate_says_when_to_come_back(self):
         async with a_system() as system:
             limits = {"rate": 1, "burst": 2}
