--- a/src/spanshunt/model_calls.py
+++ b/src/spanshunt/model_calls.py
@@ -60,9 +60,7 @@
         send=partial(_send, router),
         note_head=partial(_note_head, router),
         use=partial(use_answer, router),
-        note_fault=lambda state, attempt, fault: note_failed(
-            router, state, attempt, fault.detail
-        ),
+        note_fault=partial(_note_fault, router),
         note_bad=lambda state, attempt, exc: note_failed(
             router, state, attempt, str(exc)
         ),
@@ -189,6 +187,14 @@
     return answer
 
 
+def _note_fault(
+    router: Router, state: ChatRequest, attempt: ChatAttempt, fault: SendFault
+) -> None:
+    """Take in a failed send; a forgotten connection says nothing of its worker."""
+    if not fault.stale:
+        note_failed(router, state, attempt, fault.detail)
+
+
 def _note_head(
     router: Router, state: ChatRequest, attempt: ChatAttempt, found: Answer
 ) -> None:
--- /dev/null
+++ b/tests/test_model_calls.py
@@ -0,0 +1,41 @@
+"""Steps of model requests that need no socket."""
+
+import typing as t
+
+from builders import CHEAP
+from builders import a_system
+from fleet_builders import make_worker
+from spanshunt.admission import ChatCall
+from spanshunt.chat_state import ChatAttempt
+from spanshunt.chat_state import ChatRequest
+from spanshunt.ids import ClassId
+from spanshunt.ids import Millis
+from spanshunt.ids import OrgId
+from spanshunt.ids import RequestId
+from spanshunt.model_calls import chat_steps
+from spanshunt.ports import SendFault
+from spanshunt.systems.choice_rows import Choice
+from spanshunt.systems.choice_rows import Rule
+
+
+def a_request() -> ChatRequest:
+    return ChatRequest(
+        request=RequestId("r"),
+        org=OrgId("museo"),
+        request_class=ClassId("note"),
+        began=Millis(0),
+        limit=Millis(0),
+        repeatable=True,
+        call=t.cast(ChatCall, None),
+    )
+
+
+async def test_forgotten_connection_does_not_speak_against_its_worker():
+    async with a_system() as system:
+        steps = chat_steps(system.daemons[0].router)
+        worker = make_worker("w")
+        attempt = ChatAttempt(worker=worker, choice=Choice(CHEAP, Rule.ASKED, 0.0))
+        steps.note_fault(a_request(), attempt, SendFault(False, "reset", stale=True))
+        assert worker.failures == 0
+        steps.note_fault(a_request(), attempt, SendFault(False, "reset"))
+        assert worker.failures == 1
