Stops: a stream begun before the stop ends its connection, too

A response whose head left before the stop did not say that the connection closes. Change: the end of a stream on a stopping box closes its connection. The test fails before (two answers on the connection).

--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -53,11 +53,20 @@
             headers[wire.RETRY_AFTER] = f"{refusal.retry_ms / 1_000:.3f}"
         await self.whole(refusal.problem.status, headers, refusal.detail.encode())
 
+    async def end(self) -> None:
+        """End a stream as complete, and with it a stopping box's connection."""
+        assert self.response is not None
+        self._close_if_stopping(self.response)
+        await super().end()
+
     async def break_off(self, _refusal: Refusal) -> None:
         """End the connection without the mark that completes a stream."""
         self.abort()
 
     def _before_head(self, response: web.StreamResponse) -> None:
+        self._close_if_stopping(response)
+
+    def _close_if_stopping(self, response: web.StreamResponse) -> None:
         if self._core.fleet.stopping:
             response.force_close()
 
@@ -84,9 +93,8 @@
     def end_idle_connections(self) -> None:
         """End connections without a request; to be called until none is left.
 
-        The others end after their answer, as a stopping box says in it, or stay open
-        after an answer that was begun before. They are not told to close: the library
-        then drops what has not arrived yet of a request's body.
+        The others end with their answers. They are not told to close: the library then
+        drops what has not arrived yet of a request's body.
         """
         for connection in list(self.server.connections):
             # A request that has been read counts before its handler begins, so what
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -288,6 +288,11 @@
             await until(lambda: rows[ServiceId("writer")].barred == {"v2"}, "barred")
 
 
+def _head(path: str, headers: dict[str, str]) -> bytes:
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode()
+
+
 class TestStop:
     """A planned stop cuts nothing, and kept connections end in order."""
 
@@ -354,6 +359,28 @@
             await box.node.stop()
             assert (await asking).status == 200
 
+    async def test_stream_begun_before_the_stop_ends_its_connection(self, monkeypatch):
+        """Hunt on andino-archivo, hunt-f998-39: LOST 1: the caller's next request on
+        the connection came at once, 4.3 s after SIGTERM, and was cut off."""
+        monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            for worker in fleet.workers.values():
+                worker.event_s, worker.events = 0.1, 12
+            host, _, port = box.base.removeprefix("http://").rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            first = {**fleet.headers("/long/", KEY, {}), "Content-Length": "0"}
+            second = {**fleet.headers("/view/", KEY, {}), "Content-Length": "0"}
+            writer.write(_head("/long/", first))
+            await asyncio.sleep(0.3)
+            stopping = asyncio.create_task(box.node.stop())
+            writer.write(_head("/view/", second))
+            answer = await asyncio.wait_for(reader.read(), 5)
+            assert answer.count(b"HTTP/1.1 200") == 1
+            assert answer.count(b"id:") == 12
+            await stopping
+            writer.close()
+
     async def test_body_that_arrives_while_idle_connections_end_is_read(
         self, monkeypatch
     ):
@@ -366,8 +393,7 @@
             host, _, port = box.base.removeprefix("http://").rpartition(":")
             reader, writer = await asyncio.open_connection(host, int(port))
             headers = {**fleet.headers("/view/", KEY, {}), "Content-Length": "4000"}
-            head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-            writer.write(f"POST /view/ HTTP/1.1\r\n{head}\r\n".encode() + b"x" * 1000)
+            writer.write(_head("/view/", headers) + b"x" * 1000)
             await asyncio.sleep(0.1)
             stopping = asyncio.create_task(box.node.stop())
             await asyncio.sleep(0.6)
