Stops: what a stopping box closes is decided in one place

Read again: the end of a stream had an override of its own beside the head's. The library asks whether a connection stays open after the handler returns, so the handler says it once, for whole answers and streams.

--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -53,20 +53,11 @@
             headers[wire.RETRY_AFTER] = f"{refusal.retry_ms / 1_000:.3f}"
         await self.whole(refusal.problem.status, headers, refusal.detail.encode())
 
-    async def end(self) -> None:
-        """End a stream as complete, and with it a stopping box's connection."""
-        assert self.response is not None
-        self._close_if_stopping(self.response)
-        await super().end()
-
     async def break_off(self, _refusal: Refusal) -> None:
         """End the connection without the mark that completes a stream."""
         self.abort()
 
     def _before_head(self, response: web.StreamResponse) -> None:
-        self._close_if_stopping(response)
-
-    def _close_if_stopping(self, response: web.StreamResponse) -> None:
         if self._core.fleet.stopping:
             response.force_close()
 
@@ -143,6 +134,9 @@
         if reply.response is None:
             # The connection is closing; the library drops what it is given for it.
             return web.Response(status=Problem.BACKEND_FAILED.status)
+        if self._core.fleet.stopping:
+            # The head may have left before the stop began.
+            reply.response.force_close()
         return reply.response
 
     async def _answer(self, req: web.BaseRequest, reply: CallerReply) -> None:
