Silent workers: one worker is looked up where one is meant

Read again: each told report worked out all silent workers twice, and the fleet's view once a worker; is_silent answers for one, and a report that is no news ends there. Behaviour as before; tests unchanged.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -31,9 +31,9 @@
 from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
 from .systems.silence import Silence
+from .systems.silence import is_silent
 from .systems.silence import newest_silences
 from .systems.silence import note_silence
-from .systems.silence import silent_workers
 from .tables.catalog import Catalog
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
@@ -196,17 +196,17 @@
                 peers[item.box] = PeerRow(item.box, item.address, item.domain)
 
     def _take_silence(self, news: News, told: SilenceNews, now: Millis) -> None:
-        silence = Silence(told.worker, told.box, Millis(now - told.age_ms))
-        if told.box == self._fleet.me.box:
+        fleet, worker = self._fleet, told.worker
+        silence = Silence(worker, told.box, Millis(now - told.age_ms))
+        known = is_silent(fleet, worker, now)
+        if told.box == fleet.me.box or not note_silence(fleet, silence, now):
             return
-        before = silent_workers(self._fleet, now)
-        note_silence(self._fleet, silence, now)
-        if told.worker in silent_workers(self._fleet, now) - before:
+        if not known and is_silent(fleet, worker, now):
             log_event(
                 "INFO",
                 "worker told silent",
-                worker=told.worker,
-                by=sorted(self._fleet.silences[told.worker]),
+                worker=worker,
+                by=sorted(fleet.silences[worker]),
                 age_ms=told.age_ms,
                 source=news.box,
             )
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -17,7 +17,7 @@
 from .systems.ramping import share_at
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
-from .systems.silence import silent_workers
+from .systems.silence import is_silent
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
@@ -192,7 +192,7 @@
     )
     if barred is not None:
         return f"its version was taken back before {barred}"
-    if row.name in silent_workers(fleet, now):
+    if is_silent(fleet, row.name, now):
         boxes = ", ".join(sorted(fleet.silences[row.name]))
         return f"silent to {boxes}"
     if row.back_at > now:
--- a/src/spanshunt/systems/silence.py
+++ b/src/spanshunt/systems/silence.py
@@ -67,17 +67,16 @@
 
 def silent_workers(fleet: Fleet, now: Millis) -> set[WorkerId]:
     """Return the workers that this box leaves out for what boxes told of them."""
-    return {worker for worker in fleet.silences if _is_silent(fleet, worker, now)}
+    return {worker for worker in fleet.silences if is_silent(fleet, worker, now)}
 
 
-def _is_silent(fleet: Fleet, worker: WorkerId, now: Millis) -> bool:
+def is_silent(fleet: Fleet, worker: WorkerId, now: Millis) -> bool:
+    """Tell whether this box leaves a worker out for what boxes told of it."""
     row = fleet.workers.rows.get(worker)
-    if row is None:
+    reports = fleet.silences.get(worker)
+    if row is None or not reports:
         return False
     drawn = unit_hash("silence", f"{fleet.me.box}/{worker}")
     counts_ms = COUNTS_MS * (COUNTS_LEAST_PART + (1 - COUNTS_LEAST_PART) * drawn)
-    count = sum(
-        at > row.heard_at and now - at < counts_ms
-        for at in fleet.silences[worker].values()
-    )
+    count = sum(at > row.heard_at and now - at < counts_ms for at in reports.values())
     return count >= WITNESSES
