--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -88,17 +88,17 @@
     clock = steps.clock
     try:
         async with asyncio.timeout((state.limit - clock.now()) / 1_000):
-            await _attempts(steps, state, reply)
+            ended = await _attempts(steps, state, reply)
     except TimeoutError:
         _note_late(steps, state)
-        outcome = await out_of_time(state, reply, steps.retry_ms(state))
-        settle(clock, steps.count, state, outcome)
+        ended = await out_of_time(state, reply, steps.retry_ms(state))
     except ConnectionError as exc:
-        settle(clock, steps.count, state, Settled("caller_lost", str(exc)))
+        ended = Settled("caller_lost", str(exc))
         reply.abort()
     except asyncio.CancelledError:
         settle(clock, steps.count, state, Settled("caller_left"))
         raise
+    settle(clock, steps.count, state, ended)
 
 
 def _note_late(steps: Steps[StateT, AttemptT], state: StateT) -> None:
@@ -121,7 +121,7 @@
 
 async def _attempts(
     steps: Steps[StateT, AttemptT], state: StateT, reply: Reply
-) -> None:
+) -> Settled:
     refusal: Refusal | None = None
     while True:
         planned = steps.plan(state)
@@ -130,12 +130,10 @@
             break
         ending = await _attempt(steps, state, planned.ok_value, reply)
         if ending is Ending.DELIVERED:
-            settle(steps.clock, steps.count, state, Settled("delivered"))
-            return
+            return Settled("delivered")
         if ending is not Ending.BETTER and not _goes_on(steps, state, ending):
             break
-    outcome = await give_up(state, reply, refusal, steps.retry_ms(state))
-    settle(steps.clock, steps.count, state, outcome)
+    return await give_up(state, reply, refusal, steps.retry_ms(state))
 
 
 def _goes_on(steps: Steps[StateT, AttemptT], state: StateT, ending: Ending) -> bool:
