--- a/src/spanshunt/run_summary.py
+++ b/src/spanshunt/run_summary.py
@@ -42,17 +42,11 @@
     attempts: tuple[str, ...] = ()
 
 
-class RouteSummary(msgspec.Struct):
-    """Requests of one route: how they ended and how long they took, in ms."""
+class RequestSummary(msgspec.Struct):
+    """Requests of a route or a second: how they ended, and times of those delivered.
 
-    outcomes: collections.Counter[str] = msgspec.field(
-        default_factory=collections.Counter
-    )
-    took: list[int] = msgspec.field(default_factory=list)
-
-
-class SecondSummary(msgspec.Struct):
-    """One second of the run: outcomes, and times of what was delivered, in ms."""
+    The times are in ms.
+    """
 
     outcomes: collections.Counter[str] = msgspec.field(
         default_factory=collections.Counter
@@ -95,8 +89,8 @@
     lines: int = 0
     unreadable: int = 0
     boxes: set[str] = msgspec.field(default_factory=set)
-    routes: dict[str, RouteSummary] = msgspec.field(default_factory=dict)
-    seconds: dict[int, SecondSummary] = msgspec.field(default_factory=dict)
+    routes: dict[str, RequestSummary] = msgspec.field(default_factory=dict)
+    seconds: dict[int, RequestSummary] = msgspec.field(default_factory=dict)
     endings: collections.Counter[tuple[str, str]] = msgspec.field(
         default_factory=collections.Counter
     )
@@ -139,8 +133,8 @@
 
 
 def _take_request(summary: RunSummary, row: LogLine) -> None:
-    second = summary.seconds.setdefault(int(row.at - summary.begin), SecondSummary())
-    route = summary.routes.setdefault(row.route or "(none)", RouteSummary())
+    second = summary.seconds.setdefault(int(row.at - summary.begin), RequestSummary())
+    route = summary.routes.setdefault(row.route or "(none)", RequestSummary())
     for part in (second, route):
         part.outcomes[row.outcome] += 1
         if row.outcome == "delivered":
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import os
 import random
+import subprocess
+import sys
 import typing as t
 
 import aiohttp
@@ -383,3 +386,15 @@
 def seeded(seed: int) -> random.Random:
     """Return a source of chance of its own."""
     return random.Random(seed)
+
+
+def run_tool(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the operators' tool as a process of its own."""
+    return subprocess.run(
+        [sys.executable, "-c", "from spanshunt.cli import main; main()", *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=120,
+        env={**os.environ, "NO_COLOR": "1"},
+    )
--- a/tests/test_fleet_report.py
+++ b/tests/test_fleet_report.py
@@ -1,13 +1,11 @@
 """What a box tells operators of the whole fleet, and the tool that shows it."""
 
 import json
-import os
-import subprocess
-import sys
 
 import msgspec
 import pytest
 
+from builders import run_tool
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
@@ -44,16 +42,6 @@
     return fleet
 
 
-def spanshunt(*arguments: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run(
-        [sys.executable, "-c", "from spanshunt.cli import main; main()", *arguments],
-        capture_output=True,
-        text=True,
-        timeout=60,
-        env={**os.environ, "NO_COLOR": "1"},
-    )
-
-
 def test_says_why_each_worker_is_out():
     fleet = with_workers("a", "b", "c", "d")
     fleet.workers.leaving.add("a")
@@ -117,10 +105,10 @@
     fleet.workers.leaving.add("b")
     kept = tmp_path / "view.json"
     kept.write_bytes(msgspec.json.encode(view_of(fleet)))
-    shown = spanshunt("fleet", str(kept))
+    shown = run_tool("fleet", str(kept))
     assert shown.returncode == 0, shown.stderr
     assert "workers:" in shown.stdout and "leaving" in shown.stdout
-    as_json = spanshunt("fleet", str(kept), "--json")
+    as_json = run_tool("fleet", str(kept), "--json")
     assert json.loads(as_json.stdout)["box"] == "box-1"
 
 
@@ -129,7 +117,7 @@
     [("no-such-file", "No such file"), ("http://127.0.0.1:9", "not reached")],
 )
 def test_tool_says_what_is_wrong(source: str, words: str):
-    shown = spanshunt("fleet", source)
+    shown = run_tool("fleet", source)
     assert shown.returncode != 0
     assert words in " ".join(shown.stderr.split())
 
@@ -137,6 +125,6 @@
 def test_tool_refuses_a_file_that_is_no_view(tmp_path):
     other = tmp_path / "other.json"
     other.write_text('{"box": 3}')
-    shown = spanshunt("fleet", str(other))
+    shown = run_tool("fleet", str(other))
     assert shown.returncode == 2
     assert "no view of a fleet" in " ".join(shown.stderr.split())
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,13 +3,12 @@
 import contextlib
 import os
 import pathlib
-import subprocess
-import sys
 import tempfile
 
 import pytest
 from loguru import logger
 
+from builders import run_tool
 from fleet_builders import KEY
 from fleet_builders import TestFleet
 from fleet_builders import config
@@ -38,19 +37,7 @@
 
 def traced(path: pathlib.Path, request: str) -> list[str]:
     """Follow the page's second step and return the lines marked as the request's."""
-    done = subprocess.run(
-        [
-            sys.executable,
-            "-c",
-            "from spanshunt.cli import main; main()",
-            "trace",
-            request,
-            str(path),
-        ],
-        capture_output=True,
-        text=True,
-        check=False,
-    )
+    done = run_tool("trace", request, str(path))
     assert done.returncode == 0, done.stderr
     return done.stdout.splitlines()
 
--- a/tests/test_run_summary.py
+++ b/tests/test_run_summary.py
@@ -1,13 +1,11 @@
 """What a run's logs add up to, and the page made of it."""
 
 import json
-import os
-import subprocess
-import sys
 import typing as t
 
 import pytest
 
+from builders import run_tool
 from spanshunt.run_page import run_page
 from spanshunt.run_summary import EVENTS_MOST
 from spanshunt.run_summary import quantile
@@ -86,20 +84,10 @@
     assert run_page(summarise([line(1.0, "started")])).count("<svg") == 3
 
 
-def spanshunt(*arguments: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run(
-        [sys.executable, "-c", "from spanshunt.cli import main; main()", *arguments],
-        capture_output=True,
-        text=True,
-        timeout=120,
-        env={**os.environ, "NO_COLOR": "1"},
-    )
-
-
 def test_tool_writes_the_page(tmp_path):
     log, page = tmp_path / "box.log", tmp_path / "run.html"
     log.write_bytes(b"\n".join(RUN))
-    done = spanshunt("report", str(log), "--out", str(page))
+    done = run_tool("report", str(log), "--out", str(page))
     assert done.returncode == 0, done.stderr
     assert "<svg" in page.read_text()
 
@@ -107,6 +95,6 @@
 def test_tool_says_that_there_is_no_log_line(tmp_path):
     log = tmp_path / "other.txt"
     log.write_text("nothing")
-    done = spanshunt("report", str(log))
+    done = run_tool("report", str(log))
     assert done.returncode == 1
     assert "no log line among 1" in " ".join(done.stderr.split())
