--- a/src/spanshunt/observations.py
+++ b/src/spanshunt/observations.py
@@ -33,11 +33,7 @@
 
 def rate(router: Router, state: ChatRequest, attempt: ChatAttempt, text: str) -> None:
     """Ask for the rating of an attempt's answer, without holding the caller up."""
-    version, name, org = attempt.choice.version, state.request_class, state.org
-    cells = [Cell(version, name, org)]
-    if attempt.usage is not None and attempt.usage.confidence is not None:
-        cells.append(Cell(version, _sure_class(name, attempt.usage), org))
-    rate_later(router, state.call, cells, text)
+    rate_later(router, state.call, _cells(state, attempt), text)
 
 
 def note_whole(router: Router, state: ChatRequest, attempt: ChatAttempt) -> None:
@@ -77,13 +73,17 @@
     router: Router, state: ChatRequest, attempt: ChatAttempt, seen: Counts
 ) -> None:
     """Count what was seen for the version, and by how sure its engine was."""
+    evidence, origin = router.state.evidence, router.state.me.incarnation
+    for cell in _cells(state, attempt):
+        observe(evidence, origin, router.clock.wall(), cell, seen)
+
+
+def _cells(state: ChatRequest, attempt: ChatAttempt) -> list[Cell]:
+    """Return what an attempt counts under: its class, and that by its confidence."""
     names = [state.request_class]
     if attempt.usage is not None and attempt.usage.confidence is not None:
         names.append(_sure_class(state.request_class, attempt.usage))
-    evidence, origin = router.state.evidence, router.state.me.incarnation
-    for name in names:
-        cell = Cell(attempt.choice.version, name, state.org)
-        observe(evidence, origin, router.clock.wall(), cell, seen)
+    return [Cell(attempt.choice.version, name, state.org) for name in names]
 
 
 def _record_times(
