Sends: sessions and header filters for workers stand beside send_http

Read again: both worker clients opened their sessions with the same switches, among them the one that keeps the library from sending again by itself, and three functions dropped headers by name. worker_session and without serve all; what differs is given. Behaviour as before.

--- a/src/spanshunt/backing/workers.py
+++ b/src/spanshunt/backing/workers.py
@@ -13,6 +13,8 @@
 from ..http_sends import HttpAnswer
 from ..http_sends import HttpSend
 from ..http_sends import send_http
+from ..http_sends import without
+from ..http_sends import worker_session
 from ..ids import RequestId
 from ..ports import Answer
 from ..ports import SendFault
@@ -110,22 +112,8 @@
 
 def end_to_end(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that travel on: no connection's, none of the system's."""
-    return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if name.lower() not in _CONNECTION_HEADERS
-    )
+    return without(headers, _CONNECTION_HEADERS)
 
 
 def _session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
-    session = aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        read_bufsize=_READ_SIZE,
-    )
-    # The library sends PUT and DELETE again by itself when a connection breaks; what
-    # may be repeated is decided by the request path alone.
-    session._retry_connection = False
-    return session
+    return worker_session(connector, _CONNECT_TIMEOUT_S, read_bufsize=_READ_SIZE)
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -1,5 +1,7 @@
 """Sends to workers over HTTP, and their answers as they are read."""
 
+import typing as t
+
 import aiohttp
 import msgspec
 from multidict import CIMultiDict
@@ -42,6 +44,41 @@
     body: bytes
 
 
+def worker_session(
+    connector: aiohttp.TCPConnector, connect_s: float, **options: t.Any
+) -> aiohttp.ClientSession:
+    """Return a session for :func:`send_http`: it changes no body and never sends again.
+
+    Parameters
+    ----------
+    connector : aiohttp.TCPConnector
+        Opens and keeps the connections.
+    connect_s : float
+        How long one may take to come up, in s.
+    **options
+        Further ones of the session.
+    """
+    session = aiohttp.ClientSession(
+        connector=connector,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+        auto_decompress=False,
+        **options,
+    )
+    # The library sends again by itself when a kept connection breaks, PUT and DELETE,
+    # too; what may be repeated is decided by the request path alone.
+    session._retry_connection = False
+    return session
+
+
+def without(
+    headers: t.Mapping[str, str], dropped: t.Collection[str]
+) -> CIMultiDict[str]:
+    """Return the headers that travel on; `dropped` are named in lower case."""
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in dropped
+    )
+
+
 class HttpAnswer(Answer):
     """An answer that is being read from a connection.
 
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -17,6 +17,7 @@
 from ..catalog_state import Core
 from ..exceptions import InvariantError
 from ..http_replies import HttpReply
+from ..http_sends import without
 from ..ids import ModelId
 from ..ids import RequestId
 from ..ports import Call
@@ -206,9 +207,7 @@
     named = headers.get("Connection", "").lower().split(",")
     dropped = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS
     dropped |= {name.strip() for name in named}
-    kept = CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in dropped
-    )
+    kept = without(headers, dropped)
     if keep_model:
         kept[wire.MODEL] = headers[wire.MODEL]
     return kept
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -15,6 +15,8 @@
 from ..http_sends import HttpAnswer
 from ..http_sends import HttpSend
 from ..http_sends import send_http
+from ..http_sends import without
+from ..http_sends import worker_session
 from ..ports import Answer
 from ..ports import Dispatch
 from ..ports import SendFault
@@ -65,7 +67,7 @@
     """A worker's answer, as its headers tell it."""
 
     def __init__(self, resp: aiohttp.ClientResponse, request: str) -> None:
-        super().__init__(resp, _end_to_end(resp.headers))
+        super().__init__(resp, without(resp.headers, wire.CONNECTION_HEADERS))
         self.not_run = wire.NOT_RUN in resp.headers
         self.replaced = resp.status == 421
         self.confidence = _sureness(resp.headers.get(wire.SURENESS))
@@ -112,17 +114,8 @@
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
     loop = asyncio.get_running_loop()
     connector._factory = t.cast(t.Any, partial(_Connection, loop=loop))
-    timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-    session = aiohttp.ClientSession(
-        connector=connector,
-        timeout=timeout,
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-    # The library sends again by itself when a kept connection breaks; what may be
-    # repeated is decided by the request path alone.
-    session._retry_connection = False
-    return session
+    jar = aiohttp.DummyCookieJar()
+    return worker_session(connector, CONNECT_TIMEOUT_S, cookie_jar=jar)
 
 
 def _request_headers(dispatch: Dispatch) -> CIMultiDict[str]:
@@ -141,14 +134,6 @@
     return headers
 
 
-def _end_to_end(headers: t.Mapping[str, str]) -> CIMultiDict[str]:
-    return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if name.lower() not in wire.CONNECTION_HEADERS
-    )
-
-
 def _flaw(resp: aiohttp.ClientResponse, request: str) -> str:
     """Return what makes an answer none to this request, empty if it is one."""
     headers = resp.headers
