Estimate: one learned time to the first event decides model, worker and escalation

Change: systems.estimating holds wait + read; the time to read a token is learned for each service and model and pooled among boxes, what an engine keeps is a bounded table (whole chain of shared parts, by model), told to peers where reading is dear; what boxes have waiting is told, too. placing and cascading read off it: one owner in all for prompts that are dear to read, the worth of an answer as a multiple of the largest model's price, the price of engines' time by what holds an engine and by how many answers come late. What is read sooner goes first at the engine. A request that comes before a box knows its first catalog waits an eighth of its caller's time, a second at most.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -9,15 +9,15 @@
 from .ports import BrokenAnswerError
 from .ports import SendFault
 from .ports import SilentWorkerError
+from .systems.estimating import note_first_event
+from .systems.estimating import speed_of
 from .systems.placing import note_answer
-from .systems.placing import note_slowness
 from .systems.placing import note_unreached
 from .systems.ramping import note_result
 from .systems.silence import Silence
 from .systems.silence import note_silence
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
-from .systems.timing import usual_first_ms
 from .tables.catalog import RequestKind
 from .tables.rollouts import Finding
 
@@ -78,12 +78,37 @@
     """Take in how soon a worker began to answer."""
     fleet, route = core.fleet, state.admitted.route
     read = state.call.tokens.read
-    usual = usual_first_ms(fleet, route, attempt.model, read)
-    note_slowness(attempt.worker, first_ms, usual, core.clock.now())
+    if attempt.effort is not None:
+        _note_first_event(core, state, attempt, first_ms)
     attempt.slow = is_slow(fleet, route, attempt.model, read, first_ms)
     note_first_time(fleet, route, attempt.model, read, first_ms)
 
 
+def _note_first_event(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
+) -> None:
+    """Take in how far an engine was from what was expected of it."""
+    fleet, effort, expected = core.fleet, attempt.effort, attempt.expected
+    assert effort is not None
+    now = core.clock.now()
+    note_first_event(fleet, attempt.worker, effort, expected, first_ms, now)
+    speed = speed_of(fleet, effort.service, effort.model)
+    log_event(
+        "INFO",
+        "first event",
+        request=state.request,
+        worker=attempt.worker.name,
+        model=effort.model,
+        first_ms=first_ms,
+        expected_ms=round(expected.first_ms),
+        unread=round(expected.unread),
+        token_us=round(1_000 * speed.read_ms, 1),
+        base_ms=round(speed.base_ms),
+        unseen=expected.unseen,
+        spent_ms=now - state.began,
+    )
+
+
 def note_good(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
 ) -> None:
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -39,6 +39,10 @@
 from .systems.admitting import Admitted
 from .systems.admitting import Asked
 from .systems.admitting import admit
+from .systems.admitting import held_ms
+from .systems.cascading import note_lateness
+from .systems.estimating import note_prompt
+from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
 from .systems.placing import note_load
 from .systems.ramping import note_session
@@ -48,6 +52,7 @@
 from .systems.timing import first_limit_ms
 from .systems.timing import is_alive
 from .tables.catalog import RequestKind
+from .tables.engines import PromptPart
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
@@ -55,6 +60,9 @@
 BUDGET_STEP_S = 0.2
 """How often a request whose worker is silent looks whether it may be repeated, in s."""
 
+CATALOG_STEP_S = 0.02
+"""How often a request that waits for the first catalog looks for it, in s."""
+
 CatalogSteps = Steps[CatalogRequest, CatalogAttempt]
 
 
@@ -78,7 +86,10 @@
 
 async def answer(core: Core, steps: CatalogSteps, call: Call, reply: Reply) -> None:
     """Answer a request, whatever happens on the way."""
-    asked = Asked(call.host, call.path, call.credential)
+    if core.fleet.catalog is None:
+        await _await_catalog(core, call)
+    left_ms = call.deadline - core.clock.now()
+    asked = Asked(call.host, call.path, call.credential, left_ms)
     admitted = admit(core.fleet.catalog, asked)
     if isinstance(admitted, Err):
         await _refuse_entry(core, call, reply, admitted.err_value)
@@ -90,6 +101,25 @@
         core.running.discard(call.request)
 
 
+async def _await_catalog(core: Core, call: Call) -> None:
+    """Wait for the first catalog, as long as that may still serve the caller."""
+    clock = core.clock
+    steps = held_ms(call.deadline - clock.now()) / (1_000 * CATALOG_STEP_S)
+    for _ in range(int(steps)):
+        if core.fleet.catalog is not None:
+            break
+        await asyncio.sleep(CATALOG_STEP_S)
+    catalog = core.fleet.catalog
+    core.count("requests_held.served" if catalog else "requests_held.not_ready")
+    log_event(
+        "INFO",
+        "held for a catalog",
+        request=call.request,
+        catalog=catalog.version if catalog else None,
+        held_ms=clock.now() - call.began,
+    )
+
+
 def _begin(call: Call, admitted: Admitted) -> CatalogRequest:
     route = admitted.route
     return CatalogRequest(
@@ -126,6 +156,7 @@
 
 def _before_send(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
     """Count an attempt in the budget of repeats and log what it rests on."""
+    _note_prompt(core, state, attempt)
     if state.sends == 0:
         note_request(core.fleet, attempt.service, core.clock.now())
     else:
@@ -147,9 +178,30 @@
         candidates=attempt.candidates,
         send=state.sends + 1,
         left_ms=state.limit - attempt.sent,
+        wait_ms=round(attempt.expected.wait_ms),
+        read_ms=round(attempt.expected.read_ms),
+        unread=round(attempt.expected.unread),
     )
 
 
+def _urgency(state: CatalogRequest, attempt: CatalogAttempt) -> int:
+    """Return how urgent a request is at its worker; what goes on goes first."""
+    if attempt.effort is None:
+        return state.admitted.rank
+    if state.last_event is not None:
+        return 0
+    return urgency_of(attempt.expected, state.admitted.route.aim_ms)
+
+
+def _note_prompt(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Take in that an engine will read a prompt."""
+    effort = attempt.effort
+    if effort is None:
+        return
+    own = PromptPart(state.request, effort.read - effort.shared_tokens)
+    note_prompt(core.fleet, attempt.worker, effort, own, core.clock.now())
+
+
 async def _send(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt
 ) -> Answer | SendFault:
@@ -158,18 +210,18 @@
     A request that may run once only, or that a kept connection may have failed already,
     gets a connection of its own: a kept one may be dead, or owe another's answer.
     """
-    worker, read = attempt.worker, state.call.tokens.read
+    worker, reading_ms = attempt.worker, attempt.expected.read_ms
     dispatch = Dispatch(
         call=state.call,
         worker=worker,
         model=attempt.model,
         org=state.org,
-        urgency=state.admitted.rank,
+        urgency=_urgency(state, attempt),
         left_ms=state.limit - core.clock.now(),
         resume_after=state.last_event,
         fresh=state.broken or not state.repeatable,
     )
-    worker.pending_read += read
+    worker.reading_ms += reading_ms
     sending = asyncio.ensure_future(core.send(dispatch))
     try:
         waited = await _await_head(core, state, attempt, sending)
@@ -178,7 +230,7 @@
             return SendFault(False, detail, silent=True)
         opened = sending.result()
     finally:
-        worker.pending_read -= read
+        worker.reading_ms -= reading_ms
         if not sending.done():
             sending.cancel()
     return opened.err_value if isinstance(opened, Err) else opened.ok_value
@@ -252,6 +304,9 @@
     note_first(core, state, attempt, first_ms)
     if wants_better(core, state, attempt, found, first_ms):
         return Ending.BETTER
+    if attempt.effort is not None:
+        spent_ms = now - state.began
+        note_lateness(core.fleet, attempt.service, state.admitted.route, spent_ms)
     state.version = version_of(attempt)
     note_session(core.fleet, attempt.service, state.call.session, state.version, now)
     if state.admitted.route.kind is RequestKind.STREAM:
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -16,6 +16,8 @@
 from .settling import Counter
 from .systems.admitting import Admitted
 from .systems.cascading import ModelPlan
+from .systems.estimating import Effort
+from .systems.estimating import Estimate
 from .systems.repeats import RepeatBounds
 from .tables.fleet import Fleet
 
@@ -33,6 +35,10 @@
         Age of the report that the estimate rests on; -1 for none.
     candidates : int
         Workers that the choice was among.
+    effort : Effort or None
+        What its prompt asks of the engine; None for plain requests.
+    expected : Estimate
+        What it was expected to meet there.
     slow : bool
         Whether its first byte came several times later than usual.
     answered : bool
@@ -43,6 +49,8 @@
     load: float
     report_age_ms: int
     candidates: int
+    effort: Effort | None = None
+    expected: Estimate = Estimate()
     slow: bool = False
     answered: bool = False
 
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -18,9 +18,14 @@
 from .peers.news import TallyGroup
 from .peers.news import tell
 from .peers.news_rows import listed
+from .peers.news_rows import readings_news
+from .peers.news_rows import reads_news
 from .peers.news_rows import rollout_news
+from .peers.news_rows import speeds_news
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
+from .systems.estimating import take_read
+from .systems.estimating import take_speed
 from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
 from .systems.following_workers import note_reading
@@ -35,6 +40,9 @@
 from .systems.silence import newest_silences
 from .systems.silence import note_silence
 from .tables.catalog import Catalog
+from .tables.engines import EngineSpeed
+from .tables.engines import PromptPart
+from .tables.engines import PromptRead
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import EvidenceKey
@@ -139,6 +147,9 @@
                 SilenceNews(item.worker, item.box, now - item.at)
                 for item in newest_silences(fleet, now)
             ),
+            speeds=speeds_news(fleet),
+            readings=readings_news(fleet),
+            reads=reads_news(fleet, now),
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
@@ -163,6 +174,7 @@
             self._take_rollout(news, item, now)
         for told in news.silences:
             self._take_silence(news, told, now)
+        self._take_engines(news, now)
 
     def _take_workers(self, news: News, now: Millis) -> None:
         """Take in a newer list, or that this box's is as new as the teller's."""
@@ -211,6 +223,22 @@
                 source=news.box,
             )
 
+    def _take_engines(self, news: News, now: Millis) -> None:
+        """Take in how fast engines are, what waits there, and what they read."""
+        fleet = self._fleet
+        for told in news.speeds:
+            speed = EngineSpeed(told.read_ms, told.base_ms)
+            take_speed(fleet, told.service, told.model, speed)
+        for row in fleet.workers.rows.values():
+            row.told_ms.pop(news.box, None)
+        for waiting in news.readings:
+            reading = fleet.workers.rows.get(waiting.worker)
+            if reading is not None:
+                reading.told_ms[news.box] = (float(waiting.reading_ms), now)
+        for read in news.reads:
+            shared = tuple(PromptPart(*part) for part in read.shared)
+            take_read(fleet, PromptRead(read.worker, read.model, shared, now))
+
     def _take_rollout(self, news: News, item: RolloutNews, now: Millis) -> None:
         fleet = self._fleet
         began = Millis(now - item.age_ms)
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -10,9 +10,9 @@
 from .ids import ServiceId
 from .ids import VersionId
 from .ids import WorkerId
+from .systems.estimating import others_ms
 from .systems.following_workers import reader_of
-from .systems.placing import estimate
-from .systems.placing import slowness
+from .systems.placing import batch_load
 from .systems.ramping import add_up
 from .systems.ramping import share_at
 from .systems.repeats import RepeatBounds
@@ -38,7 +38,7 @@
     slots: int
     inflight: int
     error_rate: float
-    slowness: float
+    waiting_ms: int
     out: str
 
 
@@ -169,11 +169,11 @@
         service=row.service,
         domain=row.domain,
         versions=tuple(sorted(row.versions)),
-        load=round(estimate(row, now), 2),
+        load=round(batch_load(row, now), 2),
         slots=row.slots,
         inflight=row.inflight,
         error_rate=round(row.error_rate, 2),
-        slowness=round(slowness(row, now), 2),
+        waiting_ms=round(row.reading_ms + others_ms(row, now)),
         out=_why_out(fleet, row, now),
     )
 
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -13,6 +13,7 @@
 from ..ids import BoxId
 from ..ids import DomainId
 from ..ids import Incarnation
+from ..ids import ModelId
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..ids import WorkerId
@@ -103,6 +104,30 @@
     age_ms: int
 
 
+class SpeedNews(msgspec.Struct, frozen=True, array_like=True):
+    """How fast the engines of a service run a model, as the teller learned it."""
+
+    service: ServiceId
+    model: ModelId
+    read_ms: float
+    base_ms: float
+
+
+class ReadingNews(msgspec.Struct, frozen=True, array_like=True):
+    """How long the teller's prompts take that wait at an engine, in ms."""
+
+    worker: WorkerId
+    reading_ms: int
+
+
+class ReadNews(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt that the teller sent to an engine, as its shared parts and tokens."""
+
+    worker: WorkerId
+    model: ModelId
+    shared: tuple[tuple[str, int], ...]
+
+
 class PeerNews(msgspec.Struct, frozen=True, array_like=True):
     """A box and where its peers reach it."""
 
@@ -142,6 +167,12 @@
         Whether the store serves the teller.
     silences : tuple of SilenceNews
         Workers that boxes found silent just now.
+    speeds : tuple of SpeedNews
+        How fast engines are.
+    readings : tuple of ReadingNews
+        What the teller has waiting at engines.
+    reads : tuple of ReadNews
+        The prompts that it sent to engines of late.
     """
 
     box: BoxId
@@ -160,6 +191,9 @@
     read_unbroken_ms: int = 0
     served: bool = True
     silences: tuple[SilenceNews, ...] = ()
+    speeds: tuple[SpeedNews, ...] = ()
+    readings: tuple[ReadingNews, ...] = ()
+    reads: tuple[ReadNews, ...] = ()
 
 
 async def tell(
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -3,6 +3,7 @@
 from ..ids import DomainId
 from ..ids import Incarnation
 from ..ids import Millis
+from ..systems.estimating import newest_reads
 from ..systems.following_workers import ListedWorker
 from ..systems.ramping import add_up
 from ..tables.fleet import Fleet
@@ -12,7 +13,10 @@
 from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
 from ..tables.workers import WorkerRow
+from .news import ReadingNews
+from .news import ReadNews
 from .news import RolloutNews
+from .news import SpeedNews
 from .news import TallyGroup
 from .news import TallyNews
 from .news import WorkerNews
@@ -97,3 +101,28 @@
         if key.epoch > oldest
     )
     return TallyGroup(domain, box, told)
+
+
+def speeds_news(fleet: Fleet) -> tuple[SpeedNews, ...]:
+    """Return how fast engines are, as far as this box learned it."""
+    return tuple(
+        SpeedNews(service, model, speed.read_ms, speed.base_ms)
+        for (service, model), speed in fleet.speeds.items()
+    )
+
+
+def readings_news(fleet: Fleet) -> tuple[ReadingNews, ...]:
+    """Return what this box has waiting at engines."""
+    return tuple(
+        ReadingNews(row.name, int(row.reading_ms))
+        for row in fleet.workers.rows.values()
+        if row.reading_ms >= 1.0
+    )
+
+
+def reads_news(fleet: Fleet, now: Millis) -> tuple[ReadNews, ...]:
+    """Return the prompts that this box sent to engines of late."""
+    return tuple(
+        ReadNews(read.worker, read.model, read.shared)
+        for read in newest_reads(fleet, now)
+    )
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -17,7 +17,11 @@
 from .ids import ServiceId
 from .refusals import Problem
 from .refusals import Refusal
+from .systems.cascading import Prospect
+from .systems.cascading import note_engine_worth
 from .systems.cascading import plan_models
+from .systems.estimating import Effort
+from .systems.estimating import Estimate
 from .systems.placing import Placed
 from .systems.placing import Wanted
 from .systems.placing import place
@@ -43,8 +47,8 @@
         return Err(_no_worker(core, state, "the route names no service"))
     state.service = service.name
     rule = _version_rule(core, state)
-    model = _model(core, state, service)
-    placed = _place(core, state, rule, model)
+    model = _model(core, state, service, rule)
+    placed = _place(core, state, service, rule, model)
     if placed is None:
         detail = f"no worker of {service.name} takes work now"
         return Err(_no_worker(core, state, detail))
@@ -56,6 +60,8 @@
             load=placed.load,
             report_age_ms=placed.report_age_ms,
             candidates=placed.candidates,
+            effort=_effort(state, service, model),
+            expected=placed.expected or Estimate(),
         )
     )
 
@@ -95,32 +101,65 @@
     )
 
 
-def _model(core: Core, state: CatalogRequest, service: ServiceRow) -> ModelId:
+def _model(
+    core: Core, state: CatalogRequest, service: ServiceRow, rule: VersionRule
+) -> ModelId:
     """Return the model to name; empty where the caller named one or none is needed."""
     route, call = state.admitted.route, state.call
     if call.model or not route.models:
         return ModelId("")
     if state.model_plan is None:
-        state.model_plan = plan_models(core.fleet, route, service, call.tokens)
+        prospect = larger_prospect(core, state, service, rule)
+        note_engine_worth(core.fleet, route, service, call.tokens, prospect.expected)
+        state.model_plan = plan_models(
+            core.fleet, route, service, call.tokens, prospect
+        )
     return state.model_plan.last if state.raised else state.model_plan.first
 
 
+def larger_prospect(
+    core: Core,
+    state: CatalogRequest,
+    service: ServiceRow,
+    rule: VersionRule | None = None,
+) -> Prospect:
+    """Return what asking the largest model next means."""
+    rule = _version_rule(core, state) if rule is None else rule
+    placed = _place(core, state, service, rule, state.admitted.route.models[-1])
+    found = placed.expected if placed is not None else None
+    return Prospect(found or Estimate(), core.clock.now() - state.began)
+
+
+def _effort(
+    state: CatalogRequest, service: ServiceRow, model: ModelId
+) -> Effort | None:
+    call = state.call
+    named = model or call.model
+    if not named or not call.tokens.read:
+        return None
+    return Effort(service, named, call.tokens.read, call.shared)
+
+
 def _place(
-    core: Core, state: CatalogRequest, rule: VersionRule, model: ModelId
+    core: Core,
+    state: CatalogRequest,
+    service: ServiceRow,
+    rule: VersionRule,
+    model: ModelId,
 ) -> Placed | None:
-    call, fleet = state.call, core.fleet
+    fleet, route = core.fleet, state.admitted.route
     now = core.clock.now()
     wanted = Wanted(
         service=state.service,
         rule=rule,
         domain=fleet.me.domain,
-        memory_key=f"{model}/{call.memory_key}" if call.memory_key else "",
-        shared_part=call.shared_part,
+        effort=_effort(state, service, model),
+        aim_ms=route.aim_ms,
         avoid=state.tried,
-        again=state.admitted.route.repeatable,
+        again=route.repeatable,
         silent=silent_workers(fleet, now),
     )
-    return place(fleet.workers, wanted, now, core.rng)
+    return place(fleet, wanted, now, core.rng)
 
 
 def _no_worker(core: Core, state: CatalogRequest, detail: str) -> Refusal:
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -25,6 +25,7 @@
 from ..refusals import Refusal
 from ..systems.cascading import RequestTokens
 from ..tables.catalog import CallerLimits
+from ..tables.engines import PromptPart
 from . import wire
 
 DEADLINE_MS = 60_000
@@ -174,7 +175,6 @@
     host = headers.get("Host", "").lower().partition(":")[0]
     model = headers.get(wire.MODEL, "")
     tokens = _effort(headers.get(wire.TOKENS, ""))
-    parts = headers.get(wire.PROMPT_PARTS, "").split(",")
     last_event = headers.get(wire.LAST_EVENT, "")
     return Ok(
         Call(
@@ -190,8 +190,7 @@
             deadline=began + int(deadline),
             session=headers.get(wire.SESSION, ""),
             tokens=tokens,
-            memory_key=parts[-2].partition(":")[0] if len(parts) > 1 else "",
-            shared_part=_shared_part(parts),
+            shared=_shared(headers.get(wire.PROMPT_PARTS, "")),
             model=ModelId("" if model == wire.ANY_MODEL else model),
             resume_after=int(last_event) if last_event.isdigit() else None,
         )
@@ -221,10 +220,12 @@
     return RequestTokens(int(read), int(generated))
 
 
-def _shared_part(parts: list[str]) -> float:
-    """Return which part of a prompt is shared: all parts but the last."""
-    sizes = [size for _, _, size in (part.partition(":") for part in parts)]
-    if not all(size.isdigit() for size in sizes):
-        return 0.0
-    tokens = [int(size) for size in sizes]
-    return sum(tokens[:-1]) / max(1, sum(tokens))
+def _shared(text: str) -> tuple[PromptPart, ...]:
+    """Decode ``NAME:TOKENS,...``: all parts but the last, which is the request's own.
+
+    A list that can't be read tells of no shared part.
+    """
+    rows = [part.partition(":") for part in text.split(",")]
+    if not all(name and size.isdigit() for name, _, size in rows):
+        return ()
+    return tuple(PromptPart(name, int(size)) for name, _, size in rows[:-1])
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -139,6 +139,8 @@
 
 class _Engine(_Wire, frozen=True, rename="pascal"):
     models: tuple[_Model, ...] = ()
+    # Memory of one worker, in tokens of prompts and answers.
+    kv_capacity_tokens: int = 0
 
 
 class _Service(_Wire, frozen=True, rename="pascal"):
@@ -319,4 +321,5 @@
     return ServiceRow(
         name=ServiceId(row.name),
         costs={ModelId(model.name): model.cost for model in row.engine.models},
+        memory_tokens=row.engine.kv_capacity_tokens,
     )
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -15,6 +15,7 @@
 from .refusals import Refusal
 from .systems.cascading import RequestTokens
 from .systems.placing import Load
+from .tables.engines import PromptPart
 from .tables.workers import WorkerRow
 
 
@@ -50,10 +51,8 @@
         The caller's session; empty for none.
     tokens : RequestTokens
         Its size in tokens; 0 for plain requests.
-    memory_key : str
-        Names the shared parts of its prompt; empty for none.
-    shared_part : float
-        The part of its prompt that is shared, in 0 to 1.
+    shared : tuple of PromptPart
+        The parts of its prompt that other requests share, in order.
     model : str
         The model that the caller names; empty where the choice is the system's.
     resume_after : int or None
@@ -72,8 +71,7 @@
     deadline: int
     session: str = ""
     tokens: RequestTokens = RequestTokens(0, 0)
-    memory_key: str = ""
-    shared_part: float = 0.0
+    shared: tuple[PromptPart, ...] = ()
     model: ModelId = ModelId("")
     resume_after: int | None = None
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -7,6 +7,7 @@
 from .catalog_state import Core
 from .events import EventSplitter
 from .logs import log_event
+from .planning import larger_prospect
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Reply
@@ -42,7 +43,8 @@
     service = catalog.services.get(attempt.service) if catalog else None
     if service is None or state.runs + _kept(state) >= route.most_attempts:
         return False
-    needed = sureness_needed(core.fleet, route, service, call.tokens)
+    prospect = larger_prospect(core, state, service)
+    needed = sureness_needed(core.fleet, route, service, call.tokens, prospect)
     affordable = budget_allows(core, state, for_quality=True)
     wanted = found.confidence < needed
     if wanted:
@@ -58,6 +60,8 @@
         budget=affordable,
         raised=state.raised,
         first_ms=first_ms,
+        larger_wait_ms=round(prospect.expected.wait_ms),
+        larger_read_ms=round(prospect.expected.read_ms),
     )
     return state.raised
 
--- a/src/spanshunt/systems/admitting.py
+++ b/src/spanshunt/systems/admitting.py
@@ -13,17 +13,32 @@
 from ..tables.catalog import RouteRow
 from ..tables.catalog import find_route
 
-NOT_READY_RETRY_MS = Millis(300)
-"""When to come back to a box that knows no catalog yet, in ms: a box learns it from the
-store or a peer within a few round trips once either answers."""
+HELD_PART, HELD_MOST_MS = 0.125, 1_000
+"""How long a request waits at a box that knows no catalog yet: part of the time that
+its caller has left, and at most, in ms. A box reads the catalog as soon as it starts,
+and a caller may have no try left."""
+
+NOT_READY_PART, NOT_READY_MOST_MS = 1 / 6, 2_000
+"""When to come back to a box that still knows none: part of the time that the caller
+has left, and at most, in ms. Neither store nor peers answered until now, and outages
+last for seconds."""
 
 
 class Asked(msgspec.Struct, frozen=True):
-    """What decides about admission: where to, and the credential ("" for none)."""
+    """What decides about admission.
+
+    Attributes
+    ----------
+    host, path, credential : str
+        Where to, and whose it is ("" for nobody's).
+    left_ms : int
+        How long the caller still waits, in ms.
+    """
 
     host: str
     path: str
     credential: str
+    left_ms: int = 0
 
 
 class Admitted(msgspec.Struct, frozen=True):
@@ -41,11 +56,17 @@
         return self.route.rank
 
 
+def held_ms(left_ms: int) -> float:
+    """Return how long to wait for the first catalog, in ms."""
+    return max(0.0, min(HELD_MOST_MS, HELD_PART * left_ms))
+
+
 def admit(catalog: Catalog | None, asked: Asked) -> Result[Admitted, Refusal]:
     """Find route and organisation of a request in the catalog as it is now."""
     if catalog is None:
         detail = "this box knows no catalog yet"
-        return Err(Refusal(Problem.NOT_READY, detail, retry_ms=NOT_READY_RETRY_MS))
+        retry_ms = Millis(int(min(NOT_READY_MOST_MS, NOT_READY_PART * asked.left_ms)))
+        return Err(Refusal(Problem.NOT_READY, detail, retry_ms=retry_ms))
     route = find_route(catalog, asked.host, asked.path)
     if route is None:
         detail = f"catalog {catalog.version} has no route for {asked.host}{asked.path}"
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -13,19 +13,16 @@
 from ..tables.catalog import ServiceRow
 from ..tables.fleet import Fleet
 from ..tables.fleet import ModelStats
-from .timing import usual_first_ms
+from .estimating import Estimate
 
-VALUE_PER_TOKEN = 0.0003
-"""Worth of an answer for each token of its size (read, plus ten times generated), in
-the catalog's price unit, at rank 1. Fitted to the workload sheets of both first users:
-their classes lie between 0.8 and 1.8 times this, by rank."""
+WORTH_FACTOR = 6.0
+"""How many times the price of the largest model's run a good answer is taken to be
+worth, at rank 1: a prior, as nothing that a deployment tells says it. An operator who
+lists a model for a route holds its answers to be worth a multiple of it."""
 
-RANK_FACTORS = (2.0, 1.0, 0.7)
-"""How a route's urgency scales the worth of its answers; later ranks count as the last.
-From the same sheets: rank says what an operator values a token at."""
-
-GENERATED_WEIGHT = 10
-"""How many read tokens a generated one counts as in an answer's size."""
+RANK_FACTORS = (2.0, 1.0, 0.5)
+"""The same at other ranks, in parts of it: each rank halves it; later ones count as the
+last."""
 
 READ_PRICE_PART = 0.25
 """Price of a read token against a generated one."""
@@ -33,13 +30,32 @@
 LATE_LOSS = 0.7
 """Part of an answer's worth that is lost when it comes late."""
 
-PLACE_FACTOR = 2.5
-"""What a run of a larger model costs in all, in parts of its price: the time of an
-engine that it takes from others has no price of its own."""
+BUSY_AIM_PART = 0.5
+"""Part of a route's aim: where a request and what is before it hold an engine for that
+long, its time there is as dear as what such time usually gains, and only requests that
+gain more for their time are let in. Below, the price falls with the square: who comes
+meanwhile still has the rest of the aim."""
+
+USUAL_LATENESS = 0.05
+"""Mean lateness of answers, in 0 to 1, at which engines' time has its usual price: one
+answer in twenty is late."""
+
+SCARCE_MOST = 3.0
+"""Times its usual price that engines' time costs at most."""
+
+LATENESS_SMOOTHING = 0.1
+"""Weight of one answer in the mean lateness: ten are a few seconds' at a small box."""
+
+GAIN_LEAST = 0.3
+"""Part of a good answer's worth that the largest model is taken to gain at least: an
+operator lists it because it is better, and few answers tell little."""
+
+ENGINE_WORTH_SMOOTHING = 0.05
+"""Weight of one request in what an engine's time usually gains."""
 
 EARLY_PART, LATE_PART = 0.35, 1.0
-"""Usual time to the larger model's first event, in parts of the route's aim, from which
-on its answers begin to come late, and at which all do."""
+"""Expected time to the larger model's first event, in parts of the route's aim, from
+which on its answers begin to come late, and at which all do."""
 
 DIRECT_MARGIN = 0.02
 """Part of an answer's worth that asking the larger model at once is favoured by: it
@@ -84,25 +100,48 @@
     needed: float
 
 
+class Prospect(msgspec.Struct, frozen=True):
+    """What asking the largest model now means.
+
+    Attributes
+    ----------
+    expected : Estimate
+        What the request meets at the engine that it would go to.
+    spent_ms : int
+        How long ago the request came, in ms.
+    """
+
+    expected: Estimate
+    spent_ms: int = 0
+
+
 def plan_models(
-    fleet: Fleet, route: RouteRow, service: ServiceRow, tokens: RequestTokens
+    fleet: Fleet,
+    route: RouteRow,
+    service: ServiceRow,
+    tokens: RequestTokens,
+    prospect: Prospect,
 ) -> ModelPlan:
     """Plan which models to ask."""
     smallest, largest = route.models[0], route.models[-1]
     if smallest == largest:
         return ModelPlan(smallest, largest, 0.0)
-    needed = sureness_needed(fleet, route, service, tokens)
-    at_once = _gain(fleet, route, service, tokens, repeat_price=0.0)
+    needed = sureness_needed(fleet, route, service, tokens, prospect)
+    at_once = _gain(fleet, route, service, tokens, prospect, repeat_price=0.0)
     first = largest if at_once >= _cascade_gain(needed) - DIRECT_MARGIN else smallest
     return ModelPlan(first, largest, needed)
 
 
 def sureness_needed(
-    fleet: Fleet, route: RouteRow, service: ServiceRow, tokens: RequestTokens
+    fleet: Fleet,
+    route: RouteRow,
+    service: ServiceRow,
+    tokens: RequestTokens,
+    prospect: Prospect,
 ) -> float:
     """Return how sure the small model must be for its answer to be worth keeping."""
     scarce = fleet.repeat_prices.get(service.name, 0.0)
-    return _gain(fleet, route, service, tokens, repeat_price=scarce)
+    return _gain(fleet, route, service, tokens, prospect, repeat_price=scarce)
 
 
 def note_repeat_wanted(fleet: Fleet, service: ServiceId, *, allowed: bool) -> None:
@@ -128,26 +167,76 @@
     route: RouteRow,
     service: ServiceRow,
     tokens: RequestTokens,
+    prospect: Prospect,
     *,
     repeat_price: float,
 ) -> float:
-    """Return what the larger model's answer is worth, less its price, in parts of a
-    good answer's worth.
+    """Return what the larger model's answer is worth, less its price and that of the
+    engine's time, in parts of a good answer's worth.
     """
-    worth = value(route, tokens)
-    price = PLACE_FACTOR * cost(service, route.models[-1], tokens) + repeat_price
-    usual = usual_first_ms(fleet, route, route.models[-1], tokens.read)
-    part = usual / max(1, route.aim_ms)
-    late = min(1.0, max(0.0, (part - EARLY_PART) / (LATE_PART - EARLY_PART)))
+    worth = value(route, service, tokens)
+    if worth <= 0.0:
+        return 0.0
+    price = cost(service, route.models[-1], tokens) + repeat_price
+    price += engine_price(fleet, route, service, prospect.expected)
+    late = lateness(route, prospect.spent_ms + prospect.expected.first_ms)
     reached = expected(fleet, route.models[-1]) * (1.0 - LATE_LOSS * late)
-    return max(0.0, reached - price / max(worth, 1e-9))
+    return max(0.0, reached - price / worth)
+
 
+def lateness(route: RouteRow, first_ms: float) -> float:
+    """Return how likely an answer is late whose first event comes after `first_ms`."""
+    part = first_ms / max(1, route.aim_ms)
+    return min(1.0, max(0.0, (part - EARLY_PART) / (LATE_PART - EARLY_PART)))
 
-def value(route: RouteRow, tokens: RequestTokens) -> float:
+
+def note_lateness(
+    fleet: Fleet, service: ServiceId, route: RouteRow, first_ms: float
+) -> None:
+    """Take in when the first event of an answer came, counted from its request."""
+    before = fleet.lateness.get(service, USUAL_LATENESS)
+    found = lateness(route, first_ms)
+    fleet.lateness[service] = before + LATENESS_SMOOTHING * (found - before)
+
+
+def engine_price(
+    fleet: Fleet, route: RouteRow, service: ServiceRow, found: Estimate
+) -> float:
+    """Return the price of the engine's time that a request takes from others.
+
+    It is what such time usually gains, more the longer those who come have to wait and
+    the more answers came late just now: where all come early, time is to spare.
+    """
+    usual = fleet.engine_worths.get(service.name, 0.0)
+    held_ms = found.wait_ms + 0.5 * found.read_ms
+    busy = held_ms / max(1.0, BUSY_AIM_PART * route.aim_ms)
+    late = fleet.lateness.get(service.name, USUAL_LATENESS)
+    scarce = min(SCARCE_MOST, late / USUAL_LATENESS)
+    return usual * scarce * busy * busy * found.read_ms
+
+
+def note_engine_worth(
+    fleet: Fleet,
+    route: RouteRow,
+    service: ServiceRow,
+    tokens: RequestTokens,
+    found: Estimate,
+) -> None:
+    """Take in what a request would gain of the largest model for its engine's time."""
+    if found.read_ms <= 0.0:
+        return
+    better = expected(fleet, route.models[-1]) - expected(fleet, route.models[0])
+    gain = max(GAIN_LEAST, better) * value(route, service, tokens)
+    worth = gain / found.read_ms
+    before = fleet.engine_worths.get(service.name, worth)
+    moved = before + ENGINE_WORTH_SMOOTHING * (worth - before)
+    fleet.engine_worths[service.name] = moved
+
+
+def value(route: RouteRow, service: ServiceRow, tokens: RequestTokens) -> float:
     """Return the worth of a good answer in time, in the catalog's price unit."""
     factor = RANK_FACTORS[min(route.rank, len(RANK_FACTORS) - 1)]
-    size = tokens.read + GENERATED_WEIGHT * tokens.generated
-    return VALUE_PER_TOKEN * factor * size
+    return WORTH_FACTOR * factor * cost(service, route.models[-1], tokens)
 
 
 def cost(service: ServiceRow, model: ModelId, tokens: RequestTokens) -> float:
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -1,8 +1,9 @@
 """Choice of a worker for one attempt: load, prompt memory, distance, health.
 
-Each candidate gets an estimate of what it costs to run there, in parts of a batch; the
-cheapest is taken. Boxes see the same old reports, so the estimate counts this box's own
-requests exactly and draws among near equals at random.
+Each candidate gets an estimate of what it costs to run there: a prompt in ms of the
+time to its first event, a plain request in parts of a batch. The cheapest is taken.
+Boxes see the same old reports, so the estimate counts this box's own requests exactly
+and draws among near equals at random.
 """
 
 import random
@@ -14,37 +15,41 @@
 from ..ids import Millis
 from ..ids import ServiceId
 from ..ids import WorkerId
+from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
 from ..tables.workers import Workers
 from ..tables.workers import WorkerState
 from ..utils import rendezvous
+from .estimating import Effort
+from .estimating import Estimate
+from .estimating import estimate_first
+from .estimating import shared_read_ms
+from .estimating import speed_of
+from .keeping import part_key
 from .ramping import VersionRule
 
 FAR_COST = 0.35
-"""What another failure domain costs, in parts of a batch: bytes between domains are
-priced, and an answer from there must be that much sooner to be worth them."""
+"""What another failure domain costs a plain request, in parts of a batch: bytes between
+domains are priced, and an answer from there must be that much sooner to be worth
+them."""
 
-MISS_COST = 0.25
-"""What a worker costs that probably lacks the prompt's shared parts, in parts of a
-batch, for a prompt whose shared parts are half of it; in proportion else."""
+FAR_AIM_PART = 0.2
+"""What another failure domain costs a prompt, in parts of the route's aim: an engine
+there must be free that much sooner to be worth the bytes."""
 
-ERROR_COST = 2.0
-"""What a worker costs that fails all its answers, in parts of a batch."""
-
-SLOW_COST = 0.15
-"""What a worker costs whose first bytes come twice as late as usual, in parts of a
-batch; in proportion else. Slots tell little of an engine that reads long prompts: at a
-load of 0.2 of a batch, answers already came late."""
+LOAD_AIM_PART = 0.1
+"""What a batch that is full costs a prompt, in parts of the route's aim; in proportion
+else. Each token comes more slowly the more of them are made at once."""
 
-SLOWNESS_MOST = 6.0
-"""Times the usual that one answer counts as at most."""
+ERROR_AIM_PART = 2.0
+"""What a worker costs a prompt that fails all its answers, in parts of the aim."""
 
-SLOWNESS_HALF_LIFE_MS = 1_500
-"""How fast a worker's slowness is forgotten while it tells nothing, in ms: a queue of
-prompts is read in about a second."""
+NOISE_AIM_PART = 0.005
+"""Size of the random part for a prompt, in parts of the aim: boxes that see the same
+draw among engines that are nearly alike."""
 
-PENDING_TOKENS = 60_000
-"""Prompt tokens of this box that wait at a worker and count as one whole batch."""
+ERROR_COST = 2.0
+"""What a worker costs that fails all its answers, in parts of a batch."""
 
 NOISE = 0.04
 """Size of the random part, in parts of a batch: about one request of a batch of 32."""
@@ -66,7 +71,6 @@
 
 _ERROR_SMOOTHING = 0.15
 _TIME_SMOOTHING = 0.2
-_SLOWNESS_SMOOTHING = 0.3
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -88,10 +92,10 @@
         Which versions may answer.
     domain : str
         The failure domain of this box.
-    memory_key : str
-        Names the shared parts of the prompt for the model; "" for none.
-    shared_part : float
-        The part of the prompt that they are, in 0 to 1.
+    effort : Effort or None
+        What a prompt asks of an engine; None for plain requests.
+    aim_ms : int
+        Time within which the first event shall come, in ms.
     avoid : collection of str
         Workers that had the request already.
     again : bool
@@ -103,46 +107,101 @@
     service: ServiceId
     rule: VersionRule
     domain: DomainId
-    memory_key: str = ""
-    shared_part: float = 0.0
+    effort: Effort | None = None
+    aim_ms: Millis = Millis(0)
     avoid: t.Collection[WorkerId] = ()
     again: bool = False
     silent: t.Collection[WorkerId] = ()
 
 
 class Placed(msgspec.Struct, frozen=True):
-    """A chosen worker, and what the choice rested on, for logs."""
+    """A chosen worker, and what the choice rested on, for logs.
+
+    Attributes
+    ----------
+    worker : WorkerRow
+        The worker.
+    load : float
+        Its load, in parts of its batch.
+    candidates : int
+        Workers that the choice was among.
+    report_age_ms : int
+        Age of the report that the load rests on; -1 for none.
+    expected : Estimate or None
+        What a prompt probably meets there.
+    """
 
     worker: WorkerRow
     load: float
     candidates: int
     report_age_ms: int
+    expected: Estimate | None = None
 
 
 def place(
-    workers: Workers, wanted: Wanted, now: Millis, rng: random.Random
+    fleet: Fleet, wanted: Wanted, now: Millis, rng: random.Random
 ) -> Placed | None:
     """Choose a worker, or none if no worker takes work."""
-    rows = candidates(workers, wanted, now)
+    rows = candidates(fleet.workers, wanted, now)
     if not rows:
         return None
-    owners = _owners(rows, wanted)
-
-    def cost(row: WorkerRow) -> float:
-        miss = row.name not in owners
-        return (
-            estimate(row, now)
-            + (FAR_COST if row.domain != wanted.domain else 0.0)
-            + (2 * MISS_COST * wanted.shared_part if miss else 0.0)
-            + ERROR_COST * row.error_rate
-            + SLOW_COST * max(0.0, slowness(row, now) - 1.0)
-            + row.pending_read / PENDING_TOKENS
-            + NOISE * rng.random()
-        )
-
-    best = min(rows, key=cost)
+    expected: dict[WorkerId, Estimate] = {}
+    if wanted.effort is None:
+        best = min(rows, key=lambda row: _plain_cost(row, wanted, now, rng))
+    else:
+        owner = owner_of(fleet, rows, wanted)
+        for row in rows:
+            expected[row.name] = estimate_first(
+                fleet, row, wanted.effort, now, owner=row.name == owner
+            )
+        costs = _prompt_costs(fleet, rows, wanted, expected, owner, now)
+        noise = NOISE_AIM_PART * wanted.aim_ms
+        best = min(rows, key=lambda row: costs[row.name] + noise * rng.random())
     age = now - best.reported_at if best.reported_at else -1
-    return Placed(best, estimate(best, now), len(rows), age)
+    load = batch_load(best, now)
+    return Placed(best, load, len(rows), age, expected.get(best.name))
+
+
+def _plain_cost(
+    row: WorkerRow, wanted: Wanted, now: Millis, rng: random.Random
+) -> float:
+    """Return what a plain request costs at a worker, in parts of a batch."""
+    return (
+        batch_load(row, now)
+        + (FAR_COST if row.domain != wanted.domain else 0.0)
+        + ERROR_COST * row.error_rate
+        + NOISE * rng.random()
+    )
+
+
+def _prompt_costs(
+    fleet: Fleet,
+    rows: list[WorkerRow],
+    wanted: Wanted,
+    expected: dict[WorkerId, Estimate],
+    owner: WorkerId,
+    now: Millis,
+) -> dict[WorkerId, float]:
+    """Return what a prompt costs at each worker, in ms.
+
+    At its owner it is not charged for what all boxes' requests read there but once.
+    """
+    effort = wanted.effort
+    assert effort is not None
+    speed = speed_of(fleet, effort.service, effort.model)
+    own_tokens = effort.read - effort.shared_tokens
+    own_ms = speed.base_ms + own_tokens * speed.read_ms
+    costs: dict[WorkerId, float] = {}
+    for row in rows:
+        found = expected[row.name]
+        read_ms = own_ms if row.name == owner else found.read_ms
+        aims = (
+            (FAR_AIM_PART if row.domain != wanted.domain else 0.0)
+            + LOAD_AIM_PART * batch_load(row, now)
+            + ERROR_AIM_PART * row.error_rate
+        )
+        costs[row.name] = found.wait_ms + read_ms + aims * wanted.aim_ms
+    return costs
 
 
 def candidates(workers: Workers, wanted: Wanted, now: Millis) -> list[WorkerRow]:
@@ -161,7 +220,7 @@
     return live or rows
 
 
-def estimate(row: WorkerRow, now: Millis) -> float:
+def batch_load(row: WorkerRow, now: Millis) -> float:
     """Return a worker's load in parts of its batch, requests in its queue twice."""
     age = max(0, now - row.reported_at)
     weight = 0.5 ** (age / REPORT_HALF_LIFE_MS) if row.reported_at else 0.0
@@ -170,25 +229,6 @@
     return (row.inflight + others * weight + queued) / max(1, row.slots)
 
 
-def slowness(row: WorkerRow, now: Millis) -> float:
-    """Return how slow a worker is now, in parts of the usual; 1 if that is unknown."""
-    age = max(0, now - row.slowness_at)
-    kept: float = 0.5 ** (age / SLOWNESS_HALF_LIFE_MS)
-    return 1.0 + (row.slowness - 1.0) * kept
-
-
-def note_slowness(
-    row: WorkerRow, first_ms: float, usual_ms: float, now: Millis
-) -> None:
-    """Take a time to the first byte into the worker's slowness."""
-    if usual_ms <= 0.0:
-        return
-    before = slowness(row, now)
-    told = min(SLOWNESS_MOST, first_ms / usual_ms)
-    row.slowness = before + _SLOWNESS_SMOOTHING * (told - before)
-    row.slowness_at = now
-
-
 def note_load(row: WorkerRow, load: Load, now: Millis) -> None:
     """Take a worker's own word of its load into its row."""
     row.reported = load.running + load.waiting
@@ -226,11 +266,17 @@
     row.back_at = Millis(now + min(SUSPECT_MAX_MS, SUSPECT_MS * 2**doublings))
 
 
-def _owners(rows: list[WorkerRow], wanted: Wanted) -> t.Collection[WorkerId]:
-    """Return who probably keeps the prompt's shared parts: one near, one anywhere."""
-    if not wanted.memory_key:
-        return [row.name for row in rows]
+def owner_of(fleet: Fleet, rows: list[WorkerRow], wanted: Wanted) -> WorkerId:
+    """Return which engine boxes agree on for a prompt's shared parts; "" for none.
+
+    There is one in all where reading them costs more than another failure domain does,
+    and one in each domain else.
+    """
+    effort = wanted.effort
+    if effort is None or not effort.shared:
+        return WorkerId("")
     near = [row.name for row in rows if row.domain == wanted.domain]
-    names = near or [row.name for row in rows]
-    owners = rendezvous(wanted.memory_key, names, 1)
-    return [WorkerId(name) for name in owners]
+    everywhere = shared_read_ms(fleet, effort) > FAR_AIM_PART * wanted.aim_ms
+    names = near if near and not everywhere else [row.name for row in rows]
+    key = part_key(effort.model, effort.shared[-1].name)
+    return WorkerId(rendezvous(key, names, 1)[0])
--- a/src/spanshunt/tables/catalog.py
+++ b/src/spanshunt/tables/catalog.py
@@ -97,10 +97,13 @@
     costs : dict
         Price of 1,000 generated tokens by model; read tokens count a quarter. Empty for
         plain services.
+    memory_tokens : int
+        Tokens that one of its engines keeps; 0 where that is unknown.
     """
 
     name: ServiceId
     costs: dict[ModelId, float] = {}
+    memory_tokens: int = 0
 
 
 class OrgRow(msgspec.Struct, frozen=True):
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -13,6 +13,8 @@
 from ..ids import ServiceId
 from ..ids import WorkerId
 from .catalog import Catalog
+from .engines import EngineSpeed
+from .engines import PromptRead
 from .identity import Identity
 from .rollouts import Rollouts
 from .workers import Workers
@@ -147,6 +149,18 @@
         unit: above 0 where the budget of repeats is short.
     first_times : dict
         Usual times to the first byte by route name and model ("" where it has none).
+    speeds : dict
+        How fast engines read, by service and model.
+    unseen_kept : dict
+        How often an engine kept a prompt that this box knew nothing of there, by
+        service and model, in 0 to 1.
+    prompts_read : deque of PromptRead
+        The newest prompts that this box sent to engines not known to keep them.
+    lateness : dict
+        Mean lateness of the newest answers, in 0 to 1, by service.
+    engine_worths : dict
+        Usual gain of a larger model's answer for each ms that it takes an engine, by
+        service, in the catalog's price unit.
     store : StoreHealth
         The platform's store.
     stopping : bool
@@ -168,5 +182,12 @@
     models: dict[ModelId, ModelStats] = {}
     repeat_prices: dict[ServiceId, float] = {}
     first_times: dict[tuple[str, ModelId], FirstTimes] = {}
+    speeds: dict[tuple[ServiceId, ModelId], EngineSpeed] = {}
+    unseen_kept: dict[tuple[ServiceId, ModelId], float] = {}
+    prompts_read: collections.deque[PromptRead] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=16)
+    )
+    lateness: dict[ServiceId, float] = {}
+    engine_worths: dict[ServiceId, float] = {}
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     stopping: bool = False
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -4,11 +4,13 @@
 
 import msgspec
 
+from ..ids import BoxId
 from ..ids import DomainId
 from ..ids import Millis
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..ids import WorkerId
+from .engines import KeptParts
 
 
 class WorkerState(enum.Enum):
@@ -58,12 +60,18 @@
         Moving mean of the share of answers that failed, in 0 to 1.
     queued : int
         Requests waiting at the worker, by its last report.
-    slowness : float
-        Moving mean of its times to the first byte, in parts of the usual time.
-    slowness_at : int
+    reading_ms : float
+        Time that it takes to read the prompts of this box's requests that wait for
+        their first event there, in ms.
+    told_ms : dict
+        The same of other boxes' requests, by box, as they told it: time in ms, and when
+        it was told.
+    others_ms : float
+        The same beyond what they told, as far as its answers' times tell, in ms.
+    others_at : int
         When that was last told, in ms.
-    pending_read : int
-        Prompt tokens of this box's requests that wait for their first byte there.
+    kept : KeptParts
+        Prompt parts that it probably keeps.
     listed_at : int
         When a list last held its entry, in ms.
     heard_at : int
@@ -87,9 +95,11 @@
     token_ms: float = 0.0
     error_rate: float = 0.0
     queued: int = 0
-    slowness: float = 1.0
-    slowness_at: Millis = Millis(0)
-    pending_read: int = 0
+    reading_ms: float = 0.0
+    told_ms: dict[BoxId, tuple[float, Millis]] = {}
+    others_ms: float = 0.0
+    others_at: Millis = Millis(0)
+    kept: KeptParts = msgspec.field(default_factory=KeptParts)
     listed_at: Millis = Millis(0)
     heard_at: Millis = Millis(0)
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -13,6 +13,7 @@
 from spanshunt.ids import DomainId
 from spanshunt.ids import Incarnation
 from spanshunt.ids import Millis
+from spanshunt.ids import ModelId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
 from spanshunt.ids import WorkerId
@@ -25,6 +26,10 @@
 from spanshunt.standins.store import StoreEndpoint
 from spanshunt.standins.store import StoreStandin
 from spanshunt.standins.worker import WorkerStandin
+from spanshunt.systems.estimating import Effort
+from spanshunt.tables.catalog import ServiceRow
+from spanshunt.tables.engines import EngineSpeed
+from spanshunt.tables.engines import PromptPart
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.identity import Identity
 from spanshunt.tables.workers import WorkerRow
@@ -128,6 +133,27 @@
     )
 
 
+def an_effort(
+    model: str = "large", *, read: int = 4_000, shared: int = 3_000, part: str = "p1"
+) -> Effort:
+    """Return what a prompt with one shared part asks of an engine."""
+    service = ServiceRow(
+        ServiceId("writer"),
+        {ModelId("small"): 0.01, ModelId("middle"): 0.1, ModelId("large"): 0.2},
+        memory_tokens=100_000,
+    )
+    parts = (PromptPart(part, shared),) if shared else ()
+    return Effort(service, ModelId(model), read, parts)
+
+
+def learn_speed(
+    fleet: Fleet, model: str, *, read_ms: float, base_ms: float = 10.0
+) -> None:
+    """Let a box know how fast engines run a model."""
+    key = (ServiceId("writer"), ModelId(model))
+    fleet.speeds[key] = EngineSpeed(read_ms, base_ms, 50)
+
+
 def add_worker(fleet: Fleet, row: WorkerRow) -> WorkerRow:
     """Put a worker into the table."""
     fleet.workers.rows[row.name] = row
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,51 @@
+"""Which prompt parts an engine keeps: chains, models, memory."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spanshunt.ids import ModelId
+from spanshunt.systems.keeping import PARTS_MOST
+from spanshunt.systems.keeping import kept_tokens
+from spanshunt.systems.keeping import note_read
+from spanshunt.tables.engines import KeptParts
+from spanshunt.tables.engines import PromptPart
+
+SMALL, LARGE = ModelId("small"), ModelId("large")
+ROOT, LEAF = PromptPart("root", 300), PromptPart("leaf", 700)
+
+
+def test_part_counts_only_with_every_part_before_it():
+    kept = KeptParts()
+    note_read(kept, LARGE, [LEAF], 0.0)
+    assert kept_tokens(kept, LARGE, [ROOT, LEAF]) == 0
+    note_read(kept, LARGE, [ROOT, LEAF], 0.0)
+    assert kept_tokens(kept, LARGE, [ROOT, LEAF]) == 1_000
+
+
+def test_each_model_reads_for_itself():
+    kept = KeptParts()
+    note_read(kept, SMALL, [ROOT], 0.0)
+    assert kept_tokens(kept, LARGE, [ROOT]) == 0
+
+
+def test_longest_unused_part_gives_way_first():
+    kept = KeptParts()
+    for name in ("a", "b", "a", "c"):
+        note_read(kept, LARGE, [PromptPart(name, 400)], 1_000.0)
+    found = [name for name in "abc" if kept_tokens(kept, LARGE, [PromptPart(name, 1)])]
+    assert found == ["a", "c"]
+
+
+reads = st.lists(
+    st.tuples(st.integers(0, 900), st.integers(1, 5_000)), min_size=1, max_size=700
+)
+
+
+@given(reads, st.sampled_from([0.0, 4_000.0, 60_000.0]))
+def test_memory_is_bounded_and_its_sum_is_right(given_reads, capacity):
+    kept = KeptParts()
+    for name, tokens in given_reads:
+        note_read(kept, LARGE, [PromptPart(str(name), tokens)], capacity)
+        assert kept.tokens == sum(kept.parts.values())
+        assert len(kept.parts) <= PARTS_MOST
+        assert not capacity or kept.tokens <= capacity
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -463,3 +463,35 @@
         )
         for path in (SOURCES / "platform").glob("*.py"):
             assert not deciding.findall(path.read_text()), path.name
+
+
+class TestFirstCatalog:
+    """Requests that come before a box knows its first catalog.
+
+    Days with a final fault while the store was away: a caller's one retry met a box
+    that had just started and was refused, 18 of 41 requests of two seconds.
+    """
+
+    async def test_request_waits_for_the_catalog_that_is_under_way(self):
+        async with running_fleet() as fleet:
+            node = fleet.boxes[0].node
+            catalog, node.fleet.catalog = node.fleet.catalog, None
+            asked = asyncio.create_task(fleet.ask(fleet.boxes[0], "/look/"))
+            await asyncio.sleep(0.1)
+            assert not asked.done()
+            node.fleet.catalog = catalog
+            assert (await asked).status == 200
+            assert node.counters.value("requests_held.served") == 1
+
+    async def test_request_is_refused_soon_where_no_catalog_comes(self):
+        async with running_fleet() as fleet:
+            node = fleet.boxes[0].node
+            await node.close()
+            fleet.store.topic("keyed.op").values.clear()
+            box = await fleet.add_box("box-9")
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            reply = await fleet.ask(box, "/look/", Deadline_Ms="2400")
+            assert reply.status == 503
+            assert loop.time() - began < 2.4 / 2
+            assert 0.2 < float(reply.headers["Retry-After"]) <= 0.4
