Catalogs: fetched from one peer at a time, packed; exchanges tell versions alone

Peers sent the catalog whole (1,380 routes, some 400 KB) inside exchanges that may take 0.8 s; up to three at once share a link of 5 to 10 Mbit/s, all time out, and the next round begins anew. The same transfers were most of the bytes between domains.

Ruled out: the box had not lost its peers (exchanges went on); longer exchanges, which would hold up what must be told within a second.

Change: catalog_fetcher asks one peer, of its own domain where one has it, with a time-out that doubles; a box gives its catalog to three others within 0.2 s, so it spreads; bytes are packed (zlib). Tests: a catalog that takes longer than an exchange arrives (failed before), few are served at once, cut bytes are errors.

Times of 91 boxes to hold a new catalog were not taken.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -23,6 +23,7 @@
 from .peers.news_rows import rollout_news
 from .peers.news_rows import speeds_news
 from .peers.news_rows import workers_news
+from .peers.packing import pack
 from .peers.unary import Channels
 from .systems.estimating import take_read
 from .systems.estimating import take_speed
@@ -81,8 +82,8 @@
         The source of time.
     rng : random.Random
         Draws the peers to ask.
-    decode : callable
-        Decodes a catalog as it came.
+    on_newer : callable
+        Called when a peer knows a newer catalog than this box.
     seeds : tuple of str
         Addresses to ask while no box is known.
     """
@@ -92,13 +93,13 @@
         fleet: Fleet,
         clock: Clock,
         rng: random.Random,
-        decode: Decode,
+        on_newer: t.Callable[[], None],
         seeds: tuple[str, ...],
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._rng = rng
-        self._decode = decode
+        self._on_newer = on_newer
         self._seeds = seeds
         self._channels = Channels()
 
@@ -121,8 +122,6 @@
         fleet = self._fleet
         now = self._clock.now()
         readings = fleet.readings
-        mine = fleet.catalog.version if fleet.catalog is not None else -1
-        behind = asker is not None and asker.catalog_version < mine
         digest = list_digest(fleet)
         wants_list = (
             asker is not None
@@ -136,8 +135,7 @@
             address=fleet.me.address,
             domain=fleet.me.domain,
             incarnation=fleet.me.incarnation,
-            catalog_version=mine,
-            catalog_raw=fleet.catalog_raw if behind else b"",
+            catalog_version=_version(fleet),
             workers_end=fleet.workers_end,
             workers_age_ms=max(0, now - fleet.workers_read_at),
             read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
@@ -167,8 +165,8 @@
         if news.box == fleet.me.box:
             return
         self._take_peers(news, now)
-        if news.catalog_raw:
-            take_catalog(fleet, news.catalog_raw, self._decode, source=news.box)
+        if news.catalog_version > _version(fleet):
+            self._on_newer()
         self._take_workers(news, now)
         for item in news.rollouts:
             self._take_rollout(news, item, now)
@@ -202,6 +200,7 @@
             row = peers[news.box] = PeerRow(news.box, news.address)
         row.address, row.incarnation = news.address, news.incarnation
         row.domain, row.served = news.domain, news.served
+        row.catalog_version = news.catalog_version
         row.heard, row.failures = now, 0
         for item in news.peers:
             if item.box != self._fleet.me.box and item.box not in peers:
@@ -311,8 +310,13 @@
         self.take(told.ok_value)
 
 
-def take_catalog(fleet: Fleet, raw: bytes, decode: Decode, *, source: str) -> bool:
-    """Take a catalog in if it is newer; what a box believes never goes back."""
+def take_catalog(
+    fleet: Fleet, raw: bytes, decode: Decode, *, source: str, packed: bytes = b""
+) -> bool:
+    """Take a catalog in if it is newer; what a box believes never goes back.
+
+    `packed` is the same as it came from a peer; it is packed here if it did not.
+    """
     decoded = decode(raw)
     if isinstance(decoded, Err):
         log_event("ERROR", "catalog unreadable", detail=decoded.err_value)
@@ -321,7 +325,7 @@
     if fleet.catalog is not None and catalog.version <= fleet.catalog.version:
         return False
     before = fleet.catalog.version if fleet.catalog is not None else None
-    fleet.catalog, fleet.catalog_raw = catalog, raw
+    fleet.catalog, fleet.catalog_packed = catalog, packed or pack(raw)
     log_event(
         "INFO",
         "catalog",
@@ -362,5 +366,9 @@
     )
 
 
+def _version(fleet: Fleet) -> int:
+    return fleet.catalog.version if fleet.catalog is not None else -1
+
+
 def _shown(change: t.Any) -> dict[str, object]:
     return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -22,6 +22,7 @@
 from .unary import unary_handler
 
 PATH = "/spanshunt.News/Exchange"
+CATALOG_PATH = "/spanshunt.News/Catalog"
 
 
 class TallyNews(msgspec.Struct, frozen=True, array_like=True):
@@ -145,8 +146,6 @@
         Who tells.
     catalog_version : int
         The newest catalog that it knows; -1 for none.
-    catalog_raw : bytes
-        That catalog, if the other's is older; else empty.
     workers_end : int
         How new its list of workers is.
     workers_age_ms : int
@@ -180,7 +179,6 @@
     domain: DomainId
     incarnation: Incarnation
     catalog_version: int
-    catalog_raw: bytes = b""
     workers_end: int = -1
     workers_age_ms: int = 0
     workers_digest: int = 0
@@ -196,6 +194,32 @@
     reads: tuple[ReadNews, ...] = ()
 
 
+class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
+    """A question for a catalog newer than `version`."""
+
+    box: BoxId
+    version: int
+
+
+class CatalogTold(msgspec.Struct, frozen=True, array_like=True):
+    """The version that the teller knows, and the catalog, packed.
+
+    It is empty where it is not newer, or where the teller serves enough others.
+    """
+
+    version: int
+    packed: bytes = b""
+
+
+async def ask_catalog(
+    channels: Channels, address: str, ask: CatalogAsk, timeout: float
+) -> Result[CatalogTold, PeerFault]:
+    """Ask a peer for its catalog; `timeout` in seconds."""
+    return await channels.call(
+        address, CATALOG_PATH, CatalogAsk, CatalogTold, ask, timeout
+    )
+
+
 async def tell(
     channels: Channels, address: str, news: News, timeout: float
 ) -> Result[News, PeerFault]:
@@ -210,10 +234,17 @@
     ----------
     hear : callable
         Takes a peer's news in and returns this box's for it.
+    tell_catalog : callable
+        Answers a question for the catalog.
     """
 
-    def __init__(self, hear: t.Callable[[News], t.Awaitable[News]]) -> None:
+    def __init__(
+        self,
+        hear: t.Callable[[News], t.Awaitable[News]],
+        tell_catalog: t.Callable[[CatalogAsk], t.Awaitable[CatalogTold]],
+    ) -> None:
         self._hear = hear
+        self._tell_catalog = tell_catalog
         self._closed = False
 
     def close(self) -> None:
@@ -222,5 +253,9 @@
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers by path, as grpclib asks for them."""
-        handler = unary_handler(self._hear, News, News, lambda: self._closed)
-        return {PATH: handler}
+        is_closed = lambda: self._closed  # noqa: E731
+        hear = unary_handler(self._hear, News, News, is_closed)
+        tell_catalog = unary_handler(
+            self._tell_catalog, CatalogAsk, CatalogTold, is_closed
+        )
+        return {PATH: hear, CATALOG_PATH: tell_catalog}
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server
 
 from ..background import Background
+from ..catalog_fetcher import CatalogFetcher
 from ..catalog_state import Core
 from ..clock import Clock
 from ..counters import Counters
@@ -125,10 +126,11 @@
         self.followers = Followers(self.fleet, clock, self._store, bounds.draining_ms)
         self._front = Front(self.core, self._on_broken)
         self._recorder = Recorder(self.fleet, clock, self._store)
+        self._fetcher = CatalogFetcher(self.fleet, clock, rng, wire.decode_catalog)
         self._exchange = Exchange(
-            self.fleet, clock, rng, wire.decode_catalog, settings.seeds
+            self.fleet, clock, rng, self._fetcher.look, settings.seeds
         )
-        self._news = NewsService(self._exchange.hear)
+        self._news = NewsService(self._exchange.hear, self._fetcher.tell)
         self._server = Server([self._news], codec=MsgpackCodec())
 
     async def start(self) -> None:
@@ -146,6 +148,7 @@
         jobs.forever(self.followers.follow_workers)
         jobs.forever(self.followers.follow_boxes)
         jobs.every(EXCHANGE_MS, self._exchange.round)
+        jobs.forever(self._fetcher.follow)
         jobs.every(JUDGE_MS, self._recorder.tick)
         jobs.every(SWEEP_MS, self._sweep)
         log_event(
@@ -205,6 +208,7 @@
         self._news.close()
         self._server.close()
         self._exchange.stop()
+        self._fetcher.stop()
         await self._workers.stop()
         await self._store.stop()
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -37,6 +37,8 @@
         Calls to it that failed since it last answered.
     served : bool
         Whether the store serves it, by its own word.
+    catalog_version : int
+        The newest catalog that it knows, by its own word; -1 for none.
     """
 
     box: BoxId
@@ -47,6 +49,7 @@
     asked: Millis = Millis(-1)
     failures: int = 0
     served: bool = True
+    catalog_version: int = -1
 
 
 class TrafficSecond(msgspec.Struct):
@@ -120,8 +123,8 @@
         Who this box is.
     catalog : Catalog or None
         The newest catalog known; never replaced by an older one.
-    catalog_raw : bytes
-        The same as it came, for peers.
+    catalog_packed : bytes
+        The same as it came, packed for peers.
     workers : Workers
         Backend servers.
     workers_end : int
@@ -169,7 +172,7 @@
 
     me: Identity
     catalog: Catalog | None = None
-    catalog_raw: bytes = b""
+    catalog_packed: bytes = b""
     workers: Workers = msgspec.field(default_factory=Workers)
     workers_end: Offset = Offset(-1)
     workers_read_at: Millis = Millis(-1)
--- /dev/null
+++ b/tests/test_catalog_fetcher.py
@@ -0,0 +1,73 @@
+"""Catalogs that boxes fetch from each other: slow links, many askers, bad bytes."""
+
+import asyncio
+import random
+
+import msgspec
+
+from fleet_builders import KEY
+from fleet_builders import config
+from fleet_builders import make_fleet
+from fleet_builders import ms
+from fleet_builders import running_fleet
+from fleet_builders import until
+from fleet_builders import without_key
+from spanshunt.catalog_fetcher import SERVED_MOST
+from spanshunt.catalog_fetcher import SERVED_WITHIN_MS
+from spanshunt.catalog_fetcher import CatalogFetcher
+from spanshunt.clock import ManualClock
+from spanshunt.exchange import TIMEOUT_S
+from spanshunt.exchange import take_catalog
+from spanshunt.ids import BoxId
+from spanshunt.peers.news import CatalogAsk
+from spanshunt.peers.packing import pack
+from spanshunt.peers.packing import unpack
+from spanshunt.platform.wire import decode_catalog
+from spanshunt.standins.store import EndpointFault
+
+
+def a_fetcher(version: int = 7):
+    fleet, clock = make_fleet(), ManualClock()
+    raw = msgspec.json.encode(config(version))
+    assert take_catalog(fleet, raw, decode_catalog, source="store")
+    return CatalogFetcher(fleet, clock, random.Random(1), decode_catalog), clock
+
+
+async def test_catalog_that_takes_longer_than_an_exchange_arrives():
+    """Trial on 91 boxes: one with a slow link kept an old catalog for 14 s."""
+    async with running_fleet(boxes=2) as fleet:
+        served, refused = fleet.boxes
+        refused.endpoint.fault = EndpointFault.BUSY
+        tell = served.node._fetcher.tell
+
+        async def tell_slowly(ask: CatalogAsk):
+            await asyncio.sleep(2 * TIMEOUT_S)
+            return await tell(ask)
+
+        served.node._news._tell_catalog = tell_slowly
+        await fleet.configure(without_key(config(11), KEY))
+        await until(lambda: refused.node.fleet.catalog.version == 11, "version 11", 8)
+
+
+async def test_box_gives_its_catalog_to_few_at_once():
+    fetcher, clock = a_fetcher()
+    ask = CatalogAsk(BoxId("box-2"), 3)
+    told = [await fetcher.tell(ask) for _ in range(SERVED_MOST + 2)]
+    assert [bool(one.packed) for one in told] == [True] * SERVED_MOST + [False] * 2
+    assert {one.version for one in told} == {7}
+    clock.advance(ms(SERVED_WITHIN_MS / 1_000))
+    assert (await fetcher.tell(ask)).packed
+
+
+async def test_box_that_knows_as_much_gets_nothing():
+    fetcher, _ = a_fetcher()
+    assert (await fetcher.tell(CatalogAsk(BoxId("box-2"), 7))).packed == b""
+
+
+def test_packed_bytes_that_are_cut_or_none_are_errors():
+    raw = msgspec.json.encode(config())
+    packed = pack(raw)
+    assert unpack(packed).ok_value == raw
+    assert len(packed) < len(raw)
+    assert "cut short" in unpack(packed[:-9]).err_value
+    assert "packed bytes" in unpack(b"no such bytes").err_value
--- a/tests/test_following_machine.py
+++ b/tests/test_following_machine.py
@@ -60,8 +60,8 @@
         return set(workers.rows) - workers.leaving
 
 
-def _none(raw: bytes):
-    raise AssertionError(f"no catalog is told here: {raw!r}")
+def _none():
+    raise AssertionError("no catalog is told here")
 
 
 class Following(RuleBasedStateMachine):
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -13,7 +13,6 @@
 from spanshunt.ids import DomainId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
-from spanshunt.platform.wire import decode_catalog
 from spanshunt.systems.placing import Wanted
 from spanshunt.systems.placing import candidates
 from spanshunt.systems.ramping import VersionRule
@@ -113,7 +112,7 @@
 
 
 def an_exchange(fleet: Fleet, at: float) -> Exchange:
-    return Exchange(fleet, At(at), random.Random(1), decode_catalog, ())
+    return Exchange(fleet, At(at), random.Random(1), lambda: None, ())
 
 
 def test_boxes_tell_each_other():
