Layout: roll-outs, workers' health and what peers tell stand in modules of their own

Cause: ramping held 470 lines of three jobs (who enters, how much, whether it is good), placing a worker's health beside the choice, exchange the taking in of catalogs, engines and roll-outs beside the talk.

Change, behaviour as before: systems.exposing, systems.judging, systems.tallies, systems.worker_health, catalog_taking, engine_news, rollout_lines; the version that a box knows is worked out in one place. `model choice` lines tell how likely an answer is good. The planted bug of the process soak follows its line to catalog_taking.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -70,7 +70,7 @@
         "taken_back = False",
     ),
     "revoked": Mutation(
-        "exchange.py",
+        "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
         "catalog.version <= fleet.catalog.version + 1_000",
     ),
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -11,13 +11,13 @@
 from .ports import SilentWorkerError
 from .systems.estimating import note_first_event
 from .systems.estimating import speed_of
-from .systems.placing import note_answer
-from .systems.placing import note_unreached
-from .systems.ramping import note_result
+from .systems.judging import note_result
 from .systems.silence import Silence
 from .systems.silence import note_silence
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
+from .systems.worker_health import note_answer
+from .systems.worker_health import note_unreached
 from .tables.catalog import RequestKind
 from .tables.rollouts import Finding
 
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -44,13 +44,13 @@
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
-from .systems.placing import note_load
 from .systems.ramping import note_session
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
 from .systems.timing import ALIVE_FACTOR
 from .systems.timing import first_limit_ms
 from .systems.timing import is_alive
+from .systems.worker_health import note_load
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
 
--- a/src/spanshunt/catalog_fetcher.py
+++ b/src/spanshunt/catalog_fetcher.py
@@ -12,9 +12,10 @@
 
 from result import Err
 
+from .catalog_taking import Decode
+from .catalog_taking import known_version
+from .catalog_taking import take_catalog
 from .clock import Clock
-from .exchange import Decode
-from .exchange import take_catalog
 from .ids import BoxId
 from .ids import Millis
 from .logs import log_event
@@ -87,7 +88,7 @@
     async def tell(self, ask: CatalogAsk) -> CatalogTold:
         """Give this box's catalog to a peer, unless enough others get it already."""
         fleet = self._fleet
-        known = fleet.catalog.version if fleet.catalog is not None else -1
+        known = known_version(fleet)
         if known <= ask.version or self._serves_enough():
             return CatalogTold(known)
         self._served.append(self._clock.now())
@@ -101,7 +102,7 @@
     def _whom_to_ask(self) -> PeerRow | None:
         """Return a peer with a newer catalog: a near one, one not tried just now."""
         fleet = self._fleet
-        mine = fleet.catalog.version if fleet.catalog is not None else -1
+        mine = known_version(fleet)
         ahead = [row for row in fleet.peers.values() if row.catalog_version > mine]
         untried = [row for row in ahead if row.box not in self._tried]
         if ahead and not untried:
@@ -114,7 +115,7 @@
     async def _fetch(self, peer: PeerRow) -> bool:
         """Fetch from one peer; return whether that brought a newer catalog."""
         fleet = self._fleet
-        mine = fleet.catalog.version if fleet.catalog is not None else -1
+        mine = known_version(fleet)
         began = self._clock.now()
         ask = CatalogAsk(fleet.me.box, mine)
         told = await ask_catalog(self._channels, peer.address, ask, self._timeout_s)
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -5,9 +5,10 @@
 import typing as t
 
 from result import Err
-from result import Result
 
+from .catalog_taking import known_version
 from .clock import Clock
+from .engine_news import take_engine_news
 from .ids import Millis
 from .ids import Offset
 from .logs import log_event
@@ -23,10 +24,9 @@
 from .peers.news_rows import rollout_news
 from .peers.news_rows import speeds_news
 from .peers.news_rows import workers_news
-from .peers.packing import pack
 from .peers.unary import Channels
-from .systems.estimating import take_read
-from .systems.estimating import take_speed
+from .rollout_lines import log_order
+from .rollout_lines import log_verdict
 from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
 from .systems.following_workers import note_reading
@@ -34,16 +34,12 @@
 from .systems.following_workers import take_list
 from .systems.ramping import bar_versions
 from .systems.ramping import take_order
-from .systems.ramping import take_tally
 from .systems.ramping import take_verdict
 from .systems.silence import Silence
 from .systems.silence import is_silent
 from .systems.silence import newest_silences
 from .systems.silence import note_silence
-from .tables.catalog import Catalog
-from .tables.engines import EngineSpeed
-from .tables.engines import PromptPart
-from .tables.engines import PromptRead
+from .systems.tallies import take_tally
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import EvidenceKey
@@ -68,8 +64,6 @@
 BACK_OFF_MOST = 10
 """Failures that lengthen that wait at most."""
 
-Decode = t.Callable[[bytes], Result[Catalog, str]]
-
 
 class Exchange:
     """Exchanges news with peers.
@@ -135,7 +129,7 @@
             address=fleet.me.address,
             domain=fleet.me.domain,
             incarnation=fleet.me.incarnation,
-            catalog_version=_version(fleet),
+            catalog_version=known_version(fleet),
             workers_end=fleet.workers_end,
             workers_age_ms=max(0, now - fleet.workers_read_at),
             read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
@@ -165,14 +159,14 @@
         if news.box == fleet.me.box:
             return
         self._take_peers(news, now)
-        if news.catalog_version > _version(fleet):
+        if news.catalog_version > known_version(fleet):
             self._on_newer()
         self._take_workers(news, now)
         for item in news.rollouts:
             self._take_rollout(news, item, now)
         for told in news.silences:
             self._take_silence(news, told, now)
-        self._take_engines(news, now)
+        take_engine_news(fleet, news, now)
 
     def _take_workers(self, news: News, now: Millis) -> None:
         """Take in a newer list, or that this box's is as new as the teller's."""
@@ -222,22 +216,6 @@
                 source=news.box,
             )
 
-    def _take_engines(self, news: News, now: Millis) -> None:
-        """Take in how fast engines are, what waits there, and what they read."""
-        fleet = self._fleet
-        for told in news.speeds:
-            speed = EngineSpeed(told.read_ms, told.base_ms)
-            take_speed(fleet, told.service, told.model, speed)
-        for row in fleet.workers.rows.values():
-            row.told_ms.pop(news.box, None)
-        for waiting in news.readings:
-            reading = fleet.workers.rows.get(waiting.worker)
-            if reading is not None:
-                reading.told_ms[news.box] = (float(waiting.reading_ms), now)
-        for read in news.reads:
-            shared = tuple(PromptPart(*part) for part in read.shared)
-            take_read(fleet, PromptRead(read.worker, read.model, shared, now))
-
     def _take_rollout(self, news: News, item: RolloutNews, now: Millis) -> None:
         fleet = self._fleet
         began = Millis(now - item.age_ms)
@@ -311,65 +289,5 @@
         self.take(told.ok_value)
 
 
-def take_catalog(
-    fleet: Fleet, raw: bytes, decode: Decode, *, source: str, packed: bytes = b""
-) -> bool:
-    """Take a catalog in if it is newer; what a box believes never goes back.
-
-    `packed` is the same as it came from a peer; it is packed here if it did not.
-    """
-    decoded = decode(raw)
-    if isinstance(decoded, Err):
-        log_event("ERROR", "catalog unreadable", detail=decoded.err_value)
-        return False
-    catalog = decoded.ok_value
-    if fleet.catalog is not None and catalog.version <= fleet.catalog.version:
-        return False
-    before = fleet.catalog.version if fleet.catalog is not None else None
-    fleet.catalog, fleet.catalog_packed = catalog, packed or pack(raw)
-    log_event(
-        "INFO",
-        "catalog",
-        version=catalog.version,
-        before=before,
-        routes=len(catalog.routes),
-        orgs=len(catalog.orgs),
-        source=source,
-    )
-    return True
-
-
-def log_order(row: RolloutRow, now: Millis, source: str) -> None:
-    """Log that this box took an order in."""
-    log_event(
-        "INFO",
-        "roll-out ordered",
-        service=row.service,
-        version=row.version,
-        order=row.order,
-        duration_ms=row.duration_ms,
-        age_ms=now - row.began,
-        source=source,
-    )
-
-
-def log_verdict(row: RolloutRow, source: str) -> None:
-    """Log what this box believes of a roll-out from now on."""
-    log_event(
-        "INFO",
-        "roll-out judged",
-        service=row.service,
-        version=row.version,
-        verdict=row.verdict.value,
-        reason=row.reason,
-        recorded=row.recorded,
-        source=source,
-    )
-
-
-def _version(fleet: Fleet) -> int:
-    return fleet.catalog.version if fleet.catalog is not None else -1
-
-
 def _shown(change: t.Any) -> dict[str, object]:
     return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -11,13 +11,13 @@
 from .ids import VersionId
 from .ids import WorkerId
 from .systems.estimating import others_ms
+from .systems.exposing import share_at
 from .systems.following_workers import reader_of
 from .systems.placing import batch_load
-from .systems.ramping import add_up
-from .systems.ramping import share_at
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
 from .systems.silence import is_silent
+from .systems.tallies import add_up
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -13,7 +13,7 @@
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import SendFault
-from .systems.placing import Load
+from .systems.worker_health import Load
 
 READ_BYTES_MOST = 16_777_216
 """Longest answer that is read whole before it is given, in bytes: a box has some 100 MB
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -5,7 +5,7 @@
 from ..ids import Millis
 from ..systems.estimating import newest_reads
 from ..systems.following_workers import ListedWorker
-from ..systems.ramping import add_up
+from ..systems.tallies import add_up
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -5,10 +5,8 @@
 
 from result import Err
 
+from ..catalog_taking import take_catalog
 from ..clock import Clock
-from ..exchange import log_order
-from ..exchange import log_verdict
-from ..exchange import take_catalog
 from ..ids import BoxId
 from ..ids import DomainId
 from ..ids import Millis
@@ -16,6 +14,8 @@
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..logs import log_event
+from ..rollout_lines import log_order
+from ..rollout_lines import log_verdict
 from ..systems.following_workers import ListedWorker
 from ..systems.following_workers import drop_missing
 from ..systems.following_workers import follows_operators
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -4,16 +4,16 @@
 from result import Err
 
 from ..clock import Clock
-from ..exchange import log_verdict
 from ..ids import Offset
 from ..ids import ServiceId
 from ..logs import log_event
-from ..systems.ramping import Judgement
-from ..systems.ramping import due_verdict
-from ..systems.ramping import fleet_rate
-from ..systems.ramping import raise_extra
+from ..rollout_lines import log_verdict
+from ..systems.exposing import fleet_rate
+from ..systems.exposing import raise_extra
+from ..systems.judging import Judgement
+from ..systems.judging import due_verdict
+from ..systems.judging import writer_delay
 from ..systems.ramping import take_verdict
-from ..systems.ramping import writer_delay
 from ..tables.fleet import Fleet
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -20,7 +20,7 @@
 from ..ports import Answer
 from ..ports import Dispatch
 from ..ports import SendFault
-from ..systems.placing import Load
+from ..systems.worker_health import Load
 from . import wire
 
 CONNECT_TIMEOUT_S = 0.4
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -14,7 +14,7 @@
 from .ids import RequestId
 from .refusals import Refusal
 from .systems.cascading import RequestTokens
-from .systems.placing import Load
+from .systems.worker_health import Load
 from .tables.engines import PromptPart
 from .tables.workers import WorkerRow
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -57,6 +57,7 @@
         request=call.request,
         model=attempt.model,
         sureness=found.confidence,
+        likely_good=round(likely_good(found.confidence), 2),
         needed=round(needed, 2),
         budget=affordable,
         raised=state.raised,
--- /dev/null
+++ b/src/spanshunt/systems/exposing.py
@@ -0,0 +1,133 @@
+"""How much an entering version gets: shares by an order's age, within its bounds.
+
+What a bad version may get of an order's requests is a share of them and a number. The
+steps keep both, whether the version shows that it is bad or not.
+"""
+
+import typing as t
+
+from ..ids import Millis
+from ..tables.fleet import Fleet
+from ..tables.fleet import Traffic
+from ..tables.rollouts import EPOCH_MS
+from ..tables.rollouts import ExposeBounds
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Verdict
+from .tallies import add_up
+
+HALF, FULL_AT = 0.5, 0.93
+"""Parts of the order's time from which the entering version gets its second share, and
+all sessions. Sessions must stay on their version in the first half."""
+
+FULL_MOST_PART = 0.5
+"""Part of what a version may get in all that may be left for the time in which it gets
+all sessions: where that is short, this begins later."""
+
+SECOND_FACTOR = 2.0
+"""How many times its first share the second is: what turns bad late shows, too."""
+
+SHARE_USED, SLACK_USED = 0.96, 0.6
+"""Parts of the share and of the number of requests that a bad version may get which the
+steps use up. The slack is held against a rate of requests that is a guess."""
+
+RATE_FROM = 0.4
+"""Part of the order's time from which on the rate of requests is looked at: boxes have
+counted for some seconds, and have a tenth of the order's time left to agree."""
+
+RATE_S = 6
+"""Newest whole seconds that the rate of requests is taken from."""
+
+EXTRA_MOST = 0.08
+"""Most that the allowed number of requests adds to the share: a rate that is taken for
+too low does no more harm than that."""
+
+
+class Steps(t.NamedTuple):
+    """Shares of sessions that the entering version gets, and when it gets all.
+
+    Attributes
+    ----------
+    first, second : float
+        In the first half of the order's time, and from then on.
+    full_at : float
+        From which part of the order's time on it gets all.
+    """
+
+    first: float
+    second: float
+    full_at: float
+
+
+def steps_of(bounds: ExposeBounds, extra: float) -> Steps:
+    """Return steps that keep within the bounds, whether the version shows bad or not.
+
+    Parameters
+    ----------
+    bounds : ExposeBounds
+        What a bad version may get of the order's requests.
+    extra : float
+        What the allowed number of requests adds to the share, as a part of them.
+    """
+    share = SHARE_USED * bounds.share
+    full = min(1.0 - FULL_AT, FULL_MOST_PART * share)
+    full_at = 1.0 - full
+    later = full_at - HALF
+    first = (share - full) / (HALF + SECOND_FACTOR * later)
+    second = SECOND_FACTOR * first + extra / later
+    return Steps(min(1.0, first), min(1.0, second), full_at)
+
+
+def extra_share(bounds: ExposeBounds, requests: float) -> float:
+    """Return what the allowed number adds, for so many requests in the order's time."""
+    return SLACK_USED * bounds.slack / requests if requests > 0 else 0.0
+
+
+def share_at(fleet: Fleet, row: RolloutRow, now: Millis) -> float:
+    """Return the share of sessions that the entering version gets now."""
+    if row.verdict is Verdict.SUCCEEDED:
+        return 1.0
+    if row.verdict is Verdict.ROLLED_BACK:
+        return 0.0
+    steps = steps_of(fleet.rollouts.bounds, row.extra)
+    age = (now - row.began) / max(1, row.duration_ms)
+    if age >= steps.full_at:
+        return 1.0
+    return steps.second if age >= HALF else steps.first
+
+
+def fleet_rate(fleet: Fleet, row: RolloutRow, now: Millis) -> float:
+    """Return how many requests a second all boxes get for a service; 0 for unknown.
+
+    It is the greater of this box's own, for as many boxes as are known, and of the
+    answers that all boxes told: a box that is cut off hears of few.
+    """
+    newest = now // 1_000
+    traffic = fleet.traffic.get(row.service, Traffic())
+    seconds = [s for s in traffic.seconds if newest - RATE_S <= s.number < newest]
+    own = sum(second.requests for second in seconds) / RATE_S
+    epoch = max(0, now - row.began) // EPOCH_MS
+    told = sum(
+        tally.answers
+        for key, tally in add_up(row.own, *row.near.values(), *row.far.values()).items()
+        if epoch - RATE_S <= key.epoch < epoch
+    )
+    return max(own * (len(fleet.peers) + 1), told / RATE_S)
+
+
+def raise_extra(fleet: Fleet, row: RolloutRow, rate: float, now: Millis) -> None:
+    """Take in how many requests a second all boxes get, before the first half is over.
+
+    The greatest word of any box counts, so that boxes agree: the bound is safe for each
+    of them by what of the slack is left unused.
+    """
+    age = (now - row.began) / max(1, row.duration_ms)
+    if not RATE_FROM <= age < HALF or rate <= 0.0:
+        return
+    requests = rate * row.duration_ms / 1_000
+    extra = min(EXTRA_MOST, extra_share(fleet.rollouts.bounds, requests))
+    row.extra = max(row.extra, extra)
+
+
+def in_first_half(row: RolloutRow, now: Millis) -> bool:
+    """Tell whether sessions must stay on the version that they are on."""
+    return now - row.began < row.duration_ms / 2
--- a/tests/test_catalog_fetcher.py
+++ b/tests/test_catalog_fetcher.py
@@ -15,9 +15,9 @@
 from spanshunt.catalog_fetcher import SERVED_MOST
 from spanshunt.catalog_fetcher import SERVED_WITHIN_MS
 from spanshunt.catalog_fetcher import CatalogFetcher
+from spanshunt.catalog_taking import take_catalog
 from spanshunt.clock import ManualClock
 from spanshunt.exchange import TIMEOUT_S
-from spanshunt.exchange import take_catalog
 from spanshunt.ids import BoxId
 from spanshunt.peers.news import CatalogAsk
 from spanshunt.peers.packing import pack
--- a/tests/test_fleet_report.py
+++ b/tests/test_fleet_report.py
@@ -17,13 +17,13 @@
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
 from spanshunt.standins.worker import WorkerFault
-from spanshunt.systems.placing import note_unreached
+from spanshunt.systems.judging import note_result
 from spanshunt.systems.ramping import bar_versions
-from spanshunt.systems.ramping import note_result
 from spanshunt.systems.ramping import take_order
 from spanshunt.systems.repeats import RepeatBounds
 from spanshunt.systems.repeats import note_repeat
 from spanshunt.systems.repeats import note_request
+from spanshunt.systems.worker_health import note_unreached
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.rollouts import Finding
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -457,8 +457,8 @@
     def test_adapter_does_not_decide(self):
         """What chooses, judges or budgets is called by the product, not from here."""
         deciding = re.compile(
-            r"systems\.(placing|cascading|repeats|sequential|timing|admitting) import "
-            r"(?!Load$|RequestTokens$|RepeatBounds$)\w+",
+            r"systems\.(placing|cascading|estimating|keeping|repeats|sequential|timing"
+            r"|admitting) import (?!Load$|RequestTokens$|RepeatBounds$)\w+",
             re.MULTILINE,
         )
         for path in (SOURCES / "platform").glob("*.py"):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -14,15 +14,15 @@
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
 from spanshunt.systems.estimating import Effort
-from spanshunt.systems.placing import Load
 from spanshunt.systems.placing import Wanted
 from spanshunt.systems.placing import batch_load
-from spanshunt.systems.placing import note_answer
-from spanshunt.systems.placing import note_load
-from spanshunt.systems.placing import note_unreached
 from spanshunt.systems.placing import owner_of
 from spanshunt.systems.placing import place
 from spanshunt.systems.ramping import VersionRule
+from spanshunt.systems.worker_health import Load
+from spanshunt.systems.worker_health import note_answer
+from spanshunt.systems.worker_health import note_load
+from spanshunt.systems.worker_health import note_unreached
 from spanshunt.tables.fleet import Fleet
 
 ANY = VersionRule()
