Front: numbers in headers are whole, short and ASCII; shared parts no longer than prompts

Cause: found on reading the change: a header like Deadline-Ms with a superscript digit, or with 5,000 digits, passed isdigit() and ended in an error of int(); a prompt whose shared parts were said to be longer than itself would have filled the table of what engines keep.

Change: wire.whole_number decodes all of them; such a deadline is refused with 400 and the field named, such parts are taken for none. Also from reading: what a box that is gone told of waits is forgotten; a catalog is fetched from peers heard of late first.

Tests: deadlines and parts that cannot be, of which those with digits fail before.

--- a/src/spanshunt/catalog_fetcher.py
+++ b/src/spanshunt/catalog_fetcher.py
@@ -35,6 +35,10 @@
 """Boxes that one box gives its catalog to within so many ms: with 40 KB each that fills
 a link of 5 Mbit/s, and every box that has it goes on giving it."""
 
+HEARD_MS = 1_000
+"""A peer that was not heard for this long is asked only where no other is left, in ms:
+two rounds of exchanges; it may have ended since."""
+
 PAUSE_S = 0.05
 """Pause after a fetch that brought nothing, in s."""
 
@@ -100,7 +104,7 @@
         return self._clock.now() - self._served[0] < SERVED_WITHIN_MS
 
     def _whom_to_ask(self) -> PeerRow | None:
-        """Return a peer with a newer catalog: a near one, one not tried just now."""
+        """Return a peer with a newer catalog: heard just now, near, not tried yet."""
         fleet = self._fleet
         mine = known_version(fleet)
         ahead = [row for row in fleet.peers.values() if row.catalog_version > mine]
@@ -108,8 +112,10 @@
         if ahead and not untried:
             self._tried.clear()
             untried = ahead
-        near = [row for row in untried if row.domain == fleet.me.domain]
-        drawn = near or untried
+        recent = self._clock.now() - HEARD_MS
+        heard = [row for row in untried if row.heard >= recent] or untried
+        near = [row for row in heard if row.domain == fleet.me.domain]
+        drawn = near or heard
         return self._rng.choice(drawn) if drawn else None
 
     async def _fetch(self, peer: PeerRow) -> bool:
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -163,9 +163,10 @@
     request = headers.get(wire.REQUEST_ID, "")
     if not request:
         return _bad(f"header {wire.REQUEST_ID}: missing")
-    deadline = headers.get(wire.DEADLINE, str(DEADLINE_MS))
-    if not deadline.isdigit():
-        return _bad(f"header {wire.DEADLINE}: {deadline!r}; whole ms are allowed")
+    told = headers.get(wire.DEADLINE, str(DEADLINE_MS))
+    deadline = wire.whole_number(told)
+    if deadline is None:
+        return _bad(f"header {wire.DEADLINE}: {told!r}; whole ms are allowed")
     try:
         body = await req.read()
     except web.HTTPRequestEntityTooLarge:
@@ -175,7 +176,6 @@
     host = headers.get("Host", "").lower().partition(":")[0]
     model = headers.get(wire.MODEL, "")
     tokens = _effort(headers.get(wire.TOKENS, ""))
-    last_event = headers.get(wire.LAST_EVENT, "")
     return Ok(
         Call(
             request=RequestId(request),
@@ -187,12 +187,12 @@
             body=body,
             credential=headers.get(wire.CREDENTIAL, ""),
             began=began,
-            deadline=began + int(deadline),
+            deadline=began + deadline,
             session=headers.get(wire.SESSION, ""),
             tokens=tokens,
-            shared=_shared(headers.get(wire.PROMPT_PARTS, "")),
+            shared=_shared(headers.get(wire.PROMPT_PARTS, ""), tokens.read),
             model=ModelId("" if model == wire.ANY_MODEL else model),
-            resume_after=int(last_event) if last_event.isdigit() else None,
+            resume_after=wire.whole_number(headers.get(wire.LAST_EVENT, "")),
         )
     )
 
@@ -214,18 +214,25 @@
 
 def _effort(text: str) -> RequestTokens:
     """Decode ``READ,GENERATED``; anything else tells nothing of the size."""
-    read, _, generated = text.partition(",")
-    if not read.isdigit() or not generated.isdigit():
+    first, _, second = text.partition(",")
+    read, generated = wire.whole_number(first), wire.whole_number(second)
+    if read is None or generated is None:
         return RequestTokens(0, 0)
-    return RequestTokens(int(read), int(generated))
+    return RequestTokens(read, generated)
 
 
-def _shared(text: str) -> tuple[PromptPart, ...]:
+def _shared(text: str, read: int) -> tuple[PromptPart, ...]:
     """Decode ``NAME:TOKENS,...``: all parts but the last, which is the request's own.
 
-    A list that can't be read tells of no shared part.
+    A list that can't be read, or is longer than the prompt, tells of no shared part.
     """
-    rows = [part.partition(":") for part in text.split(",")]
-    if not all(name and size.isdigit() for name, _, size in rows):
+    rows = [part.partition(":") for part in text.split(",")[:-1]]
+    sizes = [wire.whole_number(size) for _, _, size in rows]
+    parts = tuple(
+        PromptPart(name, size)
+        for (name, _, _), size in zip(rows, sizes, strict=True)
+        if name and size is not None
+    )
+    if len(parts) < len(rows) or sum(part.tokens for part in parts) > read:
         return ()
-    return tuple(PromptPart(name, int(size)) for name, _, size in rows[:-1])
+    return parts
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -233,6 +233,18 @@
     end: int
 
 
+WHOLE_DIGITS = 15
+"""Digits that a whole number in a header may have: more than any time or size needs."""
+
+
+def whole_number(text: str) -> int | None:
+    """Decode a whole number in a header; None for anything else."""
+    found = text.strip()
+    if not (found.isascii() and found.isdecimal() and len(found) <= WHOLE_DIGITS):
+        return None
+    return int(found)
+
+
 T = t.TypeVar("T")
 
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -160,8 +160,9 @@
 
 def _load(text: str | None) -> Load | None:
     """Decode ``running,waiting,slots``; anything else tells nothing."""
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [wire.whole_number(part) for part in (text or "").split(",")]
+    numbers = [part for part in parts if part is not None]
+    if len(parts) != 3 or len(numbers) != 3:
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = numbers
     return Load(running, waiting, slots)
--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -2,7 +2,8 @@
 
 ``first = wait + read``: what is before a request at the engine, and what of its prompt
 the engine does not keep, times the time to read a token, learned for each service and
-model. Choice of worker and model, refusal and the time to come back read off it.
+model. Choice of worker and model, asking again and the order at the engine read off it;
+refusals and the time to come back do not yet.
 """
 
 import math
@@ -171,6 +172,14 @@
     return row.others_ms * kept
 
 
+def forget_told(fleet: Fleet, now: Millis) -> None:
+    """Forget what boxes told of waits that is over: a box may be gone for good."""
+    for row in fleet.workers.rows.values():
+        for box, (waits_ms, at) in list(row.told_ms.items()):
+            if now - at >= waits_ms:
+                del row.told_ms[box]
+
+
 def speed_of(fleet: Fleet, service: ServiceRow, model: ModelId) -> EngineSpeed:
     """Return how fast engines run a model; no time at all while nothing is known.
 
--- a/tests/test_catalog_fetcher.py
+++ b/tests/test_catalog_fetcher.py
@@ -24,6 +24,7 @@
 from spanshunt.peers.packing import unpack
 from spanshunt.platform.wire import decode_catalog
 from spanshunt.standins.store import EndpointFault
+from spanshunt.tables.fleet import PeerRow
 
 
 def a_fetcher(version: int = 7):
@@ -59,6 +60,17 @@
     assert (await fetcher.tell(ask)).packed
 
 
+async def test_peer_that_may_have_ended_is_asked_last():
+    fetcher, clock = a_fetcher(version=3)
+    clock.advance(ms(10))
+    peers = fetcher._fleet.peers
+    for number, heard in ((1, 2.0), (2, 9.8), (3, 3.0)):
+        name = BoxId(f"box-{number}")
+        peers[name] = PeerRow(name, "host:1", heard=ms(heard), catalog_version=9)
+    found = {fetcher._whom_to_ask().box for _ in range(20)}
+    assert found == {"box-2"}
+
+
 async def test_box_that_knows_as_much_gets_nothing():
     fetcher, _ = a_fetcher()
     assert (await fetcher.tell(CatalogAsk(BoxId("box-2"), 7))).packed == b""
--- a/tests/test_estimating.py
+++ b/tests/test_estimating.py
@@ -20,6 +20,7 @@
 from spanshunt.systems.estimating import URGENCY_LEAST
 from spanshunt.systems.estimating import Estimate
 from spanshunt.systems.estimating import estimate_first
+from spanshunt.systems.estimating import forget_told
 from spanshunt.systems.estimating import newest_reads
 from spanshunt.systems.estimating import note_first_event
 from spanshunt.systems.estimating import note_prompt
@@ -135,6 +136,15 @@
     assert waits == [800.0, 300.0, 0.0]
 
 
+def test_what_a_box_told_that_is_gone_is_forgotten():
+    fleet, row = a_fleet()
+    row.told_ms[BoxId("gone")] = (800.0, ms(1))
+    forget_told(fleet, ms(1.5))
+    assert row.told_ms
+    forget_told(fleet, ms(2))
+    assert not row.told_ms
+
+
 def test_model_not_met_yet_is_slower_as_it_is_dearer():
     fleet, _ = a_fleet(read_ms=None)
     effort = an_effort("large")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -91,6 +91,23 @@
             reply = await fleet.ask(fleet.boxes[0], path, key=key)
             assert reply.status == status
 
+    @pytest.mark.parametrize("deadline", ["²", "9" * 5_000, "-5", "soon", ""])
+    async def test_deadline_that_is_no_number_is_a_clear_error(self, deadline: str):
+        async with running_fleet() as fleet:
+            reply = await fleet.ask(fleet.boxes[0], "/view/", Deadline_Ms=deadline)
+            assert reply.status == 400
+            assert b"Deadline-Ms" in reply.body
+
+    @pytest.mark.parametrize(
+        "parts", ["aa:²,bb:600", "aa:" + "9" * 5_000 + ",bb:1", "aa:99999999,bb:1", ":"]
+    )
+    async def test_prompt_parts_that_cannot_be_are_none(self, parts: str):
+        async with running_fleet() as fleet:
+            reply = await fleet.ask(fleet.boxes[0], "/long/", Prompt_Prefix=parts)
+            assert reply.status == 200
+            kept = [row.kept for row in fleet.boxes[0].node.fleet.workers.rows.values()]
+            assert sum(one.tokens for one in kept) in (1_000, 2_000)
+
     async def test_full_workers_are_a_true_refusal(self):
         async with running_fleet() as fleet:
             _all(fleet, "web", WorkerFault.FULL)
