--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -30,8 +30,7 @@
 from ..logs import set_up_logs
 from ..peers.codec import MsgpackCodec
 from ..peers.news import NewsService
-from ..systems.estimating import forget_told
-from ..systems.ramping import forget_sessions
+from ..systems.forgetting import forget_old
 from ..systems.repeats import RepeatBounds
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
@@ -232,9 +231,7 @@
         self.stop_asked.set()
 
     async def _sweep(self) -> None:
-        now = self.clock.now()
-        forget_sessions(self.fleet, now)
-        forget_told(self.fleet, now)
+        forget_old(self.fleet, self.clock.now())
 
     async def _serve(self, server: web.Server, address: str) -> web.TCPSite:
         host, _, port = address.rpartition(":")
