Sight: a dispatch names its session and why its version was chosen

Cause: no line told a request's session, what the box remembered of it or why its version was taken, so the log could not tell the three hypotheses apart. Change: dispatch lines name the session, and under an order what decided (version_by), the version remembered here and its age, the order's age and the share. No decision changes.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -43,6 +43,7 @@
 from .systems.cascading import note_lateness
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
+from .systems.exposing import share_at
 from .systems.following_workers import note_replaced
 from .systems.ramping import note_session
 from .systems.repeats import note_repeat
@@ -168,6 +169,7 @@
         request=state.request,
         route=state.request_class,
         org=state.org,
+        session=state.call.session,
         catalog=state.admitted.catalog_version,
         worker=attempt.worker.name,
         version=version_of(attempt),
@@ -181,9 +183,29 @@
         wait_ms=round(attempt.expected.wait_ms),
         read_ms=round(attempt.expected.read_ms),
         unread=round(attempt.expected.unread),
+        **_version_fields(core, state, attempt),
     )
 
 
+def _version_fields(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt
+) -> dict[str, object]:
+    """Return what the choice of the version rests on, while there is an order."""
+    row = core.fleet.rollouts.rows.get(attempt.service)
+    if row is None:
+        return {}
+    now, rule = core.clock.now(), attempt.rule
+    known = rule.known
+    return {
+        "version_by": rule.reason.value,
+        "session_version": known.version if known else None,
+        "session_age_ms": now - known.ended if known else -1,
+        "order": row.order,
+        "order_age_ms": now - row.began,
+        "share": round(share_at(core.fleet, row, now), 3),
+    }
+
+
 def _urgency(state: CatalogRequest, attempt: CatalogAttempt) -> int:
     """Return how urgent a request is at its worker; what goes on goes first."""
     if attempt.effort is None:
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -18,6 +18,7 @@
 from .systems.cascading import ModelPlan
 from .systems.estimating import Effort
 from .systems.estimating import Estimate
+from .systems.ramping import VersionRule
 from .systems.repeats import RepeatBounds
 from .tables.fleet import Fleet
 
@@ -35,6 +36,8 @@
         Age of the report that the estimate rests on; -1 for none.
     candidates : int
         Workers that the choice was among.
+    rule : VersionRule
+        Which versions might answer, and why.
     effort : Effort or None
         What its prompt asks of the engine; None for plain requests.
     expected : Estimate
@@ -49,6 +52,7 @@
     load: float
     report_age_ms: int
     candidates: int
+    rule: VersionRule = VersionRule()
     effort: Effort | None = None
     expected: Estimate = Estimate()
     slow: bool = False
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -60,6 +60,7 @@
             load=placed.load,
             report_age_ms=placed.report_age_ms,
             candidates=placed.candidates,
+            rule=rule,
             effort=_effort(state, service, model),
             expected=placed.expected or Estimate(),
         )
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -5,6 +5,7 @@
 `judging`.
 """
 
+import enum
 import typing as t
 
 from ..ids import Millis
@@ -24,6 +25,19 @@
 sessions may pause (5 s on both sites)."""
 
 
+class Reason(enum.Enum):
+    """What decided which version answers a request."""
+
+    NO_ORDER = "no order"
+    JUDGED = "judged"
+    ON_ENTERING = "session on the entering version"
+    FAILED_THERE = "failed on the entering version"
+    ON_LEAVING = "session on the leaving version"
+    DRAWN = "drawn"
+    NOT_DRAWN = "not drawn"
+    NO_WORKERS = "drawn, but no worker is known"
+
+
 class VersionRule(t.NamedTuple):
     """The version that must answer, or those that must not.
 
@@ -33,10 +47,16 @@
         The one that must; None for any.
     never : frozenset of str
         Those that must not.
+    reason : Reason
+        What decided it, for logs.
+    known : SessionRow or None
+        What this box remembers of the request's session, for logs.
     """
 
     only: VersionId | None = None
     never: frozenset[VersionId] = frozenset()
+    reason: Reason = Reason.NO_ORDER
+    known: SessionRow | None = None
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
@@ -75,24 +95,26 @@
     row = fleet.rollouts.rows.get(service)
     if row is None:
         return VersionRule()
-    if row.verdict is Verdict.SUCCEEDED:
-        return VersionRule(only=row.version)
-    before = VersionRule(never=row.barred | {row.version})
-    if row.verdict is Verdict.ROLLED_BACK:
-        return before
     known = fleet.rollouts.sessions.get((service, session)) if session else None
     if known is not None and now - known.ended > SESSION_TTL_MS:
         known = None
+    entering = VersionRule(only=row.version, known=known)
+    leaving = VersionRule(never=row.barred | {row.version}, known=known)
+    if row.verdict is Verdict.SUCCEEDED:
+        return entering._replace(reason=Reason.JUDGED)
+    if row.verdict is Verdict.ROLLED_BACK:
+        return leaving._replace(reason=Reason.JUDGED)
     if known is not None and known.version == row.version:
-        return VersionRule(only=row.version)
+        return entering._replace(reason=Reason.ON_ENTERING)
     if row.version in failed:
-        return before
+        return leaving._replace(reason=Reason.FAILED_THERE)
     if known is not None and in_first_half(row, now):
-        return before
-    entering = unit_hash(str(row.order), session or draw) < share_at(fleet, row, now)
-    if entering and _has_workers(fleet, service, row.version):
-        return VersionRule(only=row.version)
-    return before
+        return leaving._replace(reason=Reason.ON_LEAVING)
+    if unit_hash(str(row.order), session or draw) >= share_at(fleet, row, now):
+        return leaving._replace(reason=Reason.NOT_DRAWN)
+    if not _has_workers(fleet, service, row.version):
+        return leaving._replace(reason=Reason.NO_WORKERS)
+    return entering._replace(reason=Reason.DRAWN)
 
 
 def note_session(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -206,6 +206,30 @@
             after = len(fleet.workers["w-1"].seen) + len(fleet.workers["w-2"].seen)
             assert after == before
 
+    async def test_log_tells_why_a_session_got_its_version(self, monkeypatch):
+        lines: list[dict[str, object]] = []
+
+        def keep(level: str, message: str, **fields: object) -> None:
+            lines.append({"event": message, **fields})
+
+        monkeypatch.setattr("spanshunt.catalog_calls.log_event", keep)
+        async with running_fleet() as fleet:
+            await fleet.add_worker("n-1", version="v2")
+            await fleet.ask(fleet.boxes[0], "/long/", Session="mine")
+            await order(fleet, "v2", 20.0)
+            rows = fleet.boxes[0].node.fleet.rollouts.rows
+            await until(lambda: ServiceId("writer") in rows, "the order is known")
+            await fleet.ask(fleet.boxes[0], "/long/", Session="mine")
+        sent = [line for line in lines if line["event"] == "dispatch"]
+        assert [line["session"] for line in sent] == ["mine"] * len(sent)
+        assert "version_by" not in sent[0]
+        last = sent[-1]
+        assert last["version_by"] == "session on the leaving version"
+        assert (last["version"], last["session_version"]) == ("v1", "v1")
+        assert 0 <= last["session_age_ms"] < 5_000 and last["order_age_ms"] >= 0
+        assert 0.0 < last["share"] < 0.15
+        json.dumps(sent)
+
     async def test_bad_version_is_rolled_back_and_gets_nothing_more(self):
         async with running_fleet(boxes=2) as fleet:
             bad = await fleet.add_worker("n-1", version="v2")
