Sessions enter a roll-out after its first half, and none before

Cause: sessions must keep their version in the first half of an order's time; which version that is was known to the box that had answered, and a third of the sessions is asked at others, which drew them by the hash. Ruled out, by plays with sessions in the log: a session's time counted from the wrong moment, and boxes that see the order or its workers at different times; no moved request was at the box that had answered before, none moved back. Weighed: keepers of sessions that boxes ask, as the OpenAI front does; they stand in the way of requests, race with the order and fail with their boxes. Change: no session enters before 0.52 of the order's time, at whichever box; what the bound on a bad version leaves is spent after it (0.18 of the sessions instead of 0.054, then 0.11). Requests of no session enter as before. The rate that the shares follow is settled before sessions enter by it. Conclusion: kept by design; the price is a later beginning of the evidence.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -195,14 +195,14 @@
     if row is None:
         return {}
     now, rule = core.clock.now(), attempt.rule
-    known = rule.known
+    known, in_session = rule.known, bool(state.call.session)
     return {
         "version_by": rule.reason.value,
         "session_version": known.version if known else None,
         "session_age_ms": now - known.ended if known else -1,
         "order": row.order,
         "order_age_ms": now - row.began,
-        "share": round(share_at(core.fleet, row, now), 3),
+        "share": round(share_at(core.fleet, row, now, in_session=in_session), 3),
     }
 
 
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -213,7 +213,7 @@
         verdict=row.verdict.value,
         reason=row.reason,
         recorded=row.recorded,
-        share=round(share_at(fleet, row, now), 2),
+        share=round(share_at(fleet, row, now, in_session=True), 2),
         age_ms=Millis(now - row.began),
         duration_ms=row.duration_ms,
         answers=sum(tally.answers for tally in entering),
--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -16,8 +16,14 @@
 from .tallies import add_up
 
 HALF, FULL_AT = 0.5, 0.93
-"""Parts of the order's time from which the entering version gets its second share, and
-all sessions. Sessions must stay on their version in the first half."""
+"""Parts of the order's time from which requests of no session get their second share,
+and from which all requests go to the entering version."""
+
+SESSIONS_FROM = 0.52
+"""Part of the order's time from which sessions enter. They must keep their version in
+the first half, and only the box that answered a session knows what it ran on: so none
+enters before all boxes agree that the half is over. The margin is for boxes that see an
+order some tenths of a second apart: 0.3 s of the shortest order seen, 16 s."""
 
 FULL_MOST_PART = 0.5
 """Part of what a version may get in all that may be left for the time in which it gets
@@ -30,9 +36,11 @@
 """Parts of the share and of the number of requests that a bad version may get which the
 steps use up. The slack is held against a rate of requests that is a guess."""
 
-RATE_FROM = 0.4
-"""Part of the order's time from which on the rate of requests is looked at: boxes have
-counted for some seconds, and have a tenth of the order's time left to agree."""
+RATE_FROM, RATE_UNTIL = 0.4, 0.46
+"""Parts of the order's time between which the rate of requests is looked at: boxes have
+counted for some seconds, and have two rounds of news left to agree before sessions
+enter by it. Where they don't agree, a session that one box moves comes back at
+another."""
 
 RATE_S = 6
 """Newest whole seconds that the rate of requests is taken from."""
@@ -43,24 +51,30 @@
 
 
 class Steps(t.NamedTuple):
-    """Shares of sessions that the entering version gets, and when it gets all.
+    """Shares of requests that the entering version gets, and when it gets all.
 
     Attributes
     ----------
     first, second : float
-        In the first half of the order's time, and from then on.
+        Of requests of no session, in the first half of the order's time and from then
+        on.
+    sessions : float
+        Of sessions, from ``SESSIONS_FROM`` on.
     full_at : float
         From which part of the order's time on it gets all.
     """
 
     first: float
     second: float
+    sessions: float
     full_at: float
 
 
 def steps_of(bounds: ExposeBounds, extra: float) -> Steps:
     """Return steps that keep within the bounds, whether the version shows bad or not.
 
+    Each kind of requests keeps them by itself, so that any mix does.
+
     Parameters
     ----------
     bounds : ExposeBounds
@@ -74,7 +88,8 @@
     later = full_at - HALF
     first = (share - full) / (HALF + SECOND_FACTOR * later)
     second = SECOND_FACTOR * first + extra / later
-    return Steps(min(1.0, first), min(1.0, second), full_at)
+    sessions = (share - full + extra) / (full_at - SESSIONS_FROM)
+    return Steps(min(1.0, first), min(1.0, second), min(1.0, sessions), full_at)
 
 
 def extra_share(bounds: ExposeBounds, requests: float) -> float:
@@ -82,8 +97,8 @@
     return SLACK_USED * bounds.slack / requests if requests > 0 else 0.0
 
 
-def share_at(fleet: Fleet, row: RolloutRow, now: Millis) -> float:
-    """Return the share of sessions that the entering version gets now."""
+def share_at(fleet: Fleet, row: RolloutRow, now: Millis, *, in_session: bool) -> float:
+    """Return the share that the entering version gets now, of sessions or of others."""
     if row.verdict is Verdict.SUCCEEDED:
         return 1.0
     if row.verdict is Verdict.ROLLED_BACK:
@@ -92,6 +107,8 @@
     age = (now - row.began) / max(1, row.duration_ms)
     if age >= steps.full_at:
         return 1.0
+    if in_session:
+        return steps.sessions if age >= SESSIONS_FROM else 0.0
     return steps.second if age >= HALF else steps.first
 
 
@@ -115,19 +132,14 @@
 
 
 def raise_extra(fleet: Fleet, row: RolloutRow, rate: float, now: Millis) -> None:
-    """Take in how many requests a second all boxes get, before the first half is over.
+    """Take in how many requests a second all boxes get, while there is time to agree.
 
     The greatest word of any box counts, so that boxes agree: the bound is safe for each
     of them by what of the slack is left unused.
     """
     age = (now - row.began) / max(1, row.duration_ms)
-    if not RATE_FROM <= age < HALF or rate <= 0.0:
+    if not RATE_FROM <= age < RATE_UNTIL or rate <= 0.0:
         return
     requests = rate * row.duration_ms / 1_000
     extra = min(EXTRA_MOST, extra_share(fleet.rollouts.bounds, requests))
     row.extra = max(row.extra, extra)
-
-
-def in_first_half(row: RolloutRow, now: Millis) -> bool:
-    """Tell whether sessions must stay on the version that they are on."""
-    return now - row.began < row.duration_ms / 2
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -1,8 +1,9 @@
 """Roll-outs: which version answers a request, and what orders and verdicts change.
 
-Sessions decide the version by a hash, so that all boxes agree without a message. How
-large a part enters is worked out in `exposing`, whether the version is good in
-`judging`.
+Sessions decide the version by a hash and the order's age, so that all boxes agree
+without a message: callers' connections change boxes, and what a session ran on is known
+to the box that answered alone. How large a part enters is worked out in `exposing`,
+whether the version is good in `judging`.
 """
 
 import enum
@@ -17,7 +18,6 @@
 from ..tables.rollouts import SessionRow
 from ..tables.rollouts import Verdict
 from ..utils import unit_hash
-from .exposing import in_first_half
 from .exposing import share_at
 
 SESSION_TTL_MS = 6_000
@@ -32,7 +32,7 @@
     JUDGED = "judged"
     ON_ENTERING = "session on the entering version"
     FAILED_THERE = "failed on the entering version"
-    ON_LEAVING = "session on the leaving version"
+    TOO_EARLY = "sessions stay for now"
     DRAWN = "drawn"
     NOT_DRAWN = "not drawn"
     NO_WORKERS = "drawn, but no worker is known"
@@ -108,9 +108,10 @@
         return entering._replace(reason=Reason.ON_ENTERING)
     if row.version in failed:
         return leaving._replace(reason=Reason.FAILED_THERE)
-    if known is not None and in_first_half(row, now):
-        return leaving._replace(reason=Reason.ON_LEAVING)
-    if unit_hash(str(row.order), session or draw) >= share_at(fleet, row, now):
+    share = share_at(fleet, row, now, in_session=bool(session))
+    if session and share <= 0.0:
+        return leaving._replace(reason=Reason.TOO_EARLY)
+    if unit_hash(str(row.order), session or draw) >= share:
         return leaving._replace(reason=Reason.NOT_DRAWN)
     if not _has_workers(fleet, service, row.version):
         return leaving._replace(reason=Reason.NO_WORKERS)
