Sessions: what one box remembers of them decides nothing any more

A request in a session that failed on the entering version was repeated on the leaving one, unless this box remembered the session there; a session that another box had sent there moved back. Change: in a session, a failed answer is repeated at another worker of the entering version, as long as pooled answers don't speak against it (three bad ones and over a tenth failed or a quarter slow, on the route or in all). The table of sessions is gone, and with it SESSION_TTL_MS, a figure of two sites. That a bad version costs its callers one attempt still holds where it has one worker (test_node, unchanged); with several its first two bad answers may cost two. Conclusion: all boxes decide alike from the hash, the order and its age.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -45,7 +45,6 @@
 from .systems.estimating import urgency_of
 from .systems.exposing import share_at
 from .systems.following_workers import note_replaced
-from .systems.ramping import note_session
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
 from .systems.timing import ALIVE_FACTOR
@@ -195,11 +194,9 @@
     if row is None:
         return {}
     now, rule = core.clock.now(), attempt.rule
-    known, in_session = rule.known, bool(state.call.session)
+    in_session = bool(state.call.session)
     return {
         "version_by": rule.reason.value,
-        "session_version": known.version if known else None,
-        "session_age_ms": now - known.ended if known else -1,
         "order": row.order,
         "order_age_ms": now - row.began,
         "share": round(share_at(core.fleet, row, now, in_session=in_session), 3),
@@ -330,7 +327,6 @@
         spent_ms = now - state.began
         note_lateness(core.fleet, attempt.service, state.admitted.route, spent_ms)
     state.version = version_of(attempt)
-    note_session(core.fleet, attempt.service, state.call.session, state.version, now)
     if state.admitted.route.kind is RequestKind.STREAM:
         await relay_stream(core, state, attempt, found, reply)
     else:
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -98,7 +98,9 @@
         call.session,
         call.request,
         core.clock.now(),
+        state.admitted.route.name,
         state.failed_versions,
+        state.tried,
     )
 
 
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -3,10 +3,8 @@
 from ..ids import Millis
 from ..tables.fleet import Fleet
 from .estimating import forget_told
-from .ramping import forget_sessions
 
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
-    """Drop sessions that ended, and what boxes told of waits that are over."""
-    forget_sessions(fleet, now)
+    """Drop what boxes told of waits that are over."""
     forget_told(fleet, now)
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -15,6 +15,8 @@
 from .exposing import steps_of
 from .ramping import take_verdict
 from .sequential import log_change_above
+from .tallies import FAULT_FLOORS
+from .tallies import LEAST_BAD
 from .tallies import add_up
 
 DONE_PART, DONE_LAST_PART = 0.2, 0.55
@@ -27,11 +29,6 @@
 """Answers of the entering version that suffice for the earlier time: of 30, a version
 that fails a third shows 10, and the test against a tenth needs about 9."""
 
-CEILING_FLOORS = {Finding.FAILED: 0.1, Finding.SLOW: 0.25}
-"""Shares of answers with a fault that no version is blamed for. Single answers fail on
-sound workers, too, when a worker or a link breaks; and a sound version is slow at
-first, while its engines keep no prompts: one in ten answers on a calm day."""
-
 CEILING_FACTOR = 2.0
 """How many times the leaving version's share of such answers is still sound."""
 
@@ -39,9 +36,6 @@
 """Natural log of the change statistic at which a version is bad: a sound version
 reaches it about once in 150 epochs for each series looked at."""
 
-LEAST_BAD = 3
-"""Bad answers without which no version is judged bad."""
-
 
 class Judgement(t.NamedTuple):
     """A verdict and, for people, the evidence that it rests on."""
@@ -97,7 +91,7 @@
         return ""
     answers = sum(epoch.answers for epoch in before)
     usual = sum(epoch.faulty for epoch in before) / answers if answers else 0.0
-    ceiling = min(0.6, max(CEILING_FLOORS[finding], CEILING_FACTOR * usual))
+    ceiling = min(0.6, max(FAULT_FLOORS[finding], CEILING_FACTOR * usual))
     series = [(epoch.answers, epoch.faulty) for epoch in after]
     log_evidence = log_change_above(series, ceiling)
     if log_evidence < EVIDENCE:
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -13,16 +13,13 @@
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
+from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.rollouts import RolloutRow
-from ..tables.rollouts import SessionRow
 from ..tables.rollouts import Verdict
 from ..utils import unit_hash
 from .exposing import share_at
-
-SESSION_TTL_MS = 6_000
-"""How long a session is remembered after its last answer, in ms: a little longer than
-sessions may pause (5 s on both sites)."""
+from .tallies import is_suspect
 
 
 class Reason(enum.Enum):
@@ -30,7 +27,6 @@
 
     NO_ORDER = "no order"
     JUDGED = "judged"
-    ON_ENTERING = "session on the entering version"
     FAILED_THERE = "failed on the entering version"
     TOO_EARLY = "sessions stay for now"
     DRAWN = "drawn"
@@ -49,14 +45,11 @@
         Those that must not.
     reason : Reason
         What decided it, for logs.
-    known : SessionRow or None
-        What this box remembers of the request's session, for logs.
     """
 
     only: VersionId | None = None
     never: frozenset[VersionId] = frozenset()
     reason: Reason = Reason.NO_ORDER
-    known: SessionRow | None = None
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
@@ -71,7 +64,9 @@
     session: str,
     draw: str,
     now: Millis,
+    route: str = "",
     failed: t.Collection[VersionId] = (),
+    tried: t.Collection[WorkerId] = (),
 ) -> VersionRule:
     """Return which version a request must run on.
 
@@ -87,26 +82,30 @@
         What decides for a request without a session: its id.
     now : int
         The time, in ms.
+    route : str
+        The route, for what is known of the entering version there.
     failed : collection of str
         Versions that failed this request already: one that is entering is not asked
-        again, so that a bad one costs its callers one attempt; but sessions that are on
-        it stay.
+        again, so that a bad one costs its callers one attempt. In a session it is,
+        at another worker, while its answers don't speak against it: the session may be
+        on it, and then must stay.
+    tried : collection of str
+        Workers that had this request already.
     """
     row = fleet.rollouts.rows.get(service)
     if row is None:
         return VersionRule()
-    known = fleet.rollouts.sessions.get((service, session)) if session else None
-    if known is not None and now - known.ended > SESSION_TTL_MS:
-        known = None
-    entering = VersionRule(only=row.version, known=known)
-    leaving = VersionRule(never=row.barred | {row.version}, known=known)
+    entering = VersionRule(only=row.version)
+    leaving = VersionRule(never=row.barred | {row.version})
     if row.verdict is Verdict.SUCCEEDED:
         return entering._replace(reason=Reason.JUDGED)
     if row.verdict is Verdict.ROLLED_BACK:
         return leaving._replace(reason=Reason.JUDGED)
-    if known is not None and known.version == row.version:
-        return entering._replace(reason=Reason.ON_ENTERING)
-    if row.version in failed:
+    if row.version in failed and not (
+        session
+        and not is_suspect(row, route)
+        and _has_workers(fleet, service, row.version, tried)
+    ):
         return leaving._replace(reason=Reason.FAILED_THERE)
     share = share_at(fleet, row, now, in_session=bool(session))
     if session and share <= 0.0:
@@ -118,21 +117,6 @@
     return entering._replace(reason=Reason.DRAWN)
 
 
-def note_session(
-    fleet: Fleet, service: ServiceId, session: str, version: VersionId, now: Millis
-) -> None:
-    """Remember which version answered a session."""
-    if session:
-        fleet.rollouts.sessions[(service, session)] = SessionRow(version, now)
-
-
-def forget_sessions(fleet: Fleet, now: Millis) -> None:
-    """Forget sessions that ended."""
-    sessions = fleet.rollouts.sessions
-    for key in [k for k, row in sessions.items() if now - row.ended > SESSION_TTL_MS]:
-        del sessions[key]
-
-
 def take_order(
     fleet: Fleet,
     service: ServiceId,
@@ -178,8 +162,13 @@
     return changed
 
 
-def _has_workers(fleet: Fleet, service: ServiceId, version: VersionId) -> bool:
+def _has_workers(
+    fleet: Fleet,
+    service: ServiceId,
+    version: VersionId,
+    tried: t.Collection[WorkerId] = (),
+) -> bool:
     return any(
-        row.name not in fleet.workers.leaving
+        row.name not in fleet.workers.leaving and row.name not in tried
         for row in fleet.workers.able(service, version)
     )
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -107,13 +107,6 @@
     far: dict[DomainId, dict[EvidenceKey, Tally]] = {}
 
 
-class SessionRow(msgspec.Struct):
-    """The version that last answered a session here, and when in ms."""
-
-    version: VersionId
-    ended: Millis
-
-
 class ExposeBounds(msgspec.Struct, frozen=True):
     """What a bad version may get: a share of the order's requests, and a number."""
 
@@ -122,7 +115,7 @@
 
 
 class Rollouts(msgspec.Struct):
-    """All orders, and the sessions that they must leave on their version.
+    """All orders, and what a version may get while it is brought in.
 
     Attributes
     ----------
@@ -130,10 +123,7 @@
         What a bad version may get.
     rows : dict
         The newest order of each service.
-    sessions : dict
-        Sessions seen here, by service and session id.
     """
 
     bounds: ExposeBounds = ExposeBounds()
     rows: dict[ServiceId, RolloutRow] = {}
-    sessions: dict[tuple[ServiceId, str], SessionRow] = {}
