Beginning of an order: a test that fails on the code as it is

The same cause elsewhere: a box whose time of day has jumped records when an order began, or reads it. Boxes that saw the order come take the earlier beginning over and pass it on, so that all believe the first half over too early.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -280,6 +280,27 @@
                 lambda: abs(rows[service].began - first_began) < 200, "same beginning"
             )
 
+    @pytest.mark.parametrize(("box", "step"), [(0, -2_000), (1, 2_000)])
+    async def test_order_does_not_begin_earlier_by_a_time_of_day(self, box, step):
+        """The same cause as of moved sessions: one box's word, and all decide by it.
+
+        A box whose time of day has jumped records when an order began, or reads it;
+        boxes that saw the order come took that over, passed it on, and sessions moved
+        while the first half was not over.
+        """
+        async with running_fleet(boxes=2) as fleet:
+            clock = fleet.boxes[box].node.clock
+            right = clock.wall
+            clock.wall = lambda: right() + step
+            await fleet.add_worker("n-1", version="v2")
+            began = clock.now()
+            await order(fleet, "v2", 20.0)
+            await until(lambda: status_of(fleet) == "running", "announced")
+            await asyncio.sleep(2.0)
+            service = ServiceId("writer")
+            rows = [at.node.fleet.rollouts.rows[service] for at in fleet.boxes]
+            assert all(abs(row.began - began) < 500 for row in rows)
+
     async def test_ended_order_is_not_begun_again_by_a_new_box(self):
         async with running_fleet() as fleet:
             await fleet.add_worker("n-1", version="v2")
