Beginning of an order: who saw it come knows it, no time of day does

Cause: the record of a running order tells when it began by the recorder's time of day. Every box took the earlier of that and its own word, and passed it on; one clock that had jumped by 2 s let all boxes believe the first half over 2 s too early. Change: rows and news tell whether the beginning is of a box that saw the order come; such a word goes before one that rests on a time of day or on a start, and between words of one kind the earlier counts. The order's line in the log tells it (seen). Conclusion: mended; a box that starts while no other is there still relies on a time of day.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -221,7 +221,10 @@
         began = Millis(now - item.age_ms)
         order = Offset(item.order)
         duration = Millis(item.duration_ms)
-        if take_order(fleet, item.service, item.version, order, duration, began):
+        new = take_order(
+            fleet, item.service, item.version, order, duration, began, seen=item.seen
+        )
+        if new:
             log_order(fleet.rollouts.rows[item.service], now, news.box)
         row = fleet.rollouts.rows[item.service]
         if row.order != order:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -73,6 +73,8 @@
         Versions that were taken back before this order.
     extra : float
         What the allowed number of requests adds to the share, as the teller knows it.
+    seen : bool
+        Whether the age is that of a box that saw the order come.
     """
 
     service: ServiceId
@@ -86,6 +88,7 @@
     groups: tuple[TallyGroup, ...] = ()
     barred: tuple[VersionId, ...] = ()
     extra: float = 0.0
+    seen: bool = False
 
 
 class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -80,6 +80,7 @@
         groups=tuple(group for group in groups if running and group.tallies),
         barred=tuple(sorted(row.barred)),
         extra=row.extra,
+        seen=row.seen,
     )
 
 
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -25,6 +25,7 @@
 from ..systems.following_workers import note_store_failure
 from ..systems.following_workers import take_list
 from ..systems.ramping import bar_versions
+from ..systems.ramping import take_beginning
 from ..systems.ramping import take_order
 from ..systems.ramping import take_verdict
 from ..tables.fleet import Fleet
@@ -145,7 +146,8 @@
             return None
         orders = False
         for item in listing.items:
-            self._take_operators(item.key_file, item.content(), Offset(item.offset))
+            offset = Offset(item.offset)
+            self._take_operators(item.key_file, item.content(), offset, seen=False)
             orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
         if orders and not await self._read_status():
             return None
@@ -158,16 +160,18 @@
             return None
         self._note_answer()
         for record in got.ok_value.records:
-            self._take_operators(record.key, record.value, record.offset)
+            self._take_operators(record.key, record.value, record.offset, seen=True)
         return got.ok_value.next
 
-    def _take_operators(self, key: str, value: bytes, offset: Offset) -> None:
+    def _take_operators(
+        self, key: str, value: bytes, offset: Offset, *, seen: bool
+    ) -> None:
         if key == wire.CATALOG_KEY and value:
             take_catalog(self._fleet, value, wire.decode_catalog, source="store")
         elif key.startswith(wire.ROLLOUT_PREFIX) and value:
-            self._take_order(value, offset)
+            self._take_order(value, offset, seen=seen)
 
-    def _take_order(self, value: bytes, offset: Offset) -> None:
+    def _take_order(self, value: bytes, offset: Offset, *, seen: bool) -> None:
         decoded = wire.decode(value, wire.RolloutOrder)
         if isinstance(decoded, Err):
             log_event("ERROR", "order unreadable", detail=decoded.err_value)
@@ -182,6 +186,7 @@
             offset,
             Millis(int(order.duration_s * 1_000)),
             now,
+            seen=seen,
         )
         if new:
             log_order(self._fleet.rollouts.rows[service], now, "store")
@@ -279,6 +284,6 @@
         bar_versions(row, [VersionId(name) for name in status.barred])
         if verdict is Verdict.RUNNING and status.began:
             age = max(0, clock.wall() - status.began)
-            row.began = min(row.began, Millis(now - age))
+            take_beginning(row, Millis(now - age), seen=False)
         if take_verdict(row, verdict, "recorded", now, recorded=True):
             log_verdict(row, "store")
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -15,6 +15,7 @@
         order=row.order,
         duration_ms=row.duration_ms,
         age_ms=now - row.began,
+        seen=row.seen,
         source=source,
     )
 
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -124,13 +124,19 @@
     order: Offset,
     duration_ms: Millis,
     began: Millis,
+    *,
+    seen: bool = True,
 ) -> bool:
-    """Take an order in; return whether it is new."""
+    """Take an order in; return whether it is new.
+
+    `seen` tells whether whoever says when it began saw it come.
+    """
     known = fleet.rollouts.rows.get(service)
     if known is not None and known.order >= order:
-        known.began = min(known.began, began) if known.order == order else known.began
+        if known.order == order:
+            take_beginning(known, began, seen=seen)
         return False
-    row = RolloutRow(service, version, order, duration_ms, began)
+    row = RolloutRow(service, version, order, duration_ms, began, seen)
     if known is not None:
         taken_back = known.verdict is Verdict.ROLLED_BACK
         bar_versions(row, known.barred | ({known.version} if taken_back else set()))
@@ -138,6 +144,18 @@
     return True
 
 
+def take_beginning(row: RolloutRow, began: Millis, *, seen: bool) -> None:
+    """Take in when an order began, by someone's word; who saw it come knows better.
+
+    Between words of one kind the earlier counts: news are late, never early. A time of
+    day is early by as much as it is wrong, and sessions would move before the half.
+    """
+    if seen and not row.seen:
+        row.began, row.seen = began, True
+    elif seen == row.seen:
+        row.began = min(row.began, began)
+
+
 def bar_versions(row: RolloutRow, versions: t.Collection[VersionId]) -> None:
     """Give nothing more to versions that were taken back before this order."""
     row.barred = row.barred.union(versions) - {row.version}
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -69,6 +69,10 @@
     began : int
         When it began, in ms of this box's monotonic clock; taken from whoever saw the
         order first.
+    seen : bool
+        Whether this box, or one whose word it took, saw the order come. Else `began`
+        rests on a time of day, which may be wrong by seconds, or on when this box
+        started.
     verdict : Verdict
         How it ended, or that it runs.
     reason : str
@@ -96,6 +100,7 @@
     order: Offset
     duration_ms: Millis
     began: Millis
+    seen: bool = True
     verdict: Verdict = Verdict.RUNNING
     reason: str = ""
     recorded: bool = False
--- a/tests/test_ramping.py
+++ b/tests/test_ramping.py
@@ -28,6 +28,7 @@
 from spanshunt.systems.judging import judge
 from spanshunt.systems.judging import note_result
 from spanshunt.systems.judging import writer_delay
+from spanshunt.systems.ramping import take_beginning
 from spanshunt.systems.ramping import take_order
 from spanshunt.systems.ramping import take_verdict
 from spanshunt.systems.ramping import version_for
@@ -347,6 +348,21 @@
     assert NEW not in row_of(fleet).barred
 
 
+def test_beginning_is_taken_from_who_saw_the_order_come():
+    fleet = rolling()
+    row = row_of(fleet)
+    row.began, row.seen = ms(3), False
+    take_beginning(row, ms(2), seen=False)
+    assert (row.began, row.seen) == (ms(2), False)
+    take_beginning(row, ms(4), seen=True)
+    assert (row.began, row.seen) == (ms(4), True)
+    take_beginning(row, ms(1), seen=False)
+    take_beginning(row, ms(5), seen=True)
+    assert row.began == ms(4)
+    take_beginning(row, ms(3.9), seen=True)
+    assert row.began == ms(3.9)
+
+
 class HandOver(RuleBasedStateMachine):
     """Boxes that judge, record and hear of each other in any order.
 
