Process soak: sessions stay on their version in an order's first half

Cause: the soak's callers have always asked their sessions at any box, but nothing checked on which version they ran; that is why it missed the fault. Change: a request in a session that ends within the first half of an order's time may not have run on the order's version, at any box, struck or not. A planted bug for it (sessions enter at once).

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from .soak_faults import ORDER_S
 from .soak_fleet import HOST
 from .soak_fleet import KEYS
 from .soak_fleet import Sent
@@ -59,6 +60,7 @@
             _check_answer(soak, sent, resp, body)
     except (aiohttp.ClientError, TimeoutError, OSError):
         sent.status = -1
+    sent.ended = soak.now()
 
 
 def _check_answer(
@@ -85,6 +87,8 @@
             runs[request] = runs.get(request, 0) + 1
         for seen in worker.seen:
             _check_seen(soak, name, seen.request, seen.headers.get("tenant", ""))
+        for request in worker.ran:
+            _check_session(soak, worker.version, request)
     for request, count in runs.items():
         sent = soak.sent.get(request)
         if sent is None:
@@ -112,6 +116,16 @@
         soak.fail("taken back", f"{request} reached {name} after its version was")
 
 
+def _check_session(soak: Soak, version: str, request: str) -> None:
+    """Check that sessions, which come to any box, stay in an order's first half."""
+    sent, ordered = soak.sent.get(request), soak.ordered.get(version)
+    if sent is None or ordered is None or sent.path != "stream" or sent.at < ordered:
+        return
+    if sent.ended < ordered + ORDER_S / 2:
+        late = sent.ended - ordered
+        soak.fail("session", f"{request} ran on {version} {late:.1f} s after its order")
+
+
 def _check_key(soak: Soak, sent: Sent) -> None:
     taken = soak.revoked.get(sent.key)
     calm = sent.box.struck + CALM_S < sent.at
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -103,6 +103,7 @@
             soak.bad.add(name)
             soak.workers[name].fault = WorkerFault.ERROR
     body = {"Backend": "writer", "TargetVersion": version, "DurationS": ORDER_S}
+    soak.ordered[version] = soak.now()
     await soak.store.put("keyed.op", "rollout/writer", body)
     for _ in range(int((ORDER_S + ORDER_MARGIN_S) / LOOK_S)):
         if _state_of(soak, version) not in ("", "running"):
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -50,6 +50,7 @@
     key: str
     box: BoxProcess
     at: float
+    ended: float = float("inf")
     status: int = 0
 
 
@@ -58,8 +59,8 @@
     """One schedule under way.
 
     ``draining``, ``revoked`` and ``taken_back`` say since when a worker leaves, a key
-    is gone, and a worker's version is recorded as taken back. ``bad`` are the workers
-    of versions that fail all they get.
+    is gone, and a worker's version is recorded as taken back. ``ordered`` says when a
+    version was. ``bad`` are the workers of versions that fail all they get.
     """
 
     rng: random.Random
@@ -73,6 +74,7 @@
     draining: dict[str, float] = field(default_factory=dict)
     revoked: dict[str, float] = field(default_factory=dict)
     taken_back: dict[str, float] = field(default_factory=dict)
+    ordered: dict[str, float] = field(default_factory=dict)
     bad: set[str] = field(default_factory=set)
     orders: int = 0
     ordering: bool = False
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -69,6 +69,9 @@
         "taken_back = known.verdict is Verdict.ROLLED_BACK",
         "taken_back = False",
     ),
+    "session": Mutation(
+        "systems/exposing.py", "SESSIONS_FROM = 0.52", "SESSIONS_FROM = 0.0"
+    ),
     "revoked": Mutation(
         "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
