--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -129,21 +129,32 @@
 
 
 def estimate_first(
-    fleet: Fleet, row: WorkerRow, effort: Effort, now: Millis, *, owner: bool
+    fleet: Fleet,
+    row: WorkerRow,
+    effort: Effort,
+    now: Millis,
+    *,
+    owner: bool,
+    speed: EngineSpeed | None = None,
 ) -> Estimate:
-    """Return what a request meets at a worker; `owner` if boxes agree on it for it."""
+    """Return what a request meets at a worker; `owner` if boxes agree on it for it.
+
+    `speed` saves looking it up for each of many workers.
+    """
     kept = float(kept_tokens(row.kept, effort.model, effort.shared))
     unseen = owner and not kept
     if unseen:
         kept = unseen_kept(fleet, effort) * effort.shared_tokens
     unread = max(0.0, effort.read - kept)
-    speed = speed_of(fleet, effort.service, effort.model)
+    if speed is None:
+        speed = speed_of(fleet, effort.service, effort.model)
+    beyond_ms = _beyond_ms(row, now)
     return Estimate(
         own_ms=row.reading_ms,
-        others_ms=others_ms(row, now),
+        others_ms=_told_ms(row, now) + beyond_ms,
         read_ms=speed.base_ms + unread * speed.read_ms,
         unread=unread,
-        beyond_ms=_beyond_ms(row, now),
+        beyond_ms=beyond_ms,
         unseen=unseen,
     )
 
@@ -161,8 +172,12 @@
 
 def others_ms(row: WorkerRow, now: Millis) -> float:
     """Return what other boxes probably have waiting at a worker, in ms."""
-    told = sum(max(0.0, ms - (now - at)) for ms, at in row.told_ms.values())
-    return told + _beyond_ms(row, now)
+    return _told_ms(row, now) + _beyond_ms(row, now)
+
+
+def _told_ms(row: WorkerRow, now: Millis) -> float:
+    """Return what other boxes told that they have waiting at a worker, in ms."""
+    return sum(max(0.0, ms - (now - at)) for ms, at in row.told_ms.values())
 
 
 def _beyond_ms(row: WorkerRow, now: Millis) -> float:
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -15,6 +15,7 @@
 from ..ids import Millis
 from ..ids import ServiceId
 from ..ids import WorkerId
+from ..tables.engines import EngineSpeed
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
 from ..tables.workers import Workers
@@ -128,11 +129,12 @@
         best = min(rows, key=lambda row: _plain_cost(row, wanted, now, rng))
     else:
         owner = owner_of(fleet, rows, wanted)
+        speed = speed_of(fleet, wanted.effort.service, wanted.effort.model)
         for row in rows:
             expected[row.name] = estimate_first(
-                fleet, row, wanted.effort, now, owner=row.name == owner
+                fleet, row, wanted.effort, now, owner=row.name == owner, speed=speed
             )
-        costs = _prompt_costs(fleet, rows, wanted, expected, owner, now)
+        costs = _prompt_costs(rows, wanted, expected, owner, speed, now)
         noise = NOISE_AIM_PART * wanted.aim_ms
         best = min(rows, key=lambda row: costs[row.name] + noise * rng.random())
     age = now - best.reported_at if best.reported_at else -1
@@ -153,11 +155,11 @@
 
 
 def _prompt_costs(
-    fleet: Fleet,
     rows: list[WorkerRow],
     wanted: Wanted,
     expected: dict[WorkerId, Estimate],
     owner: WorkerId,
+    speed: EngineSpeed,
     now: Millis,
 ) -> dict[WorkerId, float]:
     """Return what a prompt costs at each worker, in ms.
@@ -166,7 +168,6 @@
     """
     effort = wanted.effort
     assert effort is not None
-    speed = speed_of(fleet, effort.service, effort.model)
     own_tokens = effort.read - effort.shared_tokens
     own_ms = speed.base_ms + own_tokens * speed.read_ms
     costs: dict[WorkerId, float] = {}
