--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -69,8 +69,8 @@
 
 
 def test_entry_seen_after_the_return_is_not_waited_for_when_it_goes():
-    """Trial on andino-archivo, trouble-1: DRAIN 2, a worker whose entry went 0.4 s
-    after the store's return."""
+    """Seen: a worker whose entry went 0.4 s after the store's return was kept and got
+    requests that it should not have."""
     fleet = make_fleet()
     note_reading(fleet, ms(1))
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
@@ -81,7 +81,7 @@
 
 
 def test_entry_that_went_while_other_boxes_read_the_list_is_not_waited_for():
-    """andino-archivo, trouble-1: DRAIN, a worker left as a cut of one box healed."""
+    """Seen: a worker left just as one box was no longer cut off, and was kept."""
     fleet = make_fleet()
     note_reading(fleet, ms(1))
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
@@ -93,7 +93,7 @@
 
 
 def test_entry_that_a_peer_waits_for_is_not_taken_up_again():
-    """andino-archivo, trouble-1: DRAIN, a gone worker came back by a peer's list."""
+    """Seen: a worker that had gone came back by a peer's list."""
     fleet = make_fleet()
     take_list(fleet, listed("a", "b"), Offset(2), ms(1))
     take_list(fleet, listed("a"), Offset(3), ms(2))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -227,7 +227,7 @@
             assert len(fleet.workers["p-1"].seen) <= 1
 
     async def test_silent_worker_is_left_out_after_a_request_that_runs_once(self):
-        """Incident d12b of hmt-detbuch-grown: 75 writes went to one silent worker."""
+        """Seen: 75 writes of a day went to one silent worker."""
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
             rows = box.node.fleet.workers.rows
@@ -281,7 +281,7 @@
             assert reply.headers["Response-Seal"] == "seal-of-cut"
 
     async def test_silent_stream_is_not_ended_when_it_cannot_go_on_elsewhere(self):
-        """Hunt on hmt-detbuch, scale-2 --seed 141447562733: the budget was empty."""
+        """Seen where the budget of repeats was empty: the caller lost its stream."""
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
             box.node.core.bounds = RepeatBounds(ratio=0.0, slack=0.0)
@@ -326,7 +326,7 @@
             assert sorted(models) == ["large", "small"]
 
     async def test_last_attempt_is_kept_for_failures(self):
-        """Incident 7ff2 of andino-archivo-grown: it was spent on a better model."""
+        """Seen: it was spent on a better model's answer, and then a worker failed."""
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
             box.node.fleet.workers.rows[WorkerId("w-2")].inflight = 30
@@ -392,7 +392,7 @@
             assert (await fleet.ask(box, "/view/")).status == 401
 
     async def test_stream_admitted_before_goes_on_after_its_key_is_taken_away(self):
-        """Hunt on hmt-detbuch, hunt-1836-15: cut as its worker broke off then."""
+        """Seen: it was cut, as its worker broke off after the key was gone."""
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
             for worker in fleet.workers.values():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -98,8 +98,8 @@
 
 
 async def test_call_that_hangs_does_not_hold_the_workers_list_up():
-    """Hunt on andino-archivo, mix --seed 954449561794: DRAIN 1, three seconds after a
-    worker said that it leaves, with connections reset shortly before."""
+    """Seen: a worker got a request three seconds after it said that it leaves, as
+    connections had been reset shortly before."""
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
         box.node._store._timeout = 1.5
@@ -368,7 +368,7 @@
                     await idle.post(box.base + "/view/", headers=headers)
 
     async def test_request_taken_just_before_idle_connections_end_is_answered(self):
-        """Hunt on andino-archivo, hunt-5d96-7: read, but its handler not begun."""
+        """Seen: the request was read, but its handler had not begun."""
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
             front = box.node._front
@@ -385,8 +385,8 @@
                 assert resp.status == 200
 
     async def test_request_whose_handler_has_not_begun_is_finished(self, monkeypatch):
-        """Hunt on hmt-detbuch, trouble-2 --seed 112923417430: LOST 2: with no request
-        counted as under way, the process ended."""
+        """Seen: with no request counted as under way, the process ended, and two were
+        lost."""
         monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
@@ -404,8 +404,8 @@
             assert (await asking).status == 200
 
     async def test_stream_begun_before_the_stop_ends_its_connection(self, monkeypatch):
-        """Hunt on andino-archivo, hunt-f998-39: LOST 1: the caller's next request on
-        the connection came at once, 4.3 s after SIGTERM, and was cut off."""
+        """Seen: the caller's next request on the connection came at once, 4.3 s after
+        SIGTERM, and was cut off."""
         monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
@@ -428,9 +428,8 @@
     async def test_body_that_arrives_while_idle_connections_end_is_read(
         self, monkeypatch
     ):
-        """Trial deployment with GraceS 6, scale-1 --seed 42: LOST 1: the rest of a body
-        was dropped, as the library reads nothing of a connection that it was told to
-        close."""
+        """Seen with a grace of 6 s: the rest of a body was dropped, as the library reads
+        nothing of a connection that it was told to close."""
         monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
--- a/tests/test_ramping.py
+++ b/tests/test_ramping.py
@@ -107,7 +107,7 @@
 
 @KINDS
 def test_version_that_never_shows_a_fault_stays_within_its_exposure(in_session):
-    """bench/days/under-load-slow.toml: EXPOSURE, a version bad under load only."""
+    """Seen: a version that is bad under load alone shows nothing until the end."""
     assert 0.14 <= exposed(rolling(), in_session) <= 0.145
 
 
@@ -131,7 +131,7 @@
 
 @KINDS
 def test_few_requests_give_more_of_them_to_the_entering_version(in_session):
-    """ytpn-klang trouble-1 --seed 6: succeeded on 14 answers, then failed many."""
+    """Seen: a version was taken for sound on 14 answers, and then failed many."""
     small, large = rolling(), rolling()
     for fleet, rate in ((small, 13.0), (large, 5_000.0)):
         fleet.rollouts.bounds = ExposeBounds(0.15, 30.0)
@@ -205,7 +205,7 @@
 
 
 def test_session_on_the_entering_version_is_repeated_there():
-    """andino-archivo-grown, quiet-1: PINNED, as repeats went to the leaving version."""
+    """Seen: sessions changed their version, as repeats went to the leaving one."""
     fleet = rolling()
     on_it = [f"s{n}" for n in range(200) if entering(fleet, f"s{n}", ms(13))]
     for name in on_it:
@@ -220,7 +220,7 @@
 
 
 def test_sound_version_that_is_slow_under_full_load_is_not_condemned():
-    """andino-archivo, quiet-1: 23 of 243 answers slow on engines with cold memory."""
+    """Seen on a calm day: 23 of 243 answers slow on engines with cold memory."""
     fleet = rolling()
     feed(fleet, 14, 0.02, version=OLD, a_second=50)
     for number in range(243):
@@ -326,7 +326,7 @@
 
 
 def test_version_taken_back_gets_nothing_under_the_next_order():
-    """hmt-detbuch, mix 164690367760: PINNED, its workers were still listed."""
+    """Seen: its workers were still listed, and sessions moved to them."""
     fleet = rolling()
     add_worker(fleet, make_worker("newer", version="v3"))
     take_verdict(row_of(fleet), Verdict.ROLLED_BACK, "", ms(8), recorded=False)
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -116,7 +116,7 @@
 
 
 def test_boxes_tell_each_other():
-    """Incident d12b of hmt-detbuch-grown: 66 boxes found one silent worker."""
+    """Seen: 66 boxes found one silent worker, each by itself."""
     fleets = [a_fleet(f"box-{number}") for number in (1, 2, 3)]
     first, second, third = (an_exchange(fleet, 10.2) for fleet in fleets)
     report(fleets[0], "box-1", 10.0)
