--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -428,8 +428,8 @@
     async def test_body_that_arrives_while_idle_connections_end_is_read(
         self, monkeypatch
     ):
-        """Seen with a grace of 6 s: the rest of a body was dropped, as the library reads
-        nothing of a connection that it was told to close."""
+        """Seen with a grace of 6 s: the rest of a body was dropped, as the library
+        reads nothing of a connection that it was told to close."""
         monkeypatch.setattr("spanshunt.platform.node.LINGER_MS", 300)
         async with running_fleet() as fleet:
             box = fleet.boxes[0]
