--- a/tests/test_session_moves.py
+++ b/tests/test_session_moves.py
@@ -5,13 +5,14 @@
 
 How it came about: callers' connections change boxes, so a third of the sessions are
 asked at more than one. What a session ran on was known to the box that had answered
-alone. Another box drew the version by the session's hash, and one in twenty sessions
-that were minutes old moved; back at the first box, they moved once more.
+alone. Another box drew the version by the session's hash, and moved one session in
+twenty, however old it was; back at the first box, it moved once more.
 
 Cause: a choice on which all boxes must agree was made from what one box remembers.
-Proof: in seven plays with sessions in the log, each moved request was its session's
-first at its box. The same traffic under 10,500 other hashes gave more than three moves
-in 0.54 % of orders, 0.59 in the mean: on most days the rule was kept by luck.
+Proof: in seven plays with sessions in the log, each of four moved requests was drawn at
+a box that remembered nothing of its session. The same traffic under 10,500 other hashes
+gave more than three moves in 0.54 % of orders, 0.59 in the mean: on most days the rule
+was kept by luck.
 """
 
 import random
