--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -45,7 +45,8 @@
 class RolloutView(msgspec.Struct, frozen=True):
     """A roll-out: how far it is and the answers that it rests on, of all boxes heard.
 
-    ``failed`` and ``slow`` are parts of ``answers``, of the entering version.
+    ``failed`` and ``slow`` are parts of ``answers``, of the entering version; ``share``
+    is the part of sessions that it gets now.
     """
 
     service: ServiceId
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -30,7 +30,7 @@
 that fails a third shows 10, and the test against a tenth needs about 9."""
 
 CEILING_FACTOR = 2.0
-"""How many times the leaving version's share of such answers is still sound."""
+"""How many times the leaving version's share of answers with a fault is still sound."""
 
 EVIDENCE = 5.0
 """Natural log of the change statistic at which a version is bad: a sound version
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -37,7 +37,8 @@
 def is_suspect(row: RolloutRow, route: str) -> bool:
     """Tell whether answers of the entering version speak against it, on a route or all.
 
-    A weaker word than a verdict, and it costs less to be wrong.
+    It needs less than a verdict does: to be wrong moves a session whose answer failed,
+    or costs it one more attempt.
     """
     pooled = add_up(row.own, *row.near.values(), *row.far.values())
     entering = [(key, tally) for key, tally in pooled.items() if key.entering]
