--- a/tests/test_session_moves.py
+++ b/tests/test_session_moves.py
@@ -9,10 +9,10 @@
 twenty, however old it was; back at the first box, it moved once more.
 
 Cause: a choice on which all boxes must agree was made from what one box remembers.
-Proof: in seven plays with sessions in the log, each of four moved requests was drawn at
-a box that remembered nothing of its session. The same traffic under 10,500 other hashes
-gave more than three moves in 0.54 % of orders, 0.59 in the mean: on most days the rule
-was kept by luck.
+Proof: in seven plays with sessions in the log, each moved request was drawn at a box
+that remembered nothing of its session. The same traffic under 10,500 other hashes gave
+more than three moves in 0.51 % of orders, 0.58 in the mean (`bench/moves.py`): on most
+days the rule was kept by luck.
 """
 
 import random
