--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -117,7 +117,11 @@
 
 
 def _check_session(soak: Soak, version: str, request: str) -> None:
-    """Check that sessions, which come to any box, stay in an order's first half."""
+    """Check that sessions, which come to any box, stay in an order's first half.
+
+    The soak lists workers of a version before its order, as any others: what was sent
+    before that may run on them.
+    """
     sent, ordered = soak.sent.get(request), soak.ordered.get(version)
     if sent is None or ordered is None or sent.path != "stream" or sent.at < ordered:
         return
