Dispatch lines tell the share that decided, not one worked out anew

Cause: the line worked the share out a second time, at a later moment than the choice; near a step it could tell another share than the one that decided, and each request under an order paid for it twice. Change: the rule carries its share; one lookup for each choice. No decision changes, tests unchanged.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -43,7 +43,6 @@
 from .systems.cascading import note_lateness
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
-from .systems.exposing import share_at
 from .systems.following_workers import note_replaced
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
@@ -182,24 +181,20 @@
         wait_ms=round(attempt.expected.wait_ms),
         read_ms=round(attempt.expected.read_ms),
         unread=round(attempt.expected.unread),
-        **_version_fields(core, state, attempt),
+        **_version_fields(core, attempt),
     )
 
 
-def _version_fields(
-    core: Core, state: CatalogRequest, attempt: CatalogAttempt
-) -> dict[str, object]:
+def _version_fields(core: Core, attempt: CatalogAttempt) -> dict[str, object]:
     """Return what the choice of the version rests on, while there is an order."""
     row = core.fleet.rollouts.rows.get(attempt.service)
     if row is None:
         return {}
-    now, rule = core.clock.now(), attempt.rule
-    in_session = bool(state.call.session)
     return {
-        "version_by": rule.reason.value,
+        "version_by": attempt.rule.reason.value,
         "order": row.order,
-        "order_age_ms": now - row.began,
-        "share": round(share_at(core.fleet, row, now, in_session=in_session), 3),
+        "order_age_ms": core.clock.now() - row.began,
+        "share": round(attempt.rule.share, 3),
     }
 
 
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -45,11 +45,14 @@
         Those that must not.
     reason : Reason
         What decided it, for logs.
+    share : float
+        The share of such requests that enters, as it was then, for logs.
     """
 
     only: VersionId | None = None
     never: frozenset[VersionId] = frozenset()
     reason: Reason = Reason.NO_ORDER
+    share: float = 0.0
 
     def admits(self, versions: t.Collection[VersionId]) -> bool:
         """Tell whether a worker that holds `versions` may answer."""
@@ -95,8 +98,9 @@
     row = fleet.rollouts.rows.get(service)
     if row is None:
         return VersionRule()
-    entering = VersionRule(only=row.version)
-    leaving = VersionRule(never=row.barred | {row.version})
+    share = share_at(fleet, row, now, in_session=bool(session))
+    entering = VersionRule(only=row.version, share=share)
+    leaving = VersionRule(never=row.barred | {row.version}, share=share)
     if row.verdict is Verdict.SUCCEEDED:
         return entering._replace(reason=Reason.JUDGED)
     if row.verdict is Verdict.ROLLED_BACK:
@@ -107,7 +111,6 @@
         and _has_workers(fleet, service, row.version, tried)
     ):
         return leaving._replace(reason=Reason.FAILED_THERE)
-    share = share_at(fleet, row, now, in_session=bool(session))
     if session and share <= 0.0:
         return leaving._replace(reason=Reason.TOO_EARLY)
     if unit_hash(str(row.order), session or draw) >= share:
