Sight: what a verdict on a version rests on, and when a stream's events went out

Cause: the record of the incident can't tell three hypotheses apart, as `roll-out judged` gives a number of answers alone.

Change, no decision touched: `roll-out evidence` every 2 s while an order runs and at its verdict (answers of both versions, boxes heard of those known, the strongest suspicion with the leaving version's share and the ceiling that follows from it); `settled` tells when a stream's first event left and how many did; the judge's evidence has a module of its own (`blaming`), as logs and verdicts read it.

--- a/src/spanshunt/events.py
+++ b/src/spanshunt/events.py
@@ -9,10 +9,11 @@
 
 
 class Events(msgspec.Struct, frozen=True):
-    """Whole events in a row, and the id of the last one that has one."""
+    """Whole events in a row, the id of the last one that has one, and their number."""
 
     block: bytes
     last_id: int | None
+    count: int = 0
 
 
 class EventSplitter:
@@ -49,7 +50,7 @@
                 last = number
             kept.append(event)
         self._rest = data[begin:]
-        return Events(b"".join(kept), last)
+        return Events(b"".join(kept), last, len(kept))
 
 
 def _number(event: bytes) -> int | None:
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -4,10 +4,13 @@
 from result import Err
 
 from ..clock import Clock
+from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
 from ..logs import log_event
+from ..rollout_lines import log_evidence
 from ..rollout_lines import log_verdict
+from ..systems.blaming import basis_of
 from ..systems.exposing import fleet_rate
 from ..systems.exposing import raise_extra
 from ..systems.judging import Judgement
@@ -22,6 +25,10 @@
 from .store import StoreClient
 from .store import StoreProblem
 
+EVIDENCE_LINE_MS = 2_000
+"""How often a box tells in its log what a verdict would rest on, in ms: 12 lines in an
+order of 24 s."""
+
 
 class Recorder:
     """Records verdicts, each under the condition that nothing was recorded meanwhile.
@@ -41,6 +48,7 @@
         self._clock = clock
         self._store = store
         self._announced: dict[ServiceId, Offset] = {}
+        self._told: dict[ServiceId, Millis] = {}
 
     async def tick(self) -> None:
         """Judge each roll-out and record what is due."""
@@ -51,11 +59,22 @@
             due = due_verdict(self._fleet, row, now)
             if row.verdict is not before:
                 log_verdict(row, "own evidence")
+            self._tell_evidence(row, now, verdict_due=due is not None)
             if due is not None:
                 await self._record(row, due)
             elif row.verdict is Verdict.RUNNING:
                 await self._announce(row)
 
+    def _tell_evidence(
+        self, row: RolloutRow, now: Millis, *, verdict_due: bool
+    ) -> None:
+        """Log the evidence now and then while an order runs, and at its verdict."""
+        told = self._told.get(row.service, row.began)
+        running = row.verdict is Verdict.RUNNING
+        if verdict_due or (running and now >= told + EVIDENCE_LINE_MS):
+            self._told[row.service] = now
+            log_evidence(row, basis_of(self._fleet, row, now), now)
+
     async def _announce(self, row: RolloutRow) -> None:
         """Record once that a roll-out runs and since when."""
         if self._announced.get(row.service) == row.order:
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -97,7 +97,9 @@
             continue
         if not reply.begun:
             await reply.begin(found.status, found.headers)
+            state.first_at = core.clock.now()
         await reply.write(events.block)
+        state.events += events.count
         if events.last_id is not None:
             state.last_event = events.last_id
     if splitter.rest:
--- a/src/spanshunt/request_state.py
+++ b/src/spanshunt/request_state.py
@@ -97,6 +97,10 @@
         What went wrong last; empty while nothing did.
     attempts : list of str
         What became of each attempt, for the log.
+    first_at : int
+        When the first bytes of a stream went to the caller, in ms; -1 for never.
+    events : int
+        Events of a stream that went to the caller.
     """
 
     request: RequestId
@@ -117,3 +121,5 @@
     refused: Refusal | None = None
     trouble: str = ""
     attempts: list[str] = []
+    first_at: Millis = Millis(-1)
+    events: int = 0
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -1,7 +1,10 @@
 """Log lines that tell what a box believes of a roll-out."""
 
+import math
+
 from .ids import Millis
 from .logs import log_event
+from .systems.blaming import Basis
 from .tables.rollouts import RolloutRow
 
 
@@ -32,3 +35,29 @@
         recorded=row.recorded,
         source=source,
     )
+
+
+def log_evidence(row: RolloutRow, basis: Basis, now: Millis) -> None:
+    """Log what a judgement of an order would rest on now."""
+    against = basis.suspicion
+    known = against.log_evidence > -math.inf
+    log_event(
+        "INFO",
+        "roll-out evidence",
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        verdict=row.verdict.value,
+        age_ms=now - row.began,
+        entering=basis.entering,
+        leaving=basis.leaving,
+        heard=basis.heard,
+        boxes=basis.boxes,
+        route=against.route,
+        finding=against.finding.value,
+        faulty=against.faulty,
+        answers=against.answers,
+        usual=round(against.usual, 3),
+        ceiling=round(against.ceiling, 3),
+        log_evidence=round(against.log_evidence, 1) if known else None,
+    )
--- a/src/spanshunt/settling.py
+++ b/src/spanshunt/settling.py
@@ -93,6 +93,9 @@
         fields["status"] = ended.status
     if state.version:
         fields["version"] = state.version
+    if state.first_at >= 0:
+        fields["first_ms"] = state.first_at - state.began
+        fields["events"] = state.events
     log_event(
         "INFO",
         "settled",
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,6 +1,7 @@
 """docs/OPERATIONS.md: from a failed request's id to its cause, by the page's steps."""
 
 import contextlib
+import json
 import os
 import pathlib
 import tempfile
@@ -18,6 +19,7 @@
 from spanshunt.logs import LineQueue
 from spanshunt.logs import _json_sink
 from spanshunt.standins.worker import WorkerFault
+from spanshunt.tables.rollouts import Verdict
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
 
@@ -100,6 +102,36 @@
     assert taken and "source=store" in taken[0]
 
 
+async def test_bad_version(tmp_path):
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            bad = await fleet.add_worker("n-1", version="v2")
+            bad.fault = WorkerFault.ERROR
+            box = fleet.boxes[0]
+            body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 8.0}
+            await fleet.store.put("keyed.op", "rollout/writer", body)
+            rows = box.node.fleet.rollouts.rows
+            await until(lambda: "writer" in rows, "the order is known")
+            row = rows["writer"]
+            number = 0
+            while row.verdict is Verdict.RUNNING:
+                number += 1
+                await fleet.ask(box, "/long/", Attempt_Id=f"r{number}")
+            judged = len(bad.seen)
+            await until(lambda: row.recorded, "the verdict is recorded")
+    lines = mine(traced(path, bad.seen[judged - 1].request))
+    assert any("dispatch" in line and "version=v2" in line for line in lines)
+    assert any("bad answer" in line and "version=v2" in line for line in lines)
+    found = [json.loads(line) for line in path.read_text().splitlines()]
+    told = [line for line in found if line["event"] == "roll-out evidence"][-1]
+    assert told["faulty"] == told["answers"] == told["entering"] == judged
+    assert told["leaving"] > judged and told["usual"] == 0.0
+    assert (told["heard"], told["boxes"], told["ceiling"]) == (1, 1, 0.1)
+    verdicts = [line for line in found if line["event"] == "roll-out judged"]
+    assert f"{judged} of {judged} answers failed" in verdicts[0]["reason"]
+
+
 def test_unknown_request_is_said():
     with tempfile.NamedTemporaryFile() as log:
         log.write(b'{"event":"started","box":"b","at":1.0}\n')
