Evidence: ailing workers of the leaving version excuse nothing

Cause: a version was blamed only beyond twice what all answers of the leaving version showed over the order's whole time, up to 0.6. Ailing workers of that one, or a spell of trouble at all, raised this until a version that fails half passed. Failures were counted at once and good answers when they were whole, seconds later.

Change: answers count when they begin (those that a larger model replaces, too), and for slowness when their time is known. They are counted by worker besides, of many workers a sample that boxes agree on. The bound follows the leaving version epoch by epoch, and only as far as its soundest worker shows it; no failures over 0.25 are excused. Faults must be those of more than one entering worker. Boxes tell older epochs again in turn, and each failure domain only what it has use for.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -11,15 +11,20 @@
 from .ports import SilentWorkerError
 from .systems.estimating import note_first_event
 from .systems.estimating import speed_of
-from .systems.judging import note_result
 from .systems.silence import Silence
 from .systems.silence import note_silence
+from .systems.tallies import BEGAN
+from .systems.tallies import FAILED
+from .systems.tallies import IN_TIME
+from .systems.tallies import SILENT
+from .systems.tallies import SLOW
+from .systems.tallies import count
 from .systems.timing import is_slow
 from .systems.timing import note_first_time
 from .systems.worker_health import note_answer
 from .systems.worker_health import note_unreached
 from .tables.catalog import RequestKind
-from .tables.rollouts import Finding
+from .tables.rollouts import Tally
 
 
 def note_fault(
@@ -46,7 +51,7 @@
     state.failed_versions |= attempt.worker.versions
     if not fault.stale:
         # A silent worker may be busy: that is no failure of its version.
-        note_evidence(core, state, attempt, Finding.SLOW)
+        _count(core, state, attempt, SILENT)
 
 
 def note_silent(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
@@ -81,6 +86,7 @@
     if attempt.effort is not None:
         _note_first_event(core, state, attempt, first_ms)
     attempt.slow = is_slow(fleet, route, attempt.model, read, first_ms)
+    _count(core, state, attempt, BEGAN)
     note_first_time(fleet, route, attempt.model, read, first_ms)
 
 
@@ -115,7 +121,7 @@
     """Take in a whole answer."""
     now = core.clock.now()
     note_answer(attempt.worker, first_ms, good=True, now=now)
-    note_evidence(core, state, attempt, Finding.SLOW if attempt.slow else None)
+    _count(core, state, attempt, SLOW if attempt.slow else IN_TIME)
     total = now - state.began
     org, name = state.org, state.request_class
     core.histograms.record(org, name, Measure.TTFT, first_ms * 1_000)
@@ -128,10 +134,9 @@
     """Take in an answer that can't be passed on as a success."""
     now = core.clock.now()
     silent = isinstance(exc, SilentWorkerError)
-    finding = Finding.SLOW if silent else Finding.FAILED
     state.failed_versions |= attempt.worker.versions
     note_answer(attempt.worker, 0.0, good=False, now=now)
-    note_evidence(core, state, attempt, finding)
+    _count(core, state, attempt, SLOW if silent else FAILED)
     log_event(
         "WARNING",
         "bad answer",
@@ -143,17 +148,17 @@
     )
 
 
-def note_evidence(
-    core: Core, state: CatalogRequest, attempt: CatalogAttempt, finding: Finding | None
+def _count(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, seen: Tally
 ) -> None:
-    """Count an attempt as evidence for or against its version."""
-    note_result(
+    """Count what was seen of an attempt for or against its version."""
+    count(
         core.fleet,
         attempt.service,
         state.admitted.route.name,
-        attempt.worker.versions,
+        attempt.worker,
         core.clock.now(),
-        finding,
+        seen,
     )
 
 
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -9,6 +9,7 @@
 from .catalog_taking import known_version
 from .clock import Clock
 from .engine_news import take_engine_news
+from .ids import DomainId
 from .ids import Millis
 from .ids import Offset
 from .logs import log_event
@@ -16,13 +17,13 @@
 from .peers.news import PeerNews
 from .peers.news import RolloutNews
 from .peers.news import SilenceNews
-from .peers.news import TallyGroup
 from .peers.news import tell
 from .peers.news_rows import listed
 from .peers.news_rows import readings_news
 from .peers.news_rows import reads_news
 from .peers.news_rows import rollout_news
 from .peers.news_rows import speeds_news
+from .peers.news_rows import take_group
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
 from .rollout_lines import log_order
@@ -39,12 +40,8 @@
 from .systems.silence import is_silent
 from .systems.silence import newest_silences
 from .systems.silence import note_silence
-from .systems.tallies import take_tally
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
-from .tables.rollouts import EvidenceKey
-from .tables.rollouts import RolloutRow
-from .tables.rollouts import Tally
 from .tables.rollouts import Verdict
 
 NEAR_ASKED, FAR_ASKED = 1, 1
@@ -112,10 +109,13 @@
     async def hear(self, news: News) -> News:
         """Take a peer's news in and answer with this box's."""
         self.take(news)
-        return self.news_for(news)
+        return self.news_for(news, news.domain)
 
-    def news_for(self, asker: News | None) -> News:
-        """Return what to tell a box that told this; None before it has told."""
+    def news_for(self, asker: News | None, domain: DomainId | None = None) -> News:
+        """Return what to tell a box that told this; None before it has told.
+
+        `domain` is the hearer's failure domain, None where that is not known.
+        """
         fleet = self._fleet
         now = self._clock.now()
         readings = fleet.readings
@@ -148,7 +148,8 @@
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
-                rollout_news(fleet, row, now) for row in fleet.rollouts.rows.values()
+                rollout_news(fleet, row, now, domain)
+                for row in fleet.rollouts.rows.values()
             ),
             peers=tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in told)
             if asker is not None
@@ -238,22 +239,7 @@
         if take_verdict(row, verdict, reason, now, recorded=item.recorded):
             log_verdict(row, news.box)
         for group in item.groups:
-            self._take_group(row, group)
-
-    def _take_group(self, row: RolloutRow, group: TallyGroup) -> None:
-        """Take in evidence: boxes of this domain one by one, others as sums."""
-        me = self._fleet.me
-        near = group.domain == me.domain
-        if near != bool(group.box) or group.box == me.incarnation:
-            return
-        into = (
-            row.near.setdefault(group.box, {})
-            if near
-            else row.far.setdefault(group.domain, {})
-        )
-        for tally in group.tallies:
-            key = EvidenceKey(tally.route, tally.entering, tally.epoch)
-            take_tally(into, key, Tally(tally.answers, tally.failed, tally.slow))
+            take_group(fleet, row, group)
 
     def _whom_to_ask(self) -> list[str]:
         fleet, now = self._fleet, self._clock.now()
@@ -282,7 +268,9 @@
         )
         if row is not None:
             row.asked = self._clock.now()
-        told = await tell(self._channels, address, self.news_for(None), TIMEOUT_S)
+        domain = row.domain if row is not None and row.domain else None
+        news = self.news_for(None, domain)
+        told = await tell(self._channels, address, news, TIMEOUT_S)
         if isinstance(told, Err):
             if row is not None:
                 row.failures += 1
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -17,7 +17,7 @@
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
 from .systems.silence import is_silent
-from .systems.tallies import add_up
+from .systems.tallies import pooled
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
@@ -206,8 +206,8 @@
 
 
 def _rollout(fleet: Fleet, row: RolloutRow, now: Millis) -> RolloutView:
-    pooled = add_up(row.own, *row.near.values(), *row.far.values())
-    entering = [tally for key, tally in pooled.items() if key.entering]
+    routes = pooled(row).routes
+    entering = [tally for key, tally in routes.items() if key.entering]
     return RolloutView(
         service=row.service,
         version=row.version,
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -34,6 +34,18 @@
     answers: int
     failed: int
     slow: int
+    timed: int = 0
+
+
+class WorkerTallyNews(msgspec.Struct, frozen=True, array_like=True):
+    """Answers of one worker since the order, as the teller counted them."""
+
+    worker: WorkerId
+    entering: bool
+    answers: int
+    failed: int
+    slow: int
+    timed: int
 
 
 class TallyGroup(msgspec.Struct, frozen=True, array_like=True):
@@ -46,12 +58,15 @@
     box : str
         The run of the box; empty for the sum over the domain.
     tallies : tuple of TallyNews
-        The newest epochs.
+        The newest epochs, and some older ones in turn.
+    workers : tuple of WorkerTallyNews
+        The workers that are counted by themselves.
     """
 
     domain: DomainId
     box: Incarnation
     tallies: tuple[TallyNews, ...]
+    workers: tuple[WorkerTallyNews, ...] = ()
 
 
 class RolloutNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -10,8 +10,10 @@
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
 from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Tallies
 from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
+from ..tables.rollouts import WorkerKey
 from ..tables.workers import WorkerRow
 from .news import ReadingNews
 from .news import ReadNews
@@ -20,9 +22,15 @@
 from .news import TallyGroup
 from .news import TallyNews
 from .news import WorkerNews
+from .news import WorkerTallyNews
 
 TALLY_EPOCHS = 3
-"""Newest epochs of evidence told: older ones were told before."""
+"""Newest epochs of evidence told in each exchange."""
+
+RETOLD_EPOCHS, RETOLD_MS = 3, 400
+"""Older epochs told in each exchange, in turn, and how long a turn is, in ms: a box
+that started or was not heard for a while knows all of an order of 24 s within 3 s, for
+about as many bytes as the newest epochs take."""
 
 
 def workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
@@ -55,19 +63,17 @@
     return ListedWorker(row, draining=item.draining)
 
 
-def rollout_news(fleet: Fleet, row: RolloutRow, now: Millis) -> RolloutNews:
-    """Return what this box knows of an order, with the newest evidence."""
-    me = fleet.me
-    running = row.verdict is Verdict.RUNNING
-    oldest = max(0, now - row.began) // EPOCH_MS - TALLY_EPOCHS
-    groups = [
-        _group(me.domain, me.incarnation, row.own, oldest),
-        _group(me.domain, Incarnation(""), add_up(row.own, *row.near.values()), oldest),
-        *(
-            _group(domain, Incarnation(""), tallies, oldest)
-            for domain, tallies in row.far.items()
-        ),
-    ]
+def rollout_news(
+    fleet: Fleet, row: RolloutRow, now: Millis, hearer: DomainId | None = None
+) -> RolloutNews:
+    """Return what this box knows of an order, with evidence for a hearer's domain.
+
+    Boxes of this failure domain take its boxes one by one, others its sum; no domain
+    needs its own sum back.
+    """
+    groups: list[TallyGroup] = []
+    if row.verdict is Verdict.RUNNING:
+        groups = _groups(fleet, row, _told_epochs(row, now), hearer)
     return RolloutNews(
         service=row.service,
         version=row.version,
@@ -77,20 +83,46 @@
         verdict=row.verdict.value,
         reason=row.reason,
         recorded=row.recorded,
-        groups=tuple(group for group in groups if running and group.tallies),
+        groups=tuple(group for group in groups if group.tallies or group.workers),
         barred=tuple(sorted(row.barred)),
         extra=row.extra,
         seen=row.seen,
     )
 
 
+def _groups(
+    fleet: Fleet, row: RolloutRow, epochs: set[int], hearer: DomainId | None
+) -> list[TallyGroup]:
+    me = fleet.me
+    groups = []
+    if hearer in (None, me.domain):
+        groups.append(_group(me.domain, me.incarnation, row.own, epochs))
+    if hearer != me.domain:
+        total = add_up(row.own, *row.near.values())
+        groups.append(_group(me.domain, Incarnation(""), total, epochs))
+    groups += [
+        _group(domain, Incarnation(""), tallies, epochs)
+        for domain, tallies in row.far.items()
+        if domain != hearer
+    ]
+    return groups
+
+
+def _told_epochs(row: RolloutRow, now: Millis) -> set[int]:
+    """Return the epochs told now: the newest, and older ones in turn."""
+    newest = max(0, now - row.began) // EPOCH_MS
+    older = max(0, newest - TALLY_EPOCHS + 1)
+    told = set(range(older, newest + 1))
+    turn = now // RETOLD_MS
+    for number in range(min(older, RETOLD_EPOCHS)):
+        told.add((turn * RETOLD_EPOCHS + number) % older)
+    return told
+
+
 def _group(
-    domain: DomainId,
-    box: Incarnation,
-    tallies: dict[EvidenceKey, Tally],
-    oldest: int,
+    domain: DomainId, box: Incarnation, tallies: Tallies, epochs: set[int]
 ) -> TallyGroup:
-    told = tuple(
+    routes = tuple(
         TallyNews(
             route=key.route,
             entering=key.entering,
@@ -98,11 +130,47 @@
             answers=tally.answers,
             failed=tally.failed,
             slow=tally.slow,
+            timed=tally.timed,
         )
-        for key, tally in tallies.items()
-        if key.epoch > oldest
+        for key, tally in tallies.routes.items()
+        if key.epoch in epochs
+    )
+    workers = tuple(
+        WorkerTallyNews(
+            worker=key.worker,
+            entering=key.entering,
+            answers=tally.answers,
+            failed=tally.failed,
+            slow=tally.slow,
+            timed=tally.timed,
+        )
+        for key, tally in tallies.workers.items()
+    )
+    return TallyGroup(domain, box, routes, workers)
+
+
+def take_group(fleet: Fleet, row: RolloutRow, group: TallyGroup) -> None:
+    """Take in evidence: boxes of this domain one by one, others as sums.
+
+    Counts only rise, so the greatest told is the newest, in whatever order it comes.
+    """
+    me = fleet.me
+    near = group.domain == me.domain
+    if near != bool(group.box) or group.box == me.incarnation:
+        return
+    into = (
+        row.near.setdefault(group.box, Tallies())
+        if near
+        else row.far.setdefault(group.domain, Tallies())
     )
-    return TallyGroup(domain, box, told)
+    for told in group.tallies:
+        key = EvidenceKey(told.route, told.entering, told.epoch)
+        tally = Tally(told.answers, told.failed, told.timed, told.slow)
+        into.routes.setdefault(key, Tally()).raise_to(tally)
+    for item in group.workers:
+        worker = WorkerKey(item.worker, item.entering)
+        tally = Tally(item.answers, item.failed, item.timed, item.slow)
+        into.workers.setdefault(worker, Tally()).raise_to(tally)
 
 
 def speeds_news(fleet: Fleet) -> tuple[SpeedNews, ...]:
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -1,29 +1,29 @@
 """How far pooled answers speak against an entering version, and what they rest on."""
 
+import math
 import typing as t
 
 from ..ids import BoxId
 from ..ids import Millis
 from ..tables.fleet import Fleet
-from ..tables.rollouts import EvidenceKey
 from ..tables.rollouts import Finding
 from ..tables.rollouts import RolloutRow
-from ..tables.rollouts import Tally
-from .sequential import log_change_above
-from .tallies import FAULT_FLOORS
+from ..tables.rollouts import Tallies
+from .references import Reference
+from .references import reference_of
+from .sequential import log_change_over
 from .tallies import LEAST_BAD
-from .tallies import add_up
-
-CEILING_FACTOR = 2.0
-"""How many times the leaving version's share of answers with a fault is still sound."""
-
-CEILING_MOST = 0.6
-"""Share of answers with a fault from which on a version is blamed in any case."""
+from .tallies import pooled
 
 EVIDENCE = 5.0
 """Natural log of the change statistic at which a version is bad: a sound version
 reaches it about once in 150 epochs for each series looked at."""
 
+ELSEWHERE_BAD, ELSEWHERE_ANSWERS = 2, 4
+"""Bad answers that a version must give beyond those of its worst worker, once the
+others gave so many answers: four answers of a version that fails half hold two failures
+seven times in ten."""
+
 PEER_LIVE_MS = 2_000
 """A peer not heard for this long is not counted on to record a verdict, in ms."""
 
@@ -68,13 +68,6 @@
         )
 
 
-class Epoch(t.NamedTuple):
-    """Answers of one epoch, and those with a fault."""
-
-    answers: int
-    faulty: int
-
-
 class Basis(t.NamedTuple):
     """What a judgement rests on, for logs.
 
@@ -95,34 +88,31 @@
     boxes: int
 
 
-def pooled_evidence(row: RolloutRow) -> dict[EvidenceKey, Tally]:
-    """Return the evidence of all boxes, as far as this one heard."""
-    return add_up(row.own, *row.near.values(), *row.far.values())
-
-
-def strongest(pooled: dict[EvidenceKey, Tally]) -> Suspicion:
+def strongest(tallies: Tallies) -> Suspicion:
     """Return the strongest suspicion against the entering version, on any route."""
-    routes = sorted({key.route for key in pooled} | {""})
-    found = [_suspicion(pooled, route, kind) for route in routes for kind in Finding]
+    routes = sorted({key.route for key in tallies.routes} | {""})
+    found = [_suspicion(tallies, route, kind) for route in routes for kind in Finding]
     return max(found, key=lambda item: item.log_evidence)
 
 
 def basis_of(fleet: Fleet, row: RolloutRow, now: Millis) -> Basis:
     """Return what a judgement of an order rests on now."""
-    pooled = pooled_evidence(row)
+    tallies = pooled(row)
     return Basis(
-        entering=count_answers(pooled, entering=True),
-        leaving=count_answers(pooled, entering=False),
-        suspicion=strongest(pooled),
+        entering=count_answers(tallies, entering=True),
+        leaving=count_answers(tallies, entering=False),
+        suspicion=strongest(tallies),
         heard=1 + len(heard_peers(fleet, now)),
         boxes=1 + len(fleet.peers),
     )
 
 
-def count_answers(pooled: dict[EvidenceKey, Tally], *, entering: bool) -> int:
+def count_answers(tallies: Tallies, *, entering: bool) -> int:
     """Return how many answers of the entering or the leaving version are known."""
     return sum(
-        tally.answers for key, tally in pooled.items() if key.entering is entering
+        tally.answers
+        for key, tally in tallies.routes.items()
+        if key.entering is entering
     )
 
 
@@ -135,39 +125,61 @@
     ]
 
 
-def _suspicion(
-    pooled: dict[EvidenceKey, Tally], route: str, finding: Finding
-) -> Suspicion:
+def _suspicion(tallies: Tallies, route: str, finding: Finding) -> Suspicion:
     """Return what speaks against the entering version on a route ("" for all)."""
-    before = _series(pooled, route, finding, entering=False)
-    after = _series(pooled, route, finding, entering=True)
-    answers = sum(epoch.answers for epoch in before)
-    usual = sum(epoch.faulty for epoch in before) / answers if answers else 0.0
-    ceiling = min(CEILING_MOST, max(FAULT_FLOORS[finding], CEILING_FACTOR * usual))
-    faulty = sum(epoch.faulty for epoch in after)
-    log_evidence = float("-inf")
-    if faulty >= LEAST_BAD:
-        series = [(epoch.answers, epoch.faulty) for epoch in after]
-        log_evidence = log_change_above(series, ceiling)
+    reference = reference_of(tallies, route, finding)
+    epochs = _entering_epochs(tallies, route, finding)
+    faulty = sum(faults for _, faults in epochs.values())
+    log_evidence = -math.inf
+    if faulty >= LEAST_BAD and _fails_on_several(tallies, finding):
+        numbers = sorted(epochs)
+        series = [epochs[number] for number in numbers]
+        ceilings = [reference.ceiling_at(number) for number in numbers]
+        log_evidence = log_change_over(series, ceilings)
     return Suspicion(
         route=route,
         finding=finding,
-        answers=sum(epoch.answers for epoch in after),
+        answers=sum(trials for trials, _ in epochs.values()),
         faulty=faulty,
-        usual=usual,
-        ceiling=ceiling,
+        usual=_newest(reference, epochs, Reference.usual_at),
+        ceiling=_newest(reference, epochs, Reference.ceiling_at),
         log_evidence=log_evidence,
     )
 
 
-def _series(
-    pooled: dict[EvidenceKey, Tally], route: str, finding: Finding, *, entering: bool
-) -> list[Epoch]:
-    """Return answers and faulty ones by epoch, oldest first; route "" takes all."""
-    epochs: dict[int, Epoch] = {}
-    for key, tally in pooled.items():
-        if key.entering is entering and route in ("", key.route):
-            old = epochs.get(key.epoch, Epoch(0, 0))
-            faulty = old.faulty + tally.count_of(finding)
-            epochs[key.epoch] = Epoch(old.answers + tally.answers, faulty)
-    return [epochs[number] for number in sorted(epochs)]
+def _entering_epochs(
+    tallies: Tallies, route: str, finding: Finding
+) -> dict[int, tuple[int, int]]:
+    """Return answers and faulty ones of the entering version by epoch."""
+    epochs: dict[int, tuple[int, int]] = {}
+    for key, tally in tallies.routes.items():
+        if key.entering and route in ("", key.route):
+            trials, faults = epochs.get(key.epoch, (0, 0))
+            trials += tally.trials(finding)
+            faults += tally.faults(finding)
+            epochs[key.epoch] = (trials, faults)
+    return epochs
+
+
+def _fails_on_several(tallies: Tallies, finding: Finding) -> bool:
+    """Tell whether faults are the version's: not those of one ailing worker of it.
+
+    Where its other workers gave too few answers to tell, they are.
+    """
+    entering = [tally for key, tally in tallies.workers.items() if key.entering]
+    if not entering:
+        return True
+    worst = max(entering, key=lambda tally: tally.faults(finding))
+    everywhere = _entering_epochs(tallies, "", finding).values()
+    others = sum(trials for trials, _ in everywhere) - worst.trials(finding)
+    faults = sum(faults for _, faults in everywhere) - worst.faults(finding)
+    return others < ELSEWHERE_ANSWERS or faults >= ELSEWHERE_BAD
+
+
+def _newest(
+    reference: Reference,
+    epochs: dict[int, tuple[int, int]],
+    value: t.Callable[[Reference, int], float],
+) -> float:
+    """Return a value of the reference at the newest epoch, for logs."""
+    return value(reference, max(epochs, default=0))
--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -13,7 +13,7 @@
 from ..tables.rollouts import ExposeBounds
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
-from .tallies import add_up
+from .tallies import pooled
 
 HALF, FULL_AT = 0.5, 0.93
 """Parts of the order's time from which requests of no session get their second share,
@@ -125,7 +125,7 @@
     epoch = max(0, now - row.began) // EPOCH_MS
     told = sum(
         tally.answers
-        for key, tally in add_up(row.own, *row.near.values(), *row.far.values()).items()
+        for key, tally in pooled(row).routes.items()
         if epoch - RATE_S <= key.epoch < epoch
     )
     return max(own * (len(fleet.peers) + 1), told / RATE_S)
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -3,21 +3,15 @@
 import typing as t
 
 from ..ids import Millis
-from ..ids import ServiceId
-from ..ids import VersionId
 from ..tables.fleet import Fleet
-from ..tables.rollouts import EPOCH_MS
-from ..tables.rollouts import EvidenceKey
-from ..tables.rollouts import Finding
 from ..tables.rollouts import RolloutRow
-from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
 from .blaming import count_answers
 from .blaming import heard_peers
-from .blaming import pooled_evidence
 from .blaming import strongest
 from .exposing import steps_of
 from .ramping import take_verdict
+from .tallies import pooled
 
 DONE_PART, DONE_LAST_PART = 0.2, 0.55
 """Parts of the time with all sessions after which an entering version that stayed sound
@@ -37,35 +31,15 @@
     reason: str = ""
 
 
-def note_result(
-    fleet: Fleet,
-    service: ServiceId,
-    route: str,
-    versions: t.Collection[VersionId],
-    now: Millis,
-    finding: Finding | None,
-) -> None:
-    """Count an answer as evidence while a roll-out of its service runs."""
-    row = fleet.rollouts.rows.get(service)
-    if row is None or row.verdict is not Verdict.RUNNING:
-        return
-    epoch = max(0, now - row.began) // EPOCH_MS
-    key = EvidenceKey(route, row.version in versions, epoch)
-    tally = row.own.setdefault(key, Tally())
-    tally.answers += 1
-    tally.failed += finding is Finding.FAILED
-    tally.slow += finding is Finding.SLOW
-
-
 def judge(fleet: Fleet, row: RolloutRow, now: Millis) -> Judgement:
     """Judge a running roll-out by the pooled evidence."""
-    pooled = pooled_evidence(row)
-    suspicion = strongest(pooled)
+    tallies = pooled(row)
+    suspicion = strongest(tallies)
     if suspicion.proven:
         return Judgement(Verdict.ROLLED_BACK, suspicion.reason)
     steps = steps_of(fleet.rollouts.bounds, row.extra)
     age = (now - row.began) / max(1, row.duration_ms)
-    answers = count_answers(pooled, entering=True)
+    answers = count_answers(tallies, entering=True)
     part = DONE_PART if answers >= LEAST_ANSWERS else DONE_LAST_PART
     if age >= steps.full_at + part * (1.0 - steps.full_at):
         reason = f"{answers} answers, no test reached its threshold"
--- /dev/null
+++ b/src/spanshunt/systems/references.py
@@ -0,0 +1,104 @@
+"""What an entering version is held against: the leaving one, where that is sound.
+
+Two things make answers of any version fail or come late: trouble that touches every
+worker for a while, and single workers that ail. The first excuses an entering version,
+at that time; the second does not. So its bound follows the leaving version epoch by
+epoch, and only as far as the soundest of that one's workers shows it, too.
+"""
+
+import math
+import typing as t
+
+from ..tables.rollouts import Finding
+from ..tables.rollouts import Tallies
+from ..tables.rollouts import Tally
+from .tallies import FAULT_FLOORS
+
+CEILING_FACTOR = 2.0
+"""How many times the leaving version's share of answers with a fault is still sound."""
+
+CEILINGS_MOST = {Finding.FAILED: 0.25, Finding.SLOW: 0.6}
+"""Shares of answers with a fault from which on a version is blamed whatever the leaving
+one shows. Failures are held to less: load makes answers late, and no share of failures
+over this was seen at all workers of a sound version but in spells of seconds."""
+
+NEAR_EPOCHS = 2
+"""Epochs before and after one whose answers of the leaving version count for it: of
+25 answers a second, 125."""
+
+PRIOR_ANSWERS = 10
+"""Weight of the order's whole time against these, in answers."""
+
+WORKER_ANSWERS = 10
+"""Answers from which on one worker can show how sound its version is."""
+
+
+class Reference(t.NamedTuple):
+    """What the leaving version shows of one fault on a route.
+
+    Attributes
+    ----------
+    finding : Finding
+        The fault.
+    usual : float
+        The share of its answers with it, over the order's time.
+    sound_part : float
+        The part of that share which its soundest worker may show, too, in 0 to 1.
+    epochs : dict
+        Answers and faulty ones by epoch.
+    """
+
+    finding: Finding
+    usual: float
+    sound_part: float
+    epochs: dict[int, tuple[int, int]]
+
+    def usual_at(self, epoch: int) -> float:
+        """Return the share of answers that such trouble explains in an epoch."""
+        answers, faulty = float(PRIOR_ANSWERS), self.usual * PRIOR_ANSWERS
+        for near in range(epoch - NEAR_EPOCHS, epoch + NEAR_EPOCHS + 1):
+            trials, faults = self.epochs.get(near, (0, 0))
+            answers += trials
+            faulty += faults
+        return self.sound_part * faulty / answers
+
+    def ceiling_at(self, epoch: int) -> float:
+        """Return the share of faulty answers that is still sound in an epoch."""
+        floor, most = FAULT_FLOORS[self.finding], CEILINGS_MOST[self.finding]
+        return min(most, max(floor, CEILING_FACTOR * self.usual_at(epoch)))
+
+
+def reference_of(pooled: Tallies, route: str, finding: Finding) -> Reference:
+    """Return what the leaving version shows of a fault on a route ("" for all)."""
+    epochs: dict[int, tuple[int, int]] = {}
+    for key, tally in pooled.routes.items():
+        if not key.entering and route in ("", key.route):
+            trials, faults = epochs.get(key.epoch, (0, 0))
+            trials += tally.trials(finding)
+            faults += tally.faults(finding)
+            epochs[key.epoch] = (trials, faults)
+    answers = sum(trials for trials, _ in epochs.values())
+    faulty = sum(faults for _, faults in epochs.values())
+    usual = faulty / answers if answers else 0.0
+    return Reference(finding, usual, _sound_part(pooled, finding), epochs)
+
+
+def _sound_part(pooled: Tallies, finding: Finding) -> float:
+    """Return which part of the leaving version's faults its soundest worker may show.
+
+    That is 1 while all workers are alike or too little is known of any.
+    """
+    leaving = [tally for key, tally in pooled.workers.items() if not key.entering]
+    trials = sum(tally.trials(finding) for tally in leaving)
+    faults = sum(tally.faults(finding) for tally in leaving)
+    known = [tally for tally in leaving if tally.trials(finding) >= WORKER_ANSWERS]
+    if not faults or not known:
+        return 1.0
+    soundest = min(_share_most(tally, finding) for tally in known)
+    return min(1.0, soundest * trials / faults)
+
+
+def _share_most(tally: Tally, finding: Finding) -> float:
+    """Return how large a worker's share of faults may be: one deviation above."""
+    faults = tally.faults(finding) + 1
+    return min(1.0, (faults + math.sqrt(faults)) / tally.trials(finding))
--- a/src/spanshunt/systems/sequential.py
+++ b/src/spanshunt/systems/sequential.py
@@ -62,16 +62,32 @@
 
 def log_change_above(epochs: list[tuple[int, int]], ceiling: float) -> float:
     """Return the log of the Shiryaev-Roberts statistic for a rise over `ceiling`."""
-    bound = _inside(ceiling)
-    excess = [hits - trials * bound for trials, hits in epochs]
+    return log_change_over(epochs, [ceiling] * len(epochs))
+
+
+def log_change_over(epochs: list[tuple[int, int]], ceilings: list[float]) -> float:
+    """Return the log of the Shiryaev-Roberts statistic for a rise over `ceilings`.
+
+    Parameters
+    ----------
+    epochs : list of (int, int)
+        Trials and hits of each epoch, oldest first.
+    ceilings : list of float
+        The greatest sound share in each epoch: what is usual changes with time.
+
+    Returns
+    -------
+    float
+        As of :func:`log_change_below`.
+    """
+    bounds = [_inside(ceiling) for ceiling in ceilings]
+    excess = [
+        hits - trials * bound
+        for (trials, hits), bound in zip(epochs, bounds, strict=True)
+    ]
     if _most_of_a_suffix(excess) <= LEAST_EXCESS:
         return -math.inf
-    return _log_mixture(
-        [
-            _log_shiryaev(epochs, _inside(bound + (1 - bound) * rise), bound)
-            for rise in RISES
-        ]
-    )
+    return _log_mixture([_log_rise(epochs, bounds, rise) for rise in RISES])
 
 
 def _most_of_a_suffix(values: list[float]) -> float:
@@ -90,6 +106,14 @@
     return total
 
 
+def _log_rise(epochs: list[tuple[int, int]], bounds: list[float], rise: float) -> float:
+    total = -math.inf
+    for (trials, hits), bound in zip(epochs, bounds, strict=True):
+        share = _inside(bound + (1 - bound) * rise)
+        total = _log_add(0.0, total) + _log_ratio(trials, hits, share, bound)
+    return total
+
+
 def _log_ratio(trials: int, hits: int, share: float, bound: float) -> float:
     misses = trials - hits
     hit = math.log(share / bound)
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -1,9 +1,18 @@
-"""Sums of evidence that boxes told, and taking a newer word of it in."""
+"""Counting answers under an order, and pooling what boxes counted."""
 
+from ..ids import Millis
+from ..ids import ServiceId
+from ..tables.fleet import Fleet
+from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import EvidenceKey
 from ..tables.rollouts import Finding
 from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Tallies
 from ..tables.rollouts import Tally
+from ..tables.rollouts import Verdict
+from ..tables.rollouts import WorkerKey
+from ..tables.workers import WorkerRow
+from ..utils import unit_hash
 
 FAULT_FLOORS = {Finding.FAILED: 0.1, Finding.SLOW: 0.25}
 """Shares of answers with a fault that no version is blamed for. Single answers fail on
@@ -13,25 +22,68 @@
 LEAST_BAD = 3
 """Bad answers without which nothing is held against a version."""
 
+WORKERS_TOLD = 8
+"""Workers of each version that are counted one by one, about: each costs some 20 bytes
+in an exchange. Of ten workers of which nine are ailing, eight hold the sound one in
+four of five orders; of a fleet where half are, almost always."""
 
-def add_up(*parts: dict[EvidenceKey, Tally]) -> dict[EvidenceKey, Tally]:
-    """Return the sum of tallies."""
-    pooled: dict[EvidenceKey, Tally] = {}
-    for tallies in parts:
-        for key, tally in tallies.items():
-            into = pooled.setdefault(key, Tally())
-            into.answers += tally.answers
-            into.failed += tally.failed
-            into.slow += tally.slow
-    return pooled
+BEGAN = Tally(answers=1)
+"""An answer that began."""
+
+FAILED = Tally(answers=1, failed=1)
+"""An answer that failed. One that had begun counts anew, so that each count is of its
+own epoch."""
+
+IN_TIME, SLOW = Tally(timed=1), Tally(timed=1, slow=1)
+"""An answer whose time is known."""
+
+SILENT = Tally(answers=1, timed=1, slow=1)
+"""A worker that gave no answer in time."""
+
+
+def count(
+    fleet: Fleet,
+    service: ServiceId,
+    route: str,
+    worker: WorkerRow,
+    now: Millis,
+    seen: Tally,
+) -> None:
+    """Count what was seen of an answer while a roll-out of its service runs."""
+    row = fleet.rollouts.rows.get(service)
+    if row is None or row.verdict is not Verdict.RUNNING:
+        return
+    entering = row.version in worker.versions
+    epoch = max(0, now - row.began) // EPOCH_MS
+    row.own.routes.setdefault(EvidenceKey(route, entering, epoch), Tally()).add(seen)
+    if _is_sampled(fleet, row, worker):
+        key = WorkerKey(worker.name, entering)
+        row.own.workers.setdefault(key, Tally()).add(seen)
 
 
-def take_tally(into: dict[EvidenceKey, Tally], key: EvidenceKey, told: Tally) -> None:
-    """Take a told tally; counts only rise, so the greatest told is the newest."""
-    tally = into.setdefault(key, Tally())
-    tally.answers = max(tally.answers, told.answers)
-    tally.failed = max(tally.failed, told.failed)
-    tally.slow = max(tally.slow, told.slow)
+def _is_sampled(fleet: Fleet, row: RolloutRow, worker: WorkerRow) -> bool:
+    """Tell whether a worker is counted by itself: the same ones on every box."""
+    version = min(worker.versions, default=None)
+    alike = len(fleet.workers.able(row.service, version))
+    if alike <= WORKERS_TOLD:
+        return True
+    return unit_hash("sample", str(row.order), worker.name) < WORKERS_TOLD / alike
+
+
+def pooled(row: RolloutRow) -> Tallies:
+    """Return the tallies of all boxes, as far as this one heard."""
+    return add_up(row.own, *row.near.values(), *row.far.values())
+
+
+def add_up(*parts: Tallies) -> Tallies:
+    """Return the sum of tallies."""
+    total = Tallies()
+    for part in parts:
+        for route_key, tally in part.routes.items():
+            total.routes.setdefault(route_key, Tally()).add(tally)
+        for worker_key, tally in part.workers.items():
+            total.workers.setdefault(worker_key, Tally()).add(tally)
+    return total
 
 
 def is_suspect(row: RolloutRow, route: str) -> bool:
@@ -40,12 +92,12 @@
     It needs less than a verdict does: to be wrong moves a session whose answer failed,
     or costs it one more attempt.
     """
-    pooled = add_up(row.own, *row.near.values(), *row.far.values())
-    entering = [(key, tally) for key, tally in pooled.items() if key.entering]
+    routes = pooled(row).routes
+    entering = [(key, tally) for key, tally in routes.items() if key.entering]
     for finding, floor in FAULT_FLOORS.items():
         everywhere = [tally for _, tally in entering]
         here = [tally for key, tally in entering if key.route == route]
-        if sum(tally.count_of(finding) for tally in everywhere) < LEAST_BAD:
+        if sum(tally.faults(finding) for tally in everywhere) < LEAST_BAD:
             continue
         if max(_share(everywhere, finding), _share(here, finding)) > floor:
             return True
@@ -54,5 +106,5 @@
 
 def _share(tallies: list[Tally], finding: Finding) -> float:
     """Return the share of answers that had a fault."""
-    answers = sum(tally.answers for tally in tallies)
-    return sum(tally.count_of(finding) for tally in tallies) / max(1, answers)
+    trials = sum(tally.trials(finding) for tally in tallies)
+    return sum(tally.faults(finding) for tally in tallies) / max(1, trials)
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -10,6 +10,7 @@
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
+from ..ids import WorkerId
 
 EPOCH_MS = 1_000
 """Width of the epochs that answers are counted in, in ms. The change test needs a few
@@ -33,13 +34,45 @@
 
 
 class Tally(msgspec.Struct):
-    """Answers of one version on one route in one epoch, and their faults."""
+    """Answers and their faults.
+
+    Attributes
+    ----------
+    answers : int
+        Answers that began or failed: a failure shows at once, and what is whole only
+        seconds later, so counting whole ones would show failures first.
+    failed : int
+        Those that failed.
+    timed : int
+        Answers of which it is known whether they were slow.
+    slow : int
+        Those that were.
+    """
 
     answers: int = 0
     failed: int = 0
+    timed: int = 0
     slow: int = 0
 
-    def count_of(self, finding: Finding) -> int:
+    def add(self, other: "Tally") -> None:
+        """Add `other` to these counts."""
+        self.answers += other.answers
+        self.failed += other.failed
+        self.timed += other.timed
+        self.slow += other.slow
+
+    def raise_to(self, told: "Tally") -> None:
+        """Take in what was told of the same answers: counts only rise."""
+        self.answers = max(self.answers, told.answers)
+        self.failed = max(self.failed, told.failed)
+        self.timed = max(self.timed, told.timed)
+        self.slow = max(self.slow, told.slow)
+
+    def trials(self, finding: Finding) -> int:
+        """Return how many answers could have shown this fault."""
+        return self.answers if finding is Finding.FAILED else self.timed
+
+    def faults(self, finding: Finding) -> int:
         """Return how many answers had this fault."""
         return self.failed if finding is Finding.FAILED else self.slow
 
@@ -55,6 +88,28 @@
     epoch: int
 
 
+class WorkerKey(msgspec.Struct, frozen=True):
+    """What a worker's tally is of: the worker, and whether it is of the new version."""
+
+    worker: WorkerId
+    entering: bool
+
+
+class Tallies(msgspec.Struct):
+    """Answers under an order, counted twice: by route and epoch, and by worker.
+
+    Attributes
+    ----------
+    routes : dict
+        By route, version and epoch.
+    workers : dict
+        By worker since the order; of many workers a sample.
+    """
+
+    routes: dict[EvidenceKey, Tally] = {}
+    workers: dict[WorkerKey, Tally] = {}
+
+
 class RolloutRow(msgspec.Struct):
     """One order to move a service to a version.
 
@@ -87,10 +142,10 @@
     barred : frozenset of str
         Versions that earlier orders brought in and that were taken back: their workers
         may still be listed.
-    own : dict
-        This box's tallies.
+    own : Tallies
+        This box's.
     near : dict
-        Tallies of the other boxes of this failure domain, by the run of the box.
+        Those of the other boxes of this failure domain, by the run of the box.
     far : dict
         Sums of other failure domains.
     """
@@ -107,9 +162,9 @@
     judged_at: Millis = Millis(0)
     extra: float = 0.0
     barred: frozenset[VersionId] = frozenset()
-    own: dict[EvidenceKey, Tally] = {}
-    near: dict[Incarnation, dict[EvidenceKey, Tally]] = {}
-    far: dict[DomainId, dict[EvidenceKey, Tally]] = {}
+    own: Tallies = msgspec.field(default_factory=Tallies)
+    near: dict[Incarnation, Tallies] = {}
+    far: dict[DomainId, Tallies] = {}
 
 
 class ExposeBounds(msgspec.Struct, frozen=True):
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -27,11 +27,14 @@
 from spanshunt.standins.store import StoreStandin
 from spanshunt.standins.worker import WorkerStandin
 from spanshunt.systems.estimating import Effort
+from spanshunt.systems.tallies import count
 from spanshunt.tables.catalog import ServiceRow
 from spanshunt.tables.engines import EngineSpeed
 from spanshunt.tables.engines import PromptPart
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.identity import Identity
+from spanshunt.tables.rollouts import Finding
+from spanshunt.tables.rollouts import Tally
 from spanshunt.tables.workers import WorkerRow
 
 HOST = "archive.example"
@@ -161,6 +164,22 @@
     return row
 
 
+def note_result(
+    fleet: Fleet,
+    service: ServiceId,
+    route: str,
+    versions: t.Collection[VersionId],
+    now: Millis,
+    finding: Finding | None,
+) -> None:
+    """Let a box count a whole answer of a version, from one worker of it."""
+    version = min(versions)
+    worker = make_worker(f"of-{version}", service=service, version=version)
+    failed, slow = finding is Finding.FAILED, finding is Finding.SLOW
+    seen = Tally(answers=1, failed=failed, timed=1, slow=slow)
+    count(fleet, service, route, worker, now, seen)
+
+
 def ms(seconds: float) -> Millis:
     """Return seconds as milliseconds."""
     return Millis(int(seconds * 1_000))
--- a/tests/test_fleet_report.py
+++ b/tests/test_fleet_report.py
@@ -9,6 +9,7 @@
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from fleet_builders import note_result
 from fleet_builders import running_fleet
 from spanshunt.fleet_report import fleet_view
 from spanshunt.ids import BoxId
@@ -17,7 +18,6 @@
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
 from spanshunt.standins.worker import WorkerFault
-from spanshunt.systems.judging import note_result
 from spanshunt.systems.ramping import bar_versions
 from spanshunt.systems.ramping import take_order
 from spanshunt.systems.repeats import RepeatBounds
--- a/tests/test_ramping.py
+++ b/tests/test_ramping.py
@@ -15,6 +15,7 @@
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from fleet_builders import note_result
 from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
@@ -26,7 +27,6 @@
 from spanshunt.systems.judging import WRITER_STEP_MS
 from spanshunt.systems.judging import due_verdict
 from spanshunt.systems.judging import judge
-from spanshunt.systems.judging import note_result
 from spanshunt.systems.judging import writer_delay
 from spanshunt.systems.ramping import take_beginning
 from spanshunt.systems.ramping import take_order
--- a/tests/test_session_moves.py
+++ b/tests/test_session_moves.py
@@ -30,12 +30,12 @@
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from fleet_builders import note_result
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
 from spanshunt.ids import WorkerId
-from spanshunt.systems.judging import note_result
 from spanshunt.systems.ramping import take_order
 from spanshunt.systems.ramping import version_for
 from spanshunt.tables.fleet import Fleet
