Success is shown by answers and known from others, or it waits

Cause: success came by the clock. It asked for no answer, for nobody's word, and passed over evidence that was close to its threshold. The steps follow the clock, too, while the bound counts requests: a burst in the second half left nothing for the last step.

Change: no success without ten answers while requests come, without most of the boxes heard that may know more, or while the evidence is past two fifths of what takes a version back; then the order runs on with all requests until it is decided. The last step is a part of the bound (3 s at most) and is held back until the order's time is over where it would break it; boxes agree on that 0.7 s ahead.

What is left of a burst is the sessions' share, which can't fall again, as sessions keep their version.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -235,6 +235,7 @@
             return
         bar_versions(row, item.barred)
         row.extra = max(row.extra, item.extra)
+        row.full_held = row.full_held or item.full_held
         verdict, reason = Verdict(item.verdict), item.reason
         if take_verdict(row, verdict, reason, now, recorded=item.recorded):
             log_verdict(row, news.box)
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -90,6 +90,8 @@
         What the allowed number of requests adds to the share, as the teller knows it.
     seen : bool
         Whether the age is that of a box that saw the order come.
+    full_held : bool
+        Whether not all requests may enter before the order's time is over.
     """
 
     service: ServiceId
@@ -104,6 +106,7 @@
     barred: tuple[VersionId, ...] = ()
     extra: float = 0.0
     seen: bool = False
+    full_held: bool = False
 
 
 class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -87,6 +87,7 @@
         barred=tuple(sorted(row.barred)),
         extra=row.extra,
         seen=row.seen,
+        full_held=row.full_held,
     )
 
 
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -9,9 +9,11 @@
 from ..ids import ServiceId
 from ..logs import log_event
 from ..rollout_lines import log_evidence
+from ..rollout_lines import log_held
 from ..rollout_lines import log_verdict
 from ..systems.blaming import basis_of
 from ..systems.exposing import fleet_rate
+from ..systems.exposing import hold_full
 from ..systems.exposing import raise_extra
 from ..systems.judging import Judgement
 from ..systems.judging import due_verdict
@@ -55,6 +57,8 @@
         now = self._clock.now()
         for row in list(self._fleet.rollouts.rows.values()):
             raise_extra(self._fleet, row, fleet_rate(self._fleet, row, now), now)
+            if hold_full(self._fleet, row, now):
+                log_held(row, now)
             before = row.verdict
             due = due_verdict(self._fleet, row, now)
             if row.verdict is not before:
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -37,6 +37,18 @@
     )
 
 
+def log_held(row: RolloutRow, now: Millis) -> None:
+    """Log that the entering version gets all requests only when its time is over."""
+    log_event(
+        "INFO",
+        "roll-out held",
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        age_ms=now - row.began,
+    )
+
+
 def log_evidence(row: RolloutRow, basis: Basis, now: Millis) -> None:
     """Log what a judgement of an order would rest on now."""
     against = basis.suspicion
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -13,6 +13,7 @@
 from .references import reference_of
 from .sequential import log_change_over
 from .tallies import LEAST_BAD
+from .tallies import count_answers
 from .tallies import pooled
 
 EVIDENCE = 5.0
@@ -107,15 +108,6 @@
     )
 
 
-def count_answers(tallies: Tallies, *, entering: bool) -> int:
-    """Return how many answers of the entering or the leaving version are known."""
-    return sum(
-        tally.answers
-        for key, tally in tallies.routes.items()
-        if key.entering is entering
-    )
-
-
 def heard_peers(fleet: Fleet, now: Millis) -> list[BoxId]:
     """Return the peers that were heard of late."""
     return [
--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -13,11 +13,11 @@
 from ..tables.rollouts import ExposeBounds
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
+from .tallies import count_answers
 from .tallies import pooled
 
-HALF, FULL_AT = 0.5, 0.93
-"""Parts of the order's time from which requests of no session get their second share,
-and from which all requests go to the entering version."""
+HALF = 0.5
+"""Part of the order's time from which requests of no session get their second share."""
 
 SESSIONS_FROM = 0.52
 """Part of the order's time from which sessions enter. They must keep their version in
@@ -25,9 +25,19 @@
 enters before all boxes agree that the half is over. The margin is for boxes that see an
 order some tenths of a second apart: 0.3 s of the shortest order seen, 16 s."""
 
-FULL_MOST_PART = 0.5
-"""Part of what a version may get in all that may be left for the time in which it gets
-all sessions: where that is short, this begins later."""
+FULL_PART, FULL_MOST_MS = 0.48, 3_000
+"""Part of what a version may get that is left for the time in which it gets all
+requests, at the end, and how long that is at most, in ms: 1.7 s of an order of 24 s. A
+version that is bad under this load alone, or turns bad late, shows it then; a longer
+order needs no more of it."""
+
+HELD_FROM_MS, HELD_UNTIL_MS = 1_500, 700
+"""How long before that time boxes look whether it would give a version too many
+requests, in ms: by the end of it they have had two rounds of news to agree."""
+
+HELD_SLACK_PART = 0.6
+"""Part of the allowed number of requests that is counted on then: the rest is for what
+boxes have not heard of yet."""
 
 SECOND_FACTOR = 2.0
 """How many times its first share the second is: what turns bad late shows, too."""
@@ -70,7 +80,13 @@
     full_at: float
 
 
-def steps_of(bounds: ExposeBounds, extra: float) -> Steps:
+def full_part(bounds: ExposeBounds, duration_ms: int) -> float:
+    """Return the last part of an order's time, in which all requests may enter."""
+    part = FULL_PART * SHARE_USED * bounds.share
+    return min(part, FULL_MOST_MS / max(1, duration_ms))
+
+
+def steps_of(bounds: ExposeBounds, extra: float, duration_ms: int) -> Steps:
     """Return steps that keep within the bounds, whether the version shows bad or not.
 
     Each kind of requests keeps them by itself, so that any mix does.
@@ -81,9 +97,11 @@
         What a bad version may get of the order's requests.
     extra : float
         What the allowed number of requests adds to the share, as a part of them.
+    duration_ms : int
+        How long the order may take, in ms.
     """
     share = SHARE_USED * bounds.share
-    full = min(1.0 - FULL_AT, FULL_MOST_PART * share)
+    full = full_part(bounds, duration_ms)
     full_at = 1.0 - full
     later = full_at - HALF
     first = (share - full) / (HALF + SECOND_FACTOR * later)
@@ -92,6 +110,22 @@
     return Steps(min(1.0, first), min(1.0, second), min(1.0, sessions), full_at)
 
 
+def row_steps(fleet: Fleet, row: RolloutRow) -> Steps:
+    """Return the steps of an order."""
+    return steps_of(fleet.rollouts.bounds, row.extra, row.duration_ms)
+
+
+def full_from_ms(fleet: Fleet, row: RolloutRow) -> int:
+    """Return from which age of an order on all requests enter, in ms.
+
+    Where that would give a bad version too many, only when the order's time is over:
+    what a version may get is counted until then.
+    """
+    if row.full_held:
+        return row.duration_ms
+    return int(row_steps(fleet, row).full_at * row.duration_ms)
+
+
 def extra_share(bounds: ExposeBounds, requests: float) -> float:
     """Return what the allowed number adds, for so many requests in the order's time."""
     return SLACK_USED * bounds.slack / requests if requests > 0 else 0.0
@@ -103,9 +137,9 @@
         return 1.0
     if row.verdict is Verdict.ROLLED_BACK:
         return 0.0
-    steps = steps_of(fleet.rollouts.bounds, row.extra)
+    steps = row_steps(fleet, row)
     age = (now - row.began) / max(1, row.duration_ms)
-    if age >= steps.full_at:
+    if now >= row.began + full_from_ms(fleet, row):
         return 1.0
     if in_session:
         return steps.sessions if age >= SESSIONS_FROM else 0.0
@@ -143,3 +177,28 @@
     requests = rate * row.duration_ms / 1_000
     extra = min(EXTRA_MOST, extra_share(fleet.rollouts.bounds, requests))
     row.extra = max(row.extra, extra)
+
+
+def hold_full(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
+    """Hold the last step back if it would break the bounds; tell whether that is new.
+
+    The steps follow the order's time and the bounds count requests: where most came
+    while many of them entered, as in a burst late, less is left for the end.
+    """
+    if row.full_held:
+        return False
+    steps = row_steps(fleet, row)
+    left_ms = steps.full_at * row.duration_ms - (now - row.began)
+    if not HELD_UNTIL_MS <= left_ms < HELD_FROM_MS:
+        return False
+    bounds = fleet.rollouts.bounds
+    rate = fleet_rate(fleet, row, now)
+    coming = rate * left_ms / 1_000
+    at_end = rate * (1.0 - steps.full_at) * row.duration_ms / 1_000
+    tallies = pooled(row)
+    entered = count_answers(tallies, entering=True) + steps.sessions * coming
+    requests = entered + at_end + (1.0 - steps.sessions) * coming
+    requests += count_answers(tallies, entering=False)
+    allowed = bounds.share * requests + HELD_SLACK_PART * bounds.slack
+    row.full_held = entered + at_end > allowed
+    return row.full_held
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -6,23 +6,14 @@
 from ..tables.fleet import Fleet
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
-from .blaming import count_answers
 from .blaming import heard_peers
 from .blaming import strongest
-from .exposing import steps_of
 from .ramping import take_verdict
+from .succeeding import done_ms
+from .succeeding import may_succeed
+from .tallies import count_answers
 from .tallies import pooled
 
-DONE_PART, DONE_LAST_PART = 0.2, 0.55
-"""Parts of the time with all sessions after which an entering version that stayed sound
-has succeeded, the second one where few answers show that it is: by then answers that
-the leaving version had begun are mostly complete, and a second writer still has its
-turn within an order of 16 s, the shortest seen."""
-
-LEAST_ANSWERS = 30
-"""Answers of the entering version that suffice for the earlier time: of 30, a version
-that fails a third shows 10, and the test against a tenth needs about 9."""
-
 
 class Judgement(t.NamedTuple):
     """A verdict and, for people, the evidence that it rests on."""
@@ -37,11 +28,8 @@
     suspicion = strongest(tallies)
     if suspicion.proven:
         return Judgement(Verdict.ROLLED_BACK, suspicion.reason)
-    steps = steps_of(fleet.rollouts.bounds, row.extra)
-    age = (now - row.began) / max(1, row.duration_ms)
-    answers = count_answers(tallies, entering=True)
-    part = DONE_PART if answers >= LEAST_ANSWERS else DONE_LAST_PART
-    if age >= steps.full_at + part * (1.0 - steps.full_at):
+    if may_succeed(fleet, row, tallies, suspicion, now):
+        answers = count_answers(tallies, entering=True)
         reason = f"{answers} answers, no test reached its threshold"
         return Judgement(Verdict.SUCCEEDED, reason)
     return Judgement(Verdict.RUNNING)
@@ -62,12 +50,6 @@
     return Millis(before * WRITER_STEP_MS)
 
 
-def _done_at(fleet: Fleet, row: RolloutRow) -> float:
-    """Return the part of its time after which an order may have succeeded."""
-    full_at = steps_of(fleet.rollouts.bounds, row.extra).full_at
-    return full_at + DONE_PART * (1.0 - full_at)
-
-
 def due_verdict(fleet: Fleet, row: RolloutRow, now: Millis) -> Judgement | None:
     """Return the verdict that this box must record now, if any.
 
@@ -82,7 +64,7 @@
         judgement = judge(fleet, row, now)
         if judgement.verdict is Verdict.RUNNING:
             return None
-        due_at = Millis(row.began + int(_done_at(fleet, row) * row.duration_ms))
+        due_at = Millis(row.began + done_ms(fleet, row))
         if judgement.verdict is Verdict.ROLLED_BACK:
             take_verdict(row, judgement.verdict, judgement.reason, now, recorded=False)
             due_at = now
--- /dev/null
+++ b/src/spanshunt/systems/succeeding.py
@@ -0,0 +1,98 @@
+"""When an entering version has succeeded: shown by answers, known from other boxes.
+
+Success can't be taken back: the workers of the version before stop at once. That no bad
+answer is known is no reason for it where few answers are, or where nobody was heard.
+"""
+
+from ..ids import Millis
+from ..tables.fleet import Fleet
+from ..tables.fleet import PeerRow
+from ..tables.rollouts import EPOCH_MS
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Tallies
+from .blaming import EVIDENCE
+from .blaming import Suspicion
+from .blaming import heard_peers
+from .exposing import full_from_ms
+from .exposing import full_part
+from .tallies import count_answers
+
+DONE_PART, DONE_LAST_PART = 0.27, 0.55
+"""Parts of the time with all requests after which a version that stayed sound has
+succeeded at the earliest, the second one where few answers show that it is."""
+
+DONE_LEFT_MS, DONE_LAST_LEFT_MS = 1_200, 600
+"""And how long before the order's time is over, in ms: the later, the less can go wrong
+unseen. A verdict is reached and recorded within 0.3 s, within 0.6 s by a second box and
+within 0.9 s where the store is a hundred times slower than usual."""
+
+LEAST_ANSWERS = 30
+"""Answers of the entering version that suffice for the earlier time: of 30, a version
+that fails a third shows 10, and the test against a tenth needs about 9."""
+
+LEAST_SHOWN = 10
+"""Answers without which it does not succeed at all while requests come: of ten, a
+version that fails half shows three or more in 19 of 20 cases. An order that waits for
+them is late, and harms nobody meanwhile: the version before is still there."""
+
+HOLD_PART = 0.4
+"""Part of the evidence that takes a version back from which on it does not succeed: it
+gets all requests then, so a second or two decides. Beside engines that all fail a
+third, a version that fails half was taken for sound in 2 of 6 plays without it."""
+
+QUIET_MS = 1_000
+"""How long before all requests enter the latest request for the service may have been
+for it to count as not asked for at all, in ms."""
+
+GONE_FAILURES = 3
+"""Calls in a row that fail after which a box that was never heard is not waited for."""
+
+
+def may_succeed(
+    fleet: Fleet, row: RolloutRow, tallies: Tallies, against: Suspicion, now: Millis
+) -> bool:
+    """Tell whether a version that is not known to be bad has succeeded now."""
+    if against.log_evidence >= HOLD_PART * EVIDENCE:
+        return False
+    answers = count_answers(tallies, entering=True)
+    age = now - row.began
+    if age < (done_ms(fleet, row) if answers >= LEAST_ANSWERS else last_ms(fleet, row)):
+        return False
+    shown = answers >= LEAST_SHOWN or _is_quiet(fleet, row, tallies)
+    return shown and hears_most(fleet, row, now)
+
+
+def done_ms(fleet: Fleet, row: RolloutRow) -> int:
+    """Return the age from which on an order may have succeeded, in ms."""
+    return _done(fleet, row, DONE_PART, DONE_LEFT_MS)
+
+
+def last_ms(fleet: Fleet, row: RolloutRow) -> int:
+    """Return the same where few answers show it."""
+    return _done(fleet, row, DONE_LAST_PART, DONE_LAST_LEFT_MS)
+
+
+def hears_most(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
+    """Tell whether this box hears most of the boxes that may know more than it does."""
+    wanted = [peer.box for peer in fleet.peers.values() if _counts(peer, row)]
+    heard = set(heard_peers(fleet, now))
+    return 2 * sum(box in heard for box in wanted) >= len(wanted)
+
+
+def _counts(peer: PeerRow, row: RolloutRow) -> bool:
+    """Tell whether a peer was there since the order began, or may be now."""
+    if peer.heard < 0:
+        return peer.failures < GONE_FAILURES
+    return peer.heard >= row.began
+
+
+def _done(fleet: Fleet, row: RolloutRow, part: float, left_ms: int) -> int:
+    full_ms = full_part(fleet.rollouts.bounds, row.duration_ms) * row.duration_ms
+    earliest = int(full_from_ms(fleet, row) + part * full_ms)
+    return max(earliest, row.duration_ms - left_ms)
+
+
+def _is_quiet(fleet: Fleet, row: RolloutRow, tallies: Tallies) -> bool:
+    """Tell whether nobody asks for the service: then nothing can show, or go wrong."""
+    since = max(0, full_from_ms(fleet, row) - QUIET_MS) // EPOCH_MS
+    return not any(key.epoch >= since for key in tallies.routes)
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -86,6 +86,15 @@
     return total
 
 
+def count_answers(tallies: Tallies, *, entering: bool) -> int:
+    """Return how many answers of the entering or the leaving version are known."""
+    return sum(
+        tally.answers
+        for key, tally in tallies.routes.items()
+        if key.entering is entering
+    )
+
+
 def is_suspect(row: RolloutRow, route: str) -> bool:
     """Tell whether answers of the entering version speak against it, on a route or all.
 
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -139,6 +139,8 @@
     extra : float
         Part of the order's requests that the entering version may get beyond the
         allowed share, for the allowed number of requests.
+    full_held : bool
+        Whether not all requests may enter before the order's time is over.
     barred : frozenset of str
         Versions that earlier orders brought in and that were taken back: their workers
         may still be listed.
@@ -161,6 +163,7 @@
     recorded: bool = False
     judged_at: Millis = Millis(0)
     extra: float = 0.0
+    full_held: bool = False
     barred: frozenset[VersionId] = frozenset()
     own: Tallies = msgspec.field(default_factory=Tallies)
     near: dict[Incarnation, Tallies] = {}
