Versions are watched after their success, and go back where there is a way

Cause: evidence counted while an order ran. After `succeeded` nothing looked: no log, no metric, and no way back although workers of the version before may still be there.

Change: answers count on after success (60 epochs kept). A version that fails over a quarter on a route or in all, beyond doubt, has turned bad: `version turned bad` in the log, `rollouts.turned_bad` counted, told to peers. Where workers of another version are still listed 5 s after the success, requests go back to them and `rolled_back` is recorded; where none is, nothing else can be done and nothing is pretended. A verdict is judged anew between reading the store and recording success. Boxes take turns from when they first held that a version succeeded. The last step is put off only as far as the bound needs (0.5 s at least, else to the end). A box that was restarted no longer speaks for the rate of requests, and hears from its neighbours what its ended run told.

--- a/bench/play_cases.py
+++ b/bench/play_cases.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from spanshunt.platform import wire
+from spanshunt.tables.rollouts import RolloutRow
 from spanshunt.tables.rollouts import Verdict
 
 from .play_engines import Engine
@@ -51,6 +52,7 @@
     SLOW_4 = "half 4 times slower"
     SLOW_8 = "half 8 times slower"
     UNDER_LOAD = "fails half under load"
+    AFTER = "fails half after its success"
 
 
 class Trouble(enum.Enum):
@@ -69,11 +71,15 @@
     STORE_SOME = "store refuses a third of the boxes"
     CUT_FIRST = "the first box hears no peer"
     FEW = "three requests a second"
+    KEPT = "leaving engines stay"
 
 
 LATE_S = 19.0
 """When a version that turns bad late does so, in s from the order."""
 
+TURNS_S = 25.0
+"""When one does that turns bad after its success, in s from the order."""
+
 LOADED = 10
 """Requests that an engine runs at once under the load of all of them alone."""
 
@@ -87,6 +93,7 @@
     Kind.SLOW_4: Faults(slow=lambda _m: 0.5, slow_x=4.0),
     Kind.SLOW_8: Faults(slow=lambda _m: 0.5, slow_x=8.0),
     Kind.UNDER_LOAD: Faults(failing=lambda m: 0.5 if m.running >= LOADED else 0.0),
+    Kind.AFTER: Faults(failing=lambda m: 0.5 if m.at > TURNS_S else 0.0),
 }
 
 
@@ -96,7 +103,8 @@
 
     ``verdict`` and ``at`` are what was recorded and when, in s from the order;
     ``exposed`` of ``requests`` reached the entering version until the deadline, and
-    ``late`` of them after it had given too many bad answers.
+    ``late`` of them after it had given too many bad answers. ``turned_bad`` boxes noted
+    that it was bad after its success.
     """
 
     verdict: Verdict
@@ -108,6 +116,7 @@
     late: int
     served: float
     broken: list[str]
+    turned_bad: int
 
     @property
     def kept(self) -> bool:
@@ -149,7 +158,7 @@
     elif trouble is Trouble.BURST:
         play.rate = lambda at: 90.0 if 12.0 <= at < 22.0 else 30.0
     jobs = [
-        asyncio.create_task(_operate(play, leaving, entering, duration)),
+        asyncio.create_task(_operate(play, trouble, leaving, entering, duration)),
         asyncio.create_task(_strike(play, trouble)),
     ]
     await play.call_until(duration + AFTER_S)
@@ -231,7 +240,11 @@
 
 
 async def _operate(
-    play: Play, leaving: list[Engine], entering: list[Engine], duration: float
+    play: Play,
+    trouble: Trouble,
+    leaving: list[Engine],
+    entering: list[Engine],
+    duration: float,
 ) -> None:
     """Order the version, start its engines, and do what its state asks for."""
     await _sleep_until(play, 0.0)
@@ -243,7 +256,7 @@
     while (state := _status(play).get("State", "running")) == "running":
         end = play.store.topic(wire.STATUS_TOPIC).end
         await play.store.wait_beyond(wire.STATUS_TOPIC, end, 1.0)
-    if state == Verdict.SUCCEEDED.value:
+    if state == Verdict.SUCCEEDED.value and trouble is not Trouble.KEPT:
         for engine in leaving:
             await play.drop_engine(engine)
 
@@ -296,6 +309,12 @@
     return msgspec.json.decode(raw) if raw else {}
 
 
+def _rows(play: Play) -> list[RolloutRow]:
+    """Return what the boxes believe of the order."""
+    found = [box.fleet.rollouts.rows.get(SERVICE) for box in play.boxes.values()]
+    return [row for row in found if row is not None]
+
+
 def _outcome(play: Play, entering: list[Engine], duration: float) -> Outcome:
     arrived = sorted(at for engine in entering for at in engine.arrived)
     others = [
@@ -308,9 +327,7 @@
     bound = bad[BAD_BOUND - 1] + ROLLBACK_S if len(bad) >= BAD_BOUND else float("inf")
     exposed = sum(0.0 <= at < duration for at in arrived)
     during = [asked for asked in play.asked if asked.at >= 0.0]
-    row = next(iter(play.boxes.values())).fleet.rollouts.rows.get(
-        t.cast(t.Any, SERVICE)
-    )
+    row = next(iter(_rows(play)), None)
     state = _status(play).get("State", "running")
     return Outcome(
         verdict=Verdict(state),
@@ -322,4 +339,5 @@
         late=sum(at > bound for at in arrived),
         served=sum(asked.served for asked in during) / max(1, len(during)),
         broken=play.broken,
+        turned_bad=sum(bool(row.turned_bad) for row in _rows(play)),
     )
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -30,6 +30,7 @@
 from spanshunt.ids import Incarnation
 from spanshunt.ids import Millis
 from spanshunt.ids import RequestId
+from spanshunt.ids import ServiceId
 from spanshunt.peers.news import News
 from spanshunt.peers.unary import PeerFault
 from spanshunt.platform import wire
@@ -52,7 +53,7 @@
 from .play_engines import Engine
 from .play_store import PlayStore
 
-SERVICE = "writer"
+SERVICE = ServiceId("writer")
 """The service whose versions change."""
 
 ROUTES = {"summary": (6_600, 380), "query": (630, 290), "tag": (1_800, 24)}
@@ -171,7 +172,7 @@
         )
         store = t.cast(t.Any, self.store)
         self.followers = Followers(self.fleet, clock, store, 2_000)
-        self.recorder = Recorder(self.fleet, clock, store)
+        self.recorder = Recorder(self.fleet, clock, store, self.core.count)
         self._jobs = Background(lambda exc: play.broken.append(str(exc)))
 
     def start(self, catalog: bytes) -> None:
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -27,6 +27,7 @@
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
 from .rollout_lines import log_order
+from .rollout_lines import log_turned_bad
 from .rollout_lines import log_verdict
 from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
@@ -235,7 +236,10 @@
             return
         bar_versions(row, item.barred)
         row.extra = max(row.extra, item.extra)
-        row.full_held = row.full_held or item.full_held
+        row.full_from_ms = max(row.full_from_ms, item.full_from_ms)
+        if item.turned_bad and not row.turned_bad:
+            row.turned_bad = item.turned_bad
+            log_turned_bad(row, news.box)
         verdict, reason = Verdict(item.verdict), item.reason
         if take_verdict(row, verdict, reason, now, recorded=item.recorded):
             log_verdict(row, news.box)
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -90,8 +90,11 @@
         What the allowed number of requests adds to the share, as the teller knows it.
     seen : bool
         Whether the age is that of a box that saw the order come.
-    full_held : bool
-        Whether not all requests may enter before the order's time is over.
+    full_from_ms : int
+        From which age of the order on all requests enter, in ms, where that was put
+        off; 0 while it was not.
+    turned_bad : str
+        The evidence that it turned bad after its success; empty for none.
     """
 
     service: ServiceId
@@ -106,7 +109,8 @@
     barred: tuple[VersionId, ...] = ()
     extra: float = 0.0
     seen: bool = False
-    full_held: bool = False
+    full_from_ms: int = 0
+    turned_bad: str = ""
 
 
 class WorkerNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -72,7 +72,7 @@
     needs its own sum back.
     """
     groups: list[TallyGroup] = []
-    if row.verdict is Verdict.RUNNING:
+    if row.verdict is not Verdict.ROLLED_BACK:
         groups = _groups(fleet, row, _told_epochs(row, now), hearer)
     return RolloutNews(
         service=row.service,
@@ -87,7 +87,8 @@
         barred=tuple(sorted(row.barred)),
         extra=row.extra,
         seen=row.seen,
-        full_held=row.full_held,
+        full_from_ms=row.full_from_ms,
+        turned_bad=row.turned_bad,
     )
 
 
@@ -98,6 +99,13 @@
     groups = []
     if hearer in (None, me.domain):
         groups.append(_group(me.domain, me.incarnation, row.own, epochs))
+        # What a run of a box told that has ended, the box itself lacks when it is back.
+        running = {peer.incarnation for peer in fleet.peers.values()}
+        groups += [
+            _group(me.domain, ended, tallies, epochs)
+            for ended, tallies in row.near.items()
+            if ended not in running
+        ]
     if hearer != me.domain:
         total = add_up(row.own, *row.near.values())
         groups.append(_group(me.domain, Incarnation(""), total, epochs))
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -285,5 +285,7 @@
         if verdict is Verdict.RUNNING and status.began:
             age = max(0, clock.wall() - status.began)
             take_beginning(row, Millis(now - age), seen=False)
-        if take_verdict(row, verdict, "recorded", now, recorded=True):
+        if row.turned_bad and verdict is Verdict.ROLLED_BACK:
+            row.way_back_recorded = True
+        elif take_verdict(row, verdict, "recorded", now, recorded=True):
             log_verdict(row, "store")
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -129,7 +129,7 @@
         )
         self.followers = Followers(self.fleet, clock, self._store, bounds.draining_ms)
         self._front = Front(self.core, self._on_broken)
-        self._recorder = Recorder(self.fleet, clock, self._store)
+        self._recorder = Recorder(self.fleet, clock, self._store, self.counters.add)
         self._fetcher = CatalogFetcher(self.fleet, clock, rng, wire.decode_catalog)
         self._exchange = Exchange(
             self.fleet, clock, rng, self._fetcher.look, settings.seeds
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -1,5 +1,7 @@
 """Verdicts on roll-outs, recorded where the operator reads them."""
 
+import typing as t
+
 import msgspec
 from result import Err
 
@@ -10,6 +12,7 @@
 from ..logs import log_event
 from ..rollout_lines import log_evidence
 from ..rollout_lines import log_held
+from ..rollout_lines import log_turned_bad
 from ..rollout_lines import log_verdict
 from ..systems.blaming import basis_of
 from ..systems.exposing import fleet_rate
@@ -17,6 +20,7 @@
 from ..systems.exposing import raise_extra
 from ..systems.judging import Judgement
 from ..systems.judging import due_verdict
+from ..systems.judging import judge
 from ..systems.judging import writer_delay
 from ..systems.ramping import take_verdict
 from ..tables.fleet import Fleet
@@ -43,12 +47,21 @@
         The source of time.
     store : StoreClient
         The store.
+    count : callable
+        Adds one to the counter of that name.
     """
 
-    def __init__(self, fleet: Fleet, clock: Clock, store: StoreClient) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        store: StoreClient,
+        count: t.Callable[[str], None],
+    ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._store = store
+        self._count = count
         self._announced: dict[ServiceId, Offset] = {}
         self._told: dict[ServiceId, Millis] = {}
 
@@ -59,10 +72,13 @@
             raise_extra(self._fleet, row, fleet_rate(self._fleet, row, now), now)
             if hold_full(self._fleet, row, now):
                 log_held(row, now)
-            before = row.verdict
+            before, was_bad = row.verdict, bool(row.turned_bad)
             due = due_verdict(self._fleet, row, now)
             if row.verdict is not before:
                 log_verdict(row, "own evidence")
+            if row.turned_bad and not was_bad:
+                self._count("rollouts.turned_bad")
+                log_turned_bad(row, "own evidence")
             self._tell_evidence(row, now, verdict_due=due is not None)
             if due is not None:
                 await self._record(row, due)
@@ -96,7 +112,7 @@
             return False
         known = listing.ok_value
         take_status(self._fleet, known, self._clock)
-        if row.recorded:
+        if not self._is_wanted(row, judgement):
             return True
         key = wire.ROLLOUT_PREFIX + row.service
         stands = any(_is_of(item, key, row) for item in known.items)
@@ -126,10 +142,25 @@
             verdict=judgement.verdict.value,
             reason=judgement.reason,
         )
-        if take_verdict(row, judgement.verdict, judgement.reason, now, recorded=True):
+        self._count(f"rollouts.{judgement.verdict.value}")
+        if row.turned_bad:
+            row.way_back_recorded = True
+        elif take_verdict(row, judgement.verdict, judgement.reason, now, recorded=True):
             log_verdict(row, "own record")
         return True
 
+    def _is_wanted(self, row: RolloutRow, judgement: Judgement) -> bool:
+        """Tell whether a state is still to be recorded, by what is known just before.
+
+        Answers came while the store was read, and success can't be taken back.
+        """
+        if row.turned_bad:
+            return not row.way_back_recorded
+        if judgement.verdict is Verdict.SUCCEEDED and not row.recorded:
+            now = self._clock.now()
+            return judge(self._fleet, row, now).verdict is Verdict.SUCCEEDED
+        return not row.recorded
+
 
 def _is_of(item: wire.StoreItem, key: str, row: RolloutRow) -> bool:
     decoded = wire.decode(item.content(), wire.RolloutStatus)
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -37,15 +37,29 @@
     )
 
 
+def log_turned_bad(row: RolloutRow, source: str) -> None:
+    """Log that a version that had succeeded turned bad."""
+    log_event(
+        "WARNING",
+        "version turned bad",
+        service=row.service,
+        version=row.version,
+        order=row.order,
+        reason=row.turned_bad,
+        source=source,
+    )
+
+
 def log_held(row: RolloutRow, now: Millis) -> None:
-    """Log that the entering version gets all requests only when its time is over."""
+    """Log that all requests enter later than planned, and from when on."""
     log_event(
         "INFO",
-        "roll-out held",
+        "last step put off",
         service=row.service,
         version=row.version,
         order=row.order,
         age_ms=now - row.began,
+        full_from_ms=row.full_from_ms,
     )
 
 
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -13,6 +13,7 @@
 from .references import reference_of
 from .sequential import log_change_over
 from .tallies import LEAST_BAD
+from .tallies import by_epoch
 from .tallies import count_answers
 from .tallies import pooled
 
@@ -120,7 +121,7 @@
 def _suspicion(tallies: Tallies, route: str, finding: Finding) -> Suspicion:
     """Return what speaks against the entering version on a route ("" for all)."""
     reference = reference_of(tallies, route, finding)
-    epochs = _entering_epochs(tallies, route, finding)
+    epochs = by_epoch(tallies, route, finding, entering=True)
     faulty = sum(faults for _, faults in epochs.values())
     log_evidence = -math.inf
     if faulty >= LEAST_BAD and _fails_on_several(tallies, finding):
@@ -139,20 +140,6 @@
     )
 
 
-def _entering_epochs(
-    tallies: Tallies, route: str, finding: Finding
-) -> dict[int, tuple[int, int]]:
-    """Return answers and faulty ones of the entering version by epoch."""
-    epochs: dict[int, tuple[int, int]] = {}
-    for key, tally in tallies.routes.items():
-        if key.entering and route in ("", key.route):
-            trials, faults = epochs.get(key.epoch, (0, 0))
-            trials += tally.trials(finding)
-            faults += tally.faults(finding)
-            epochs[key.epoch] = (trials, faults)
-    return epochs
-
-
 def _fails_on_several(tallies: Tallies, finding: Finding) -> bool:
     """Tell whether faults are the version's: not those of one ailing worker of it.
 
@@ -162,7 +149,7 @@
     if not entering:
         return True
     worst = max(entering, key=lambda tally: tally.faults(finding))
-    everywhere = _entering_epochs(tallies, "", finding).values()
+    everywhere = by_epoch(tallies, "", finding, entering=True).values()
     others = sum(trials for trials, _ in everywhere) - worst.trials(finding)
     faults = sum(faults for _, faults in everywhere) - worst.faults(finding)
     return others < ELSEWHERE_ANSWERS or faults >= ELSEWHERE_BAD
--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -35,14 +35,18 @@
 """How long before that time boxes look whether it would give a version too many
 requests, in ms: by the end of it they have had two rounds of news to agree."""
 
-HELD_SLACK_PART = 0.6
-"""Part of the allowed number of requests that is counted on then: the rest is for what
-boxes have not heard of yet."""
+FULL_LEAST_MS = 500
+"""A shorter last step would be over before its answers are known, in ms: it then waits
+until the order's time is over."""
+
+HELD_SLACK_PART = 0.85
+"""Part of the allowed number of requests that is counted on then. The steps leave 0.4
+of it, which chance in the sessions' sizes needs on calm days."""
 
 SECOND_FACTOR = 2.0
 """How many times its first share the second is: what turns bad late shows, too."""
 
-SHARE_USED, SLACK_USED = 0.96, 0.6
+SHARE_USED, SLACK_USED = 0.96, 0.5
 """Parts of the share and of the number of requests that a bad version may get which the
 steps use up. The slack is held against a rate of requests that is a guess."""
 
@@ -118,12 +122,11 @@
 def full_from_ms(fleet: Fleet, row: RolloutRow) -> int:
     """Return from which age of an order on all requests enter, in ms.
 
-    Where that would give a bad version too many, only when the order's time is over:
-    what a version may get is counted until then.
+    Where that would give a bad version too many, later, or only when the order's time
+    is over: what a version may get is counted until then.
     """
-    if row.full_held:
-        return row.duration_ms
-    return int(row_steps(fleet, row).full_at * row.duration_ms)
+    planned = int(row_steps(fleet, row).full_at * row.duration_ms)
+    return max(planned, row.full_from_ms)
 
 
 def extra_share(bounds: ExposeBounds, requests: float) -> float:
@@ -150,19 +153,28 @@
     """Return how many requests a second all boxes get for a service; 0 for unknown.
 
     It is the greater of this box's own, for as many boxes as are known, and of the
-    answers that all boxes told: a box that is cut off hears of few.
+    answers that all boxes told: a box that is cut off hears of few. A box that has
+    counted for less than the time looked at takes it for too low and knows nothing:
+    with boxes restarted in turn, orders went up to 64 requests over their bound.
     """
     newest = now // 1_000
     traffic = fleet.traffic.get(row.service, Traffic())
+    if not any(second.number <= newest - RATE_S for second in traffic.seconds):
+        return 0.0
     seconds = [s for s in traffic.seconds if newest - RATE_S <= s.number < newest]
     own = sum(second.requests for second in seconds) / RATE_S
+    return max(own * (len(fleet.peers) + 1), told_rate(row, now))
+
+
+def told_rate(row: RolloutRow, now: Millis) -> float:
+    """Return how many answers a second all boxes told, in the last whole seconds."""
     epoch = max(0, now - row.began) // EPOCH_MS
     told = sum(
         tally.answers
         for key, tally in pooled(row).routes.items()
         if epoch - RATE_S <= key.epoch < epoch
     )
-    return max(own * (len(fleet.peers) + 1), told / RATE_S)
+    return told / RATE_S
 
 
 def raise_extra(fleet: Fleet, row: RolloutRow, rate: float, now: Millis) -> None:
@@ -180,25 +192,31 @@
 
 
 def hold_full(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
-    """Hold the last step back if it would break the bounds; tell whether that is new.
+    """Put the last step off if it would break the bounds; tell whether that is new.
 
     The steps follow the order's time and the bounds count requests: where most came
     while many of them entered, as in a burst late, less is left for the end.
     """
-    if row.full_held:
-        return False
     steps = row_steps(fleet, row)
     left_ms = steps.full_at * row.duration_ms - (now - row.began)
-    if not HELD_UNTIL_MS <= left_ms < HELD_FROM_MS:
+    if row.full_from_ms or not HELD_UNTIL_MS <= left_ms < HELD_FROM_MS:
+        return False
+    last_ms = _affordable_ms(fleet, row, now, steps)
+    if last_ms >= (1.0 - steps.full_at) * row.duration_ms:
         return False
-    bounds = fleet.rollouts.bounds
-    rate = fleet_rate(fleet, row, now)
-    coming = rate * left_ms / 1_000
-    at_end = rate * (1.0 - steps.full_at) * row.duration_ms / 1_000
-    tallies = pooled(row)
+    if last_ms < FULL_LEAST_MS:
+        last_ms = 0.0
+    row.full_from_ms = int(row.duration_ms - last_ms)
+    return True
+
+
+def _affordable_ms(fleet: Fleet, row: RolloutRow, now: Millis, steps: Steps) -> float:
+    """Return how long at its end all of an order's requests may enter, in ms."""
+    bounds, tallies = fleet.rollouts.bounds, pooled(row)
+    a_ms = told_rate(row, now) / 1_000
+    coming = a_ms * (row.duration_ms - (now - row.began))
     entered = count_answers(tallies, entering=True) + steps.sessions * coming
-    requests = entered + at_end + (1.0 - steps.sessions) * coming
+    requests = count_answers(tallies, entering=True) + coming
     requests += count_answers(tallies, entering=False)
     allowed = bounds.share * requests + HELD_SLACK_PART * bounds.slack
-    row.full_held = entered + at_end > allowed
-    return row.full_held
+    return (allowed - entered) / max(1e-6, a_ms * (1.0 - steps.sessions))
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -3,8 +3,10 @@
 from ..ids import Millis
 from ..tables.fleet import Fleet
 from .estimating import forget_told
+from .watching import forget_epochs
 
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
-    """Drop what boxes told of waits that are over."""
+    """Drop waits that are over and answers of versions that succeeded long ago."""
     forget_told(fleet, now)
+    forget_epochs(fleet, now)
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -9,10 +9,12 @@
 from .blaming import heard_peers
 from .blaming import strongest
 from .ramping import take_verdict
-from .succeeding import done_ms
 from .succeeding import may_succeed
 from .tallies import count_answers
 from .tallies import pooled
+from .watching import LAPSE_MS
+from .watching import has_way_back
+from .watching import note_turned_bad
 
 
 class Judgement(t.NamedTuple):
@@ -53,21 +55,32 @@
 def due_verdict(fleet: Fleet, row: RolloutRow, now: Millis) -> Judgement | None:
     """Return the verdict that this box must record now, if any.
 
-    A version judged bad is taken back here at once, recorded or not.
+    A version judged bad is taken back here at once, recorded or not. One that turned
+    bad after its success is noted.
     """
-    if row.recorded:
+    due_at, judgement = _due(fleet, row, now)
+    if judgement.verdict is Verdict.RUNNING:
         return None
-    if row.verdict is not Verdict.RUNNING:
-        due_at = row.judged_at
-        judgement = Judgement(row.verdict, row.reason)
-    else:
-        judgement = judge(fleet, row, now)
-        if judgement.verdict is Verdict.RUNNING:
-            return None
-        due_at = Millis(row.began + done_ms(fleet, row))
-        if judgement.verdict is Verdict.ROLLED_BACK:
-            take_verdict(row, judgement.verdict, judgement.reason, now, recorded=False)
-            due_at = now
     if now < due_at + writer_delay(fleet, now):
         return None
     return judgement
+
+
+def _due(fleet: Fleet, row: RolloutRow, now: Millis) -> tuple[Millis, Judgement]:
+    """Return the verdict to be recorded and since when; running for none."""
+    note_turned_bad(fleet, row, now)
+    if row.turned_bad and not row.way_back_recorded and has_way_back(fleet, row, now):
+        since = max(row.looked_at, Millis(row.judged_at + LAPSE_MS))
+        return since, Judgement(Verdict.ROLLED_BACK, row.turned_bad)
+    if row.recorded:
+        return now, Judgement(Verdict.RUNNING)
+    if row.verdict is not Verdict.RUNNING:
+        return row.judged_at, Judgement(row.verdict, row.reason)
+    judgement = judge(fleet, row, now)
+    if judgement.verdict is Verdict.SUCCEEDED:
+        row.sound_at = row.sound_at if row.sound_at >= 0 else now
+        return row.sound_at, judgement
+    row.sound_at = Millis(-1)
+    if judgement.verdict is Verdict.ROLLED_BACK:
+        take_verdict(row, judgement.verdict, judgement.reason, now, recorded=False)
+    return now, judgement
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -20,6 +20,7 @@
 from ..utils import unit_hash
 from .exposing import share_at
 from .tallies import is_suspect
+from .watching import has_way_back
 
 
 class Reason(enum.Enum):
@@ -27,6 +28,7 @@
 
     NO_ORDER = "no order"
     JUDGED = "judged"
+    TURNED_BAD = "turned bad after its success"
     FAILED_THERE = "failed on the entering version"
     TOO_EARLY = "sessions stay for now"
     DRAWN = "drawn"
@@ -102,6 +104,8 @@
     entering = VersionRule(only=row.version, share=share)
     leaving = VersionRule(never=row.barred | {row.version}, share=share)
     if row.verdict is Verdict.SUCCEEDED:
+        if has_way_back(fleet, row, now):
+            return leaving._replace(reason=Reason.TURNED_BAD)
         return entering._replace(reason=Reason.JUDGED)
     if row.verdict is Verdict.ROLLED_BACK:
         return leaving._replace(reason=Reason.JUDGED)
--- a/src/spanshunt/systems/references.py
+++ b/src/spanshunt/systems/references.py
@@ -13,6 +13,7 @@
 from ..tables.rollouts import Tallies
 from ..tables.rollouts import Tally
 from .tallies import FAULT_FLOORS
+from .tallies import by_epoch
 
 CEILING_FACTOR = 2.0
 """How many times the leaving version's share of answers with a fault is still sound."""
@@ -70,13 +71,7 @@
 
 def reference_of(pooled: Tallies, route: str, finding: Finding) -> Reference:
     """Return what the leaving version shows of a fault on a route ("" for all)."""
-    epochs: dict[int, tuple[int, int]] = {}
-    for key, tally in pooled.routes.items():
-        if not key.entering and route in ("", key.route):
-            trials, faults = epochs.get(key.epoch, (0, 0))
-            trials += tally.trials(finding)
-            faults += tally.faults(finding)
-            epochs[key.epoch] = (trials, faults)
+    epochs = by_epoch(pooled, route, finding, entering=False)
     answers = sum(trials for trials, _ in epochs.values())
     faulty = sum(faults for _, faults in epochs.values())
     usual = faulty / answers if answers else 0.0
--- a/src/spanshunt/systems/succeeding.py
+++ b/src/spanshunt/systems/succeeding.py
@@ -87,9 +87,13 @@
 
 
 def _done(fleet: Fleet, row: RolloutRow, part: float, left_ms: int) -> int:
-    full_ms = full_part(fleet.rollouts.bounds, row.duration_ms) * row.duration_ms
-    earliest = int(full_from_ms(fleet, row) + part * full_ms)
-    return max(earliest, row.duration_ms - left_ms)
+    begins = full_from_ms(fleet, row)
+    full_ms = row.duration_ms - begins
+    if full_ms <= 0:
+        full_ms = int(
+            full_part(fleet.rollouts.bounds, row.duration_ms) * row.duration_ms
+        )
+    return max(int(begins + part * full_ms), row.duration_ms - left_ms)
 
 
 def _is_quiet(fleet: Fleet, row: RolloutRow, tallies: Tallies) -> bool:
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -49,9 +49,9 @@
     now: Millis,
     seen: Tally,
 ) -> None:
-    """Count what was seen of an answer while a roll-out of its service runs."""
+    """Count what was seen of an answer, unless the newest order was taken back."""
     row = fleet.rollouts.rows.get(service)
-    if row is None or row.verdict is not Verdict.RUNNING:
+    if row is None or row.verdict is Verdict.ROLLED_BACK:
         return
     entering = row.version in worker.versions
     epoch = max(0, now - row.began) // EPOCH_MS
@@ -95,6 +95,23 @@
     )
 
 
+def by_epoch(
+    tallies: Tallies, route: str, finding: Finding, *, entering: bool
+) -> dict[int, tuple[int, int]]:
+    """Return answers that could show a fault, and those that did, by epoch.
+
+    They are those of the entering or the leaving version on a route; "" takes all.
+    """
+    epochs: dict[int, tuple[int, int]] = {}
+    for key, tally in tallies.routes.items():
+        if key.entering is entering and route in ("", key.route):
+            trials, faults = epochs.get(key.epoch, (0, 0))
+            trials += tally.trials(finding)
+            faults += tally.faults(finding)
+            epochs[key.epoch] = (trials, faults)
+    return epochs
+
+
 def is_suspect(row: RolloutRow, route: str) -> bool:
     """Tell whether answers of the entering version speak against it, on a route or all.
 
--- /dev/null
+++ b/src/spanshunt/systems/watching.py
@@ -0,0 +1,94 @@
+"""After success: whether a version turned bad, and whether there is a way back.
+
+The workers of the version before usually stop at its success; then there is none, and
+all that helps is that somebody is told. Where they are still there, requests go back.
+"""
+
+import math
+
+from ..ids import Millis
+from ..tables.fleet import Fleet
+from ..tables.rollouts import EPOCH_MS
+from ..tables.rollouts import Finding
+from ..tables.rollouts import RolloutRow
+from ..tables.rollouts import Tallies
+from ..tables.rollouts import Verdict
+from .blaming import Suspicion
+from .references import CEILINGS_MOST
+from .sequential import log_change_over
+from .tallies import LEAST_BAD
+from .tallies import by_epoch
+from .tallies import pooled
+
+WATCHED_EPOCHS = 60
+"""Epochs kept after success: what a box adds up each time it looks stays small."""
+
+LATE_EVIDENCE = 9.0
+"""Natural log of the change statistic at which a version has turned bad: there is no
+end to the looks, and a sound one reaches it about once in 8,000 epochs of a series."""
+
+LOOK_MS = 1_000
+"""How often a box looks, in ms: of 30 answers a second, a version that fails half shows
+it within two seconds."""
+
+LAPSE_MS = 5_000
+"""How long after success entries of the version before tell that its workers are there,
+in ms: those of workers that stopped lapse after three heartbeats, about 3.6 s."""
+
+
+def note_turned_bad(fleet: Fleet, row: RolloutRow, now: Millis) -> None:
+    """Look now and then whether a version that succeeded turned bad, and note it."""
+    if row.verdict is not Verdict.SUCCEEDED or row.turned_bad:
+        return
+    if now < row.looked_at + LOOK_MS:
+        return
+    row.looked_at = now
+    suspicion = later_suspicion(pooled(row))
+    if suspicion.log_evidence >= LATE_EVIDENCE:
+        row.turned_bad = suspicion.reason
+
+
+def later_suspicion(tallies: Tallies) -> Suspicion:
+    """Return what speaks most for failures beyond any share that trouble explains.
+
+    Nothing is left to hold the version against, and nothing is compared but failures.
+    """
+    routes = sorted({key.route for key in tallies.routes} | {""})
+    found = [_on_route(tallies, route) for route in routes]
+    return max(found, key=lambda item: item.log_evidence)
+
+
+def has_way_back(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
+    """Tell whether a version that turned bad can be left: others are there."""
+    if not row.turned_bad or now < row.judged_at + LAPSE_MS:
+        return False
+    out = row.barred | {row.version}
+    return any(
+        out.isdisjoint(worker.versions)
+        and worker.name not in fleet.workers.leaving
+        and worker.name not in fleet.missing
+        for worker in fleet.workers.able(row.service, None)
+    )
+
+
+def forget_epochs(fleet: Fleet, now: Millis) -> None:
+    """Drop epochs of succeeded versions that are no longer looked at."""
+    for row in fleet.rollouts.rows.values():
+        if row.verdict is not Verdict.SUCCEEDED:
+            continue
+        oldest = (now - row.began) // EPOCH_MS - WATCHED_EPOCHS
+        for tallies in (row.own, *row.near.values(), *row.far.values()):
+            for key in [key for key in tallies.routes if key.epoch < oldest]:
+                del tallies.routes[key]
+
+
+def _on_route(tallies: Tallies, route: str) -> Suspicion:
+    ceiling = CEILINGS_MOST[Finding.FAILED]
+    epochs = by_epoch(tallies, route, Finding.FAILED, entering=True)
+    series = [epochs[number] for number in sorted(epochs)]
+    faulty = sum(faults for _, faults in series)
+    log_evidence = -math.inf
+    if faulty >= LEAST_BAD:
+        log_evidence = log_change_over(series, [ceiling] * len(series))
+    answers = sum(trials for trials, _ in series)
+    return Suspicion(route, Finding.FAILED, answers, faulty, 0.0, ceiling, log_evidence)
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -136,11 +136,21 @@
         Whether the verdict is known to stand in the platform's store.
     judged_at : int
         When this box learned of the verdict, in ms.
+    sound_at : int
+        Since when this box holds that the version has succeeded, in ms, while that is
+        not recorded; -1 while it does not.
+    turned_bad : str
+        The evidence that it turned bad after its success, for people; empty for none.
+    looked_at : int
+        When this box last looked for that, in ms.
+    way_back_recorded : bool
+        Whether it is known to be recorded that requests went back then.
     extra : float
         Part of the order's requests that the entering version may get beyond the
         allowed share, for the allowed number of requests.
-    full_held : bool
-        Whether not all requests may enter before the order's time is over.
+    full_from_ms : int
+        From which age of the order on all requests enter, in ms, where that was put
+        off; 0 while it was not.
     barred : frozenset of str
         Versions that earlier orders brought in and that were taken back: their workers
         may still be listed.
@@ -162,8 +172,12 @@
     reason: str = ""
     recorded: bool = False
     judged_at: Millis = Millis(0)
+    sound_at: Millis = Millis(-1)
+    turned_bad: str = ""
+    looked_at: Millis = Millis(0)
+    way_back_recorded: bool = False
     extra: float = 0.0
-    full_held: bool = False
+    full_from_ms: int = 0
     barred: frozenset[VersionId] = frozenset()
     own: Tallies = msgspec.field(default_factory=Tallies)
     near: dict[Incarnation, Tallies] = {}
--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -90,3 +90,30 @@
     assert due is not None and due.verdict is Verdict.ROLLED_BACK
     assert version_for(fleet, SERVICE, "s", "r", ms(34)).admits({OLD})
     assert not version_for(fleet, SERVICE, "s", "r", ms(34)).admits({NEW})
+
+
+def test_burst_late_in_an_order_keeps_the_bound():
+    """The steps follow the clock, the bound counts requests: 362 came where 339 may."""
+    for seed in (1, 2):
+        outcome = play_case(Kind.GOOD, Trouble.BURST, seed)
+        assert outcome.verdict is Verdict.SUCCEEDED
+        assert outcome.exposed <= outcome.allowed
+
+
+def test_requests_go_back_where_the_version_before_is_still_there():
+    outcome = play_case(Kind.AFTER, Trouble.KEPT, 1)
+    assert outcome.verdict is Verdict.ROLLED_BACK
+    assert outcome.late == 0
+
+
+def test_all_boxes_tell_of_a_version_that_turned_bad_where_nothing_else_is_left():
+    outcome = play_case(Kind.AFTER, Trouble.NONE, 1)
+    assert outcome.verdict is Verdict.SUCCEEDED
+    assert outcome.turned_bad == 7
+
+
+def test_good_version_is_not_kept_waiting_on_a_calm_day():
+    for seed in (6, 13, 24):
+        outcome = play_case(Kind.GOOD, Trouble.NONE, seed)
+        assert outcome.verdict is Verdict.SUCCEEDED
+        assert outcome.at < 24.0
