Slow versions: a test that fails on the code as it is

Cause: the time to the first event alone counts as slow.

Ruled out: the leaving version's times as a cause (seen with sound ones, too).

--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -117,3 +117,20 @@
         outcome = play_case(Kind.GOOD, Trouble.NONE, seed)
         assert outcome.verdict is Verdict.SUCCEEDED
         assert outcome.at < 24.0
+
+
+def test_version_that_writes_several_times_slower_is_taken_back():
+    """Only the first event was timed, and an answer counted as late when it was whole.
+
+    An engine that is slow reads short prompts about as fast as any, and writes slowly:
+    of 108 ms from event to event where 32 are usual nothing was looked at.
+    """
+    for trouble, seed in (
+        (Trouble.NONE, 1),
+        (Trouble.NONE, 3),
+        (Trouble.SLOW_LEAVING, 1),
+        (Trouble.ALL_ENDED, 2),
+    ):
+        outcome = play_case(Kind.SLOW_4, trouble, seed)
+        assert outcome.verdict is Verdict.ROLLED_BACK, (trouble, seed)
+        assert outcome.kept, (trouble, seed, outcome.late)
