Slowness: held against the leaving version's last load once all requests enter

Change: the factor is 2.0; where few answers of the leaving version are near, older ones count until they are 25; once all requests enter, no version is blamed for under half slow answers. Steps are fitted while an order runs alone.

--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -75,9 +75,8 @@
         """Judge each roll-out and record what is due."""
         now = self._clock.now()
         for row in list(self._fleet.rollouts.rows.values()):
-            raise_extra(self._fleet, row, fleet_rate(self._fleet, row, now), now)
-            if hold_full(self._fleet, row, now):
-                log_held(row, now)
+            if row.verdict is Verdict.RUNNING:
+                self._adapt_steps(row, now)
             before, was_bad = row.verdict, bool(row.turned_bad)
             due = due_verdict(self._fleet, row, now)
             if row.verdict is not before:
@@ -92,6 +91,12 @@
                 await self._announce(row)
                 await self._look(row)
 
+    def _adapt_steps(self, row: RolloutRow, now: Millis) -> None:
+        """Fit the steps of a running order to the requests that come."""
+        raise_extra(self._fleet, row, fleet_rate(self._fleet, row, now), now)
+        if hold_full(self._fleet, row, now):
+            log_held(row, now)
+
     def _tell_evidence(
         self, row: RolloutRow, now: Millis, *, verdict_due: bool
     ) -> None:
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -6,9 +6,11 @@
 from ..ids import BoxId
 from ..ids import Millis
 from ..tables.fleet import Fleet
+from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import Finding
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Tallies
+from .exposing import full_from_ms
 from .references import Reference
 from .references import reference_of
 from .sequential import log_change_over
@@ -90,10 +92,18 @@
     boxes: int
 
 
-def strongest(tallies: Tallies) -> Suspicion:
-    """Return the strongest suspicion against the entering version, on any route."""
+def strongest(tallies: Tallies, full_ms: int) -> Suspicion:
+    """Return the strongest suspicion against the entering version, on any route.
+
+    `full_ms` is the order's age from which on all requests may enter, in ms.
+    """
     routes = sorted({key.route for key in tallies.routes} | {""})
-    found = [_suspicion(tallies, route, kind) for route in routes for kind in Finding]
+    full_epoch = full_ms // EPOCH_MS
+    found = [
+        _suspicion(tallies, route, finding, full_epoch)
+        for route in routes
+        for finding in Finding
+    ]
     return max(found, key=lambda item: item.log_evidence)
 
 
@@ -103,7 +113,7 @@
     return Basis(
         entering=count_answers(tallies, entering=True),
         leaving=count_answers(tallies, entering=False),
-        suspicion=strongest(tallies),
+        suspicion=strongest(tallies, full_from_ms(fleet, row)),
         heard=1 + len(heard_peers(fleet, now)),
         boxes=1 + len(fleet.peers),
     )
@@ -118,9 +128,11 @@
     ]
 
 
-def _suspicion(tallies: Tallies, route: str, finding: Finding) -> Suspicion:
+def _suspicion(
+    tallies: Tallies, route: str, finding: Finding, full_epoch: int
+) -> Suspicion:
     """Return what speaks against the entering version on a route ("" for all)."""
-    reference = reference_of(tallies, route, finding)
+    reference = reference_of(tallies, route, finding, full_epoch)
     epochs = by_epoch(tallies, route, finding, entering=True)
     faulty = sum(faults for _, faults in epochs.values())
     log_evidence = -math.inf
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -8,6 +8,7 @@
 from ..tables.rollouts import Verdict
 from .blaming import heard_peers
 from .blaming import strongest
+from .exposing import full_from_ms
 from .ramping import take_verdict
 from .succeeding import may_succeed
 from .tallies import count_answers
@@ -27,7 +28,7 @@
 def judge(fleet: Fleet, row: RolloutRow, now: Millis) -> Judgement:
     """Judge a running roll-out by the pooled evidence."""
     tallies = pooled(row)
-    suspicion = strongest(tallies)
+    suspicion = strongest(tallies, full_from_ms(fleet, row))
     if suspicion.proven:
         return Judgement(Verdict.ROLLED_BACK, suspicion.reason)
     if may_succeed(fleet, row, tallies, suspicion, now):
--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -14,7 +14,7 @@
 
 PACE_QUANTILE = 0.25
 """Which quantile of the times between events is the usual one: it holds while up to
-half of the workers are several times slower."""
+half of the workers are several times slower, and follows the load little."""
 
 STEP_MOST, STEP_LEAST = 0.5, 0.05
 """Steps by which a learned time moves, as parts of it: the first ones and later ones.
@@ -23,9 +23,11 @@
 POOL_WEIGHT = 0.2
 """Weight of a peer's word of a time against one's own, at each exchange."""
 
-SLOW_WRITE_FACTOR = 2.5
-"""An answer is slow if its events took this many times the usual time. Of answers of
-sound engines 3 % are, of engines four times slower 7 in 8 (two plays, two models)."""
+SLOW_WRITE_FACTOR = 2.0
+"""An answer is slow if its events took this many times the usual time. Of a canary of a
+sound version none was, on five of six days; of one that makes half of its answers four
+times slower 8 in 10, as the others of its batch wait for these. Of the leaving version
+3 to 40 % are, with its load: what is usual for it counts as well."""
 
 WRITE_GAPS_LEAST = 3
 """Times between events below which an answer tells nothing of the pace: engines read
--- a/src/spanshunt/systems/references.py
+++ b/src/spanshunt/systems/references.py
@@ -27,6 +27,14 @@
 """Epochs before and after one whose answers of the leaving version count for it: of
 25 answers a second, 125."""
 
+NEAR_ANSWERS = 25
+"""Where these are fewer, older epochs count as well until they are so many: when all
+requests enter, the leaving version's last answers tell what their load does."""
+
+ALL_FLOORS = {Finding.FAILED: FAULT_FLOORS[Finding.FAILED], Finding.SLOW: 0.5}
+"""Shares that no version is blamed for once all requests enter: its engines then read
+what they keep nothing of, and write between that."""
+
 PRIOR_ANSWERS = 10
 """Weight of the order's whole time against these, in answers."""
 
@@ -47,35 +55,45 @@
         The part of that share which its soundest worker may show, too, in 0 to 1.
     epochs : dict
         Answers and faulty ones by epoch.
+    full_epoch : int
+        The epoch from which on all requests may enter.
     """
 
     finding: Finding
     usual: float
     sound_part: float
     epochs: dict[int, tuple[int, int]]
+    full_epoch: int
 
     def usual_at(self, epoch: int) -> float:
         """Return the share of answers that such trouble explains in an epoch."""
-        answers, faulty = float(PRIOR_ANSWERS), self.usual * PRIOR_ANSWERS
-        for near in range(epoch - NEAR_EPOCHS, epoch + NEAR_EPOCHS + 1):
+        answers, faulty = 0, 0
+        for near in range(epoch + NEAR_EPOCHS, -1, -1):
+            if near < epoch - NEAR_EPOCHS and answers >= NEAR_ANSWERS:
+                break
             trials, faults = self.epochs.get(near, (0, 0))
             answers += trials
             faulty += faults
-        return self.sound_part * faulty / answers
+        share = (faulty + self.usual * PRIOR_ANSWERS) / (answers + PRIOR_ANSWERS)
+        return self.sound_part * share
 
     def ceiling_at(self, epoch: int) -> float:
         """Return the share of faulty answers that is still sound in an epoch."""
-        floor, most = FAULT_FLOORS[self.finding], CEILINGS_MOST[self.finding]
-        return min(most, max(floor, CEILING_FACTOR * self.usual_at(epoch)))
+        floors = ALL_FLOORS if epoch >= self.full_epoch else FAULT_FLOORS
+        ceiling = max(floors[self.finding], CEILING_FACTOR * self.usual_at(epoch))
+        return min(CEILINGS_MOST[self.finding], ceiling)
 
 
-def reference_of(pooled: Tallies, route: str, finding: Finding) -> Reference:
+def reference_of(
+    pooled: Tallies, route: str, finding: Finding, full_epoch: int
+) -> Reference:
     """Return what the leaving version shows of a fault on a route ("" for all)."""
     epochs = by_epoch(pooled, route, finding, entering=False)
     answers = sum(trials for trials, _ in epochs.values())
     faulty = sum(faults for _, faults in epochs.values())
     usual = faulty / answers if answers else 0.0
-    return Reference(finding, usual, _sound_part(pooled, finding), epochs)
+    sound_part = _sound_part(pooled, finding)
+    return Reference(finding, usual, sound_part, epochs, full_epoch)
 
 
 def _sound_part(pooled: Tallies, finding: Finding) -> float:
