--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -107,12 +107,23 @@
         attempt.first_at = now
         return
     attempt.gaps += number
-    elapsed = now - attempt.first_at
-    service, model = attempt.service, attempt.model
-    if is_slow_writing(core.fleet, service, model, elapsed, attempt.gaps):
+    if _writes_slowly(core, attempt, whole=False):
         _note_slow(core, state, attempt)
 
 
+def _writes_slowly(core: Core, attempt: CatalogAttempt, *, whole: bool) -> bool:
+    """Tell whether a stream is written several times slower than usual."""
+    elapsed = core.clock.now() - attempt.first_at
+    return attempt.first_at >= 0 and is_slow_writing(
+        core.fleet,
+        attempt.service,
+        attempt.model,
+        elapsed,
+        attempt.gaps,
+        whole=whole,
+    )
+
+
 def _note_slow(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
     """Count an attempt as slow, once."""
     if not attempt.slow:
@@ -151,7 +162,9 @@
     """Take in a whole answer."""
     now = core.clock.now()
     note_answer(attempt.worker, first_ms, good=True, now=now)
-    if not attempt.slow and _is_timed(core, attempt, now):
+    if _writes_slowly(core, attempt, whole=True):
+        _note_slow(core, state, attempt)
+    elif not attempt.slow and _is_timed(core, attempt, now):
         _count(core, state, attempt, IN_TIME)
     _note_pace(core, attempt, now)
     total = now - state.began
--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -69,15 +69,27 @@
     pace.gap_ms += POOL_WEIGHT * (gap_ms - pace.gap_ms)
 
 
+STALL_MS = 600
+"""What is left out of the time of an answer that is still being written, in ms: a
+prompt of another that is read in between does not make it slow. Of the leaving
+version's answers a third to a half counted as slow without it; a tenth ended so."""
+
+
 def tells_pace(elapsed_ms: float, gaps: int) -> bool:
     """Tell whether an answer went on for long enough to tell how fast it is written."""
     return gaps >= WRITE_GAPS_LEAST and elapsed_ms >= WRITE_LEAST_MS
 
 
 def is_slow_writing(
-    fleet: Fleet, service: ServiceId, model: ModelId, elapsed_ms: float, gaps: int
+    fleet: Fleet,
+    service: ServiceId,
+    model: ModelId,
+    elapsed_ms: float,
+    gaps: int,
+    *,
+    whole: bool,
 ) -> bool:
-    """Tell whether an answer was several times slower than usual up to now.
+    """Tell whether an answer is several times slower than usual.
 
     Parameters
     ----------
@@ -89,8 +101,11 @@
         Time since its first event, in ms.
     gaps : int
         Events that came since then.
+    whole : bool
+        Whether it has ended.
     """
     pace = fleet.paces.get((service, model))
     if pace is None or not tells_pace(elapsed_ms, gaps):
         return False
-    return elapsed_ms > SLOW_WRITE_FACTOR * pace.gap_ms * gaps
+    writing_ms = elapsed_ms if whole else elapsed_ms - STALL_MS
+    return writing_ms > SLOW_WRITE_FACTOR * pace.gap_ms * gaps
