A suspected version does not advance; slowness is held against a low quantile

Cause: all requests entered a version by the clock, whatever spoke against it, and it then ran on with all of them until it was decided. Slowness: the usual time followed the load and slow leaving workers, and up to twice the leaving version's share of slow answers was excused, so that a canary at 2.2 times the usual time passed.

Change: while a version is suspected (two fifths of the evidence that takes it back) the last step is put off by a second, again and again, 0.7 s ahead. The usual time between events is the lowest tenth, slow is 1.7 times that; the ceiling is at most 0.15 over what the leaving version shows; once all requests enter, no version is blamed for under 0.6.

--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -20,6 +20,7 @@
 from ..systems.exposing import raise_extra
 from ..systems.judging import Judgement
 from ..systems.judging import due_verdict
+from ..systems.judging import hold_suspected
 from ..systems.judging import judge
 from ..systems.judging import writer_delay
 from ..systems.ramping import take_verdict
@@ -95,7 +96,9 @@
         """Fit the steps of a running order to the requests that come."""
         raise_extra(self._fleet, row, fleet_rate(self._fleet, row, now), now)
         if hold_full(self._fleet, row, now):
-            log_held(row, now)
+            log_held(row, now, "the bound on requests")
+        if hold_suspected(self._fleet, row, now):
+            log_held(row, now, "suspected")
 
     def _tell_evidence(
         self, row: RolloutRow, now: Millis, *, verdict_due: bool
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -50,7 +50,7 @@
     )
 
 
-def log_held(row: RolloutRow, now: Millis) -> None:
+def log_held(row: RolloutRow, now: Millis, why: str) -> None:
     """Log that all requests enter later than planned, and from when on."""
     log_event(
         "INFO",
@@ -60,6 +60,7 @@
         order=row.order,
         age_ms=now - row.began,
         full_from_ms=row.full_from_ms,
+        why=why,
     )
 
 
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -23,6 +23,11 @@
 """Natural log of the change statistic at which a version is bad: a sound version
 reaches it about once in 150 epochs for each series looked at."""
 
+HOLD_PART = 0.4
+"""Part of that evidence from which on a version neither gets all requests nor succeeds
+until more answers decide. Beside engines that all fail a third, a version that fails
+half was taken for sound in 2 of 6 plays without it."""
+
 ELSEWHERE_BAD, ELSEWHERE_ANSWERS = 2, 4
 """Bad answers that a version must give beyond those of its worst worker, once the
 others gave so many answers: four answers of a version that fails half hold two failures
@@ -62,6 +67,11 @@
         """Whether the version is bad."""
         return self.log_evidence >= EVIDENCE
 
+    @property
+    def holds(self) -> bool:
+        """Whether the version must not advance."""
+        return self.log_evidence >= HOLD_PART * EVIDENCE
+
     @property
     def reason(self) -> str:
         """The evidence, for people."""
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -8,6 +8,8 @@
 from ..tables.rollouts import Verdict
 from .blaming import heard_peers
 from .blaming import strongest
+from .exposing import HELD_FROM_MS
+from .exposing import HELD_UNTIL_MS
 from .exposing import full_from_ms
 from .ramping import take_verdict
 from .succeeding import may_succeed
@@ -17,6 +19,10 @@
 from .watching import has_way_back
 from .watching import note_turned_bad
 
+SUSPECTED_MS = 1_000
+"""How much later than planned all requests enter a version that is suspected, in ms, as
+often as it is when that time comes near."""
+
 
 class Judgement(t.NamedTuple):
     """A verdict and, for people, the evidence that it rests on."""
@@ -38,6 +44,18 @@
     return Judgement(Verdict.RUNNING)
 
 
+def hold_suspected(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
+    """Put the last step off while a version is suspected; tell whether it was."""
+    full_ms = full_from_ms(fleet, row)
+    left_ms = full_ms - (now - row.began)
+    if not HELD_UNTIL_MS <= left_ms < HELD_FROM_MS:
+        return False
+    if not strongest(pooled(row), full_ms).holds:
+        return False
+    row.full_from_ms = full_ms + SUSPECTED_MS
+    return True
+
+
 WRITER_STEP_MS = 700
 """How much longer each next box waits before it records a verdict itself, in ms: longer
 than a call to a slow store takes."""
--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -12,9 +12,9 @@
 from ..tables.rollouts import Verdict
 from ..tables.workers import WorkerRow
 
-PACE_QUANTILE = 0.25
-"""Which quantile of the times between events is the usual one: it holds while up to
-half of the workers are several times slower, and follows the load little."""
+PACE_QUANTILE = 0.1
+"""Which quantile of the times between events is the usual one: it follows the load
+little, and holds while most of the workers are several times slower."""
 
 STEP_MOST, STEP_LEAST = 0.5, 0.05
 """Steps by which a learned time moves, as parts of it: the first ones and later ones.
@@ -23,11 +23,11 @@
 POOL_WEIGHT = 0.2
 """Weight of a peer's word of a time against one's own, at each exchange."""
 
-SLOW_WRITE_FACTOR = 2.0
-"""An answer is slow if its events took this many times the usual time. Of a canary of a
-sound version none was, on five of six days; of one that makes half of its answers four
-times slower 8 in 10, as the others of its batch wait for these. Of the leaving version
-3 to 40 % are, with its load: what is usual for it counts as well."""
+SLOW_WRITE_FACTOR = 1.7
+"""An answer is slow if its events took this many times the usual time. Of a sound
+version's answers 0 to 40 % are, with its load, and fewer of its canary's; of one that
+makes half of its answers four times slower nearly all, as the others of a batch wait for
+these. At 2.5 a canary of such a version passed (its median was 2.2 times the usual)."""
 
 WRITE_GAPS_LEAST = 3
 """Times between events below which an answer tells nothing of the pace: engines read
--- a/src/spanshunt/systems/references.py
+++ b/src/spanshunt/systems/references.py
@@ -15,10 +15,11 @@
 from .tallies import FAULT_FLOORS
 from .tallies import by_epoch
 
-CEILING_FACTOR = 2.0
-"""How many times the leaving version's share of answers with a fault is still sound."""
+CEILING_MARGIN = 0.15
+"""How much more than the leaving version's share of answers with a fault is still
+sound, up to twice that share."""
 
-CEILINGS_MOST = {Finding.FAILED: 0.25, Finding.SLOW: 0.6}
+CEILINGS_MOST = {Finding.FAILED: 0.25, Finding.SLOW: 0.7}
 """Shares of answers with a fault from which on a version is blamed whatever the leaving
 one shows. Failures are held to less: load makes answers late, and no share of failures
 over this was seen at all workers of a sound version but in spells of seconds."""
@@ -31,7 +32,7 @@
 """Where these are fewer, older epochs count as well until they are so many: when all
 requests enter, the leaving version's last answers tell what their load does."""
 
-ALL_FLOORS = {Finding.FAILED: FAULT_FLOORS[Finding.FAILED], Finding.SLOW: 0.5}
+ALL_FLOORS = {Finding.FAILED: FAULT_FLOORS[Finding.FAILED], Finding.SLOW: 0.6}
 """Shares that no version is blamed for once all requests enter: its engines then read
 what they keep nothing of, and write between that."""
 
@@ -80,7 +81,8 @@
     def ceiling_at(self, epoch: int) -> float:
         """Return the share of faulty answers that is still sound in an epoch."""
         floors = ALL_FLOORS if epoch >= self.full_epoch else FAULT_FLOORS
-        ceiling = max(floors[self.finding], CEILING_FACTOR * self.usual_at(epoch))
+        usual = self.usual_at(epoch)
+        ceiling = max(floors[self.finding], usual + min(usual, CEILING_MARGIN))
         return min(CEILINGS_MOST[self.finding], ceiling)
 
 
--- a/src/spanshunt/systems/succeeding.py
+++ b/src/spanshunt/systems/succeeding.py
@@ -10,7 +10,6 @@
 from ..tables.rollouts import EPOCH_MS
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Tallies
-from .blaming import EVIDENCE
 from .blaming import Suspicion
 from .blaming import heard_peers
 from .exposing import full_from_ms
@@ -41,11 +40,6 @@
 an order and knew nothing of it, half of them four times slower, 15 of 24 versions were
 taken for sound without it."""
 
-HOLD_PART = 0.4
-"""Part of the evidence that takes a version back from which on it does not succeed: it
-gets all requests then, so a second or two decides. Beside engines that all fail a
-third, a version that fails half was taken for sound in 2 of 6 plays without it."""
-
 QUIET_MS = 1_000
 """How long before all requests enter the latest request for the service may have been
 for it to count as not asked for at all, in ms."""
@@ -58,7 +52,7 @@
     fleet: Fleet, row: RolloutRow, tallies: Tallies, against: Suspicion, now: Millis
 ) -> bool:
     """Tell whether a version that is not known to be bad has succeeded now."""
-    if against.log_evidence >= HOLD_PART * EVIDENCE:
+    if against.holds:
         return False
     answers = count_answers(tallies, entering=True)
     age = now - row.began
