--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -26,7 +26,7 @@
 SLOW_WRITE_FACTOR = 1.7
 """An answer is slow if its events took this many times the usual time. Of a sound
 version's answers 0 to 40 % are, with its load, and fewer of its canary's; of one that
-makes half of its answers four times slower nearly all, as the others of a batch wait for
+makes half of its answers four times slower nearly all, as others of a batch wait for
 these. At 2.5 a canary of such a version passed (its median was 2.2 times the usual)."""
 
 WRITE_GAPS_LEAST = 3
