--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -157,15 +157,22 @@
     counted for less than the time looked at takes it for too low and knows nothing:
     with boxes restarted in turn, orders went up to 64 requests over their bound.
     """
+    if not _counts_long_enough(fleet, row, now):
+        return 0.0
     newest = now // 1_000
     traffic = fleet.traffic.get(row.service, Traffic())
-    if not any(second.number <= newest - RATE_S for second in traffic.seconds):
-        return 0.0
     seconds = [s for s in traffic.seconds if newest - RATE_S <= s.number < newest]
     own = sum(second.requests for second in seconds) / RATE_S
     return max(own * (len(fleet.peers) + 1), told_rate(row, now))
 
 
+def _counts_long_enough(fleet: Fleet, row: RolloutRow, now: Millis) -> bool:
+    """Tell whether this box has counted requests for all of the time looked at."""
+    traffic = fleet.traffic.get(row.service, Traffic())
+    oldest = now // 1_000 - RATE_S
+    return any(second.number <= oldest for second in traffic.seconds)
+
+
 def told_rate(row: RolloutRow, now: Millis) -> float:
     """Return how many answers a second all boxes told, in the last whole seconds."""
     epoch = max(0, now - row.began) // EPOCH_MS
@@ -201,6 +208,8 @@
     left_ms = steps.full_at * row.duration_ms - (now - row.began)
     if row.full_from_ms or not HELD_UNTIL_MS <= left_ms < HELD_FROM_MS:
         return False
+    if not _counts_long_enough(fleet, row, now):
+        return False
     last_ms = _affordable_ms(fleet, row, now, steps)
     if last_ms >= (1.0 - steps.full_at) * row.duration_ms:
         return False
