Evidence: tests of counting, telling and references; older epochs all have their turn

Cause (found by the new state machine): which older epochs a box told in a turn followed the number of older ones, which grows while an order goes on, so some were never told.

Change: the turns of an epoch stay its own until their number doubles. Tests: what the leaving version excuses, by ailing workers and spells; one ailing entering worker; boxes that are told late, twice, after a restart or as a sum; a sample of workers that boxes agree on; a state machine of three boxes that count, tell, and start anew.

--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -28,9 +28,9 @@
 """Newest epochs of evidence told in each exchange."""
 
 RETOLD_EPOCHS, RETOLD_MS = 3, 400
-"""Older epochs told in each exchange, in turn, and how long a turn is, in ms: a box
-that started or was not heard for a while knows all of an order of 24 s within 3 s, for
-about as many bytes as the newest epochs take."""
+"""Older epochs told in each exchange at most, in turn, and how long a turn is, in ms: a
+box that started or was not heard for a while knows all of an order of 24 s within 4 s,
+for about as many bytes as the newest epochs take."""
 
 
 def workers_news(fleet: Fleet) -> tuple[WorkerNews, ...]:
@@ -121,11 +121,14 @@
     """Return the epochs told now: the newest, and older ones in turn."""
     newest = max(0, now - row.began) // EPOCH_MS
     older = max(0, newest - TALLY_EPOCHS + 1)
-    told = set(range(older, newest + 1))
-    turn = now // RETOLD_MS
-    for number in range(min(older, RETOLD_EPOCHS)):
-        told.add((turn * RETOLD_EPOCHS + number) % older)
-    return told
+    turns = 1
+    while turns * RETOLD_EPOCHS < older:
+        turns *= 2
+    # Doubled, so that a turn stays the same epochs' while an order goes on.
+    return {
+        *range(now // RETOLD_MS % turns, older, turns),
+        *range(older, newest + 1),
+    }
 
 
 def _group(
--- /dev/null
+++ b/tests/test_evidence.py
@@ -0,0 +1,286 @@
+"""Evidence on versions: counted, told between boxes, held against a reference."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from spanshunt.ids import DomainId
+from spanshunt.ids import Incarnation
+from spanshunt.ids import Millis
+from spanshunt.ids import Offset
+from spanshunt.ids import ServiceId
+from spanshunt.ids import VersionId
+from spanshunt.peers.news_rows import RETOLD_MS
+from spanshunt.peers.news_rows import rollout_news
+from spanshunt.peers.news_rows import take_group
+from spanshunt.systems.blaming import EVIDENCE
+from spanshunt.systems.blaming import strongest
+from spanshunt.systems.ramping import take_order
+from spanshunt.systems.references import CEILINGS_MOST
+from spanshunt.systems.references import reference_of
+from spanshunt.systems.tallies import BEGAN
+from spanshunt.systems.tallies import FAILED
+from spanshunt.systems.tallies import IN_TIME
+from spanshunt.systems.tallies import SLOW
+from spanshunt.systems.tallies import WORKERS_TOLD
+from spanshunt.systems.tallies import count
+from spanshunt.systems.tallies import pooled
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.rollouts import Finding
+from spanshunt.tables.rollouts import RolloutRow
+from spanshunt.tables.rollouts import Tally
+
+SERVICE = ServiceId("writer")
+OLD, NEW = VersionId("v1"), VersionId("v2")
+DURATION = ms(24)
+FULL_MS = 22_340
+
+
+def ordered(box: str = "box-1", domain: str = "north", workers: int = 5) -> Fleet:
+    fleet = make_fleet(box, domain)
+    for number in range(workers):
+        add_worker(fleet, make_worker(f"old-{number}"))
+        add_worker(fleet, make_worker(f"new-{number}", version=NEW))
+    take_order(fleet, SERVICE, NEW, Offset(5), DURATION, Millis(0))
+    return fleet
+
+
+def row_of(fleet: Fleet) -> RolloutRow:
+    return fleet.rollouts.rows[SERVICE]
+
+
+def see(fleet: Fleet, worker: str, at: float, seen: Tally, route: str = "r") -> None:
+    row = fleet.workers.rows[worker]
+    count(fleet, SERVICE, route, row, ms(at), seen)
+
+
+def feed(fleet: Fleet, kind: str, shares: list[float], begin=0.0, end=20.0, a_second=5):
+    """Let each worker of a kind fail its share of answers, five a second."""
+    rng = random.Random(7)
+    for number, share in enumerate(shares):
+        for step in range(int((end - begin) * a_second)):
+            failed = rng.random() < share
+            at = begin + step / a_second
+            see(fleet, f"{kind}-{number}", at, FAILED if failed else BEGAN)
+
+
+def ceiling(fleet: Fleet, epoch: int) -> float:
+    reference = reference_of(pooled(row_of(fleet)), "", Finding.FAILED, 22)
+    return reference.ceiling_at(epoch)
+
+
+def log_evidence(fleet: Fleet) -> float:
+    return strongest(pooled(row_of(fleet)), FULL_MS).log_evidence
+
+
+class TestReference:
+    """What the leaving version shows excuses as much as its soundest worker shows."""
+
+    def test_sound_leaving_version_leaves_the_floor(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.01] * 5)
+        assert ceiling(fleet, 15) == 0.1
+
+    @pytest.mark.parametrize("ailing", [1, 3, 4])
+    def test_ailing_workers_do_not_raise_it(self, ailing):
+        fleet = ordered()
+        feed(fleet, "old", [0.5] * ailing + [0.0] * (5 - ailing))
+        assert ceiling(fleet, 15) < 0.13
+
+    def test_what_all_workers_show_raises_it(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.08] * 5)
+        assert 0.11 < ceiling(fleet, 15) < 0.2
+
+    def test_nothing_excuses_more_than_a_quarter(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.9] * 5)
+        assert ceiling(fleet, 15) == CEILINGS_MOST[Finding.FAILED]
+
+    def test_spell_raises_it_while_it_lasts(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.0] * 5, 0.0, 8.0)
+        feed(fleet, "old", [0.3] * 5, 8.0, 13.0)
+        feed(fleet, "old", [0.0] * 5, 13.0, 20.0)
+        assert ceiling(fleet, 4) == 0.1
+        assert ceiling(fleet, 10) == 0.25
+        assert ceiling(fleet, 18) == 0.1
+
+    def test_last_answers_count_when_no_newer_ones_come(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.0] * 5, 0.0, 10.0)
+        feed(fleet, "old", [0.3] * 5, 10.0, 15.0)
+        assert ceiling(fleet, 20) == 0.25
+
+    def test_one_ailing_worker_of_the_entering_version_is_not_its_fault(self):
+        fleet = ordered()
+        feed(fleet, "old", [0.0] * 5)
+        feed(fleet, "new", [0.9, 0.0, 0.0], 12.0, 20.0)
+        assert log_evidence(fleet) < 0
+        feed(fleet, "new", [0.9, 0.9, 0.0], 12.0, 20.0)
+        assert log_evidence(fleet) > 5.0
+
+    def test_slow_answers_of_few_events_do_not_hide_the_others(self):
+        fleet = ordered()
+        for at in range(12, 20):
+            for number in range(5):
+                see(fleet, f"new-{number}", at, BEGAN)
+                see(fleet, f"new-{number}", at, SLOW if number % 2 else IN_TIME)
+                see(fleet, f"new-{number}", at, BEGAN)
+        found = strongest(pooled(row_of(fleet)), FULL_MS)
+        assert (found.finding, found.answers, found.faulty) == (Finding.SLOW, 40, 16)
+
+
+class TestTold:
+    """Evidence reaches every box, late or after a restart, and counts once."""
+
+    def tell(self, teller: Fleet, hearer: Fleet, now: float) -> None:
+        news = rollout_news(teller, row_of(teller), ms(now), hearer.me.domain)
+        for group in news.groups:
+            take_group(hearer, row_of(hearer), group)
+        teller_row = PeerRow(teller.me.box, "host:1", teller.me.domain)
+        teller_row.incarnation = teller.me.incarnation
+        hearer.peers[teller.me.box] = teller_row
+
+    def test_box_that_was_not_heard_for_long_knows_all_within_seconds(self):
+        """Boxes told the newest three seconds alone: what was older was lost."""
+        one, other = ordered("box-1"), ordered("box-2")
+        feed(one, "new", [0.5] * 5, 0.0, 18.0)
+        for turn in range(8):
+            self.tell(one, other, 18.0 + turn * RETOLD_MS / 1_000)
+        assert pooled(row_of(other)) == pooled(row_of(one))
+
+    def test_told_twice_counts_once(self):
+        one, other = ordered("box-1"), ordered("box-2", "south")
+        feed(one, "new", [0.5] * 5, 0.0, 3.0)
+        for _ in range(3):
+            self.tell(one, other, 3.0)
+        assert pooled(row_of(other)) == pooled(row_of(one))
+
+    def test_box_that_is_back_hears_what_its_ended_run_told(self):
+        one, other = ordered("box-1"), ordered("box-2")
+        feed(one, "new", [0.5] * 5, 0.0, 3.0)
+        self.tell(one, other, 3.0)
+        again = ordered("box-1")
+        again.me = again.me.__class__(
+            again.me.box, again.me.domain, again.me.address, Incarnation("box-1.2")
+        )
+        self.tell(again, other, 4.0)
+        self.tell(other, again, 4.0)
+        assert pooled(row_of(again)) == pooled(row_of(one))
+
+    def test_far_box_hears_a_sum_and_not_its_own(self):
+        one, far = ordered("box-1"), ordered("box-9", "south")
+        feed(one, "new", [0.5] * 5, 0.0, 2.0)
+        feed(far, "new", [0.5] * 5, 0.0, 2.0)
+        self.tell(far, one, 2.0)
+        news = rollout_news(one, row_of(one), ms(2.0), DomainId("south"))
+        assert [(group.domain, group.box) for group in news.groups] == [("north", "")]
+
+    def test_of_many_workers_boxes_count_the_same_few(self):
+        one, other = ordered("box-1", workers=60), ordered("box-2", workers=60)
+        for fleet in (one, other):
+            for number in range(60):
+                see(fleet, f"old-{number}", 1.0, BEGAN)
+        counted = set(row_of(one).own.workers)
+        assert counted == set(row_of(other).own.workers)
+        assert WORKERS_TOLD / 2 <= len(counted) <= 2 * WORKERS_TOLD
+
+
+@given(
+    share=st.floats(0.0, 0.09),
+    seed=st.integers(0, 10_000),
+)
+@settings(max_examples=60, deadline=None)
+def test_sound_version_is_not_blamed(share, seed):
+    """Whatever the share below the floor: of 60 that are drawn, none is blamed."""
+    fleet = ordered()
+    rng = random.Random(seed)
+    for step in range(600):
+        at = step / 30
+        kind = "new" if at > 12 and rng.random() < 0.2 else "old"
+        failed = rng.random() < share
+        name = f"{kind}-{rng.randrange(5)}"
+        see(fleet, name, at, FAILED if failed else BEGAN)
+    assert log_evidence(fleet) < EVIDENCE
+
+
+class Pool(RuleBasedStateMachine):
+    """Boxes that count, tell each other in any order, lose news and start anew.
+
+    What a box knows never exceeds what was counted, and once all told each other of
+    everything, all know what the boxes that run counted.
+    """
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.runs = 0
+        self.boxes = [self.start(number) for number in range(3)]
+        self.counted = 0
+        self.own = [0, 0, 0]
+
+    def start(self, number):
+        self.runs += 1
+        fleet = ordered(f"box-{number}", "north" if number < 2 else "south")
+        me = fleet.me
+        run = Incarnation(f"{me.box}.{self.runs}")
+        fleet.me = me.__class__(me.box, me.domain, me.address, run)
+        return fleet
+
+    @rule(box=st.integers(0, 2), worker=st.integers(0, 4), number=st.integers(1, 5))
+    def answer(self, box, worker, number):
+        for _ in range(number):
+            see(self.boxes[box], f"new-{worker}", self.now, BEGAN)
+        self.counted += number
+        self.own[box] += number
+
+    @rule(seconds=st.floats(0.1, 3.0))
+    def wait(self, seconds):
+        self.now = min(20.0, self.now + seconds)
+
+    @rule(teller=st.integers(0, 2), hearer=st.integers(0, 2))
+    def tell(self, teller, hearer):
+        if teller != hearer:
+            TestTold().tell(self.boxes[teller], self.boxes[hearer], self.now)
+
+    @rule(box=st.integers(0, 2))
+    def restart(self, box):
+        self.boxes[box] = self.start(box)
+        self.own[box] = 0
+
+    def known(self, fleet):
+        return sum(tally.answers for tally in pooled(row_of(fleet)).routes.values())
+
+    @invariant()
+    def nothing_is_counted_twice(self):
+        for number, fleet in enumerate(getattr(self, "boxes", [])):
+            assert self.own[number] <= self.known(fleet) <= self.counted
+
+    def teardown(self):
+        if not hasattr(self, "boxes"):
+            return
+        for turn in range(20):
+            for teller in self.boxes:
+                for hearer in self.boxes:
+                    if teller is not hearer:
+                        at = self.now + turn * RETOLD_MS / 1_000
+                        TestTold().tell(teller, hearer, at)
+        for fleet in self.boxes:
+            assert self.known(fleet) >= sum(self.own)
+
+
+Pool.TestCase.settings = settings(max_examples=60, deadline=None)
+TestPool = Pool.TestCase
