Process soak: versions bad in part, later or slow, beside ailing workers of the old one

Cause: bad versions of the soak failed everything at once, and the promise on exposure was not checked at all.

Change: longer orders (9 s) of versions that fail seven tenths, at once or from 0.6 of the time on, or write six times slower, half of them beside old workers that fail half. Checked: 5 s after its 25th failure a version gets nothing more from boxes that nothing struck. Planted bug: no evidence suffices. Workers of the stand-in fail a share of their requests. A stream counts for the usual pace however fast it is.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -4,7 +4,6 @@
 
 import aiohttp
 
-from .soak_faults import ORDER_S
 from .soak_fleet import HOST
 from .soak_fleet import KEYS
 from .soak_fleet import Sent
@@ -26,6 +25,10 @@
 """Within which a version that is recorded as taken back must get nothing new, in s: a
 few exchanges between boxes."""
 
+BAD_MOST, EXPOSED_S = 25, 5.0
+"""A version must get nothing that is sent this long after so many failures of it, in
+s."""
+
 CALM_S = 8.0
 """A box counts for promises with a time bound when nothing struck it for this long, in
 s: what a box in touch needs, and the longest stretch that an unstable store allows."""
@@ -89,6 +92,8 @@
             _check_seen(soak, name, seen.request, seen.headers.get("tenant", ""))
         for request in worker.ran:
             _check_session(soak, worker.version, request)
+    for version in soak.bad_versions:
+        _check_exposure(soak, version)
     for request, count in runs.items():
         sent = soak.sent.get(request)
         if sent is None:
@@ -122,14 +127,30 @@
     The soak lists workers of a version before its order, as any others: what was sent
     before that may run on them.
     """
-    sent, ordered = soak.sent.get(request), soak.ordered.get(version)
-    if sent is None or ordered is None or sent.path != "stream" or sent.at < ordered:
+    sent = soak.sent.get(request)
+    ordered, seconds = soak.ordered.get(version, (float("inf"), 0.0))
+    if sent is None or sent.path != "stream" or sent.at < ordered:
         return
-    if sent.ended < ordered + ORDER_S / 2:
+    if sent.ended < ordered + seconds / 2:
         late = sent.ended - ordered
         soak.fail("session", f"{request} ran on {version} {late:.1f} s after its order")
 
 
+def _check_exposure(soak: Soak, version: str) -> None:
+    """Check that a version which goes on failing gets no more from calm boxes."""
+    workers = [worker for worker in soak.workers.values() if worker.version == version]
+    failed = sorted(at for worker in workers for at in worker.failed_at)
+    if len(failed) < BAD_MOST:
+        return
+    bound = failed[BAD_MOST - 1] + EXPOSED_S
+    for request in [seen.request for worker in workers for seen in worker.seen]:
+        sent = soak.sent.get(request)
+        if sent is None or sent.at <= bound or sent.box.struck + CALM_S >= sent.at:
+            continue
+        late = sent.at - bound
+        soak.fail("exposed", f"{request} reached {version} {late:.1f} s late")
+
+
 def _check_key(soak: Soak, sent: Sent) -> None:
     taken = soak.revoked.get(sent.key)
     calm = sent.box.struck + CALM_S < sent.at
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -1,6 +1,7 @@
 """Random faults of a fault soak, injected from outside the daemons."""
 
 import asyncio
+import enum
 import json
 import signal
 
@@ -8,6 +9,7 @@
 from spanshunt.standins.worker import WorkerFault
 
 from .links import LinkFault
+from .soak_fleet import EVENT_S
 from .soak_fleet import KEYS
 from .soak_fleet import BoxProcess
 from .soak_fleet import Soak
@@ -20,6 +22,17 @@
 ORDER_S = 4
 """How long a roll-out may take, in s: two fit into the shortest schedule."""
 
+LONG_ORDER_S = 9
+"""How long one may take that has to show a version which is bad in part, in s: it gets
+some twenty requests before it gets all."""
+
+BAD_SHARE, AILING_SHARE = 0.7, 0.5
+"""Parts of its answers that such a version fails, and that ailing workers of the
+version before do."""
+
+SLOW_X = 6.0
+"""How many times as long a version that is slow takes between events."""
+
 LOOK_S = 0.05
 """How often its state is looked at, in s."""
 
@@ -88,8 +101,21 @@
     soak.draining[name] = soak.now()
 
 
+class Version(enum.Enum):
+    """What a version that is ordered is like."""
+
+    GOOD = "good"
+    FAILS = "fails all"
+    FAILS_IN_PART = "fails in part"
+    FAILS_LATE = "fails in part, later"
+    SLOW = "slow"
+
+
+SHORT_ORDERS = (Version.GOOD, Version.FAILS)
+
+
 async def _order(soak: Soak) -> None:
-    """Order a roll-out, of a bad version in half of the cases, and see it through.
+    """Order a roll-out, of a bad version in most cases, and see it through.
 
     Workers of a version that was taken back stay listed while the next order may come;
     those of one that was left are gone at once.
@@ -98,25 +124,55 @@
     version = f"v{soak.orders + 1}"
     before = [name for name in soak.workers if soak.services[name] == "writer"]
     entering = [await add_worker(soak, "writer", version) for _ in range(2)]
-    if soak.rng.random() < 0.5:
-        for name in entering:
-            soak.bad.add(name)
-            soak.workers[name].fault = WorkerFault.ERROR
-    body = {"Backend": "writer", "TargetVersion": version, "DurationS": ORDER_S}
-    soak.ordered[version] = soak.now()
+    long = soak.end - soak.now() > LONG_ORDER_S + ORDER_MARGIN_S
+    kind = soak.rng.choice(list(Version) if long else SHORT_ORDERS)
+    seconds = ORDER_S if kind in SHORT_ORDERS else LONG_ORDER_S
+    ailing = before[1:] if kind not in SHORT_ORDERS and soak.rng.random() < 0.5 else []
+    for name in ailing:
+        soak.bad.add(name)
+        _harm(soak, name, AILING_SHARE)
+    if kind is not Version.GOOD:
+        soak.bad |= set(entering)
+        soak.bad_versions.add(version)
+    body = {"Backend": "writer", "TargetVersion": version, "DurationS": seconds}
+    soak.ordered[version] = (soak.now(), seconds)
     await soak.store.put("keyed.op", "rollout/writer", body)
-    for _ in range(int((ORDER_S + ORDER_MARGIN_S) / LOOK_S)):
+    turn = asyncio.create_task(_turn_bad(soak, kind, entering, seconds))
+    for _ in range(int((seconds + ORDER_MARGIN_S) / LOOK_S)):
         if _state_of(soak, version) not in ("", "running"):
             break
         await asyncio.sleep(LOOK_S)
+    turn.cancel()
     if _state_of(soak, version) == "rolled_back":
         soak.taken_back |= dict.fromkeys(entering, soak.now())
         for name in entering:
             # Sound again, so that only the verdict keeps requests away from them.
             soak.workers[name].fault = WorkerFault.NONE
+            soak.workers[name].event_s = EVENT_S
     elif _state_of(soak, version) == "succeeded":
         for name in before:
             await soak.store.put("keyed.servers", name, None)
+    for name in ailing:
+        soak.bad.discard(name)
+        soak.workers[name].fault = WorkerFault.NONE
+
+
+def _harm(soak: Soak, name: str, share: float) -> None:
+    worker = soak.workers[name]
+    worker.fault, worker.fault_share = WorkerFault.ERROR, share
+
+
+async def _turn_bad(
+    soak: Soak, kind: Version, entering: list[str], seconds: float
+) -> None:
+    """Make a version what it is to be, at once or in the middle of its order."""
+    if kind is Version.FAILS_LATE:
+        await asyncio.sleep(0.6 * seconds)
+    for name in entering:
+        if kind is Version.SLOW:
+            soak.workers[name].event_s = SLOW_X * EVENT_S
+        elif kind is not Version.GOOD:
+            _harm(soak, name, 1.0 if kind is Version.FAILS else BAD_SHARE)
 
 
 def _state_of(soak: Soak, version: str) -> str:
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -22,6 +22,9 @@
 HOST = "soak.example"
 """The host that callers ask for."""
 
+EVENT_S = 0.02
+"""Time between the events of a stream, in s."""
+
 KEYS = {"museo": "key-museo", "radio": "key-radio"}
 """Each organisation's credential."""
 
@@ -60,7 +63,8 @@
 
     ``draining``, ``revoked`` and ``taken_back`` say since when a worker leaves, a key
     is gone, and a worker's version is recorded as taken back. ``ordered`` says when a
-    version was. ``bad`` are the workers of versions that fail all they get.
+    version was, and for how long. ``bad`` are workers whose faults an order decides,
+    ``bad_versions`` those that it made bad; ``end`` is when the last request comes.
     """
 
     rng: random.Random
@@ -74,8 +78,9 @@
     draining: dict[str, float] = field(default_factory=dict)
     revoked: dict[str, float] = field(default_factory=dict)
     taken_back: dict[str, float] = field(default_factory=dict)
-    ordered: dict[str, float] = field(default_factory=dict)
+    ordered: dict[str, tuple[float, float]] = field(default_factory=dict)
     bad: set[str] = field(default_factory=set)
+    bad_versions: set[str] = field(default_factory=set)
     orders: int = 0
     ordering: bool = False
     sent: dict[str, Sent] = field(default_factory=dict)
@@ -84,6 +89,7 @@
     version: int = 1
     answered: int = 0
     spared: int = 0
+    end: float = 0.0
 
     def now(self) -> float:
         """Return the time, in s."""
@@ -148,7 +154,7 @@
     """Start a worker behind a link, list it and return its name."""
     name = f"{service}-{len(soak.workers)}"
     worker = WorkerStandin(name, version)
-    worker.events, worker.event_s = 6, 0.02
+    worker.events, worker.event_s = 6, EVENT_S
     worker.sureness = {"small": soak.rng.randrange(100), "large": 90}
     await worker.start()
     soak.workers[name], soak.services[name] = worker, service
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -72,6 +72,7 @@
     "session": Mutation(
         "systems/exposing.py", "SESSIONS_FROM = 0.52", "SESSIONS_FROM = 0.0"
     ),
+    "exposed": Mutation("systems/blaming.py", "EVIDENCE = 5.0", "EVIDENCE = 1e9"),
     "revoked": Mutation(
         "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
@@ -112,9 +113,9 @@
             await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
         for box in soak.boxes:
             await _ready(box)
-        end = soak.now() + duration
-        calling = asyncio.create_task(call_until(soak, end))
-        while soak.now() < end - 2.0:
+        soak.end = soak.now() + duration
+        calling = asyncio.create_task(call_until(soak, soak.end))
+        while soak.now() < soak.end - 2.0:
             acts.add(asyncio.create_task(act(soak)))
             await asyncio.sleep(soak.rng.uniform(0.1, 0.6))
         await calling
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -164,7 +164,7 @@
     note_answer(attempt.worker, first_ms, good=True, now=now)
     if _writes_slowly(core, attempt, whole=True):
         _note_slow(core, state, attempt)
-    elif not attempt.slow and _is_timed(core, attempt, now):
+    elif not attempt.slow and _is_timed(core, attempt):
         _count(core, state, attempt, IN_TIME)
     _note_pace(core, attempt, now)
     total = now - state.began
@@ -173,7 +173,7 @@
     core.histograms.record(org, name, Measure.TOTAL, total * 1_000)
 
 
-def _is_timed(core: Core, attempt: CatalogAttempt, now: int) -> bool:
+def _is_timed(core: Core, attempt: CatalogAttempt) -> bool:
     """Tell whether a whole answer would have been found slow if it was.
 
     Streams of few events would not: where a third of the answers are, they hid that
@@ -182,15 +182,14 @@
     if attempt.first_at < 0:
         return True
     known = (attempt.service, attempt.model) in core.fleet.paces
-    return known and tells_pace(now - attempt.first_at, attempt.gaps)
+    return known and tells_pace(attempt.gaps)
 
 
 def _note_pace(core: Core, attempt: CatalogAttempt, now: int) -> None:
     """Take in how fast a whole answer was written, if it tells."""
-    elapsed = now - attempt.first_at
-    if attempt.first_at < 0 or not tells_pace(elapsed, attempt.gaps):
+    if attempt.first_at < 0 or not tells_pace(attempt.gaps):
         return
-    gap_ms = elapsed / attempt.gaps
+    gap_ms = (now - attempt.first_at) / attempt.gaps
     note_pace(core.fleet, attempt.service, attempt.model, attempt.worker, gap_ms)
 
 
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import enum
+import random
 import typing as t
 
 import msgspec
@@ -64,6 +65,9 @@
 class WorkerStandin:
     """One worker.
 
+    ``fault`` strikes ``fault_share`` of its requests; ``failed_at`` tells when it gave
+    failures of its own, in the loop's time.
+
     Parameters
     ----------
     name : str
@@ -77,6 +81,8 @@
         self.version = version
         self.fault = WorkerFault.NONE
         self.faults_left = -1
+        self.fault_share = 1.0
+        self.failed_at: list[float] = []
         self.events = 4
         self.event_s = 0.0
         self.sureness: dict[str, int] = {}
@@ -84,6 +90,7 @@
         self.ran: list[str] = []
         self.cancelled: list[str] = []
         self.port = 0
+        self._rng = random.Random(name)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -138,6 +145,8 @@
     def _take_fault(self) -> WorkerFault:
         if self.fault is WorkerFault.NONE or self.faults_left == 0:
             return WorkerFault.NONE
+        if self._rng.random() >= self.fault_share:
+            return WorkerFault.NONE
         if self.faults_left > 0:
             self.faults_left -= 1
         return self.fault
@@ -163,6 +172,8 @@
             await writer.drain()
             return True
         self.ran.append(seen.request)
+        if fault is WorkerFault.ERROR:
+            self.failed_at.append(asyncio.get_running_loop().time())
         if fault is WorkerFault.MUTE:
             await self._until_closed(seen, reader)
             return False
--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -34,8 +34,8 @@
 prompts of others in between."""
 
 WRITE_LEAST_MS = 300
-"""Nor does one in whose writing less time went by, in ms: a prompt of another takes up
-to 800 ms to read, and holds every stream up."""
+"""Answers written faster than this never count as slow, in ms: one such prompt of
+another may hold them up for as long."""
 
 
 def note_pace(
@@ -75,9 +75,9 @@
 version's answers a third to a half counted as slow without it; a tenth ended so."""
 
 
-def tells_pace(elapsed_ms: float, gaps: int) -> bool:
-    """Tell whether an answer went on for long enough to tell how fast it is written."""
-    return gaps >= WRITE_GAPS_LEAST and elapsed_ms >= WRITE_LEAST_MS
+def tells_pace(gaps: int) -> bool:
+    """Tell whether an answer has enough events to tell how fast it is written."""
+    return gaps >= WRITE_GAPS_LEAST
 
 
 def is_slow_writing(
@@ -105,7 +105,7 @@
         Whether it has ended.
     """
     pace = fleet.paces.get((service, model))
-    if pace is None or not tells_pace(elapsed_ms, gaps):
+    if pace is None or not tells_pace(gaps) or elapsed_ms < WRITE_LEAST_MS:
         return False
     writing_ms = elapsed_ms if whole else elapsed_ms - STALL_MS
     return writing_ms > SLOW_WRITE_FACTOR * pace.gap_ms * gaps
