Sight: a request's content is named, and a worker's end with what was aboard

Cause: the incident's lines can't tell whether one content came again at several boxes, nor whether a worker ended or a connection alone did. Ruled out: reading ends from breaks alone; links that reset, kept connections that went stale and answers broken off look the same. One connect just after a break, shared by all that broke at that worker, tells: an ended worker refuses it. Change: dispatch lines carry a digest of the content; the line 'worker ended' its evidence and the contents aboard; counter worker_ends.

--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -49,6 +49,8 @@
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.identity import Identity
 from spanshunt.tables.rollouts import ExposeBounds
+from spanshunt.tables.workers import WorkerRow
+from spanshunt.worker_probes import Presence
 
 from .play_engines import Engine
 from .play_store import PlayStore
@@ -156,6 +158,7 @@
             rng=rng,
             fleet=self.fleet,
             send=play.send,
+            probe=play.probe,
             bounds=RepeatBounds(ratio=0.9, slack=54.0),
             histograms=Histograms(),
             count=Counters().add,
@@ -232,6 +235,13 @@
             return Err(SendFault(True, "not reached: no such worker"))
         return await engine.send(dispatch)
 
+    async def probe(self, worker: WorkerRow) -> Presence:
+        """Find out whether an engine is there."""
+        await asyncio.sleep(PEER_MS / 1_000)
+        engine = self.engines.get(worker.name)
+        gone = engine is None or engine.gone
+        return Presence.GONE if gone else Presence.THERE
+
     def start_box(self, name: str) -> None:
         """Start a box, or start it again with nothing that it knew."""
         self.runs += 1
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -1,5 +1,6 @@
 """What the outcome of an attempt teaches: about workers, times and versions."""
 
+from .break_causes import take_end
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
@@ -7,6 +8,7 @@
 from .ids import VersionId
 from .logs import log_event
 from .ports import BrokenAnswerError
+from .ports import CutAnswerError
 from .ports import SendFault
 from .ports import SilentWorkerError
 from .systems.estimating import note_first_event
@@ -35,6 +37,9 @@
 ) -> None:
     """Take in that a send brought no answer."""
     now = core.clock.now()
+    attempt.broke = not (fault.unreached or fault.silent)
+    if fault.refused:
+        take_end(core, attempt.worker, "connection refused")
     if not fault.stale:
         note_unreached(attempt.worker, now)
     if fault.silent:
@@ -199,6 +204,7 @@
     """Take in an answer that can't be passed on as a success."""
     now = core.clock.now()
     silent = isinstance(exc, SilentWorkerError)
+    attempt.broke = isinstance(exc, CutAnswerError)
     state.failed_versions |= attempt.worker.versions
     note_answer(attempt.worker, 0.0, good=False, now=now)
     if silent:
--- /dev/null
+++ b/src/spanshunt/break_causes.py
@@ -0,0 +1,45 @@
+"""Why a connection to a worker broke: whether the worker has ended, and under what."""
+
+from .catalog_state import CatalogAttempt
+from .catalog_state import CatalogRequest
+from .catalog_state import Core
+from .logs import log_event
+from .systems.ending import note_break
+from .systems.ending import note_end
+from .tables.suspects import Break
+from .tables.workers import WorkerRow
+from .worker_probes import Presence
+
+FINGERPRINTS_SHOWN = 16
+"""Contents named in one log line at most."""
+
+
+async def look_into(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Find out whether a worker ended under a request, before that goes on."""
+    if not attempt.broke:
+        return
+    worker = attempt.worker
+    broke = Break(state.request, state.fingerprint, core.clock.now())
+    note_break(core.fleet, worker, broke)
+    if worker.ended_at >= attempt.sent:
+        take_end(core, worker, "known before")
+    elif await core.probe(worker) is Presence.GONE:
+        take_end(core, worker, "connection refused")
+
+
+def take_end(core: Core, worker: WorkerRow, evidence: str) -> None:
+    """Take in that a worker has ended, once for each connection that broke there."""
+    now = core.clock.now()
+    known = worker.ended_at >= 0
+    aboard = note_end(core.fleet, worker, now)
+    if known and not aboard:
+        return
+    core.count("worker_ends")
+    log_event(
+        "WARNING",
+        "worker ended",
+        worker=worker.name,
+        evidence=evidence,
+        aboard=len(aboard),
+        fingerprints=sorted({row.fingerprint for row in aboard})[:FINGERPRINTS_SHOWN],
+    )
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -12,6 +12,7 @@
 from .attempt_outcomes import note_good
 from .attempt_outcomes import note_silent
 from .attempt_outcomes import version_of
+from .break_causes import look_into
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
@@ -44,6 +45,7 @@
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
+from .systems.recognising import fingerprint_of
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
 from .systems.timing import ALIVE_FACTOR
@@ -80,6 +82,7 @@
         note_late=partial(_note_late, core),
         may_go_on=partial(may_go_on, core),
         retry_ms=lambda state: retry_after(core, state.admitted.route),
+        look_into=partial(look_into, core),
     )
 
 
@@ -93,11 +96,12 @@
     if isinstance(admitted, Err):
         await _refuse_entry(core, call, reply, admitted.err_value)
         return
-    core.running.add(call.request)
+    state = _begin(core, call, admitted.ok_value)
+    core.running[call.request] = state
     try:
-        await forward(steps, _begin(call, admitted.ok_value), reply)
+        await forward(steps, state, reply)
     finally:
-        core.running.discard(call.request)
+        core.running.pop(call.request, None)
 
 
 async def _await_catalog(core: Core, call: Call) -> None:
@@ -119,11 +123,15 @@
     )
 
 
-def _begin(call: Call, admitted: Admitted) -> CatalogRequest:
+def _begin(core: Core, call: Call, admitted: Admitted) -> CatalogRequest:
     route = admitted.route
+    org = admitted.org.name if admitted.org else OrgId("")
     return CatalogRequest(
         request=call.request,
-        org=admitted.org.name if admitted.org else OrgId(""),
+        org=org,
+        fingerprint=fingerprint_of(
+            org, call.method, call.host, call.target, call.body, core.fingerprint_key
+        ),
         request_class=ClassId(route.name),
         began=Millis(call.began),
         limit=Millis(min(call.deadline, call.began + route.timeout_ms)),
@@ -168,6 +176,7 @@
         route=state.request_class,
         org=state.org,
         session=state.call.session,
+        fingerprint=state.fingerprint,
         catalog=state.admitted.catalog_version,
         worker=attempt.worker.name,
         version=version_of(attempt),
@@ -286,6 +295,7 @@
     now = core.clock.now()
     attempt.answered = True
     attempt.worker.heard_at = now
+    attempt.worker.ended_at = Millis(-1)
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
     if found.replaced:
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -6,6 +6,7 @@
 
 from .clock import Clock
 from .histograms import Histograms
+from .ids import Fingerprint
 from .ids import Millis
 from .ids import RequestId
 from .ids import ServiceId
@@ -22,6 +23,7 @@
 from .systems.ramping import VersionRule
 from .systems.repeats import RepeatBounds
 from .tables.fleet import Fleet
+from .worker_probes import Probe
 
 
 class CatalogAttempt(Attempt, kw_only=True):
@@ -73,6 +75,8 @@
     ----------
     call, admitted
         The request, its route and its organisation.
+    fingerprint : str
+        Its content.
     service : str
         The service that answers; drawn once.
     model_plan : ModelPlan or None
@@ -87,6 +91,7 @@
 
     call: Call
     admitted: Admitted
+    fingerprint: Fingerprint = Fingerprint("")
     service: ServiceId = ServiceId("")
     model_plan: ModelPlan | None = None
     raised: bool = False
@@ -111,8 +116,12 @@
         Times by organisation and class.
     count : callable
         Counts outcomes.
-    running : set
-        Requests under way.
+    running : dict
+        Requests under way, by id.
+    probe : callable
+        Finds out whether a worker is still there.
+    fingerprint_key : str
+        What digests of requests' contents are keyed with.
     """
 
     clock: Clock
@@ -122,4 +131,6 @@
     bounds: RepeatBounds
     histograms: Histograms
     count: Counter
-    running: set[RequestId] = set()
+    probe: Probe
+    fingerprint_key: str = ""
+    running: dict[RequestId, CatalogRequest] = {}
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -38,6 +38,10 @@
 AttemptT = t.TypeVar("AttemptT", bound=Attempt)
 
 
+async def _ask_nothing(_state: t.Any, _attempt: t.Any) -> None:
+    """Leave open why an attempt broke."""
+
+
 class Steps(msgspec.Struct, t.Generic[StateT, AttemptT], frozen=True):
     """What one kind of requests does at each step.
 
@@ -67,6 +71,8 @@
         Tells whether another attempt is wanted and within this kind's bounds.
     retry_ms : callable
         When the caller shall come back after a refusal, in ms.
+    look_into : callable
+        Finds out why an attempt brought no whole answer, before the request goes on.
     """
 
     clock: Clock
@@ -81,6 +87,7 @@
     note_late: t.Callable[[StateT, AttemptT], None]
     may_go_on: t.Callable[[StateT], bool]
     retry_ms: t.Callable[[StateT], Millis]
+    look_into: t.Callable[[StateT, AttemptT], t.Awaitable[None]] = _ask_nothing
 
 
 async def forward(steps: Steps[StateT, AttemptT], state: StateT, reply: Reply) -> None:
@@ -129,6 +136,8 @@
             refusal = planned.err_value
             break
         ending = await _attempt(steps, state, planned.ok_value, reply)
+        if ending in (Ending.FAILED, Ending.CUT):
+            await steps.look_into(state, planned.ok_value)
         if ending is Ending.DELIVERED:
             return Settled("delivered")
         if ending is not Ending.BETTER and not _goes_on(steps, state, ending):
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -1,5 +1,6 @@
 """Sends to workers over HTTP, and their answers as they are read."""
 
+import errno
 import typing as t
 
 import aiohttp
@@ -12,6 +13,7 @@
 
 from .ports import Answer
 from .ports import BrokenAnswerError
+from .ports import CutAnswerError
 from .ports import SendFault
 from .systems.worker_health import Load
 
@@ -116,7 +118,7 @@
         try:
             return await self._resp.content.readany()
         except (aiohttp.ClientError, OSError) as exc:
-            raise BrokenAnswerError(f"body: {type(exc).__name__}") from exc
+            raise CutAnswerError(f"body: {type(exc).__name__}") from exc
 
     def close(self) -> None:
         """Let go of it; one that is not read to its end is cut off at the worker."""
@@ -147,7 +149,8 @@
             allow_redirects=False,
         )
     except aiohttp.ClientConnectorError as exc:
-        return Err(SendFault(True, f"not reached: {exc.os_error}"))
+        refused = exc.os_error.errno == errno.ECONNREFUSED
+        return Err(SendFault(True, f"not reached: {exc.os_error}", refused=refused))
     except aiohttp.ConnectionTimeoutError:
         return Err(SendFault(True, "not reached: the connection did not come up"))
     except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as exc:
--- a/src/spanshunt/ids.py
+++ b/src/spanshunt/ids.py
@@ -33,6 +33,10 @@
 RequestId = t.NewType("RequestId", str)
 """One caller request, unique over all boxes."""
 
+Fingerprint = t.NewType("Fingerprint", str)
+"""What requests of one content share: a digest of whose they are, where they go and
+what they ask, in hex."""
+
 SessionId = t.NewType("SessionId", str)
 """A caller's session, unique within its organisation."""
 
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -37,6 +37,7 @@
 from ..tables.rollouts import ExposeBounds
 from ..utils import new_incarnation
 from ..version import __version__
+from ..worker_probes import WorkerProbes
 from . import wire
 from .followers import Followers
 from .front import Front
@@ -119,6 +120,8 @@
             rng=rng,
             fleet=self.fleet,
             send=self._workers.send,
+            probe=WorkerProbes().probe,
+            fingerprint_key=settings.fingerprint_key,
             bounds=RepeatBounds(
                 ratio=bounds.repeat_ratio,
                 slack=bounds.repeat_slack,
--- a/src/spanshunt/platform/settings.py
+++ b/src/spanshunt/platform/settings.py
@@ -91,6 +91,8 @@
         Sections, see there.
     seeds : tuple of str
         Peer addresses to meet first.
+    fingerprint_key : str
+        What the digests of requests' contents are keyed with; the same on all boxes.
     """
 
     box: t.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -100,6 +102,7 @@
     seeds: tuple[Address, ...] = ()
     bounds: NodeBounds = NodeBounds()
     logging: Logging = Logging(json=True)
+    fingerprint_key: t.Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
 def load_node_settings(path: str) -> NodeSettings:
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -26,6 +26,10 @@
     """
 
 
+class CutAnswerError(BrokenAnswerError):
+    """An answer whose connection ended before it was whole."""
+
+
 class SilentWorkerError(BrokenAnswerError):
     """A worker that is silent for too long in the middle of an answer."""
 
@@ -123,12 +127,15 @@
         idle ones, so this tells nothing of the worker.
     silent : bool
         Whether the worker took the request and said nothing for too long.
+    refused : bool
+        Whether nothing listens at the worker's address.
     """
 
     unreached: bool
     detail: str
     stale: bool = False
     silent: bool = False
+    refused: bool = False
 
 
 class Answer(t.Protocol):
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -10,7 +10,7 @@
 from .logs import log_event
 from .planning import larger_prospect
 from .ports import Answer
-from .ports import BrokenAnswerError
+from .ports import CutAnswerError
 from .ports import Reply
 from .ports import SilentWorkerError
 from .repeating import budget_allows
@@ -106,7 +106,7 @@
             state.last_event = events.last_id
     if splitter.rest:
         detail = f"ends inside an event, {len(splitter.rest)} bytes in"
-        raise BrokenAnswerError(detail)
+        raise CutAnswerError(detail)
     if not reply.begun:
         await reply.begin(found.status, found.headers)
     await reply.end()
--- a/src/spanshunt/request_state.py
+++ b/src/spanshunt/request_state.py
@@ -53,11 +53,14 @@
         The model named; empty for plain requests.
     sent : int
         When it was sent, in ms.
+    broke : bool
+        Whether its connection ended before an answer was whole.
     """
 
     worker: WorkerRow
     model: ModelId = ModelId("")
     sent: Millis = Millis(0)
+    broke: bool = False
 
 
 class RequestState(msgspec.Struct, kw_only=True):
--- /dev/null
+++ b/src/spanshunt/systems/ending.py
@@ -0,0 +1,39 @@
+"""Workers that end, and which requests they had as they did.
+
+A connection that breaks tells little: links are cut, kept connections go stale, workers
+break answers off and go on. That a worker has ended shows when its address refuses
+connections just after, or when another life of it, or another worker, is there.
+"""
+
+from ..ids import Millis
+from ..tables.fleet import Fleet
+from ..tables.suspects import Break
+from ..tables.workers import WorkerRow
+
+BREAK_COUNTS_MS = 2_000
+"""How long before a worker is known to have ended a break counts as part of that, in
+ms: the list of workers is read about once a second."""
+
+BREAKS_KEPT = 256
+"""Breaks remembered of one worker at most: twice the requests that an engine runs."""
+
+
+def note_break(fleet: Fleet, worker: WorkerRow, broke: Break) -> None:
+    """Remember that a worker's connection ended under a request."""
+    breaks = fleet.breaks.setdefault(worker.name, [])
+    breaks.append(broke)
+    del breaks[:-BREAKS_KEPT]
+
+
+def note_end(fleet: Fleet, worker: WorkerRow, now: Millis) -> list[Break]:
+    """Take in that a worker has ended; return the breaks that this explains."""
+    worker.ended_at = now
+    breaks = fleet.breaks.pop(worker.name, [])
+    return [broke for broke in breaks if now - broke.at <= BREAK_COUNTS_MS]
+
+
+def forget_breaks(fleet: Fleet, now: Millis) -> None:
+    """Drop the breaks that no end can explain any more."""
+    for name, breaks in list(fleet.breaks.items()):
+        if now - breaks[-1].at > BREAK_COUNTS_MS:
+            del fleet.breaks[name]
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -18,6 +18,7 @@
 from .engines import WritePace
 from .identity import Identity
 from .rollouts import Rollouts
+from .suspects import Break
 from .workers import Workers
 
 
@@ -140,6 +141,8 @@
         come back.
     silences : dict
         When which box found a worker silent, in ms, by worker and box.
+    breaks : dict
+        Connections that ended under requests of late, by worker.
     peers : dict
         Other boxes.
     rollouts : Rollouts
@@ -182,6 +185,7 @@
     readings: Readings = msgspec.field(default_factory=Readings)
     missing: set[WorkerId] = set()
     silences: dict[WorkerId, dict[BoxId, Millis]] = {}
+    breaks: dict[WorkerId, list[Break]] = {}
     peers: dict[BoxId, PeerRow] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -76,6 +76,8 @@
         When a list last held its entry, in ms.
     heard_at : int
         When the last byte came from it on any request, in ms.
+    ended_at : int
+        When this box found that it has ended, in ms; -1 while it has not.
     """
 
     name: WorkerId
@@ -102,6 +104,7 @@
     kept: KeptParts = msgspec.field(default_factory=KeptParts)
     listed_at: Millis = Millis(0)
     heard_at: Millis = Millis(0)
+    ended_at: Millis = Millis(-1)
 
 
 class Workers(msgspec.Struct):
--- a/src/spanshunt/traces.py
+++ b/src/spanshunt/traces.py
@@ -12,6 +12,7 @@
     {
         "catalog",
         "workers",
+        "worker ended",
         "roll-out ordered",
         "roll-out evidence",
         "roll-out judged",
