A request that ends workers: a test that fails on the code as it is

Cause: three boxes, six engines; one content that ends each engine running it is asked twelve times, 0.3 s apart, at the boxes in turn. Ruled out: that attempts are limited by anything but a route's own number.

--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -66,7 +66,8 @@
     """One worker.
 
     ``fault`` strikes ``fault_share`` of its requests; ``failed_at`` tells when it gave
-    failures of its own, in the loop's time.
+    failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
+    when it has run for ``ends_after_s``, and ``on_end`` is called then.
 
     Parameters
     ----------
@@ -83,6 +84,9 @@
         self.faults_left = -1
         self.fault_share = 1.0
         self.failed_at: list[float] = []
+        self.ends_on = b""
+        self.ends_after_s = 0.02
+        self.on_end: t.Callable[[], None] = lambda: None
         self.events = 4
         self.event_s = 0.0
         self.sureness: dict[str, int] = {}
@@ -112,6 +116,13 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def end(self) -> None:
+        """End at once: nothing listens any more, and all connections break."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     def break_off(self) -> None:
         """Cut all answers under way, and go on serving."""
         for task in list(self._tasks):
@@ -172,6 +183,11 @@
             await writer.drain()
             return True
         self.ran.append(seen.request)
+        if self.ends_on and seen.body == self.ends_on:
+            await asyncio.sleep(self.ends_after_s)
+            self.end()
+            self.on_end()
+            return False
         if fault is WorkerFault.ERROR:
             self.failed_at.append(asyncio.get_running_loop().time())
         if fault is WorkerFault.MUTE:
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -291,13 +291,20 @@
         await self.store.put("keyed.op", "config", body)
 
     async def ask(
-        self, box: Box, path: str, *, key: str = KEY, **headers: str
+        self,
+        box: Box,
+        path: str,
+        *,
+        key: str = KEY,
+        body: bytes = b"",
+        **headers: str,
     ) -> Reply:
         """Ask as a caller does; `headers` with underscores for dashes."""
         async with self.http.request(
             "GET" if path.startswith("/look") else "POST",
             box.base + path,
             headers=self.headers(path, key, headers),
+            data=body or None,
         ) as resp:
             return Reply(resp.status, resp.headers, await resp.read())
 
