--- a/bench/play_cases.py
+++ b/bench/play_cases.py
@@ -143,7 +143,7 @@
     faults: Faults, trouble: Trouble, seed: int, duration: float
 ) -> Outcome:
     rng = random.Random(seed)
-    play = Play(rng, catalog=_catalog())
+    play = Play(rng, catalog=play_catalog())
     play.ordered_at = play.clock.now() / 1_000 + BEFORE_S
     play.places = {f"box-{DOMAINS[n % 3]}-{n}": DOMAINS[n % 3] for n in range(7)}
     leaving = [_engine(play, f"old-{n}", "v1", n) for n in range(ENGINES)]
@@ -171,7 +171,8 @@
     return outcome
 
 
-def _catalog() -> bytes:
+def play_catalog() -> bytes:
+    """Return a catalog of three routes to one service of engines."""
     routes = [
         {
             "Name": name,
--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -15,6 +15,7 @@
 from result import Result
 
 from spanshunt.ports import Answer
+from spanshunt.ports import CutAnswerError
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
 from spanshunt.systems.worker_health import Load
@@ -73,7 +74,8 @@
 
     ``own`` are faults of this worker, ``version_faults`` those of the version that it
     runs; ``arrived`` and ``bad_at`` tell when requests came and when bad answers left,
-    in seconds from the order.
+    in seconds from the order. A request whose body is ``ends_on`` ends it as soon as it
+    runs, and ``on_end`` is called then.
     """
 
     name: str
@@ -81,18 +83,23 @@
     domain: str
     rng: random.Random
     since: t.Callable[[], float]
+    ends_on: bytes = b""
+    on_end: t.Callable[[], None] = lambda: None
     own: Faults = field(default_factory=Faults)
     version_faults: Faults = field(default_factory=Faults)
     running: int = 0
     gone: bool = False
     arrived: list[float] = field(default_factory=list)
     bad_at: list[float] = field(default_factory=list)
+    content_at: list[float] = field(default_factory=list)
 
     async def send(self, dispatch: Dispatch) -> Result[Answer, SendFault]:
         """Take a request and return the head of its answer."""
         if self.gone:
             return Err(SendFault(True, "not reached: the worker is gone"))
         self.arrived.append(self.since())
+        if self.ends_on and dispatch.call.body == self.ends_on:
+            self.content_at.append(self.since())
         route = dispatch.call.path.strip("/")
         moment = Moment(self.since(), self.running, route)
         if self._happens(self.version_faults.failing, moment):
@@ -112,8 +119,18 @@
         except BaseException:
             self.running -= 1
             raise
+        if self.ends_on and dispatch.call.body == self.ends_on and not self.gone:
+            self.end()
+        if self.gone:
+            self.running -= 1
+            return Err(SendFault(False, "the worker ended"))
         return Ok(StreamAnswer(self, dispatch, slow_x, bad=bad))
 
+    def end(self) -> None:
+        """End at once, with all that runs."""
+        self.gone = True
+        self.on_end()
+
     def _happens(self, chance: Chance, moment: Moment) -> bool:
         return self.rng.random() < chance(moment)
 
@@ -197,6 +214,8 @@
             return b""
         if self._begun:
             await self._engine._work(self._engine.event_ms(self._model), self._slow_x)
+        if self._engine.gone:
+            raise CutAnswerError("the worker ended")
         self._begun = True
         number = self._next
         self._next += 1
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -10,6 +10,7 @@
 import typing as t
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 
 from multidict import CIMultiDict
 from result import Err
@@ -31,12 +32,15 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import RequestId
 from spanshunt.ids import ServiceId
+from spanshunt.keeping_back import keep_back
 from spanshunt.peers.news import News
 from spanshunt.peers.unary import PeerFault
 from spanshunt.platform import wire
 from spanshunt.platform.followers import Followers
+from spanshunt.platform.kept_back import KeptBackRecords
 from spanshunt.platform.node import EXCHANGE_MS
 from spanshunt.platform.node import JUDGE_MS
+from spanshunt.platform.node import RECORD_MS
 from spanshunt.platform.recorder import Recorder
 from spanshunt.ports import Answer
 from spanshunt.ports import Call
@@ -159,6 +163,7 @@
             fleet=self.fleet,
             send=play.send,
             probe=play.probe,
+            tell_now=lambda: self.exchange.tell_now(),
             bounds=RepeatBounds(ratio=0.9, slack=54.0),
             histograms=Histograms(),
             count=Counters().add,
@@ -172,10 +177,12 @@
             lambda: None,
             seeds,
             t.cast(t.Any, PlayChannels(play, name)),
+            on_kept=partial(keep_back, self.core),
         )
         store = t.cast(t.Any, self.store)
         self.followers = Followers(self.fleet, clock, store, 2_000)
         self.recorder = Recorder(self.fleet, clock, store, self.core.count)
+        self.kept_back = KeptBackRecords(self.fleet, clock, store)
         self._jobs = Background(lambda exc: play.broken.append(str(exc)))
 
     def start(self, catalog: bytes) -> None:
@@ -186,6 +193,7 @@
         self._jobs.forever(self.followers.follow_boxes)
         self._jobs.every(EXCHANGE_MS, self.exchange.round)
         self._jobs.every(JUDGE_MS, self.recorder.tick)
+        self._jobs.every(RECORD_MS, self.kept_back.tick)
 
     async def stop(self) -> None:
         """End at once, with all that it knows."""
@@ -258,7 +266,7 @@
         self.engines[engine.name] = engine
         body = {
             "Backend": SERVICE,
-            "Address": f"{engine.name}:1",
+            "Address": "127.0.0.1:1",
             "Zone": engine.domain,
             "Version": engine.version,
             "Slots": 128,
@@ -303,7 +311,18 @@
             if asked.served:
                 return
 
-    def _a_call(self, request: str, session: str, route: str) -> Call:
+    async def ask_once(self, request: str, route: str, body: bytes) -> PlayReply:
+        """Ask one box, in no session, and return what it replied."""
+        reply = PlayReply()
+        if self.boxes:
+            box = self.rng.choice(list(self.boxes.values()))
+            call = self._a_call(request, "", route, body)
+            await answer(box.core, box.steps, call, reply)
+        return reply
+
+    def _a_call(
+        self, request: str, session: str, route: str, body: bytes = b""
+    ) -> Call:
         read, generated = ROUTES[route]
         now = self.clock.now()
         return Call(
@@ -313,7 +332,7 @@
             host="play",
             path=f"/{route}/",
             headers=CIMultiDict(),
-            body=b"",
+            body=body or request.encode(),
             credential="",
             began=now,
             deadline=now + 20_000,
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -16,6 +16,7 @@
 from .systems.pacing import is_slow_writing
 from .systems.pacing import note_pace
 from .systems.pacing import tells_pace
+from .systems.quarantining import note_sound
 from .systems.silence import Silence
 from .systems.silence import note_silence
 from .systems.tallies import BEGAN
@@ -166,6 +167,7 @@
 ) -> None:
     """Take in a whole answer."""
     now = core.clock.now()
+    note_sound(core.fleet, state.fingerprint, now)
     note_answer(attempt.worker, first_ms, good=True, now=now)
     if _writes_slowly(core, attempt, whole=True):
         _note_slow(core, state, attempt)
--- a/src/spanshunt/break_causes.py
+++ b/src/spanshunt/break_causes.py
@@ -3,9 +3,12 @@
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
+from .keeping_back import keep_back
 from .logs import log_event
 from .systems.ending import note_break
 from .systems.ending import note_end
+from .systems.quarantining import newly_kept
+from .systems.quarantining import note_end_under
 from .tables.suspects import Break
 from .tables.workers import WorkerRow
 from .worker_probes import Presence
@@ -19,7 +22,8 @@
     if not attempt.broke:
         return
     worker = attempt.worker
-    broke = Break(state.request, state.fingerprint, core.clock.now())
+    now = core.clock.now()
+    broke = Break(state.request, state.fingerprint, attempt.service, now)
     note_break(core.fleet, worker, broke)
     if worker.ended_at >= attempt.sent:
         take_end(core, worker, "known before")
@@ -28,18 +32,26 @@
 
 
 def take_end(core: Core, worker: WorkerRow, evidence: str) -> None:
-    """Take in that a worker has ended, once for each connection that broke there."""
-    now = core.clock.now()
+    """Take in that a worker has ended, and hold it against what it had."""
+    fleet, now = core.fleet, core.clock.now()
     known = worker.ended_at >= 0
-    aboard = note_end(core.fleet, worker, now)
+    aboard = note_end(fleet, worker, now)
     if known and not aboard:
         return
     core.count("worker_ends")
+    contents = {broke.fingerprint: broke.service for broke in aboard}
     log_event(
         "WARNING",
         "worker ended",
         worker=worker.name,
         evidence=evidence,
         aboard=len(aboard),
-        fingerprints=sorted({row.fingerprint for row in aboard})[:FINGERPRINTS_SHOWN],
+        fingerprints=sorted(contents)[:FINGERPRINTS_SHOWN],
     )
+    rows = [
+        note_end_under(fleet, content, service, worker, now)
+        for content, service in contents.items()
+    ]
+    for row in rows:
+        if newly_kept(fleet, row, now):
+            keep_back(core, row, "own evidence")
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -45,6 +45,8 @@
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
+from .systems.quarantining import note_sound
+from .systems.quarantining import share
 from .systems.recognising import fingerprint_of
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
@@ -64,6 +66,10 @@
 CATALOG_STEP_S = 0.02
 """How often a request that waits for the first catalog looks for it, in s."""
 
+STALE_STEP_S = 0.01
+"""How often a request that came just after the box woke looks whether it heard news, in
+s."""
+
 CatalogSteps = Steps[CatalogRequest, CatalogAttempt]
 
 
@@ -88,8 +94,10 @@
 
 async def answer(core: Core, steps: CatalogSteps, call: Call, reply: Reply) -> None:
     """Answer a request, whatever happens on the way."""
+    core.look()
     if core.fleet.catalog is None:
         await _await_catalog(core, call)
+    await _await_news(core)
     left_ms = call.deadline - core.clock.now()
     asked = Asked(call.host, call.path, call.credential, left_ms)
     admitted = admit(core.fleet.catalog, asked)
@@ -102,6 +110,16 @@
         await forward(steps, state, reply)
     finally:
         core.running.pop(call.request, None)
+        share(core.fleet, state.fingerprint, core.clock.now())
+
+
+async def _await_news(core: Core) -> None:
+    """Wait for a peer or the store just after the box woke, while that may come."""
+    left_ms = core.fleet.stale_until - core.clock.now()
+    for _ in range(int(left_ms / (1_000 * STALE_STEP_S)) + 1):
+        if core.clock.now() >= core.fleet.stale_until:
+            return
+        await asyncio.sleep(STALE_STEP_S)
 
 
 async def _await_catalog(core: Core, call: Call) -> None:
@@ -346,6 +364,7 @@
 ) -> Ending:
     """Keep a worker's own failure: it is given if no other worker does better."""
     body = await found.read()
+    note_sound(core.fleet, state.fingerprint, core.clock.now())
     if found.status >= 500:
         note_bad(core, state, attempt, BrokenAnswerError(f"status {found.status}"))
     state.failed_versions |= attempt.worker.versions
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -1,6 +1,7 @@
 """Requests of the platform's catalog under way, and what all of them share."""
 
 import random
+import typing as t
 
 import msgspec
 
@@ -120,6 +121,10 @@
         Requests under way, by id.
     probe : callable
         Finds out whether a worker is still there.
+    tell_now : callable
+        Tells peers at once what this box learned.
+    look : callable
+        Looks whether the box was suspended.
     fingerprint_key : str
         What digests of requests' contents are keyed with.
     """
@@ -132,5 +137,7 @@
     histograms: Histograms
     count: Counter
     probe: Probe
+    tell_now: t.Callable[[], None] = lambda: None
+    look: t.Callable[[], None] = lambda: None
     fingerprint_key: str = ""
     running: dict[RequestId, CatalogRequest] = {}
--- a/src/spanshunt/clock.py
+++ b/src/spanshunt/clock.py
@@ -18,8 +18,15 @@
     """
 
     def now(self) -> Millis:
-        """Return the monotonic time in ms."""
-        return Millis(time.monotonic_ns() // _NS_PER_MS)
+        """Return the monotonic time in ms, with the time that the box was suspended."""
+        return Millis(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS)
+
+    def suspended(self) -> Millis:
+        """Return how long the box was suspended so far, in ms.
+
+        Timers of the event loop don't count that time.
+        """
+        return Millis(self.now() - time.monotonic_ns() // _NS_PER_MS)
 
     def wall(self) -> Millis:
         """Return the time since the Unix epoch in ms."""
@@ -42,6 +49,10 @@
         """Return the time set last, in ms."""
         return Millis(self._now)
 
+    def suspended(self) -> Millis:
+        """Return 0: the clock stands still while nobody moves it."""
+        return Millis(0)
+
     def wall(self) -> Millis:
         """Return the same time as :meth:`now`."""
         return Millis(self._now)
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -23,7 +23,9 @@
 from .peers.news_rows import reads_news
 from .peers.news_rows import rollout_news
 from .peers.news_rows import speeds_news
+from .peers.news_rows import suspects_news
 from .peers.news_rows import take_group
+from .peers.news_rows import told_suspect
 from .peers.news_rows import workers_news
 from .peers.unary import Channels
 from .rollout_lines import log_order
@@ -34,6 +36,9 @@
 from .systems.following_workers import note_reading
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
+from .systems.quarantining import kept_digest
+from .systems.quarantining import newly_kept
+from .systems.quarantining import take_suspect
 from .systems.ramping import bar_versions
 from .systems.ramping import take_order
 from .systems.ramping import take_verdict
@@ -44,6 +49,7 @@
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import Verdict
+from .tables.suspects import Suspect
 
 NEAR_ASKED, FAR_ASKED = 1, 1
 """Peers of this and of other failure domains asked in a round, beside the box that
@@ -53,6 +59,11 @@
 TIMEOUT_S = 0.8
 """How long a peer may take, in s: a slowed box still answers in a few tenths."""
 
+SPREAD_MOST = 4
+"""Peers told at once of a content that is kept back, by each box that learns of it: 91
+boxes know within four calls one after the other, about 20 ms; within 2 s by rounds
+alone, in which a content that comes every 0.8 s ended six workers more."""
+
 PEERS_TOLD = 8
 """Other boxes named in one exchange."""
 
@@ -80,6 +91,8 @@
         Addresses to ask while no box is known.
     channels : Channels or None
         The way to peers; None for the usual one.
+    on_kept : callable
+        Called with a content that is kept back from now on, and who told of it.
     """
 
     def __init__(
@@ -90,6 +103,7 @@
         on_newer: t.Callable[[], None],
         seeds: tuple[str, ...],
         channels: Channels | None = None,
+        on_kept: t.Callable[[Suspect, str], None] = lambda _row, _source: None,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
@@ -97,9 +111,13 @@
         self._on_newer = on_newer
         self._seeds = seeds
         self._channels = channels or Channels()
+        self._on_kept = on_kept
+        self._spreading: set[asyncio.Task[None]] = set()
 
     def stop(self) -> None:
         """Close all channels."""
+        for task in self._spreading:
+            task.cancel()
         self._channels.stop()
 
     async def round(self) -> None:
@@ -107,6 +125,18 @@
         addresses = self._whom_to_ask()
         await asyncio.gather(*(self._ask(address) for address in addresses))
 
+    def tell_now(self) -> None:
+        """Tell some peers at once, as they will tell others."""
+        task = asyncio.get_running_loop().create_task(self._spread())
+        self._spreading.add(task)
+        task.add_done_callback(self._spreading.discard)
+
+    async def _spread(self) -> None:
+        now = self._clock.now()
+        ready = [peer for peer in self._fleet.peers.values() if _is_due(peer, now)]
+        asked = self._rng.sample(ready, min(SPREAD_MOST, len(ready)))
+        await asyncio.gather(*(self._ask(peer.address) for peer in asked))
+
     async def hear(self, news: News) -> News:
         """Take a peer's news in and answer with this box's."""
         self.take(news)
@@ -146,6 +176,10 @@
             speeds=speeds_news(fleet),
             readings=readings_news(fleet),
             reads=reads_news(fleet, now),
+            suspects=suspects_news(
+                fleet, now, asker.kept_digest if asker is not None else None
+            ),
+            kept_digest=kept_digest(fleet),
             workers_digest=digest,
             workers=workers_news(fleet) if wants_list else (),
             rollouts=tuple(
@@ -163,14 +197,19 @@
         fleet = self._fleet
         if news.box == fleet.me.box:
             return
+        fleet.stale_until = Millis(0)
         self._take_peers(news, now)
         if news.catalog_version > known_version(fleet):
             self._on_newer()
         self._take_workers(news, now)
-        for item in news.rollouts:
-            self._take_rollout(news, item, now)
+        for order in news.rollouts:
+            self._take_rollout(news, order, now)
         for told in news.silences:
             self._take_silence(news, told, now)
+        for item in news.suspects:
+            row = take_suspect(fleet, told_suspect(item, now), now)
+            if newly_kept(fleet, row, now):
+                self._on_kept(row, news.box)
         take_engine_news(fleet, news, now)
 
     def _take_workers(self, news: News, now: Millis) -> None:
@@ -253,11 +292,7 @@
             known = {peer.address for peer in peers} | {fleet.me.address}
             unknown = [seed for seed in self._seeds if seed not in known]
             return unknown + [peer.address for peer in peers][:PEERS_TOLD]
-        ready = [
-            peer
-            for peer in peers
-            if now >= peer.asked + BACK_OFF_MS * min(peer.failures, BACK_OFF_MOST)
-        ]
+        ready = [peer for peer in peers if _is_due(peer, now)]
         reader = reader_of(fleet, now)
         near = [peer for peer in ready if peer.domain == fleet.me.domain]
         far = [peer for peer in ready if peer.domain != fleet.me.domain]
@@ -288,5 +323,10 @@
         self.take(told.ok_value)
 
 
+def _is_due(peer: PeerRow, now: Millis) -> bool:
+    """Tell whether a peer may be called, after the failures since it answered."""
+    return now >= peer.asked + BACK_OFF_MS * min(peer.failures, BACK_OFF_MOST)
+
+
 def _shown(change: t.Any) -> dict[str, object]:
     return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -94,11 +94,15 @@
     """Answer an admitted request, whatever happens on the way."""
     clock = steps.clock
     try:
-        async with asyncio.timeout((state.limit - clock.now()) / 1_000):
+        async with asyncio.timeout((state.limit - clock.now()) / 1_000) as timer:
+            state.timer = timer
             ended = await _attempts(steps, state, reply)
     except TimeoutError:
-        _note_late(steps, state)
-        ended = await out_of_time(state, reply, steps.retry_ms(state))
+        if state.stopped is not None:
+            ended = await give_up(state, reply, state.stopped, steps.retry_ms(state))
+        else:
+            _note_late(steps, state)
+            ended = await out_of_time(state, reply, steps.retry_ms(state))
     except ConnectionError as exc:
         ended = Settled("caller_lost", str(exc))
         reply.abort()
@@ -108,6 +112,13 @@
     settle(clock, steps.count, state, ended)
 
 
+def stop(state: RequestState, refusal: Refusal) -> None:
+    """End a request that is under way; its caller gets a refusal at once."""
+    state.stopped = refusal
+    if state.timer is not None:
+        state.timer.reschedule(asyncio.get_running_loop().time())
+
+
 def _note_late(steps: Steps[StateT, AttemptT], state: StateT) -> None:
     """Take in the attempt that the request's limit cut off, if there was one."""
     if state.under_way is None:
--- a/src/spanshunt/ids.py
+++ b/src/spanshunt/ids.py
@@ -33,6 +33,9 @@
 RequestId = t.NewType("RequestId", str)
 """One caller request, unique over all boxes."""
 
+LifeId = t.NewType("LifeId", str)
+"""One life of a worker: its id, and when it started where an id may come again."""
+
 Fingerprint = t.NewType("Fingerprint", str)
 """What requests of one content share: a digest of whose they are, where they go and
 what they ask, in hex."""
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -12,7 +12,9 @@
 
 from ..ids import BoxId
 from ..ids import DomainId
+from ..ids import Fingerprint
 from ..ids import Incarnation
+from ..ids import LifeId
 from ..ids import ModelId
 from ..ids import ServiceId
 from ..ids import VersionId
@@ -38,9 +40,9 @@
 
 
 class WorkerTallyNews(msgspec.Struct, frozen=True, array_like=True):
-    """Answers of one worker since the order, as the teller counted them."""
+    """Answers of one life of a worker since the order, as the teller counted them."""
 
-    worker: WorkerId
+    worker: LifeId
     entering: bool
     answers: int
     failed: int
@@ -123,6 +125,7 @@
     versions: tuple[VersionId, ...]
     slots: int
     draining: bool
+    born: int = 0
 
 
 class SilenceNews(msgspec.Struct, frozen=True, array_like=True):
@@ -161,6 +164,32 @@
     shared: tuple[tuple[str, int], ...]
 
 
+class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
+    """A content under which workers ended, as the teller knows it.
+
+    Attributes
+    ----------
+    fingerprint, service, versions
+        The content, where it went, and what the workers ran that ended.
+    ends : tuple
+        Lives of workers that ended under it, and how long ago, in ms.
+    sound_age_ms : int
+        How long ago a worker outlived it, in ms; -1 for never.
+    kept_by : str
+        The first box by name that found it is to be kept back; empty for none.
+    recorded : bool
+        Whether that stands in the platform's store.
+    """
+
+    fingerprint: Fingerprint
+    service: ServiceId
+    versions: tuple[VersionId, ...]
+    ends: tuple[tuple[LifeId, int], ...]
+    sound_age_ms: int
+    kept_by: BoxId
+    recorded: bool
+
+
 class PeerNews(msgspec.Struct, frozen=True, array_like=True):
     """A box and where its peers reach it."""
 
@@ -224,6 +253,8 @@
     speeds: tuple[SpeedNews, ...] = ()
     readings: tuple[ReadingNews, ...] = ()
     reads: tuple[ReadNews, ...] = ()
+    suspects: tuple[SuspectNews, ...] = ()
+    kept_digest: int = 0
 
 
 class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -5,6 +5,7 @@
 from ..ids import Millis
 from ..systems.estimating import newest_reads
 from ..systems.following_workers import ListedWorker
+from ..systems.quarantining import told_suspects
 from ..systems.tallies import add_up
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
@@ -14,11 +15,13 @@
 from ..tables.rollouts import Tally
 from ..tables.rollouts import Verdict
 from ..tables.rollouts import WorkerKey
+from ..tables.suspects import Suspect
 from ..tables.workers import WorkerRow
 from .news import ReadingNews
 from .news import ReadNews
 from .news import RolloutNews
 from .news import SpeedNews
+from .news import SuspectNews
 from .news import TallyGroup
 from .news import TallyNews
 from .news import WorkerNews
@@ -44,6 +47,7 @@
             versions=tuple(row.versions),
             slots=row.slots,
             draining=row.name in fleet.workers.leaving,
+            born=row.born,
         )
         for row in fleet.workers.rows.values()
         if row.name not in fleet.missing
@@ -59,6 +63,7 @@
         domain=item.domain,
         versions=frozenset(item.versions),
         slots=item.slots,
+        born=Millis(item.born),
     )
     return ListedWorker(row, draining=item.draining)
 
@@ -210,3 +215,35 @@
         ReadNews(read.worker, read.model, read.shared)
         for read in newest_reads(fleet, now)
     )
+
+
+def suspects_news(
+    fleet: Fleet, now: Millis, hearer_digest: int | None
+) -> tuple[SuspectNews, ...]:
+    """Return what this box knows of contents under which workers ended."""
+    return tuple(
+        SuspectNews(
+            fingerprint=row.fingerprint,
+            service=row.service,
+            versions=tuple(row.versions),
+            ends=tuple((life, now - at) for life, at in row.ends.items()),
+            sound_age_ms=now - row.sound_at if row.sound_at >= 0 else -1,
+            kept_by=row.kept_by,
+            recorded=row.recorded,
+        )
+        for row in told_suspects(fleet, now, hearer_digest)
+    )
+
+
+def told_suspect(item: SuspectNews, now: Millis) -> Suspect:
+    """Return a told content as a row."""
+    sound = item.sound_age_ms
+    return Suspect(
+        fingerprint=item.fingerprint,
+        service=item.service,
+        ends={life: Millis(now - age) for life, age in item.ends},
+        versions=set(item.versions),
+        sound_at=Millis(now - sound if sound >= 0 else -1),
+        kept_by=item.kept_by,
+        recorded=item.recorded,
+    )
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -15,6 +15,8 @@
 from .ids import Millis
 from .ids import ModelId
 from .ids import ServiceId
+from .ids import WorkerId
+from .keeping_back import kept_back_refusal
 from .refusals import Problem
 from .refusals import Refusal
 from .systems.cascading import Prospect
@@ -25,6 +27,8 @@
 from .systems.placing import Placed
 from .systems.placing import Wanted
 from .systems.placing import place
+from .systems.quarantining import is_suspected
+from .systems.quarantining import may_be_sent
 from .systems.ramping import VersionRule
 from .systems.ramping import version_for
 from .systems.silence import silent_workers
@@ -42,6 +46,9 @@
 
 def plan(core: Core, state: CatalogRequest) -> Result[CatalogAttempt, Refusal]:
     """Choose service, version, model and worker for the next attempt."""
+    kept = _kept_back(core, state)
+    if kept is not None:
+        return Err(kept)
     service = _service(core, state)
     if service is None:
         return Err(_no_worker(core, state, "the route names no service"))
@@ -90,6 +97,36 @@
     return catalog.services.get(name) or ServiceRow(ServiceId(name))
 
 
+def _kept_back(core: Core, state: CatalogRequest) -> Refusal | None:
+    """Return a refusal if the request's content is kept back."""
+    now = core.clock.now()
+    if may_be_sent(
+        core.fleet, state.fingerprint, now, under_way=_is_under_way(core, state)
+    ):
+        return None
+    row = core.fleet.suspects[state.fingerprint]
+    return kept_back_refusal(row, ran=state.runs > 0)
+
+
+def _is_under_way(core: Core, state: CatalogRequest) -> bool:
+    """Tell whether another request of the same content is under way here."""
+    return any(
+        other is not state and other.fingerprint == state.fingerprint
+        for other in core.running.values()
+    )
+
+
+def _workers_of_suspects(core: Core, state: CatalogRequest) -> set[WorkerId]:
+    """Return the workers that other suspected requests of this box are at."""
+    return {
+        other.under_way.worker.name
+        for other in core.running.values()
+        if other is not state
+        and other.under_way is not None
+        and is_suspected(core.fleet, other.fingerprint)
+    }
+
+
 def _version_rule(core: Core, state: CatalogRequest) -> VersionRule:
     call = state.call
     return version_for(
@@ -152,6 +189,7 @@
 ) -> Placed | None:
     fleet, route = core.fleet, state.admitted.route
     now = core.clock.now()
+    suspected = is_suspected(fleet, state.fingerprint)
     wanted = Wanted(
         service=state.service,
         rule=rule,
@@ -161,6 +199,7 @@
         avoid=state.tried,
         again=route.repeatable,
         silent=silent_workers(fleet, now),
+        apart=_workers_of_suspects(core, state) if suspected else None,
     )
     return place(fleet, wanted, now, core.rng)
 
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -9,6 +9,7 @@
 from ..clock import Clock
 from ..ids import BoxId
 from ..ids import DomainId
+from ..ids import Fingerprint
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
@@ -24,6 +25,7 @@
 from ..systems.following_workers import note_store_answer
 from ..systems.following_workers import note_store_failure
 from ..systems.following_workers import take_list
+from ..systems.quarantining import release
 from ..systems.ramping import bar_versions
 from ..systems.ramping import take_beginning
 from ..systems.ramping import take_order
@@ -91,6 +93,7 @@
         self._clock = clock
         self._store = store
         self._draining_ms = draining_ms
+        self._unreadable: dict[str, str] = {}
 
     async def follow_operators(self) -> None:
         """Read all that is newest, then wait for records; begin anew on faults.
@@ -170,6 +173,17 @@
             take_catalog(self._fleet, value, wire.decode_catalog, source="store")
         elif key.startswith(wire.ROLLOUT_PREFIX) and value:
             self._take_order(value, offset, seen=seen)
+        elif key.startswith(wire.RELEASE_PREFIX) and value:
+            self._take_release(Fingerprint(key[len(wire.RELEASE_PREFIX) :]), value)
+
+    def _take_release(self, content: Fingerprint, value: bytes) -> None:
+        decoded = wire.decode(value, wire.Release)
+        if isinstance(decoded, Err):
+            log_event("ERROR", "release unreadable", detail=decoded.err_value)
+            return
+        age = max(0, self._clock.wall() - decoded.ok_value.at)
+        release(self._fleet, content, Millis(self._clock.now() - age))
+        log_event("INFO", "content released", fingerprint=content, age_ms=age)
 
     def _take_order(self, value: bytes, offset: Offset, *, seen: bool) -> None:
         decoded = wire.decode(value, wire.RolloutOrder)
@@ -204,15 +218,9 @@
         listing = await self._newest(wire.WORKERS_TOPIC, most_ms)
         if listing is None:
             return False
-        listed: list[ListedWorker] = []
-        for item in listing.items:
-            decoded = wire.decode_worker(item.key_file, item.content())
-            if isinstance(decoded, Err):
-                detail = f"{item.key_file}: {decoded.err_value}"
-                log_event("ERROR", "worker unreadable", detail=detail)
-                continue
-            listed.append(decoded.ok_value)
+        listed = self._decode_workers(listing)
         now = self._clock.now()
+        self._fleet.stale_until = Millis(0)
         note_reading(self._fleet, now)
         change = take_list(self._fleet, listed, listing.end, now)
         if listing.end >= self._fleet.workers_end:
@@ -230,6 +238,23 @@
             )
         return True
 
+    def _decode_workers(self, listing: Listing) -> list[ListedWorker]:
+        """Decode the entries of workers; others' are logged once and left out."""
+        listed: list[ListedWorker] = []
+        unreadable: dict[str, str] = {}
+        for item in listing.items:
+            decoded = wire.decode_worker(item.key_file, item.content())
+            if isinstance(decoded, Err):
+                unreadable[item.key_file] = decoded.err_value
+            else:
+                listed.append(decoded.ok_value)
+        for key, problem in unreadable.items():
+            if self._unreadable.get(key) != problem:
+                detail = f"{key}: {problem}"
+                log_event("WARNING", "entry names no worker", detail=detail)
+        self._unreadable = unreadable
+        return listed
+
     async def _read_boxes(self) -> None:
         listing = await self._newest(wire.BOXES_TOPIC)
         if listing is None:
--- /dev/null
+++ b/src/spanshunt/platform/kept_back.py
@@ -0,0 +1,120 @@
+"""Contents that are kept back, recorded so that boxes which start know of them."""
+
+import msgspec
+from result import Err
+
+from ..clock import Clock
+from ..ids import BoxId
+from ..ids import Fingerprint
+from ..ids import LifeId
+from ..ids import Millis
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..logs import log_event
+from ..systems.quarantining import KEPT_MS
+from ..systems.quarantining import due_records
+from ..systems.quarantining import newly_kept
+from ..systems.quarantining import take_suspect
+from ..tables.fleet import Fleet
+from ..tables.suspects import Suspect
+from . import wire
+from .store import Listing
+from .store import StoreClient
+
+PAUSE_MS = 1_000
+"""Pause after a call that failed, in ms: the store is away for seconds, and each call
+is priced."""
+
+
+class KeptBackRecords:
+    """Reads the contents that are kept back once, and records those found since.
+
+    A box reads them when it starts: where all boxes ended at once, nobody else knows.
+    Later ones it hears from peers; one box records each, once.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    store : StoreClient
+        The store.
+    """
+
+    def __init__(self, fleet: Fleet, clock: Clock, store: StoreClient) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._store = store
+        self._read = False
+        self._pause_until = Millis(0)
+
+    async def tick(self) -> None:
+        """Do what is due."""
+        now = self._clock.now()
+        if now < self._pause_until:
+            return
+        if not self._read:
+            await self._read_all()
+        for row in due_records(self._fleet, now):
+            await self._record(row)
+
+    async def _read_all(self) -> None:
+        listing = await self._store.newest(wire.KEPT_BACK_TOPIC)
+        if isinstance(listing, Err):
+            self._note_failure("not read", listing.err_value.detail)
+            return
+        self._read = True
+        self._take(listing.ok_value)
+
+    def _take(self, listing: Listing) -> None:
+        now, wall = self._clock.now(), self._clock.wall()
+        for item in listing.items:
+            decoded = wire.decode(item.content(), wire.KeptBack)
+            if isinstance(decoded, Err):
+                log_event("ERROR", "record unreadable", detail=decoded.err_value)
+                continue
+            record = decoded.ok_value
+            # Ends that lie ahead by this box's time of day count from now on.
+            age = max(0, wall - record.ended)
+            if age > KEPT_MS:
+                continue
+            told = Suspect(
+                fingerprint=Fingerprint(item.key_file),
+                service=ServiceId(record.backend),
+                ends={LifeId(life): Millis(now - age) for life in record.ends},
+                versions=set(map(VersionId, record.versions)),
+                kept_by=BoxId(record.found_by),
+                recorded=True,
+            )
+            row = take_suspect(self._fleet, told, now)
+            if newly_kept(self._fleet, row, now):
+                log_event(
+                    "INFO",
+                    "content kept back",
+                    fingerprint=row.fingerprint,
+                    ends=sorted(row.counted()),
+                    age_ms=age,
+                    source="store",
+                )
+
+    async def _record(self, row: Suspect) -> None:
+        now = self._clock.now()
+        record = wire.KeptBack(
+            backend=row.service,
+            versions=tuple(sorted(row.versions)),
+            ends=tuple(sorted(row.counted())),
+            found_by=row.kept_by,
+            ended=self._clock.wall() - (now - row.last_end()),
+        )
+        value = msgspec.json.encode(record)
+        done = await self._store.append(wire.KEPT_BACK_TOPIC, row.fingerprint, value)
+        if isinstance(done, Err):
+            self._note_failure("not recorded", done.err_value.detail)
+            return
+        row.recorded, row.changed_at = True, self._clock.now()
+        log_event("INFO", "content recorded", fingerprint=row.fingerprint)
+
+    def _note_failure(self, what: str, detail: str) -> None:
+        self._pause_until = Millis(self._clock.now() + PAUSE_MS)
+        log_event("WARNING", f"kept-back contents {what}", detail=detail)
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+from functools import partial
 
 import msgspec
 import uvloop
@@ -25,6 +26,7 @@
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
+from ..keeping_back import keep_back
 from ..logs import LineQueue
 from ..logs import log_event
 from ..logs import set_up_logs
@@ -37,10 +39,13 @@
 from ..tables.rollouts import ExposeBounds
 from ..utils import new_incarnation
 from ..version import __version__
+from ..waking import Wakes
+from ..waking import take_wake
 from ..worker_probes import WorkerProbes
 from . import wire
 from .followers import Followers
 from .front import Front
+from .kept_back import KeptBackRecords
 from .recorder import Recorder
 from .settings import PATH_VARIABLE
 from .settings import NodeSettings
@@ -54,6 +59,12 @@
 JUDGE_MS = 250
 """Period of judging roll-outs, in ms."""
 
+RECORD_MS = 200
+"""Period of recording contents that are kept back, in ms."""
+
+LOOK_MS = 100
+"""Period of looking whether the box was suspended, in ms; each request looks, too."""
+
 EXIT_SETTINGS = 2
 """Exit status when the settings can't be used."""
 
@@ -121,6 +132,8 @@
             fleet=self.fleet,
             send=self._workers.send,
             probe=WorkerProbes().probe,
+            tell_now=lambda: self._exchange.tell_now(),
+            look=lambda: self._wakes.look(),
             fingerprint_key=settings.fingerprint_key,
             bounds=RepeatBounds(
                 ratio=bounds.repeat_ratio,
@@ -133,9 +146,16 @@
         self.followers = Followers(self.fleet, clock, self._store, bounds.draining_ms)
         self._front = Front(self.core, self._on_broken)
         self._recorder = Recorder(self.fleet, clock, self._store, self.counters.add)
+        self._wakes = Wakes(clock, partial(take_wake, self.core))
+        self._kept_back = KeptBackRecords(self.fleet, clock, self._store)
         self._fetcher = CatalogFetcher(self.fleet, clock, rng, wire.decode_catalog)
         self._exchange = Exchange(
-            self.fleet, clock, rng, self._fetcher.look, settings.seeds
+            self.fleet,
+            clock,
+            rng,
+            self._fetcher.look,
+            settings.seeds,
+            on_kept=partial(keep_back, self.core),
         )
         self._news = NewsService(self._exchange.hear, self._fetcher.tell)
         self._server = Server([self._news], codec=MsgpackCodec())
@@ -157,6 +177,8 @@
         jobs.every(EXCHANGE_MS, self._exchange.round)
         jobs.forever(self._fetcher.follow)
         jobs.every(JUDGE_MS, self._recorder.tick)
+        jobs.every(RECORD_MS, self._kept_back.tick)
+        jobs.every(LOOK_MS, self._look)
         jobs.every(SWEEP_MS, self._sweep)
         log_event(
             "INFO",
@@ -233,6 +255,9 @@
         self.broken = True
         self.stop_asked.set()
 
+    async def _look(self) -> None:
+        self._wakes.look()
+
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -19,6 +19,7 @@
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..ids import WorkerId
+from ..settings import Address
 from ..systems.following_workers import ListedWorker
 from ..tables.catalog import CallerLimits
 from ..tables.catalog import Catalog
@@ -37,8 +38,13 @@
 BOXES_TOPIC = "keyed.boxes"
 """The system's own: where each box tells its peers' address under its name."""
 
+KEPT_BACK_TOPIC = "keyed.kept-back"
+"""The system's own: contents that are kept back, by fingerprint."""
+
 CATALOG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+RELEASE_PREFIX = "release/"
+"""Before the fingerprint of a content that an operator lets go."""
 
 REQUEST_ID = "Attempt-Id"
 """Id of one try of a caller; the same on every send of the system for it."""
@@ -173,12 +179,14 @@
 class _Server(_Wire, frozen=True, rename="pascal"):
     # The service that it works for.
     backend: str
-    address: str
-    zone: str = ""
+    address: Address
+    zone: str
     # Of its software or weights: what roll-outs move.
-    version: str = ""
-    slots: int = 1
-    state: str = "ready"
+    version: str
+    slots: t.Annotated[int, msgspec.Meta(ge=1)]
+    state: t.Literal["ready", "draining"]
+    # When this life of the worker began; the id alone may come again. Not told by all.
+    born: int = msgspec.field(default=0, name="born")
 
 
 class RolloutOrder(_Wire, frozen=True, rename="pascal"):
@@ -205,6 +213,30 @@
     barred: tuple[str, ...] = ()
 
 
+class Release(_Wire, frozen=True, rename="pascal"):
+    """An operator's word that a content may be sent again.
+
+    ``at`` is when that was said, in ms of the time of day: what ends workers later
+    counts again.
+    """
+
+    at: int
+
+
+class KeptBack(_Wire, frozen=True, rename="pascal"):
+    """A content that is kept back, as the system records it for its boxes.
+
+    ``ends`` are the lives of workers that ended under it, ``ended`` when the last one
+    did, in ms of the time of day, ``found_by`` the box that found it.
+    """
+
+    backend: str
+    versions: tuple[str, ...]
+    ends: tuple[str, ...]
+    found_by: str
+    ended: int
+
+
 class StoreItem(_Wire, frozen=True, rename="pascal"):
     """The newest record of one key, as the store tells it."""
 
@@ -287,7 +319,11 @@
 
 
 def decode_worker(key: str, raw: bytes) -> Result[ListedWorker, str]:
-    """Decode a backend server's entry; its key is its id."""
+    """Decode a backend server's entry; its key is its id.
+
+    What lacks a field, or has one of another type or an unknown state, is another
+    writer's and names no worker.
+    """
     decoded = decode(raw, _Server)
     if isinstance(decoded, Err):
         return decoded
@@ -298,9 +334,10 @@
         service=ServiceId(server.backend),
         domain=DomainId(server.zone),
         versions=frozenset({VersionId(server.version)}),
-        slots=max(1, server.slots),
+        slots=server.slots,
+        born=Millis(server.born),
     )
-    return Ok(ListedWorker(row, draining=server.state != "ready"))
+    return Ok(ListedWorker(row, draining=server.state == "draining"))
 
 
 def decode_verdict(word: str) -> Verdict:
--- a/src/spanshunt/refusals.py
+++ b/src/spanshunt/refusals.py
@@ -26,6 +26,7 @@
     BODY_TIMEOUT = ("body-timeout", 408)
     KEY_TAKEN = ("key-taken", 409)
     CONFLICT = ("conflict", 409)
+    KEPT_BACK = ("kept-back", 400)
     TOO_LARGE = ("too-large", 413)
     OVER_LIMIT = ("over-limit", 429)
     NO_WORKER = ("no-worker", 503)
--- a/src/spanshunt/request_state.py
+++ b/src/spanshunt/request_state.py
@@ -1,5 +1,6 @@
 """What one request went through so far, whichever front it came in by."""
 
+import asyncio
 import enum
 
 import msgspec
@@ -104,6 +105,10 @@
         When the first bytes of a stream went to the caller, in ms; -1 for never.
     events : int
         Events of a stream that went to the caller.
+    timer : asyncio.Timeout or None
+        What ends it at its limit.
+    stopped : Refusal or None
+        Why it was ended before that; None while it was not.
     """
 
     request: RequestId
@@ -126,3 +131,5 @@
     attempts: list[str] = []
     first_at: Millis = Millis(-1)
     events: int = 0
+    timer: asyncio.Timeout | None = None
+    stopped: Refusal | None = None
--- a/src/spanshunt/settling.py
+++ b/src/spanshunt/settling.py
@@ -44,7 +44,7 @@
     if reply.begun:
         await reply.break_off(final)
         return Settled("cut", state.trouble)
-    if state.failure is not None:
+    if state.failure is not None and final.problem is not Problem.KEPT_BACK:
         failure = state.failure
         await reply.whole(failure.status, failure.headers, failure.body)
         return Settled("worker_failure", status=failure.status)
@@ -72,6 +72,8 @@
 ) -> Refusal:
     if state.refused is not None:
         return state.refused
+    if refusal is not None and refusal.problem is Problem.KEPT_BACK:
+        return refusal
     if state.runs:
         detail = f"{state.runs} attempts failed, the last: {state.trouble}"
         detail += "; the request may have run"
--- a/src/spanshunt/systems/ending.py
+++ b/src/spanshunt/systems/ending.py
@@ -6,8 +6,10 @@
 """
 
 from ..ids import Millis
+from ..tables.engines import KeptParts
 from ..tables.fleet import Fleet
 from ..tables.suspects import Break
+from ..tables.suspects import WorkerEnd
 from ..tables.workers import WorkerRow
 
 BREAK_COUNTS_MS = 2_000
@@ -27,11 +29,24 @@
 
 def note_end(fleet: Fleet, worker: WorkerRow, now: Millis) -> list[Break]:
     """Take in that a worker has ended; return the breaks that this explains."""
+    if worker.ended_at < 0:
+        fleet.worker_ends.append(WorkerEnd(worker.life, worker.service, now))
     worker.ended_at = now
+    _forget_life(worker)
     breaks = fleet.breaks.pop(worker.name, [])
     return [broke for broke in breaks if now - broke.at <= BREAK_COUNTS_MS]
 
 
+def _forget_life(worker: WorkerRow) -> None:
+    """Drop what was believed of a worker that has ended: whatever is back is empty."""
+    worker.kept = KeptParts()
+    worker.reported = worker.inflight_at_report = worker.queued = 0
+    worker.reported_at = Millis(0)
+    worker.told_ms.clear()
+    worker.others_ms = 0.0
+    worker.error_rate = 0.0
+
+
 def forget_breaks(fleet: Fleet, now: Millis) -> None:
     """Drop the breaks that no end can explain any more."""
     for name, breaks in list(fleet.breaks.items()):
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -102,12 +102,13 @@
         fresh = item.row
         fleet.missing.discard(fresh.name)
         known = workers.rows.get(fresh.name)
-        if known is None:
-            workers.rows[fresh.name] = fresh
+        if known is None or fresh.born > known.born > 0:
+            _take_life(fleet, fresh)
             came.append(fresh.name)
         else:
             known.address, known.domain = fresh.address, fresh.domain
             known.versions, known.service = fresh.versions, fresh.service
+            known.born = fresh.born or known.born
         workers.rows[fresh.name].listed_at = now
         if item.draining and fresh.name not in workers.leaving:
             _mark_leaving(fleet, fresh.name)
@@ -115,6 +116,18 @@
     return tuple(came), tuple(leaving)
 
 
+def _take_life(fleet: Fleet, fresh: WorkerRow) -> None:
+    """Take a worker in that is new, or back under its id.
+
+    One that is back gets a row of its own: its load, what it keeps, its failures and
+    that it was leaving were its former life's, and attempts there still count down the
+    old row.
+    """
+    fleet.workers.rows[fresh.name] = fresh
+    fleet.workers.leaving.discard(fresh.name)
+    fleet.silences.pop(fresh.name, None)
+
+
 def _take_missing(
     fleet: Fleet, present: set[WorkerId], now: Millis
 ) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
@@ -282,7 +295,7 @@
 
 def _digest(fleet: Fleet) -> int:
     said = sorted(
-        f"{row.name} {row.address} {row.service} {sorted(row.versions)} "
+        f"{row.life} {row.address} {row.service} {sorted(row.versions)} "
         f"{row.name in fleet.workers.leaving}"
         for row in fleet.workers.rows.values()
         if row.name not in fleet.missing
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -4,6 +4,7 @@
 from ..tables.fleet import Fleet
 from .ending import forget_breaks
 from .estimating import forget_told
+from .quarantining import forget_suspects
 from .watching import forget_epochs
 
 
@@ -11,4 +12,5 @@
     """Drop waits that are over and answers of versions that succeeded long ago."""
     forget_told(fleet, now)
     forget_breaks(fleet, now)
+    forget_suspects(fleet, now)
     forget_epochs(fleet, now)
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -81,6 +81,9 @@
         Whether one of these is better than none.
     silent : collection of str
         Workers that boxes found silent.
+    apart : collection of str or None
+        Workers that have requests under which workers ended, where this is one, too;
+        None where it is not.
     """
 
     service: ServiceId
@@ -91,6 +94,7 @@
     avoid: t.Collection[WorkerId] = ()
     again: bool = False
     silent: t.Collection[WorkerId] = ()
+    apart: t.Collection[WorkerId] | None = None
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -124,6 +128,8 @@
     rows = candidates(fleet.workers, wanted, now)
     if not rows:
         return None
+    if wanted.apart is not None:
+        rows = [_lone_place(rows, wanted.apart, now, rng)]
     expected: dict[WorkerId, Estimate] = {}
     if wanted.effort is None:
         best = min(rows, key=lambda row: _plain_cost(row, wanted, now, rng))
@@ -142,6 +148,23 @@
     return Placed(best, load, len(rows), age, expected.get(best.name))
 
 
+def _lone_place(
+    rows: list[WorkerRow],
+    apart: t.Collection[WorkerId],
+    now: Millis,
+    rng: random.Random,
+) -> WorkerRow:
+    """Return where to send a request under which a worker ended.
+
+    A worker with another such request is left out, so that the next end tells the two
+    apart. Of two drawn at random the less loaded is taken: fewer others break with it,
+    and boxes don't all draw the one that is just back and empty.
+    """
+    free = [row for row in rows if row.name not in apart] or rows
+    drawn = rng.sample(free, min(2, len(free)))
+    return min(drawn, key=lambda row: batch_load(row, now))
+
+
 def _plain_cost(
     row: WorkerRow, wanted: Wanted, now: Millis, rng: random.Random
 ) -> float:
--- /dev/null
+++ b/src/spanshunt/systems/quarantining.py
@@ -0,0 +1,320 @@
+"""Contents that are kept back, because workers end under them.
+
+A worker that ends takes a dozen requests with it, of which one may be the cause. Each
+of them is suspected; one that a worker answers whole is not any more. What three
+workers ended under, with no whole answer in between, is sent to no worker of any box.
+While it is suspected it goes to workers that have no other suspect, so that the next
+end tells them apart.
+"""
+
+import typing as t
+import zlib
+
+from ..ids import BoxId
+from ..ids import Fingerprint
+from ..ids import LifeId
+from ..ids import Millis
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..tables.fleet import Fleet
+from ..tables.suspects import SOUND_MS
+from ..tables.suspects import Suspect
+from ..tables.workers import WorkerRow
+from ..utils import rendezvous
+from .blaming import heard_peers
+
+ENDS_MOST = 3
+"""Workers that may end under one content. At one, each of the dozen requests that lost
+their worker would be kept back; at two, about one of them for each content that ends
+workers, as they go on to the same eight workers that it goes on to."""
+
+KEPT_MS = 3_600_000
+"""How long after the last end a content is kept back before it is tried once more, in
+ms: a worker an hour is what a cause that nobody mended costs."""
+
+FORGOTTEN_MS = 24 * 3_600_000
+"""How long after the last end a content is forgotten, in ms."""
+
+SUSPECTED_MS = 600_000
+"""The same of one that is not kept back, in ms: callers that repeat come within it."""
+
+SUSPECTS_MOST = 2_048
+"""Contents remembered at most, the longest unchanged forgotten first: under 2 MB."""
+
+TOLD_MS = 3_000
+"""How long after a change others are told in each exchange, in ms: seven exchanges;
+one that missed them all sees that its list of those kept back differs."""
+
+TOLD_MOST, KEPT_TOLD_MOST = 24, 128
+"""Contents told in one exchange at most, and of those kept back to a box whose list
+differs; each takes some 100 bytes."""
+
+RECORD_AFTER_MS = 150
+"""How long after a content was kept back that is recorded, in ms: boxes that found it
+at once hear of each other meanwhile, and one of them records it."""
+
+
+SHARE_LEAST = 0.5
+"""Part of a service's ends, since the first one under a content, that it must have been
+there at, but for those that another content explains: where workers end by themselves,
+a request meets three of them by chance, and most of the others without it."""
+
+SOUND_MOST = 4_096
+"""Contents remembered that were answered whole: two minutes of a box's requests, in
+under 1 MB."""
+
+_SAME_MS = 1_000
+"""Times of one event as two boxes tell it differ by less, in ms: what a call takes."""
+
+
+def note_end_under(
+    fleet: Fleet,
+    fingerprint: Fingerprint,
+    service: ServiceId,
+    worker: WorkerRow,
+    now: Millis,
+) -> Suspect:
+    """Take in that a worker ended while it had a content; return what is known."""
+    row = fleet.suspects.get(fingerprint)
+    if row is None:
+        row = fleet.suspects[fingerprint] = Suspect(
+            fingerprint, service, sound_at=fleet.sound.get(fingerprint, Millis(-1))
+        )
+        _make_room(fleet)
+    row.ends.setdefault(worker.life, now)
+    row.versions |= worker.versions
+    row.shared |= len(row.counted()) > 1
+    row.changed_at = now
+    return row
+
+
+def note_sound(fleet: Fleet, fingerprint: Fingerprint, at: Millis) -> None:
+    """Take in that a worker outlived a whole answer to a content."""
+    fleet.sound.pop(fingerprint, None)
+    fleet.sound[fingerprint] = at
+    if len(fleet.sound) > SOUND_MOST:
+        del fleet.sound[next(iter(fleet.sound))]
+    row = fleet.suspects.get(fingerprint)
+    if row is None:
+        return
+    if not row.shared:
+        del fleet.suspects[fingerprint]
+        return
+    if at > row.sound_at:
+        row.sound_at = row.changed_at = at
+
+
+def release(fleet: Fleet, fingerprint: Fingerprint, at: Millis) -> None:
+    """Let a content go by an operator's word, also if it is heard of later only.
+
+    Ends that come after it count.
+    """
+    at = Millis(at - SOUND_MS)
+    row = fleet.suspects.setdefault(
+        fingerprint, Suspect(fingerprint, ServiceId(""), shared=True)
+    )
+    row.sound_at = max(row.sound_at, at)
+    row.changed_at = max(row.changed_at, at)
+
+
+def share(fleet: Fleet, fingerprint: Fingerprint, now: Millis) -> None:
+    """Let others know of a content whose try ended here without a whole answer."""
+    row = fleet.suspects.get(fingerprint)
+    if row is not None and not row.shared:
+        row.shared, row.changed_at = True, now
+
+
+def is_suspected(fleet: Fleet, fingerprint: Fingerprint) -> bool:
+    """Tell whether a worker ended under a content since it was last sound."""
+    row = fleet.suspects.get(fingerprint)
+    return row is not None and bool(row.counted())
+
+
+def is_kept_back(fleet: Fleet, row: Suspect) -> bool:
+    """Tell whether a content is sent to no worker, as some box found.
+
+    It is sent while another content was there each time: that one is as likely the
+    cause, and the next end tells, as the two go to different workers.
+    """
+    ends = row.counted().keys()
+    if not row.kept_by or len(ends) < ENDS_MOST:
+        return False
+    return not any(
+        other is not row and ends <= other.counted().keys()
+        for other in fleet.suspects.values()
+    )
+
+
+def _is_cause(fleet: Fleet, row: Suspect) -> bool:
+    """Tell whether enough workers ended under a content for it to be the cause."""
+    ends = row.counted()
+    if len(ends) < ENDS_MOST:
+        return False
+    first = min(ends.values())
+    known = {
+        end.life
+        for end in fleet.worker_ends
+        if end.service == row.service and end.at >= first
+    }
+    explained: set[LifeId] = set()
+    for other in fleet.suspects.values():
+        if other is not row and len(other.counted()) >= ENDS_MOST:
+            explained |= other.counted().keys()
+    return len(ends) >= SHARE_LEAST * len((known - explained) | ends.keys())
+
+
+def may_be_sent(
+    fleet: Fleet, fingerprint: Fingerprint, now: Millis, *, under_way: bool
+) -> bool:
+    """Tell whether a content may be sent to a worker now.
+
+    One that is kept back is tried again by one box, one try at a time, when its time is
+    over or no worker is left of a version that ended under it.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    fingerprint : str
+        The content.
+    now : int
+        The time, in ms.
+    under_way : bool
+        Whether another request of this content is under way at this box.
+    """
+    row = fleet.suspects.get(fingerprint)
+    if row is None or not is_kept_back(fleet, row):
+        return True
+    due = now >= row.last_end() + KEPT_MS or _is_renewed(fleet, row)
+    return due and not under_way and _tries(fleet, row, now)
+
+
+def _is_renewed(fleet: Fleet, row: Suspect) -> bool:
+    """Tell whether the service has workers, and none of the versions that ended."""
+    workers = fleet.workers
+    versions: set[VersionId] = set()
+    for worker in workers.able(row.service, None):
+        if worker.name not in workers.leaving:
+            versions |= worker.versions
+    return bool(versions) and not versions & row.versions
+
+
+def _tries(fleet: Fleet, row: Suspect, now: Millis) -> bool:
+    boxes = [fleet.me.box, *heard_peers(fleet, now)]
+    return rendezvous(row.fingerprint, boxes, 1)[0] == fleet.me.box
+
+
+def newly_kept(fleet: Fleet, row: Suspect, now: Millis) -> bool:
+    """Judge a content; tell whether it is to be kept back and was not before."""
+    if not row.kept_by and _is_cause(fleet, row):
+        row.kept_by = fleet.me.box
+    if not is_kept_back(fleet, row):
+        return False
+    new = row.kept_at < 0 or row.kept_at <= row.sound_at
+    if new:
+        row.kept_at = now
+        row.shared, row.changed_at = True, now
+    return new
+
+
+def take_suspect(fleet: Fleet, told: Suspect, now: Millis) -> Suspect:
+    """Take in what a peer or the store tells of a content; return what is known."""
+    row = fleet.suspects.get(told.fingerprint)
+    if row is None:
+        row = fleet.suspects[told.fingerprint] = Suspect(
+            told.fingerprint,
+            told.service,
+            sound_at=fleet.sound.get(told.fingerprint, Millis(-1)),
+            changed_at=now,
+        )
+        _make_room(fleet)
+    before = (set(row.ends), row.recorded, row.kept_by)
+    # Times come with the age that the teller gave them: what is known stands.
+    row.ends = told.ends | row.ends
+    row.service = row.service or told.service
+    row.versions |= told.versions
+    row.recorded |= told.recorded
+    row.kept_by = _first(row.kept_by, told.kept_by)
+    newer = told.sound_at > row.sound_at + _SAME_MS
+    if newer:
+        row.sound_at = told.sound_at
+    row.shared = True
+    if newer or before != (set(row.ends), row.recorded, row.kept_by):
+        row.changed_at = now
+    return row
+
+
+def _first(one: BoxId, other: BoxId) -> BoxId:
+    return min(one, other) if one and other else one or other
+
+
+def told_suspects(
+    fleet: Fleet, now: Millis, hearer_digest: int | None
+) -> list[Suspect]:
+    """Return the contents to tell a peer.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    now : int
+        The time, in ms.
+    hearer_digest : int or None
+        The hearer's :func:`kept_digest`; None where that is not known.
+    """
+    shared = [row for row in fleet.suspects.values() if row.shared]
+    fresh = [row for row in shared if now - row.changed_at <= TOLD_MS]
+    fresh.sort(key=lambda row: (-len(row.counted()), -row.changed_at))
+    told = fresh[:TOLD_MOST]
+    if hearer_digest is not None and hearer_digest != kept_digest(fleet):
+        kept = [row for row in shared if is_kept_back(fleet, row)]
+        told += [row for row in kept if row not in told][:KEPT_TOLD_MOST]
+    return told
+
+
+def kept_digest(fleet: Fleet) -> int:
+    """Return a number that is alike where the same contents are kept back."""
+    kept = sorted(
+        row.fingerprint for row in fleet.suspects.values() if is_kept_back(fleet, row)
+    )
+    return zlib.crc32("\n".join(kept).encode()) if kept else 0
+
+
+def due_records(fleet: Fleet, now: Millis) -> list[Suspect]:
+    """Return the contents whose keeping back this box is to record now.
+
+    The box that found it does; where that one is not heard, the first by name that is.
+    """
+    heard = heard_peers(fleet, now)
+    return [
+        row
+        for row in fleet.suspects.values()
+        if row.kept_at >= 0
+        and not row.recorded
+        and now >= row.kept_at + RECORD_AFTER_MS
+        and _records(fleet, row, heard)
+        and is_kept_back(fleet, row)
+    ]
+
+
+def _records(fleet: Fleet, row: Suspect, heard: list[BoxId]) -> bool:
+    if row.kept_by in heard:
+        return False
+    return fleet.me.box in (row.kept_by, min([fleet.me.box, *heard]))
+
+
+def forget_suspects(fleet: Fleet, now: Millis) -> None:
+    """Drop the contents that nothing was learned of for long."""
+    for row in list(fleet.suspects.values()):
+        kept = is_kept_back(fleet, row)
+        if now - row.changed_at > (FORGOTTEN_MS if kept else SUSPECTED_MS):
+            del fleet.suspects[row.fingerprint]
+
+
+def _make_room(fleet: Fleet) -> None:
+    while len(fleet.suspects) > SUSPECTS_MOST:
+        rows: t.Iterable[Suspect] = fleet.suspects.values()
+        least = min(
+            rows, key=lambda row: (len(row.counted()) >= ENDS_MOST, row.changed_at)
+        )
+        del fleet.suspects[least.fingerprint]
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -57,7 +57,7 @@
     epoch = max(0, now - row.began) // EPOCH_MS
     row.own.routes.setdefault(EvidenceKey(route, entering, epoch), Tally()).add(seen)
     if _is_sampled(fleet, row, worker):
-        key = WorkerKey(worker.name, entering)
+        key = WorkerKey(worker.life, entering)
         row.own.workers.setdefault(key, Tally()).add(seen)
 
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -6,6 +6,7 @@
 
 from ..ids import BoxId
 from ..ids import DomainId
+from ..ids import Fingerprint
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import ModelId
@@ -19,6 +20,8 @@
 from .identity import Identity
 from .rollouts import Rollouts
 from .suspects import Break
+from .suspects import Suspect
+from .suspects import WorkerEnd
 from .workers import Workers
 
 
@@ -143,6 +146,12 @@
         When which box found a worker silent, in ms, by worker and box.
     breaks : dict
         Connections that ended under requests of late, by worker.
+    suspects : dict
+        Contents under which workers ended.
+    worker_ends : deque of WorkerEnd
+        The newest ends of workers that this box found.
+    sound : dict
+        When this box last gave a whole answer to a content, in ms, the oldest first.
     peers : dict
         Other boxes.
     rollouts : Rollouts
@@ -172,6 +181,9 @@
         service, in the catalog's price unit.
     store : StoreHealth
         The platform's store.
+    stale_until : int
+        Until when requests are held as the box has just woken and heard nobody yet, in
+        ms.
     stopping : bool
         Whether a planned stop is under way.
     """
@@ -186,6 +198,11 @@
     missing: set[WorkerId] = set()
     silences: dict[WorkerId, dict[BoxId, Millis]] = {}
     breaks: dict[WorkerId, list[Break]] = {}
+    suspects: dict[Fingerprint, Suspect] = {}
+    worker_ends: collections.deque[WorkerEnd] = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=256)
+    )
+    sound: dict[Fingerprint, Millis] = {}
     peers: dict[BoxId, PeerRow] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
@@ -201,4 +218,5 @@
     lateness: dict[ServiceId, float] = {}
     engine_worths: dict[ServiceId, float] = {}
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
+    stale_until: Millis = Millis(0)
     stopping: bool = False
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -6,11 +6,11 @@
 
 from ..ids import DomainId
 from ..ids import Incarnation
+from ..ids import LifeId
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
 from ..ids import VersionId
-from ..ids import WorkerId
 
 EPOCH_MS = 1_000
 """Width of the epochs that answers are counted in, in ms. The change test needs a few
@@ -89,9 +89,9 @@
 
 
 class WorkerKey(msgspec.Struct, frozen=True):
-    """What a worker's tally is of: the worker, and whether it is of the new version."""
+    """What a worker's tally is of: one life of it, and whether of the new version."""
 
-    worker: WorkerId
+    worker: LifeId
     entering: bool
 
 
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -6,6 +6,7 @@
 
 from ..ids import BoxId
 from ..ids import DomainId
+from ..ids import LifeId
 from ..ids import Millis
 from ..ids import ServiceId
 from ..ids import VersionId
@@ -76,6 +77,9 @@
         When a list last held its entry, in ms.
     heard_at : int
         When the last byte came from it on any request, in ms.
+    born : int
+        When this life of it began, in ms since the Unix epoch by its own word; 0 where
+        it says nothing.
     ended_at : int
         When this box found that it has ended, in ms; -1 while it has not.
     """
@@ -104,8 +108,14 @@
     kept: KeptParts = msgspec.field(default_factory=KeptParts)
     listed_at: Millis = Millis(0)
     heard_at: Millis = Millis(0)
+    born: Millis = Millis(0)
     ended_at: Millis = Millis(-1)
 
+    @property
+    def life(self) -> LifeId:
+        """Which life of the worker this is; an id may come again with a later start."""
+        return LifeId(f"{self.name}/{self.born}" if self.born else self.name)
+
 
 class Workers(msgspec.Struct):
     """All workers.
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -208,7 +208,8 @@
 
     __test__ = False
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
         self.store = StoreStandin()
         self.workers: dict[str, WorkerStandin] = {}
         self.boxes: list[Box] = []
@@ -252,7 +253,7 @@
             seeds=seeds,
             bounds=NodeBounds(repeat_ratio=0.9, repeat_slack=50.0),
         )
-        node = Node(settings, Clock())
+        node = Node(settings, self.clock)
         node.core.rng.seed(1)
         await node.start()
         box = Box(node, endpoint, *(f"http://{addresses[i]}" for i in (0, 1, 3)))
@@ -344,9 +345,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(boxes: int = 1) -> t.AsyncIterator[TestFleet]:
+async def running_fleet(
+    boxes: int = 1, clock: Clock | None = None
+) -> t.AsyncIterator[TestFleet]:
     """Run a fleet: two writers, two web workers, some boxes that are ready."""
-    fleet = TestFleet()
+    fleet = TestFleet(clock)
     try:
         await fleet.configure(config())
         for name in ("w-1", "w-2"):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,10 +11,41 @@
 import contextlib
 import typing as t
 
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet_builders import Reply
 from fleet_builders import TestFleet
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
 from fleet_builders import running_fleet
+from fleet_builders import seeded
 from fleet_builders import until
+from spanshunt.ids import DomainId
+from spanshunt.ids import Fingerprint
+from spanshunt.ids import Millis
+from spanshunt.ids import ServiceId
+from spanshunt.ids import WorkerId
+from spanshunt.peers.news_rows import suspects_news
+from spanshunt.peers.news_rows import told_suspect
 from spanshunt.standins.worker import WorkerStandin
+from spanshunt.systems.placing import Wanted
+from spanshunt.systems.placing import place
+from spanshunt.systems.quarantining import KEPT_MS
+from spanshunt.systems.quarantining import SUSPECTS_MOST
+from spanshunt.systems.quarantining import may_be_sent
+from spanshunt.systems.quarantining import newly_kept
+from spanshunt.systems.quarantining import note_end_under
+from spanshunt.systems.quarantining import note_sound
+from spanshunt.systems.quarantining import take_suspect
+from spanshunt.systems.ramping import VersionRule
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.suspects import Suspect
+from spanshunt.tables.suspects import WorkerEnd
 
 DEADLY = b"the request that ends its worker"
 
@@ -33,16 +64,20 @@
 
     def __init__(self, fleet: TestFleet) -> None:
         self.ended_at: list[float] = []
+        self.watched: list[WorkerStandin] = []
+        self.ended: list[WorkerStandin] = []
         self._fleet = fleet
         self._back: set[asyncio.Task[None]] = set()
         self._lives = 0
 
     def watch(self, worker: WorkerStandin) -> None:
         """Let the deadly request end a worker, which is back somewhat later."""
+        self.watched.append(worker)
         worker.ends_on = DEADLY
         worker.on_end = lambda: self._end(worker)
 
     def _end(self, worker: WorkerStandin) -> None:
+        self.ended.append(worker)
         self.ended_at.append(asyncio.get_running_loop().time())
         task = asyncio.create_task(self._come_back(worker))
         self._back.add(task)
@@ -98,3 +133,241 @@
         assert len(arrivals) >= 3
         after = [at for at in arrivals if at > arrivals[2] + KNOWN_S]
         assert len(after) <= MOST_AFTER
+
+
+async def test_kept_back_content_gets_a_final_answer_that_invites_no_return():
+    async with deadly_fleet(boxes=2) as (fleet, deadly):
+        await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
+        assert len(deadly.ended_at) == 3
+        content = next(iter(fleet.boxes[0].node.fleet.suspects))
+        known = fleet.boxes[1].node.fleet.suspects
+        await until(lambda: content in known, "the other box is told", wait=1.0)
+        for box in fleet.boxes:
+            reply = await fleet.ask(box, "/long/x", body=DEADLY)
+            assert reply.status == 400
+            assert "Retry-After" not in reply.headers
+            assert content.encode() in reply.body
+        assert len(deadly.ended_at) == 3
+
+
+async def test_others_are_answered_while_a_content_ends_workers():
+    async with deadly_fleet(boxes=2) as (fleet, deadly):
+        for worker in fleet.workers.values():
+            worker.event_s = 0.05
+        others = [
+            asyncio.create_task(
+                fleet.ask(fleet.boxes[number % 2], f"/long/{number}", body=b"other")
+            )
+            for number in range(24)
+        ]
+        await asyncio.sleep(0.05)
+        await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
+        replies = await asyncio.gather(*others)
+        assert len(deadly.ended_at) >= 3
+        assert sum(reply.status == 200 for reply in replies) >= 22
+
+
+async def test_boxes_that_start_know_what_is_kept_back():
+    """All boxes ended at once: what they knew stands in the store alone."""
+    async with deadly_fleet(boxes=2) as (fleet, deadly):
+        await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
+        topic = fleet.store.topic("keyed.kept-back")
+        await until(lambda: topic.end == 1, "it is recorded")
+        await asyncio.sleep(0.5)
+        for box in fleet.boxes:
+            await box.node.close()
+            box.node.fleet.stopping = True
+        fresh = await fleet.add_box("box-9")
+        await until(lambda: not fresh.node.why_not_ready(), "the new box is ready")
+        await until(lambda: bool(fresh.node.fleet.suspects), "it has read the store")
+        before = len(deadly.ended_at)
+        reply = await fleet.ask(fresh, "/long/x", body=DEADLY)
+        assert reply.status == 400
+        assert len(deadly.ended_at) == before
+        assert topic.end == 1
+
+
+async def test_operator_lets_a_content_go():
+    async with deadly_fleet(boxes=1) as (fleet, _deadly):
+        await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
+        content = next(iter(fleet.boxes[0].node.fleet.suspects))
+        await asyncio.sleep(0.6)
+        for worker in fleet.workers.values():
+            worker.ends_on = b""
+        said = {"At": fleet.boxes[0].node.clock.wall()}
+        await fleet.store.put("keyed.op", f"release/{content}", said)
+        row = fleet.boxes[0].node.fleet.suspects[content]
+        await until(lambda: not row.counted(), "the box heard the operator")
+        reply = await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
+        assert reply.status == 200
+
+
+async def test_popular_sound_content_is_not_kept_back_where_workers_end_at_random():
+    async with deadly_fleet(boxes=2) as (fleet, deadly):
+        for worker in fleet.workers.values():
+            worker.event_s = 0.02
+        rng = seeded(3)
+        replies: list[asyncio.Task[Reply]] = []
+        for number in range(60):
+            box = fleet.boxes[number % 2]
+            ask = fleet.ask(box, "/long/popular", body=b"popular")
+            replies.append(asyncio.create_task(ask))
+            await asyncio.sleep(0.05)
+            if number % 6 == 5:
+                live = [w for w in deadly.watched if w not in deadly.ended]
+                worker = rng.choice(live)
+                worker.end()
+                worker.on_end()
+        statuses = [reply.status for reply in await asyncio.gather(*replies)]
+        assert 400 not in statuses
+        assert statuses.count(200) >= 54
+
+
+def _end(fleet: Fleet, contents: str, worker: str, at: float) -> None:
+    """Let a worker end that had the contents named by letters."""
+    row = make_worker(worker)
+    fleet.worker_ends.append(WorkerEnd(row.life, row.service, ms(at)))
+    for letter in contents:
+        note_end_under(fleet, Fingerprint(letter), row.service, row, ms(at))
+
+
+def _kept(fleet: Fleet, at: float) -> str:
+    rows = sorted(fleet.suspects.items())
+    return "".join(name for name, row in rows if newly_kept(fleet, row, ms(at)))
+
+
+def test_bystanders_are_told_apart_by_the_next_end():
+    fleet = make_fleet()
+    for number, contents in enumerate(["abcd", "abx", "aby"]):
+        _end(fleet, contents, f"w-{number}", number)
+        assert _kept(fleet, number) == ""
+    _end(fleet, "az", "w-9", 4)
+    assert _kept(fleet, 4) == "a"
+    assert may_be_sent(fleet, Fingerprint("b"), ms(5), under_way=False)
+    assert not may_be_sent(fleet, Fingerprint("a"), ms(5), under_way=False)
+
+
+def test_two_contents_that_each_end_workers_are_both_kept_back():
+    fleet = make_fleet()
+    for number in range(6):
+        _end(fleet, "ab"[number % 2], f"w-{number}", 0.1 * number)
+    assert _kept(fleet, 1) == "ab"
+
+
+def test_request_that_meets_ends_by_chance_is_not_kept_back():
+    fleet = make_fleet()
+    for number in range(9):
+        _end(fleet, "a" if number % 3 == 0 else "", f"w-{number}", number)
+    assert _kept(fleet, 9) == ""
+
+
+def test_whole_answer_speaks_for_a_content_for_a_minute():
+    fleet = make_fleet()
+    note_sound(fleet, Fingerprint("a"), ms(10))
+    for number in range(5):
+        _end(fleet, "a", f"w-{number}", 12 + number)
+    assert _kept(fleet, 20) == ""
+    for number in range(3):
+        _end(fleet, "a", f"v-{number}", 71 + number)
+    assert _kept(fleet, 75) == "a"
+
+
+def test_whole_answer_of_a_box_that_was_not_told_still_counts_there():
+    fleet, peer = make_fleet(), make_fleet("box-2")
+    for number in range(3):
+        _end(fleet, "a", f"w-{number}", number)
+    assert _kept(fleet, 3) == "a"
+    note_sound(peer, Fingerprint("a"), ms(2.5))
+    for told in suspects_news(fleet, ms(3), None):
+        take_suspect(peer, told_suspect(told, ms(3)), ms(3))
+    assert may_be_sent(peer, Fingerprint("a"), ms(3), under_way=False)
+    for told in suspects_news(peer, ms(3.5), None):
+        take_suspect(fleet, told_suspect(told, ms(3.5)), ms(3.5))
+    assert may_be_sent(fleet, Fingerprint("a"), ms(4), under_way=False)
+
+
+def _kept_in(*boxes: Fleet) -> Fingerprint:
+    for fleet in boxes:
+        for name in boxes:
+            if name is not fleet:
+                peer = PeerRow(name.me.box, name.me.address, heard=ms(3_600))
+                fleet.peers[name.me.box] = peer
+        for number in range(3):
+            _end(fleet, "a", f"w-{number}", number)
+        assert _kept(fleet, 3) == "a"
+    return Fingerprint("a")
+
+
+def test_one_box_tries_once_more_when_its_time_is_over():
+    boxes = [make_fleet(f"box-{number}") for number in range(5)]
+    content = _kept_in(*boxes)
+    late = Millis(ms(2) + KEPT_MS)
+    for fleet in boxes:
+        for peer in fleet.peers.values():
+            peer.heard = late
+    tries = [may_be_sent(fleet, content, late, under_way=False) for fleet in boxes]
+    assert tries.count(True) == 1
+    owner = boxes[tries.index(True)]
+    assert not may_be_sent(owner, content, late, under_way=True)
+    _end(owner, "a", "w-9", late / 1_000)
+    assert not may_be_sent(owner, content, Millis(late + 5), under_way=False)
+
+
+def test_new_version_of_a_service_is_tried_with_what_ended_the_old_one():
+    fleet = make_fleet()
+    content = _kept_in(fleet)
+    old = add_worker(fleet, make_worker("w-0"))
+    assert not may_be_sent(fleet, content, ms(4), under_way=False)
+    add_worker(fleet, make_worker("n-0", version="v2"))
+    assert not may_be_sent(fleet, content, ms(4), under_way=False)
+    fleet.workers.leaving.add(old.name)
+    assert may_be_sent(fleet, content, ms(4), under_way=False)
+
+
+def test_suspect_goes_to_a_worker_without_another_one():
+    fleet = make_fleet()
+    for name in ("a", "b", "c"):
+        add_worker(fleet, make_worker(name))
+    fleet.workers.rows[WorkerId("c")].inflight = 6
+    wanted = Wanted(
+        ServiceId("writer"), VersionRule(), DomainId("north"), apart={WorkerId("a")}
+    )
+    rng = seeded()
+    found = {place(fleet, wanted, ms(0), rng).worker.name for _ in range(20)}
+    assert found == {"b"}
+
+
+def test_flood_of_contents_is_bounded_and_drops_no_kept_one():
+    fleet = make_fleet()
+    content = _kept_in(fleet)
+    for number in range(SUSPECTS_MOST + 50):
+        row = make_worker(f"x-{number}")
+        name = Fingerprint(f"flood-{number}")
+        note_end_under(fleet, name, row.service, row, ms(10 + number))
+        note_sound(fleet, Fingerprint(f"sound-{number}"), ms(10))
+    assert len(fleet.suspects) <= SUSPECTS_MOST
+    assert content in fleet.suspects
+
+
+ROWS = st.builds(
+    Suspect,
+    fingerprint=st.just(Fingerprint("a")),
+    service=st.just(ServiceId("writer")),
+    ends=st.dictionaries(st.sampled_from("uvwxyz"), st.integers(0, 9_000), max_size=5),
+    versions=st.sets(st.sampled_from(["v1", "v2"])),
+    kept_by=st.sampled_from(["", "box-1", "box-2"]),
+    recorded=st.booleans(),
+)
+
+
+@given(st.lists(ROWS, min_size=1, max_size=5), st.randoms())
+def test_what_boxes_tell_comes_to_the_same_in_any_order(rows, rng):
+    def taken(told: list[Suspect]) -> tuple[object, ...]:
+        fleet = make_fleet()
+        for item in told:
+            row = take_suspect(fleet, msgspec.structs.replace(item), ms(10))
+        return set(row.ends), row.versions, row.kept_by, row.recorded
+
+    mixed = [*rows, *rows]
+    rng.shuffle(mixed)
+    assert taken(rows) == taken(mixed)
--- /dev/null
+++ b/tests/test_worker_entries.py
@@ -0,0 +1,148 @@
+"""Entries of the workers' list: whose they are, and which life of a worker it is."""
+
+import json
+import typing as t
+
+import pytest
+
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from fleet_builders import running_fleet
+from fleet_builders import until
+from spanshunt.ids import Millis
+from spanshunt.ids import Offset
+from spanshunt.ids import WorkerId
+from spanshunt.peers.news_rows import listed as told_worker
+from spanshunt.peers.news_rows import workers_news
+from spanshunt.platform.wire import decode_worker
+from spanshunt.systems.ending import note_end
+from spanshunt.systems.following_workers import ListedWorker
+from spanshunt.systems.following_workers import note_replaced
+from spanshunt.systems.following_workers import take_list
+from spanshunt.systems.worker_health import Load
+from spanshunt.systems.worker_health import note_answer
+from spanshunt.systems.worker_health import note_load
+from spanshunt.tables.workers import WorkerRow
+
+ENTRY: dict[str, t.Any] = {
+    "Backend": "writer",
+    "Address": "10.1.0.9:8080",
+    "Zone": "north",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "Sequence": 4,
+    "born": 1_769_815_722_207,
+}
+
+
+def decoded(**changes: t.Any) -> WorkerRow | None:
+    """Return the row of an entry; a field that is None is left out."""
+    entry = {
+        name: value for name, value in (ENTRY | changes).items() if value is not None
+    }
+    found = decode_worker("w-1", json.dumps(entry).encode())
+    return found.ok_value.row if found.is_ok() else None
+
+
+def test_entry_tells_which_life_of_a_worker_it_is():
+    row = decoded()
+    assert row is not None
+    assert row.life == "w-1/1769815722207"
+    old = decoded(born=None)
+    assert old is not None
+    assert old.life == "w-1"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Address": None},
+        {"Address": "nowhere"},
+        {"Backend": None},
+        {"Backend": 7},
+        {"Zone": None},
+        {"Version": None},
+        {"Slots": "8"},
+        {"Slots": 0},
+        {"Slots": None},
+        {"State": "resting"},
+        {"State": None},
+        {"born": "yesterday"},
+        {"born": 1.5},
+    ],
+)
+def test_entry_of_another_writer_names_no_worker(changes: dict[str, t.Any]):
+    assert decoded(**changes) is None
+
+
+@pytest.mark.parametrize(
+    "raw", [b"", b"\xff\xfe", b"[]", b"7", b'{"Backend":', b"null"]
+)
+def test_bytes_that_cannot_be_read_name_no_worker(raw: bytes):
+    assert decode_worker("w-1", raw).is_err()
+
+
+async def test_other_workers_hold_beside_an_entry_that_cannot_be_read():
+    async with running_fleet() as fleet:
+        await fleet.store.put("keyed.servers", "odd", {"Backend": "writer"})
+        await fleet.add_worker("w-3")
+        rows = fleet.boxes[0].node.fleet.workers.rows
+        await until(lambda: "w-3" in rows, "the next list is taken")
+        assert "odd" not in rows
+        assert {"w-1", "w-2", "w-3"} <= set(rows)
+
+
+def _life(born: int) -> WorkerRow:
+    row = make_worker("w-1")
+    row.born = Millis(born)
+    return row
+
+
+def test_worker_back_under_its_id_has_nothing_of_its_former_life():
+    fleet = make_fleet()
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    former = fleet.workers.rows[WorkerId("w-1")]
+    former.inflight = 3
+    note_load(former, Load(7, 2, 8), ms(1))
+    for _ in range(4):
+        note_answer(former, 0.0, good=False, now=ms(2))
+    note_replaced(fleet, former)
+    change = take_list(fleet, [ListedWorker(_life(2_000), False)], Offset(2), ms(3))
+    row = fleet.workers.rows[WorkerId("w-1")]
+    assert change.came == ("w-1",)
+    assert row.inflight == row.reported == row.failures == 0
+    assert row.error_rate == 0.0 and row.back_at == 0
+    assert row.name not in fleet.workers.leaving
+    former.inflight -= 1
+    assert row.inflight == 0
+
+
+def test_same_life_told_again_changes_nothing():
+    fleet = make_fleet()
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    fleet.workers.rows[WorkerId("w-1")].inflight = 2
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(2), ms(2))
+    take_list(fleet, [ListedWorker(_life(0), False)], Offset(3), ms(3))
+    row = fleet.workers.rows[WorkerId("w-1")]
+    assert row.inflight == 2 and row.born == 1_000
+
+
+def test_peers_tell_which_life_it_is():
+    fleet, peer = make_fleet(), make_fleet("box-2")
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    told = [told_worker(item) for item in workers_news(fleet)]
+    take_list(peer, told, Offset(1), ms(1))
+    assert peer.workers.rows[WorkerId("w-1")].life == "w-1/1000"
+
+
+def test_what_was_believed_of_a_worker_ends_with_it():
+    fleet = make_fleet()
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    row = fleet.workers.rows[WorkerId("w-1")]
+    note_load(row, Load(7, 2, 8), ms(1))
+    row.kept.parts["large/p1"] = 500
+    note_end(fleet, row, ms(2))
+    assert row.reported == row.queued == 0
+    assert not row.kept.parts
