--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -142,3 +142,9 @@
         outcome = play_case(Kind.SLOW_4, Trouble.CUT_FIRST, seed)
         assert outcome.verdict is Verdict.ROLLED_BACK, seed
         assert outcome.kept, (seed, outcome.late)
+
+
+def test_version_that_fails_under_load_alone_is_found_before_it_has_all_requests():
+    """It shows nothing until it carries what only full service brings."""
+    outcome = play_case(Kind.UNDER_LOAD, Trouble.BURST, 1)
+    assert outcome.kept, outcome
