--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -42,6 +42,7 @@
 from .systems.admitting import admit
 from .systems.admitting import held_ms
 from .systems.cascading import note_lateness
+from .systems.ending import note_return
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
@@ -313,7 +314,7 @@
     now = core.clock.now()
     attempt.answered = True
     attempt.worker.heard_at = now
-    attempt.worker.ended_at = Millis(-1)
+    note_return(attempt.worker)
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
     if found.replaced:
--- a/src/spanshunt/systems/ending.py
+++ b/src/spanshunt/systems/ending.py
@@ -34,10 +34,19 @@
         fleet.worker_ends.append(WorkerEnd(worker.life, worker.service, now))
     worker.ended_at = now
     _forget_life(worker)
+    for read in [read for read in fleet.prompts_read if read.worker == worker.name]:
+        fleet.prompts_read.remove(read)
     breaks = fleet.breaks.pop(worker.name, [])
     return [broke for broke in breaks if now - broke.at <= BREAK_COUNTS_MS]
 
 
+def note_return(worker: WorkerRow) -> None:
+    """Take in that a worker answers: one that had ended is back, in another life."""
+    if worker.ended_at >= 0:
+        worker.ended_at = Millis(-1)
+        worker.returns += 1
+
+
 def _forget_life(worker: WorkerRow) -> None:
     """Drop what was believed of a worker that has ended: whatever is back is empty."""
     worker.kept = KeptParts()
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -122,7 +122,7 @@
         fleet.missing.discard(fresh.name)
         known = workers.rows.get(fresh.name)
         if known is None or fresh.born > known.born > 0:
-            _take_life(fleet, fresh)
+            _take_life(fleet, fresh, now)
             came.append(fresh.name)
         else:
             known.address, known.domain = fresh.address, fresh.domain
@@ -135,13 +135,16 @@
     return tuple(came), tuple(leaving)
 
 
-def _take_life(fleet: Fleet, fresh: WorkerRow) -> None:
+def _take_life(fleet: Fleet, fresh: WorkerRow, now: Millis) -> None:
     """Take a worker in that is new, or back under its id.
 
     One that is back gets a row of its own: its load, what it keeps, its failures and
     that it was leaving were its former life's, and attempts there still count down the
     old row.
     """
+    if fresh.name in fleet.workers.rows:
+        # What peers still tell of its former life's silence is older than this.
+        fresh.heard_at = now
     fleet.workers.rows[fresh.name] = fresh
     fleet.workers.leaving.discard(fresh.name)
     fleet.silences.pop(fresh.name, None)
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -82,6 +82,8 @@
         it says nothing.
     ended_at : int
         When this box found that it has ended, in ms; -1 while it has not.
+    returns : int
+        Times that it answered again after that, before its entry told of another life.
     """
 
     name: WorkerId
@@ -110,11 +112,14 @@
     heard_at: Millis = Millis(0)
     born: Millis = Millis(0)
     ended_at: Millis = Millis(-1)
+    returns: int = 0
 
     @property
     def life(self) -> LifeId:
         """Which life of the worker this is; an id may come again with a later start."""
-        return LifeId(f"{self.name}/{self.born}" if self.born else self.name)
+        began = f"/{self.born}" if self.born else ""
+        again = f"+{self.returns}" if self.returns else ""
+        return LifeId(f"{self.name}{began}{again}")
 
 
 class Workers(msgspec.Struct):
--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -148,3 +148,9 @@
     """It shows nothing until it carries what only full service brings."""
     outcome = play_case(Kind.UNDER_LOAD, Trouble.BURST, 1)
     assert outcome.kept, outcome
+
+
+def test_slow_version_is_found_beside_slow_workers_of_the_leaving_one():
+    """Both are mostly slow against one usual time; by how much does not show."""
+    outcome = play_case(Kind.SLOW_4, Trouble.SLOW_LEAVING, 17)
+    assert outcome.kept, outcome
--- a/tests/test_worker_entries.py
+++ b/tests/test_worker_entries.py
@@ -10,6 +10,7 @@
 from fleet_builders import ms
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import WorkerId
@@ -17,9 +18,13 @@
 from spanshunt.peers.news_rows import workers_news
 from spanshunt.platform.wire import decode_worker
 from spanshunt.systems.ending import note_end
+from spanshunt.systems.ending import note_return
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import note_replaced
 from spanshunt.systems.following_workers import take_list
+from spanshunt.systems.silence import Silence
+from spanshunt.systems.silence import is_silent
+from spanshunt.systems.silence import note_silence
 from spanshunt.systems.worker_health import Load
 from spanshunt.systems.worker_health import note_answer
 from spanshunt.systems.worker_health import note_load
@@ -173,3 +178,25 @@
     other = make_worker("w-3")
     other.address = "w-2:80"
     assert _ended(fleet, other, end=3) == []
+
+
+def test_worker_that_ends_twice_before_its_entry_tells_has_two_lives():
+    fleet = make_fleet()
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    row = fleet.workers.rows[WorkerId("w-1")]
+    first = row.life
+    note_end(fleet, row, ms(2))
+    assert row.life == first
+    note_return(row)
+    note_end(fleet, row, ms(3))
+    assert row.life != first
+    assert len({end.life for end in fleet.worker_ends}) == 2
+
+
+def test_silence_of_a_former_life_does_not_count():
+    fleet = make_fleet()
+    take_list(fleet, [ListedWorker(_life(1_000), False)], Offset(1), ms(1))
+    take_list(fleet, [ListedWorker(_life(2_000), False)], Offset(2), ms(3))
+    for box in ("box-2", "box-3"):
+        note_silence(fleet, Silence(WorkerId("w-1"), BoxId(box), ms(2.5)), ms(3.1))
+    assert not is_silent(fleet, WorkerId("w-1"), ms(3.2))
