A content that was found sound leaves the store; checks of contents stay cheap

Cause, found on reading: a box that starts kept back by its record what others had found sound; a content answered often was told at each answer; each exchange compared all suspects with all. Change: one call drops the record when a content was let go, and old ones as they are read; it is recorded anew if kept back again. Words of soundness are told twice a minute at most. Contents with fewer than three ends are passed over. The bound of three ends names its measurement.

--- a/src/spanshunt/platform/kept_back.py
+++ b/src/spanshunt/platform/kept_back.py
@@ -12,7 +12,9 @@
 from ..ids import VersionId
 from ..logs import log_event
 from ..systems.blaming import heard_peers
+from ..systems.quarantining import FORGOTTEN_MS
 from ..systems.quarantining import KEPT_MS
+from ..systems.quarantining import due_drops
 from ..systems.quarantining import due_records
 from ..systems.quarantining import newly_kept
 from ..systems.quarantining import take_suspect
@@ -54,6 +56,7 @@
         self._store = store
         self._read = False
         self._pause_until = Millis(0)
+        self._expired: list[Fingerprint] = []
         self._recalled_at = Millis(-PAUSE_MS)
 
     async def tick(self) -> None:
@@ -65,6 +68,11 @@
             await self._read_all()
         for row in due_records(self._fleet, now):
             await self._record(row)
+        for row in due_drops(self._fleet, now):
+            if await self._drop(row.fingerprint):
+                row.dropped_at = now
+        while self._expired and await self._drop(self._expired[-1]):
+            self._expired.pop()
 
     async def recall(self) -> None:
         """Read again where no peer can tell: this box is cut off from all of them."""
@@ -92,6 +100,8 @@
             record = decoded.ok_value
             # Ends that lie ahead by this box's time of day count from now on.
             age = max(0, wall - record.ended)
+            if age > FORGOTTEN_MS:
+                self._expired.append(Fingerprint(item.key_file))
             if age > KEPT_MS:
                 continue
             told = Suspect(
@@ -128,8 +138,18 @@
             self._note_failure("not recorded", done.err_value.detail)
             return
         row.recorded, row.changed_at = True, self._clock.now()
+        row.dropped_at = Millis(-1)
         log_event("INFO", "content recorded", fingerprint=row.fingerprint)
 
+    async def _drop(self, content: Fingerprint) -> bool:
+        """Take a content out of the store; tell whether that was done."""
+        done = await self._store.append(wire.KEPT_BACK_TOPIC, content, b"")
+        if isinstance(done, Err):
+            self._note_failure("not dropped", done.err_value.detail)
+            return False
+        log_event("INFO", "content dropped from the store", fingerprint=content)
+        return True
+
     def _note_failure(self, what: str, detail: str) -> None:
         self._pause_until = Millis(self._clock.now() + PAUSE_MS)
         log_event("WARNING", f"kept-back contents {what}", detail=detail)
--- a/src/spanshunt/systems/quarantining.py
+++ b/src/spanshunt/systems/quarantining.py
@@ -24,9 +24,9 @@
 from .blaming import heard_peers
 
 ENDS_MOST = 3
-"""Workers that may end under one content. At one, each of the dozen requests that lost
-their worker would be kept back; at two, about one of them for each content that ends
-workers, as they go on to the same eight workers that it goes on to."""
+"""Workers that may end under one content. Where workers end by themselves, one of ten a
+second, 0 to 4 of 1,000 sound requests are kept back, at two ends 13 to 34 (four plays
+each, ``bench/ends.py``); a content that ends workers costs three instead of two."""
 
 KEPT_MS = 3_600_000
 """How long after the last end a content is kept back before it is tried once more, in
@@ -53,7 +53,6 @@
 """How long after a content was kept back that is recorded, in ms: boxes that found it
 at once hear of each other meanwhile, and one of them records it."""
 
-
 SHARE_LEAST = 0.5
 """Part of a service's ends, since the first one under a content, that it must have been
 there at, but for those that another content explains: where workers end by themselves,
@@ -100,7 +99,8 @@
     if not row.shared:
         del fleet.suspects[fingerprint]
         return
-    if at > row.sound_at:
+    # What is answered often is told now and then, not at each answer.
+    if row.counted() or at > row.sound_at + SOUND_MS // 2:
         row.sound_at = row.changed_at = at
 
 
@@ -140,11 +140,18 @@
     if not row.kept_by or len(ends) < ENDS_MOST:
         return False
     return not any(
-        other is not row and ends <= other.counted().keys()
-        for other in fleet.suspects.values()
+        other is not row and ends <= other.counted().keys() for other in _strong(fleet)
     )
 
 
+def _strong(fleet: Fleet) -> list[Suspect]:
+    """Return the contents under which enough workers ended, whether that counts or not.
+
+    Most suspects lost one worker, and this is asked at each exchange.
+    """
+    return [row for row in fleet.suspects.values() if len(row.ends) >= ENDS_MOST]
+
+
 def _is_cause(fleet: Fleet, row: Suspect) -> bool:
     """Tell whether enough workers ended under a content for it to be the cause."""
     ends = row.counted()
@@ -157,7 +164,7 @@
         if end.service == row.service and end.at >= first
     }
     explained: set[LifeId] = set()
-    for other in fleet.suspects.values():
+    for other in _strong(fleet):
         if other is not row and len(other.counted()) >= ENDS_MOST:
             explained |= other.counted().keys()
     return len(ends) >= SHARE_LEAST * len((known - explained) | ends.keys())
@@ -274,9 +281,7 @@
 
 def kept_digest(fleet: Fleet) -> int:
     """Return a number that is alike where the same contents are kept back."""
-    kept = sorted(
-        row.fingerprint for row in fleet.suspects.values() if is_kept_back(fleet, row)
-    )
+    kept = sorted(row.fingerprint for row in _strong(fleet) if is_kept_back(fleet, row))
     return zlib.crc32("\n".join(kept).encode()) if kept else 0
 
 
@@ -288,15 +293,31 @@
     heard = heard_peers(fleet, now)
     return [
         row
-        for row in fleet.suspects.values()
+        for row in _strong(fleet)
         if row.kept_at >= 0
-        and not row.recorded
+        and (not row.recorded or row.dropped_at >= 0)
         and now >= row.kept_at + RECORD_AFTER_MS
         and _records(fleet, row, heard)
         and is_kept_back(fleet, row)
     ]
 
 
+def due_drops(fleet: Fleet, now: Millis) -> list[Suspect]:
+    """Return the recorded contents that were found sound or let go since.
+
+    A box that starts would keep them back by their record.
+    """
+    heard = heard_peers(fleet, now)
+    return [
+        row
+        for row in _strong(fleet)
+        if row.recorded
+        and row.dropped_at < 0 <= row.sound_at
+        and len(row.counted()) < ENDS_MOST
+        and _records(fleet, row, heard)
+    ]
+
+
 def _records(fleet: Fleet, row: Suspect, heard: list[BoxId]) -> bool:
     if row.kept_by in heard:
         return False
--- a/src/spanshunt/tables/suspects.py
+++ b/src/spanshunt/tables/suspects.py
@@ -72,6 +72,8 @@
         When this box found that or heard it, in ms; -1 for never.
     recorded : bool
         Whether that stands in the platform's store.
+    dropped_at : int
+        When this box took it out of there, in ms; -1 while it did not.
     """
 
     fingerprint: Fingerprint
@@ -84,6 +86,7 @@
     kept_by: BoxId = BoxId("")
     kept_at: Millis = Millis(-1)
     recorded: bool = False
+    dropped_at: Millis = Millis(-1)
 
     def counted(self) -> dict[LifeId, Millis]:
         """Return the ends that count: none within `SOUND_MS` of a whole answer."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -36,11 +36,15 @@
 from spanshunt.systems.placing import place
 from spanshunt.systems.quarantining import KEPT_MS
 from spanshunt.systems.quarantining import SUSPECTS_MOST
+from spanshunt.systems.quarantining import due_drops
+from spanshunt.systems.quarantining import due_records
 from spanshunt.systems.quarantining import may_be_sent
 from spanshunt.systems.quarantining import newly_kept
 from spanshunt.systems.quarantining import note_end_under
 from spanshunt.systems.quarantining import note_sound
+from spanshunt.systems.quarantining import share
 from spanshunt.systems.quarantining import take_suspect
+from spanshunt.systems.quarantining import told_suspects
 from spanshunt.systems.ramping import VersionRule
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
@@ -205,6 +209,8 @@
         await until(lambda: not row.counted(), "the box heard the operator")
         reply = await fleet.ask(fleet.boxes[0], "/long/x", body=DEADLY)
         assert reply.status == 200
+        kept = fleet.store.topic("keyed.kept-back").values
+        await until(lambda: content not in kept, "its record is dropped")
 
 
 async def test_popular_sound_content_is_not_kept_back_where_workers_end_at_random():
@@ -414,3 +420,32 @@
         reply = await fleet.ask(fleet.boxes[1], "/long/x", body=DEADLY)
         assert reply.status == 400
         assert len(deadly.ended_at) == 4
+
+
+def test_content_that_is_kept_back_again_is_recorded_again():
+    fleet = make_fleet()
+    content = _kept_in(fleet)
+    row = fleet.suspects[content]
+    assert due_records(fleet, ms(4)) == [row] and not due_drops(fleet, ms(4))
+    row.recorded = True
+    assert not due_records(fleet, ms(4))
+    note_sound(fleet, content, ms(5))
+    assert due_drops(fleet, ms(6)) == [row]
+    row.dropped_at = ms(6)
+    assert not due_drops(fleet, ms(7)) and not due_records(fleet, ms(7))
+    for number in range(3):
+        _end(fleet, "a", f"v-{number}", 70 + number)
+    assert _kept(fleet, 73) == "a"
+    assert due_records(fleet, ms(74)) == [row]
+
+
+def test_content_that_is_answered_often_is_not_told_each_time():
+    fleet = make_fleet()
+    _end(fleet, "a", "w-1", 0)
+    share(fleet, Fingerprint("a"), ms(0.1))
+    note_sound(fleet, Fingerprint("a"), ms(1))
+    told_at = fleet.suspects[Fingerprint("a")].changed_at
+    for second in range(2, 29):
+        note_sound(fleet, Fingerprint("a"), ms(second))
+    assert fleet.suspects[Fingerprint("a")].changed_at == told_at
+    assert not told_suspects(fleet, ms(20), None)
