What is kept back is worked out once for each exchange

Cause: each exchange compared each kept content with all suspects: 4.6 ms with 20 kept of 2,020, 32 ms with 100 of 2,000, seven times a second. Change: the ends that count are gathered once.

--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -16,7 +16,7 @@
 from .systems.exposing import share_at
 from .systems.following_workers import reader_of
 from .systems.placing import batch_load
-from .systems.quarantining import is_kept_back
+from .systems.quarantining import kept_contents
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
 from .systems.silence import is_silent
@@ -176,11 +176,7 @@
             for name, row in sorted(fleet.models.items())
         ),
         peers=tuple(_peer(row, now) for _, row in sorted(fleet.peers.items())),
-        kept_back=tuple(
-            _kept_back(row, now)
-            for row in fleet.suspects.values()
-            if is_kept_back(fleet, row)
-        ),
+        kept_back=tuple(_kept_back(row, now) for row in kept_contents(fleet)),
     )
 
 
--- a/src/spanshunt/systems/quarantining.py
+++ b/src/spanshunt/systems/quarantining.py
@@ -136,20 +136,33 @@
     It is sent while another content was there each time: that one is as likely the
     cause, and the next end tells, as the two go to different workers.
     """
-    ends = row.counted().keys()
-    if not row.kept_by or len(ends) < ENDS_MOST:
+    if not row.kept_by or len(row.counted()) < ENDS_MOST:
         return False
-    return not any(
-        other is not row and ends <= other.counted().keys() for other in _strong(fleet)
-    )
+    return not _has_rival(row, _ends_of_strong(fleet))
+
+
+def kept_contents(fleet: Fleet) -> list[Suspect]:
+    """Return the contents that are sent to no worker."""
+    ends = _ends_of_strong(fleet)
+    rows = [fleet.suspects[name] for name in ends]
+    return [row for row in rows if row.kept_by and not _has_rival(row, ends)]
 
 
-def _strong(fleet: Fleet) -> list[Suspect]:
-    """Return the contents under which enough workers ended, whether that counts or not.
+def _ends_of_strong(fleet: Fleet) -> dict[Fingerprint, set[LifeId]]:
+    """Return the ends that count, of contents with enough of them.
 
     Most suspects lost one worker, and this is asked at each exchange.
     """
-    return [row for row in fleet.suspects.values() if len(row.ends) >= ENDS_MOST]
+    rows = [row for row in fleet.suspects.values() if len(row.ends) >= ENDS_MOST]
+    counted = {row.fingerprint: set(row.counted()) for row in rows}
+    return {name: ends for name, ends in counted.items() if len(ends) >= ENDS_MOST}
+
+
+def _has_rival(row: Suspect, strong: dict[Fingerprint, set[LifeId]]) -> bool:
+    ends = strong[row.fingerprint]
+    return any(
+        ends <= others for name, others in strong.items() if name != row.fingerprint
+    )
 
 
 def _is_cause(fleet: Fleet, row: Suspect) -> bool:
@@ -164,9 +177,9 @@
         if end.service == row.service and end.at >= first
     }
     explained: set[LifeId] = set()
-    for other in _strong(fleet):
-        if other is not row and len(other.counted()) >= ENDS_MOST:
-            explained |= other.counted().keys()
+    for name, other_ends in _ends_of_strong(fleet).items():
+        if name != row.fingerprint:
+            explained |= other_ends
     return len(ends) >= SHARE_LEAST * len((known - explained) | ends.keys())
 
 
@@ -274,14 +287,15 @@
     fresh.sort(key=lambda row: (-len(row.counted()), -row.changed_at))
     told = fresh[:TOLD_MOST]
     if hearer_digest is not None and hearer_digest != kept_digest(fleet):
-        kept = [row for row in shared if is_kept_back(fleet, row)]
-        told += [row for row in kept if row not in told][:KEPT_TOLD_MOST]
+        named = {row.fingerprint for row in told}
+        kept = [row for row in kept_contents(fleet) if row.fingerprint not in named]
+        told += kept[:KEPT_TOLD_MOST]
     return told
 
 
 def kept_digest(fleet: Fleet) -> int:
     """Return a number that is alike where the same contents are kept back."""
-    kept = sorted(row.fingerprint for row in _strong(fleet) if is_kept_back(fleet, row))
+    kept = sorted(row.fingerprint for row in kept_contents(fleet))
     return zlib.crc32("\n".join(kept).encode()) if kept else 0
 
 
@@ -293,12 +307,11 @@
     heard = heard_peers(fleet, now)
     return [
         row
-        for row in _strong(fleet)
+        for row in kept_contents(fleet)
         if row.kept_at >= 0
         and (not row.recorded or row.dropped_at >= 0)
         and now >= row.kept_at + RECORD_AFTER_MS
         and _records(fleet, row, heard)
-        and is_kept_back(fleet, row)
     ]
 
 
@@ -310,7 +323,7 @@
     heard = heard_peers(fleet, now)
     return [
         row
-        for row in _strong(fleet)
+        for row in fleet.suspects.values()
         if row.recorded
         and row.dropped_at < 0 <= row.sound_at
         and len(row.counted()) < ENDS_MOST
@@ -326,10 +339,10 @@
 
 def forget_suspects(fleet: Fleet, now: Millis) -> None:
     """Drop the contents that nothing was learned of for long."""
-    for row in list(fleet.suspects.values()):
-        kept = is_kept_back(fleet, row)
-        if now - row.changed_at > (FORGOTTEN_MS if kept else SUSPECTED_MS):
-            del fleet.suspects[row.fingerprint]
+    kept = {row.fingerprint for row in kept_contents(fleet)}
+    for name, row in list(fleet.suspects.items()):
+        if now - row.changed_at > (FORGOTTEN_MS if name in kept else SUSPECTED_MS):
+            del fleet.suspects[name]
 
 
 def _make_room(fleet: Fleet) -> None:
