--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -132,6 +132,34 @@
     assert f"{judged} of {judged} answers failed" in verdicts[0]["reason"]
 
 
+async def test_kept_back(tmp_path):
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            await fleet.add_worker("w-3")
+            box = fleet.boxes[0]
+            rows = box.node.fleet.workers.rows
+            await until(lambda: "w-3" in rows, "all engines are known")
+            for name in ("w-1", "w-2", "w-3"):
+                fleet.workers[name].ends_on = b"deadly"
+            await fleet.ask(box, "/long/x", body=b"deadly", Attempt_Id="k1")
+            reply = await fleet.ask(box, "/long/x", body=b"deadly", Attempt_Id="k2")
+            assert reply.status == 400
+    settled = mine(traced(path, "k2"))[-1]
+    assert "outcome=kept-back" in settled
+    content = next(iter(box.node.fleet.suspects))
+    assert content in settled
+    first = traced(path, "k1")
+    sent = [line for line in mine(first) if "dispatch" in line]
+    assert len(sent) == 3 and all(f"fingerprint={content}" in line for line in sent)
+    ended = [line for line in first if "worker ended" in line]
+    assert {"w-1", "w-2", "w-3"} == {
+        line.partition("worker=")[2].split()[0] for line in ended
+    }
+    kept = [line for line in first if "content kept back" in line]
+    assert len(kept) == 1 and content in kept[0] and "own evidence" in kept[0]
+
+
 def test_unknown_request_is_said():
     with tempfile.NamedTemporaryFile() as log:
         log.write(b'{"event":"started","box":"b","at":1.0}\n')
@@ -142,7 +170,15 @@
 
 @pytest.mark.parametrize(
     "outcome",
-    ["worker_failure", "deadline", "not-found", "bad-credential", "cut", "no-worker"],
+    [
+        "worker_failure",
+        "deadline",
+        "not-found",
+        "bad-credential",
+        "cut",
+        "no-worker",
+        "kept-back",
+    ],
 )
 def test_page_names_each_outcome(outcome):
     assert f"`{outcome}`" in PAGE.read_text()
