An operator's word on a content is told to boxes that do not follow the records

Cause, found on reading: the word took effect a minute back, so that ends after it count, and the same time said when others were last told of something new; they were not told. Change: it is new at the time at which a box takes it in. Figures: the new test fails without it (a second box kept the content back). Requests on the way of no operator's word are not touched.

--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -191,7 +191,8 @@
             log_event("ERROR", "release unreadable", detail=decoded.err_value)
             return
         age = max(0, self._clock.wall() - decoded.ok_value.at)
-        release(self._fleet, content, Millis(self._clock.now() - age))
+        now = self._clock.now()
+        release(self._fleet, content, Millis(now - age), now)
         log_event("INFO", "content released", fingerprint=content, age_ms=age)
 
     def _take_order(self, value: bytes, offset: Offset, *, seen: bool) -> None:
--- a/src/spanshunt/systems/quarantining.py
+++ b/src/spanshunt/systems/quarantining.py
@@ -98,17 +98,16 @@
         row.sound_at = row.changed_at = at
 
 
-def release(fleet: Fleet, fingerprint: Fingerprint, at: Millis) -> None:
-    """Let a content go by an operator's word, also if it is heard of later only.
+def release(fleet: Fleet, fingerprint: Fingerprint, at: Millis, now: Millis) -> None:
+    """Let a content go by an operator's word, given at `at`.
 
-    Ends that come after it count.
+    It counts as well for one that is heard of later only. Ends after it count again.
     """
-    at = Millis(at - SOUND_MS)
     row = fleet.suspects.setdefault(
         fingerprint, Suspect(fingerprint, ServiceId(""), shared=True)
     )
-    row.sound_at = max(row.sound_at, at)
-    row.changed_at = max(row.changed_at, at)
+    row.sound_at = max(row.sound_at, Millis(at - SOUND_MS))
+    row.changed_at = now
 
 
 def share(fleet: Fleet, fingerprint: Fingerprint, now: Millis) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -42,6 +42,7 @@
 from spanshunt.systems.quarantining import newly_kept
 from spanshunt.systems.quarantining import note_end_under
 from spanshunt.systems.quarantining import note_sound
+from spanshunt.systems.quarantining import release
 from spanshunt.systems.quarantining import share
 from spanshunt.systems.quarantining import take_suspect
 from spanshunt.systems.quarantining import told_suspects
@@ -443,3 +444,13 @@
         note_sound(fleet, Fingerprint("a"), ms(second))
     assert fleet.suspects[Fingerprint("a")].changed_at == told_at
     assert not told_suspects(fleet, ms(20), None)
+
+
+def test_operators_word_reaches_boxes_that_do_not_follow_the_records():
+    fleet, peer = make_fleet(), make_fleet("box-2")
+    content = _kept_in(fleet, peer)
+    release(fleet, content, ms(100), ms(100))
+    assert may_be_sent(fleet, content, ms(100), under_way=False)
+    for told in suspects_news(fleet, ms(100.4), None):
+        take_suspect(peer, told_suspect(told, ms(100.4)), ms(100.4))
+    assert may_be_sent(peer, content, ms(101), under_way=False)
