Two leftovers of this change: a field that nothing reads, a constant beside its literal

Cause, found on reading the change again: a break kept its request's id for nobody, and the plays of ends named how often a sound content comes twice. Change: the field goes, the constant is used. No behaviour changes.

--- a/bench/ends.py
+++ b/bench/ends.py
@@ -54,7 +54,9 @@
     EndsCase("one content", at_a_time=1),
     EndsCase("two at a time", at_a_time=2),
     EndsCase("one content, all boxes ended", at_a_time=1, all_ended_at=16.0),
-    EndsCase("ends at random, a sound content", ends_per_s=1.0, sound_per_s=10.0),
+    EndsCase(
+        "ends at random, a sound content", ends_per_s=1.0, sound_per_s=SOUND_PER_S
+    ),
 )
 
 
--- a/src/spanshunt/break_causes.py
+++ b/src/spanshunt/break_causes.py
@@ -23,7 +23,7 @@
         return
     worker = attempt.worker
     now = core.clock.now()
-    broke = Break(state.request, state.fingerprint, attempt.service, now)
+    broke = Break(state.fingerprint, attempt.service, now)
     note_break(core.fleet, worker, broke)
     if worker.ended_at >= attempt.sent:
         take_end(core, worker, "known before")
--- a/src/spanshunt/tables/suspects.py
+++ b/src/spanshunt/tables/suspects.py
@@ -6,7 +6,6 @@
 from ..ids import Fingerprint
 from ..ids import LifeId
 from ..ids import Millis
-from ..ids import RequestId
 from ..ids import ServiceId
 from ..ids import VersionId
 
@@ -21,17 +20,14 @@
 
     Attributes
     ----------
-    request : str
-        The request.
     fingerprint : str
-        Its content.
+        The request's content.
     service : str
         The service that it was sent to.
     at : int
         When the connection ended, in ms.
     """
 
-    request: RequestId
     fingerprint: Fingerprint
     service: ServiceId
     at: Millis
