A box that starts listens for callers before it imports

Ruled out: fewer imports alone (a sixth went with the certificates; the rest is the HTTP library's and the peers' protocol's own). Change: the start script listens where callers connect before anything else; they wait in the queue.

--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 from functools import partial
 
@@ -110,10 +111,18 @@
         Checked settings.
     clock : Clock
         The source of time.
+    callers : socket.socket or None
+        Listens where callers connect already; None if nothing does yet.
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        callers: socket.socket | None = None,
+    ) -> None:
         self.settings = settings
+        self._callers = callers
         self.clock = clock
         self.stop_asked = asyncio.Event()
         self.broken = False
@@ -140,7 +149,7 @@
         self.histograms = Histograms()
         self._background = Background(self._on_broken, phase=random.random())
         self._runners: list[web.ServerRunner] = []
-        self._sites: list[web.TCPSite] = []
+        self._sites: list[web.BaseSite] = []
         self._workers = WorkerClient()
         self._store = StoreClient(
             settings.store.address,
@@ -200,7 +209,8 @@
         listen = self.settings.listen
         await self._serve(web.Server(self._answer_ready), listen.readiness)
         await self._serve(web.Server(self._answer_metrics), listen.metrics)
-        self._sites.append(await self._serve(self._front.server, listen.callers))
+        front = await self._serve(self._front.server, listen.callers, self._callers)
+        self._sites.append(front)
         host, _, port = listen.peers.rpartition(":")
         await self._server.start(host, int(port))
         jobs = self._background
@@ -304,12 +314,18 @@
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
-    async def _serve(self, server: web.Server, address: str) -> web.TCPSite:
-        host, _, port = address.rpartition(":")
+    async def _serve(
+        self, server: web.Server, address: str, sock: socket.socket | None = None
+    ) -> web.BaseSite:
         runner = web.ServerRunner(server, shutdown_timeout=0.2)
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, host, int(port), backlog=1024)
+        site: web.BaseSite
+        if sock is not None:
+            site = web.SockSite(runner, sock)
+        else:
+            host, _, port = address.rpartition(":")
+            site = web.TCPSite(runner, host, int(port), backlog=1024)
         await site.start()
         return site
 
@@ -327,8 +343,11 @@
         return web.Response(text=metrics_page(self.counters, self.histograms))
 
 
-def main() -> None:
-    """Run a box; the settings file's path is in the environment."""
+def main(callers: socket.socket | None = None) -> None:
+    """Run a box; the settings file's path is in the environment.
+
+    `callers` listens where callers connect already, if anything does.
+    """
     path = os.environ.get(PATH_VARIABLE, "")
     try:
         settings = load_node_settings(path)
@@ -336,11 +355,16 @@
         print(f"spanshunt-node: {exc}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     lines = set_up_logs(settings.logging, settings.box)
-    sys.exit(uvloop.run(_run(settings, path, lines)))
+    sys.exit(uvloop.run(_run(settings, path, lines, callers)))
 
 
-async def _run(settings: NodeSettings, path: str, lines: LineQueue) -> int:
-    node = Node(settings, Clock())
+async def _run(
+    settings: NodeSettings,
+    path: str,
+    lines: LineQueue,
+    callers: socket.socket | None,
+) -> int:
+    node = Node(settings, Clock(), callers)
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, node.stop_asked.set)
