Soak: an emptied domain, a store that comes back older; records of that moment are kept

Cause: after the store came back from a copy, the follower of the operators' records waited for what the copy lacked and dropped the records that came meanwhile, to read them again 0.4 s later. Ruled out: the store's faults of that schedule (its way was good then). Change: records are taken as they come, a trimmed place is read anew at once, the look for what is missing is every second until the grace is over. The soak plays both troubles, with a planted bug for the emptied domain.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -26,6 +26,9 @@
 """Within which a version that is recorded as taken back must get nothing new, in s: a
 few exchanges between boxes."""
 
+EMPTIED_S = 2.0
+"""Within which the workers of an emptied failure domain must get nothing, in s."""
+
 BAD_MOST, EXPOSED_S = 25, 5.0
 """A version must get nothing that is sent this long after so many failures of it, in
 s."""
@@ -126,6 +129,9 @@
     calm = sent.box.struck + CALM_S < sent.at
     if left is not None and calm and sent.at > left + DRAINING_S:
         soak.fail("leaving worker", f"{request} reached {name} while it was leaving")
+    for since, until in soak.emptied if name in soak.far and calm else ():
+        if since + EMPTIED_S < sent.at < until:
+            soak.fail("emptied", f"{request} reached {name} in an emptied domain")
     judged = soak.taken_back.get(name)
     if judged is not None and calm and sent.at > judged + TAKEN_BACK_S:
         soak.fail("taken back", f"{request} reached {name} after its version was")
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -6,6 +6,7 @@
 import signal
 
 from spanshunt.standins.store import EndpointFault
+from spanshunt.standins.store import StoredRecord
 from spanshunt.standins.worker import WorkerFault
 
 from .links import LinkFault
@@ -41,6 +42,9 @@
 """How long after that its state is still awaited, in s."""
 
 
+WRITTEN_AGAIN = ("keyed.op", "keyed.servers")
+"""Topics of the operators and the workers."""
+
 WEIGHTS = {
     "kill": 2,
     "term": 2,
@@ -53,6 +57,8 @@
     "order": 3,
     "forget": 1,
     "end": 1,
+    "empty": 1,
+    "older": 1,
 }
 """Actions, and how often each is drawn against the others."""
 
@@ -191,6 +197,41 @@
     return status["State"] if status.get("TargetVersion") == version else ""
 
 
+async def _empty_domain(soak: Soak) -> None:
+    """Empty the second failure domain for a while, and give it back."""
+    await soak.store.put("keyed.op", "evacuate/south", {})
+    since = soak.now()
+    await asyncio.sleep(soak.rng.uniform(2.0, 5.0))
+    soak.emptied.append((since, soak.now()))
+    await soak.store.put("keyed.op", "evacuate/south", None)
+
+
+async def _come_back_older(soak: Soak) -> None:
+    """Let the store be away and come back from a copy of some seconds ago.
+
+    What the operators and the workers wrote since then they write again.
+    """
+    copied = soak.store.copy()
+    await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+    away = [box.endpoint for box in soak.boxes]
+    away = [way for way in away if way.fault is EndpointFault.NONE]
+    for way in away:
+        way.fault = EndpointFault.BUSY
+    await asyncio.sleep(0.3)
+    lost = {name: dict(soak.store.topic(name).values) for name in WRITTEN_AGAIN}
+    await soak.store.come_back(copied)
+    for way in away:
+        way.fault = EndpointFault.NONE
+    for box in soak.boxes:
+        box.struck = max(box.struck, soak.now())
+    for name, values in lost.items():
+        now = dict(soak.store.topic(name).values)
+        changed = [key for key in values if values[key] != now.get(key)]
+        records = [StoredRecord(key, values[key]) for key in changed]
+        records += [StoredRecord(key, b"") for key in now if key not in values]
+        await soak.store.append(name, records)
+
+
 async def _change_keys(soak: Soak) -> None:
     if soak.revoked:
         soak.revoked.clear()
@@ -234,3 +275,9 @@
         soak.store.forget("keyed.op")
     elif kind == "end":
         await _end_worker(soak)
+    elif kind == "empty" and not soak.emptying:
+        soak.emptying = True
+        await _empty_domain(soak)
+        soak.emptying = False
+    elif kind == "older":
+        await _come_back_older(soak)
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -74,6 +74,8 @@
     version was, and for how long. ``bad`` are workers whose faults an order decides,
     ``bad_versions`` those that it made bad; ``end`` is when the last request comes.
     ``deadly_share`` of the streams end their workers, which they did at ``deadly_at``.
+    ``emptied`` says from when until when operators had the second failure domain
+    emptied, whose workers are ``far``.
     """
 
     rng: random.Random
@@ -102,6 +104,9 @@
     deadly_share: float = 0.0
     deadly_at: list[float] = field(default_factory=list)
     back: set[asyncio.Task[None]] = field(default_factory=set)
+    far: set[str] = field(default_factory=set)
+    emptied: list[tuple[float, float]] = field(default_factory=list)
+    emptying: bool = False
 
     def now(self) -> float:
         """Return the time, in s."""
@@ -154,7 +159,7 @@
     body = {
         "Backend": soak.services[name],
         "Address": soak.links[name].address,
-        "Zone": "north",
+        "Zone": "south" if name in soak.far else "north",
         "Version": soak.workers[name].version,
         "Slots": 8,
         "State": state,
@@ -173,6 +178,8 @@
     worker.ends_on = DEADLY
     worker.on_end = lambda: take_deadly_end(soak, name)
     await worker.start()
+    if sum(known == service for known in soak.services.values()) % 2:
+        soak.far.add(name)
     soak.workers[name], soak.services[name] = worker, service
     soak.links[name] = Link(worker.address)
     await soak.links[name].start()
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -79,6 +79,9 @@
     "kept back": Mutation(
         "systems/quarantining.py", "ENDS_MOST = 3", "ENDS_MOST = 1_000"
     ),
+    "emptied": Mutation(
+        "systems/evacuating.py", "for row in rows if row.active", "for row in ()"
+    ),
     "revoked": Mutation(
         "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
--- a/src/spanshunt/platform/followers.py
+++ b/src/spanshunt/platform/followers.py
@@ -19,7 +19,6 @@
 from ..rollout_lines import log_order
 from ..rollout_lines import log_verdict
 from ..systems.eras import COPY_AGE_MS
-from ..systems.eras import OPERATORS_GRACE_MS
 from ..systems.eras import awaits_operators
 from ..systems.eras import is_same_offset
 from ..systems.evacuating import take_absent
@@ -53,6 +52,10 @@
 priced, a record ends it at once, and peers tell of what a dead connection keeps from
 this box."""
 
+AGAIN_MS = 1_000
+"""How long such a read waits after the store came back from a copy, in ms, until what
+the copy lacks is no longer waited for: five more priced calls of two boxes a domain."""
+
 LOOK_MS = 100
 """How often a box looks whether it must read for itself, in ms."""
 
@@ -204,17 +207,18 @@
     async def _await_operators(self, end: Offset) -> Offset | None:
         held = awaits_operators(self._fleet, self._clock.now())
         # What is missing from a copy is looked for again when it should be back.
-        wait_ms = OPERATORS_GRACE_MS if held else TAIL_WAIT_MS
+        wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
         got = await self._store.tail(wire.OPERATORS_TOPIC, end, wait_ms)
-        if held:
-            return None
         if isinstance(got, Err):
-            if got.err_value.problem is not StoreProblem.TRIMMED:
-                self._note(got.err_value)
+            if got.err_value.problem is StoreProblem.TRIMMED:
+                return await self._read_operators()
+            self._note(got.err_value)
             return None
         self._note_answer()
         for record in got.ok_value.records:
             self._take_operators(record.key, record.value, record.offset, seen=True)
+        if held and not awaits_operators(self._fleet, self._clock.now()):
+            return await self._read_operators()
         return got.ok_value.next
 
     def _take_operators(
--- a/tests/test_older_store.py
+++ b/tests/test_older_store.py
@@ -415,3 +415,22 @@
         assert (await client.newest("keyed.op")).ok_value.items
         assert eras == [1]
         await client.stop()
+
+
+async def test_order_that_comes_just_after_the_return_is_known_at_once():
+    """Seen: a box took it up 0.7 s later and sent sessions to the entering version.
+
+    It waited for what the copy lacked, and dropped the records that came meanwhile to
+    read them again. Proof: its line of the order, which says that it did not see it.
+    """
+    async with running_fleet() as fleet:
+        node = fleet.boxes[0].node
+        await fleet.store.come_back(fleet.store.copy())
+        await until(lambda: node.fleet.store.era == 2, "the return is known", wait=25)
+        await asyncio.sleep(0.5)
+        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 60.0}
+        await fleet.store.put("keyed.op", "rollout/writer", body)
+        before = node.clock.now()
+        await until(lambda: SERVICE in node.fleet.rollouts.rows, "the order")
+        assert node.clock.now() - before < 300
+        assert node.fleet.rollouts.rows[SERVICE].seen
