--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -36,14 +36,17 @@
 from spanshunt.peers.news import News
 from spanshunt.peers.unary import PeerFault
 from spanshunt.platform import wire
-from spanshunt.platform.followers import LOOK_MS
-from spanshunt.platform.followers import Followers
+from spanshunt.platform.box_list import BoxList
 from spanshunt.platform.kept_back import KeptBackRecords
 from spanshunt.platform.node import ALONE_MS
 from spanshunt.platform.node import EXCHANGE_MS
 from spanshunt.platform.node import JUDGE_MS
 from spanshunt.platform.node import RECORD_MS
+from spanshunt.platform.operator_records import OperatorRecords
 from spanshunt.platform.recorder import Recorder
+from spanshunt.platform.store_reader import LOOK_MS
+from spanshunt.platform.store_reader import StoreReader
+from spanshunt.platform.worker_list import WorkerList
 from spanshunt.ports import Answer
 from spanshunt.ports import Call
 from spanshunt.ports import Dispatch
@@ -184,7 +187,10 @@
             on_kept=partial(keep_back, self.core),
         )
         store = t.cast(t.Any, self.store)
-        self.followers = Followers(self.fleet, clock, store, 2_000)
+        reader = StoreReader(self.fleet, clock, store)
+        self.operator_records = OperatorRecords(reader)
+        self.worker_list = WorkerList(reader, 2_000)
+        self.box_list = BoxList(reader)
         self.recorder = Recorder(self.fleet, clock, store, self.core.count)
         self.kept_back = KeptBackRecords(self.fleet, clock, store)
         self._jobs = Background(
@@ -194,10 +200,11 @@
     def start(self, catalog: bytes) -> None:
         """Begin to follow, exchange and judge."""
         take_catalog(self.fleet, catalog, wire.decode_catalog, source="store")
-        self._jobs.every(LOOK_MS, self.followers.look)
-        self._jobs.forever(self.followers.follow_operators)
-        self._jobs.forever(self.followers.follow_workers)
-        self._jobs.forever(self.followers.follow_boxes)
+        self._jobs.every(LOOK_MS, self.operator_records.look)
+        self._jobs.every(LOOK_MS, self.worker_list.look)
+        self._jobs.forever(self.operator_records.follow)
+        self._jobs.forever(self.worker_list.follow)
+        self._jobs.forever(self.box_list.follow)
         self._jobs.every(EXCHANGE_MS, self.exchange.round)
         self._jobs.every(JUDGE_MS, self.recorder.tick)
         self._jobs.every(RECORD_MS, self.kept_back.tick)
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -51,15 +51,18 @@
 from ..waking import take_wake
 from ..worker_probes import WorkerProbes
 from . import wire
-from .followers import LOOK_MS
-from .followers import Followers
+from .box_list import BoxList
 from .front import Front
 from .kept_back import KeptBackRecords
+from .operator_records import OperatorRecords
 from .recorder import Recorder
 from .settings import PATH_VARIABLE
 from .settings import NodeSettings
 from .settings import load_node_settings
 from .store import StoreClient
+from .store_reader import LOOK_MS
+from .store_reader import StoreReader
+from .worker_list import WorkerList
 from .workers import WorkerClient
 
 EXCHANGE_MS = 400
@@ -177,14 +180,14 @@
             histograms=self.histograms,
             count=self.counters.add,
         )
-        self.followers = Followers(
-            self.fleet,
-            clock,
-            self._store,
-            bounds.draining_ms,
-            self._take_listed_end,
-            tell_now=lambda: self._exchange.tell_now(),
+        reader = StoreReader(self.fleet, clock, self._store)
+        self._operator_records = OperatorRecords(
+            reader, lambda: self._exchange.tell_now()
+        )
+        self._worker_list = WorkerList(
+            reader, bounds.draining_ms, self._take_listed_end
         )
+        self._box_list = BoxList(reader)
         self._front = Front(self.core, self._on_broken)
         self._recorder = Recorder(self.fleet, clock, self._store, self.counters.add)
         self._wakes = Wakes(clock, partial(take_wake, self.core))
@@ -214,10 +217,11 @@
         host, _, port = listen.peers.rpartition(":")
         await self._server.start(host, int(port))
         jobs = self._background
-        jobs.every(LOOK_MS, self.followers.look)
-        jobs.forever(self.followers.follow_operators)
-        jobs.forever(self.followers.follow_workers)
-        jobs.forever(self.followers.follow_boxes)
+        jobs.every(LOOK_MS, self._operator_records.look)
+        jobs.every(LOOK_MS, self._worker_list.look)
+        jobs.forever(self._operator_records.follow)
+        jobs.forever(self._worker_list.follow)
+        jobs.forever(self._box_list.follow)
         jobs.every(EXCHANGE_MS, self._exchange.round)
         jobs.forever(self._fetcher.follow)
         jobs.every(JUDGE_MS, self._recorder.tick)
--- /dev/null
+++ b/src/spanshunt/platform/operator_records.py
@@ -0,0 +1,216 @@
+"""What operators wrote on the platform's store: catalogs, orders, emptied domains."""
+
+import asyncio
+import typing as t
+
+from result import Err
+
+from ..catalog_taking import take_catalog
+from ..ids import DomainId
+from ..ids import Fingerprint
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..logs import log_event
+from ..platform_lines import log_evacuation
+from ..rollout_lines import log_order
+from ..rollout_lines import log_verdict
+from ..systems.eras import awaits_operators
+from ..systems.eras import is_same_offset
+from ..systems.evacuating import take_absent
+from ..systems.evacuating import take_evacuation
+from ..systems.following_workers import follows_operators
+from ..systems.quarantining import release
+from ..systems.ramping import bar_versions
+from ..systems.ramping import take_beginning
+from ..systems.ramping import take_order
+from ..systems.ramping import take_verdict
+from ..tables.fleet import EvacuationRow
+from ..tables.fleet import Fleet
+from ..tables.rollouts import Verdict
+from . import wire
+from .store import Listing
+from .store import StoreProblem
+from .store_reader import RETRY_MS
+from .store_reader import StoreReader
+
+TAIL_WAIT_MS = 20_000
+"""How long a read of the operators' records waits for one, in ms: each read is
+priced, a record ends it at once, and peers tell of what a dead connection keeps from
+this box."""
+
+AGAIN_MS = 1_000
+"""How long such a read waits after the store came back from a copy, in ms, until what
+the copy lacks is no longer waited for: five more priced calls of two boxes a domain."""
+
+
+class OperatorRecords:
+    """Follows the operators' records and takes them into the tables.
+
+    Parameters
+    ----------
+    reader : StoreReader
+        The store, the tables and the time.
+    tell_now : callable
+        Tells peers at once what this box learned.
+    """
+
+    def __init__(
+        self, reader: StoreReader, tell_now: t.Callable[[], None] = lambda: None
+    ) -> None:
+        self._reader = reader
+        self._fleet = reader.fleet
+        self._tell_now = tell_now
+        self._due = asyncio.Event()
+
+    async def look(self) -> None:
+        """Look whether this box follows the records now; every `LOOK_MS`."""
+        if self._follows():
+            self._due.set()
+
+    async def follow(self) -> None:
+        """Read all that is newest, then wait for records; begin anew on faults.
+
+        While other boxes of the failure domain follow the records, this one does not.
+        """
+        while True:
+            await self._due.wait()
+            end = await self._read()
+            while end is not None and self._follows():
+                end = await self._await(end)
+            await asyncio.sleep(RETRY_MS / 1_000)
+            self._due.clear()
+
+    def _follows(self) -> bool:
+        return follows_operators(self._fleet, self._reader.now())
+
+    async def _read(self) -> Offset | None:
+        listing = await self._reader.newest(wire.OPERATORS_TOPIC)
+        if listing is None:
+            return None
+        self._take_absent(listing)
+        orders = False
+        for item in listing.items:
+            offset = Offset(item.offset)
+            self._take(item.key_file, item.content(), offset, seen=False)
+            orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
+        if orders and not await self._read_status():
+            return None
+        return listing.end
+
+    async def _await(self, end: Offset) -> Offset | None:
+        held = awaits_operators(self._fleet, self._reader.now())
+        # What is missing from a copy is looked for again when it should be back.
+        wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
+        got = await self._reader.store.tail(wire.OPERATORS_TOPIC, end, wait_ms)
+        if isinstance(got, Err):
+            if got.err_value.problem is StoreProblem.TRIMMED:
+                return await self._read()
+            self._reader.note_failure(got.err_value)
+            return None
+        self._reader.note_answer()
+        for record in got.ok_value.records:
+            self._take(record.key, record.value, record.offset, seen=True)
+        if held and not awaits_operators(self._fleet, self._reader.now()):
+            return await self._read()
+        return got.ok_value.next
+
+    def _take(self, key: str, value: bytes, offset: Offset, *, seen: bool) -> None:
+        if key == wire.CATALOG_KEY and value:
+            take_catalog(self._fleet, value, wire.decode_catalog, source="store")
+        elif key.startswith(wire.ROLLOUT_PREFIX) and value:
+            self._take_order(value, offset, seen=seen)
+        elif key.startswith(wire.EVACUATION_PREFIX):
+            domain = DomainId(key[len(wire.EVACUATION_PREFIX) :])
+            self._take_evacuation(EvacuationRow(domain, offset, active=bool(value)))
+        elif key.startswith(wire.RELEASE_PREFIX) and value:
+            self._take_release(Fingerprint(key[len(wire.RELEASE_PREFIX) :]), value)
+
+    def _take_evacuation(self, told: EvacuationRow) -> None:
+        if take_evacuation(self._fleet, told, self._reader.now()):
+            log_evacuation(self._fleet, told.domain, "store")
+            self._tell_now()
+
+    def _take_absent(self, listing: Listing) -> None:
+        """Take in which failure domains are not emptied any more by a whole list."""
+        prefix = wire.EVACUATION_PREFIX
+        listed = {
+            DomainId(item.key_file[len(prefix) :])
+            for item in listing.items
+            if item.key_file.startswith(prefix)
+        }
+        freed = take_absent(self._fleet, listed, listing.end, self._reader.now())
+        for domain in freed:
+            log_evacuation(self._fleet, domain, "store")
+
+    def _take_release(self, content: Fingerprint, value: bytes) -> None:
+        decoded = wire.decode(value, wire.Release)
+        if isinstance(decoded, Err):
+            log_event("ERROR", "release unreadable", detail=decoded.err_value)
+            return
+        age = max(0, self._reader.clock.wall() - decoded.ok_value.at)
+        now = self._reader.now()
+        release(self._fleet, content, Millis(now - age), now)
+        log_event("INFO", "content released", fingerprint=content, age_ms=age)
+
+    def _take_order(self, value: bytes, offset: Offset, *, seen: bool) -> None:
+        decoded = wire.decode(value, wire.RolloutOrder)
+        if isinstance(decoded, Err):
+            log_event("ERROR", "order unreadable", detail=decoded.err_value)
+            return
+        order = decoded.ok_value
+        service = ServiceId(order.backend)
+        now = self._reader.now()
+        new = take_order(
+            self._fleet,
+            service,
+            VersionId(order.target_version),
+            offset,
+            Millis(int(order.duration_s * 1_000)),
+            now,
+            seen=seen,
+        )
+        if new:
+            log_order(self._fleet.rollouts.rows[service], now, "store")
+
+    async def _read_status(self) -> bool:
+        """Take in what is recorded of the orders, for a box that starts midway."""
+        listing = await self._reader.newest(wire.STATUS_TOPIC)
+        if listing is None:
+            return False
+        take_status(self._fleet, listing, self._reader.clock)
+        return True
+
+
+def take_status(fleet: Fleet, listing: Listing, clock: t.Any) -> None:
+    """Take recorded verdicts and beginnings into the roll-outs' rows."""
+    now = clock.now()
+    for item in listing.items:
+        decoded = wire.decode(item.content(), wire.RolloutStatus)
+        if isinstance(decoded, Err):
+            continue
+        status = decoded.ok_value
+        row = fleet.rollouts.rows.get(ServiceId(status.backend))
+        if row is None:
+            continue
+        verdict = wire.decode_verdict(status.state)
+        version = VersionId(status.target_version)
+        order = Offset(status.order)
+        other = order >= 0 and not is_same_offset(order, row.order)
+        if version != row.version or other:
+            if verdict is Verdict.ROLLED_BACK and status.order < row.order:
+                bar_versions(row, {version, *map(VersionId, status.barred)})
+            continue
+        if order >= 0:
+            row.order = min(row.order, order)
+        bar_versions(row, [VersionId(name) for name in status.barred])
+        row.announced = True
+        row.against = wire.decode_against(status.against)
+        if verdict is Verdict.RUNNING and status.began:
+            age = max(0, clock.wall() - status.began)
+            take_beginning(row, Millis(now - age), seen=False)
+        if row.turned_bad and verdict is Verdict.ROLLED_BACK:
+            row.way_back_recorded = True
+        elif take_verdict(row, verdict, "recorded", now, recorded=True):
+            log_verdict(row, "store")
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -32,7 +32,7 @@
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
 from . import wire
-from .followers import take_status
+from .operator_records import take_status
 from .store import StoreClient
 from .store import StoreProblem
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,8 +18,8 @@
 from spanshunt.clock import Clock
 from spanshunt.exceptions import SettingsError
 from spanshunt.ids import ServiceId
-from spanshunt.platform.followers import RETRY_MS
 from spanshunt.platform.settings import load_node_settings
+from spanshunt.platform.store_reader import RETRY_MS
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.worker import WorkerFault
 from spanshunt.systems.following_workers import READ_GAP_MS
