A box that starts is told of many boxes at once; tests of exchanges

Cause: each box that starts reads the list of boxes, a priced call, though its peers know them all; they tell eight names an exchange. How much a cold worker gets rests on how many boxes one knows. Change: a box that knows less than half as many as its peer of the same failure domain is told 64 names; it reads the list only where it was not told of all. Tests of partners, open streams, a stream that falls silent, a peer that is gone: green.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -80,6 +80,11 @@
 PEERS_TOLD = 8
 """Other boxes named in one exchange."""
 
+NEWCOMER_TOLD = 64
+"""Those named to a box of this failure domain that knows less than half as many: some 3
+KB. It then need not read the list of boxes, and sends cold workers no more than its
+part from its first second on."""
+
 BACK_OFF_MS = 1_000
 """How long a peer that did not answer is left alone, times its failures, in ms."""
 
@@ -175,8 +180,6 @@
             and asker.workers_digest != digest
             and asker.workers_end < fleet.workers_end
         )
-        peers = list(fleet.peers.values())
-        told = self._rng.sample(peers, min(PEERS_TOLD, len(peers)))
         return News(
             box=fleet.me.box,
             address=fleet.me.address,
@@ -208,11 +211,18 @@
                 rollout_news(fleet, row, now, domain)
                 for row in fleet.rollouts.rows.values()
             ),
-            peers=tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in told)
-            if asker is not None
-            else (),
+            peers=self._names_for(asker) if asker is not None else (),
         )
 
+    def _names_for(self, asker: News) -> tuple[PeerNews, ...]:
+        """Return some boxes to tell an asker of; many if it knows few of them."""
+        peers = list(self._fleet.peers.values())
+        near = asker.domain == self._fleet.me.domain
+        new = near and 2 * asker.boxes < len(peers)
+        most = NEWCOMER_TOLD if new else PEERS_TOLD
+        told = self._rng.sample(peers, min(most, len(peers)))
+        return tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in told)
+
     def take(self, news: News) -> None:
         """Take in what is newer than what this box knows."""
         now = self._clock.now()
--- a/src/spanshunt/platform/box_list.py
+++ b/src/spanshunt/platform/box_list.py
@@ -45,13 +45,18 @@
         written_at = await self._tell_place(place)
         await asyncio.sleep(FIRST_MS / 1_000)
         while True:
-            await self._read()
+            if not self._knows_all():
+                await self._read()
             read_at = self._reader.now()
             while self._reader.now() < read_at + EVERY_MS:
                 await asyncio.sleep(LOOK_MS / 1_000)
                 if written_at < self._fleet.store.era_began < written_at + COPY_AGE_MS:
                     written_at = await self._tell_place(place)
 
+    def _knows_all(self) -> bool:
+        """Tell whether peers told of all boxes already: a reading is a priced call."""
+        return 1 < self._fleet.boxes_told <= 1 + len(self._fleet.peers)
+
     async def _tell_place(self, place: bytes) -> Millis:
         """Write where this box is, for as long as it takes; return when that was."""
         while True:
