Store: an era that is too large to be told apart is taken for none

Cause: places are era x 2^40 + offset; an era that starts at, say, a time of day would not fit the 63 bits that messages carry. Change: eras from 2^22 on are counted (store_eras_unreadable) and left out, as one that can't be read is. The test of unreadable eras has one more case.

--- a/src/spanshunt/platform/store.py
+++ b/src/spanshunt/platform/store.py
@@ -10,6 +10,7 @@
 from result import Result
 
 from ..ids import Offset
+from ..systems.eras import ERAS_MOST
 from ..systems.eras import era_of
 from ..systems.eras import offset_of
 from ..systems.eras import place_of
@@ -248,7 +249,9 @@
     def _take_era(self, text: str | None) -> int:
         """Return the era of an answer; one that names none is of the last one known."""
         found = whole_number(text) if text is not None else None
-        if found is None:
+        if found is None or found >= ERAS_MOST:
+            if text is not None:
+                self._count("store_eras_unreadable")
             return self._era
         if found > self._era or not self._told:
             self._told = True
--- a/tests/test_older_store.py
+++ b/tests/test_older_store.py
@@ -406,7 +406,7 @@
         await client.stop()
 
 
-@pytest.mark.parametrize("text", ["", "soon", "-1", "1.5"])
+@pytest.mark.parametrize("text", ["", "soon", "-1", "1.5", "1796271689"])
 async def test_era_that_can_not_be_read_changes_nothing(text: str):
     async with running_fleet() as fleet:
         client, eras = await a_client(fleet)
