--- a/src/spanshunt/systems/eras.py
+++ b/src/spanshunt/systems/eras.py
@@ -16,8 +16,8 @@
 """How far places of two eras are apart: more records than a store gives in its life."""
 
 ERAS_MOST = 1 << 22
-"""Eras that are told apart: places of them are whole numbers of 63 bits. A drill an hour
-takes 500 years."""
+"""Eras that are told apart: their places are whole numbers of 63 bits. At a drill an
+hour they last for 500 years."""
 
 COPY_AGE_MS = 60_000
 """How old a copy is at most, in ms: copies are some seconds old, and what was written
