Partners of exchanges change every six seconds

Cause: a new stream costs as much as six exchanges; with one let go every two seconds, of near and far ones each, that was a third of what exchanges cost. Change: every six.

--- a/src/spanshunt/peers/partners.py
+++ b/src/spanshunt/peers/partners.py
@@ -16,9 +16,9 @@
 those that chose it, it hears from some twenty within two seconds, as a box does that
 draws among all. An open stream takes about 60 KB on both sides together."""
 
-TURN_MS = 2_000
-"""How often one of them gives way to another, in ms: a box of 91 has met all others of
-its domain within a minute; a new stream costs as much as six exchanges."""
+TURN_MS = 6_000
+"""How often one of them gives way to another, in ms: a new stream costs as much as six
+exchanges, and a box of 91 meets all others of its domain within some minutes."""
 
 
 class Partners:
