--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -191,8 +191,8 @@
         self.operator_records = OperatorRecords(reader)
         self.worker_list = WorkerList(reader, 2_000)
         self.box_list = BoxList(reader)
-        self.recorder = Recorder(self.fleet, clock, store, self.core.count)
-        self.kept_back = KeptBackRecords(self.fleet, clock, store)
+        self.recorder = Recorder(reader, self.core.count)
+        self.kept_back = KeptBackRecords(reader)
         self._jobs = Background(
             lambda exc: play.broken.append(str(exc)), phase=unit_hash(name)
         )
--- a/src/spanshunt/platform/kept_back.py
+++ b/src/spanshunt/platform/kept_back.py
@@ -3,7 +3,6 @@
 import msgspec
 from result import Err
 
-from ..clock import Clock
 from ..ids import BoxId
 from ..ids import Fingerprint
 from ..ids import LifeId
@@ -18,11 +17,10 @@
 from ..systems.quarantining import due_records
 from ..systems.quarantining import newly_kept
 from ..systems.quarantining import take_suspect
-from ..tables.fleet import Fleet
 from ..tables.suspects import Suspect
 from . import wire
 from .store import Listing
-from .store import StoreClient
+from .store_reader import StoreReader
 
 PAUSE_MS = 1_000
 """Pause after a call that failed, in ms: the store is away for seconds, and each call
@@ -42,18 +40,14 @@
 
     Parameters
     ----------
-    fleet : Fleet
-        The tables.
-    clock : Clock
-        The source of time.
-    store : StoreClient
-        The store.
+    reader : StoreReader
+        The store, the tables and the time.
     """
 
-    def __init__(self, fleet: Fleet, clock: Clock, store: StoreClient) -> None:
-        self._fleet = fleet
-        self._clock = clock
-        self._store = store
+    def __init__(self, reader: StoreReader) -> None:
+        self._fleet = reader.fleet
+        self._clock = reader.clock
+        self._store = reader.store
         self._read = False
         self._pause_until = Millis(0)
         self._expired: list[Fingerprint] = []
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -194,9 +194,9 @@
         )
         self._box_list = BoxList(reader)
         self._front = Front(self.core, self._on_broken)
-        self._recorder = Recorder(self.fleet, clock, self._store, self.counters.add)
+        self._recorder = Recorder(reader, self.counters.add)
         self._wakes = Wakes(clock, partial(take_wake, self.core))
-        self._kept_back = KeptBackRecords(self.fleet, clock, self._store)
+        self._kept_back = KeptBackRecords(reader)
         self._fetcher = CatalogFetcher(self.fleet, clock, rng, wire.decode_catalog)
         self._exchange = Exchange(
             self.fleet,
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -5,7 +5,6 @@
 import msgspec
 from result import Err
 
-from ..clock import Clock
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import ServiceId
@@ -27,14 +26,13 @@
 from ..systems.judging import writer_delay
 from ..systems.ramping import take_verdict
 from ..systems.succeeding import hears_most
-from ..tables.fleet import Fleet
 from ..tables.rollouts import Against
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
 from . import wire
 from .operator_records import take_status
-from .store import StoreClient
 from .store import StoreProblem
+from .store_reader import StoreReader
 
 EVIDENCE_LINE_MS = 2_000
 """How often a box tells in its log what a verdict would rest on, in ms: 12 lines in an
@@ -50,26 +48,16 @@
 
     Parameters
     ----------
-    fleet : Fleet
-        The tables.
-    clock : Clock
-        The source of time.
-    store : StoreClient
-        The store.
+    reader : StoreReader
+        The store, the tables and the time.
     count : callable
         Adds one to the counter of that name.
     """
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        clock: Clock,
-        store: StoreClient,
-        count: t.Callable[[str], None],
-    ) -> None:
-        self._fleet = fleet
-        self._clock = clock
-        self._store = store
+    def __init__(self, reader: StoreReader, count: t.Callable[[str], None]) -> None:
+        self._fleet = reader.fleet
+        self._clock = reader.clock
+        self._store = reader.store
         self._count = count
         self._told: dict[ServiceId, Millis] = {}
         self._looked_at = Millis(0)
--- a/src/spanshunt/systems/guarding.py
+++ b/src/spanshunt/systems/guarding.py
@@ -97,22 +97,23 @@
     config: Config, row: RolloutRow, reason: str, box: BoxId, wall: Millis
 ) -> RolloutStep | None:
     """Return the pull-back of a version that is shut out, None once it is recorded."""
-    version = config.versions.get(row.version)
-    if version is None or version.state is VersionState.WITHDRAWN:
-        return None
-    if row.state is RolloutState.PULLED_BACK:
+    if _is_over(config, row):
         return None
     return _step(row, Verdict.PULL_BACK, reason, box, wall)
 
 
+def _is_over(config: Config, row: RolloutRow) -> bool:
+    """Tell whether a roll-out makes no further step: its version is out of service."""
+    version = config.versions.get(row.version)
+    withdrawn = version is None or version.state is VersionState.WITHDRAWN
+    return withdrawn or row.state is RolloutState.PULLED_BACK
+
+
 def judge(
     config: Config, row: RolloutRow, evidence: Evidence, box: BoxId, wall: Millis
 ) -> RolloutStep | None:
     """Return the step that one roll-out should make now, None to hold."""
-    version = config.versions.get(row.version)
-    if version is None or version.state is VersionState.WITHDRAWN:
-        return None
-    if row.state is RolloutState.PULLED_BACK:
+    if _is_over(config, row):
         return None
     epochs = by_epoch(evidence, row.version)
     if row.state is RolloutState.DONE:
