A box's tables are made from its settings in one function

The composition root had grown by the settings of cold workers and regions. No change of behaviour; tests of nodes, starts and cold workers green.

--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -135,25 +135,7 @@
         self.stop_asked = asyncio.Event()
         self.broken = False
         self.counters = Counters()
-        box = BoxId(settings.box)
-        me = Identity(
-            box=box,
-            domain=DomainId(settings.domain),
-            address=settings.listen.peers,
-            incarnation=new_incarnation(box, clock.wall()),
-        )
-        self.fleet = Fleet(me=me)
-        self.fleet.rollouts.bounds = ExposeBounds(
-            settings.bounds.expose_share, settings.bounds.expose_slack
-        )
-        self.fleet.cold_bounds = ColdBounds(
-            settings.bounds.cold_over, settings.bounds.cold_slack
-        )
-        self.fleet.alone_until = Millis(clock.now() + ALONE_MS)
-        self.fleet.regions = {
-            DomainId(domain): RegionId(region)
-            for domain, region in settings.regions.items()
-        }
+        self.fleet = _new_fleet(settings, clock)
         self.histograms = Histograms()
         self._background = Background(self._on_broken, phase=random.random())
         self._runners: list[web.ServerRunner] = []
@@ -368,6 +350,28 @@
         return web.Response(text=metrics_page(self.counters, self.histograms))
 
 
+def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
+    """Return the tables of a box that starts, with what its settings tell."""
+    box = BoxId(settings.box)
+    bounds = settings.bounds
+    fleet = Fleet(
+        me=Identity(
+            box=box,
+            domain=DomainId(settings.domain),
+            address=settings.listen.peers,
+            incarnation=new_incarnation(box, clock.wall()),
+        ),
+        alone_until=Millis(clock.now() + ALONE_MS),
+        cold_bounds=ColdBounds(bounds.cold_over, bounds.cold_slack),
+        regions={
+            DomainId(domain): RegionId(region)
+            for domain, region in settings.regions.items()
+        },
+    )
+    fleet.rollouts.bounds = ExposeBounds(bounds.expose_share, bounds.expose_slack)
+    return fleet
+
+
 def main(callers: socket.socket | None = None) -> None:
     """Run a box; the settings file's path is in the environment.
 
