--- a/examples/demo.py
+++ b/examples/demo.py
@@ -1,10 +1,13 @@
 """The demo: both fleets, each with three daemons, stand-ins and real requests.
 
-Run it with ``make demo``. It exits with 0 only if all that it shows held.
+Run it with ``make demo``. It exits with 0 only if all that it shows held. ``--short``
+plays one fleet without its crash and its planned stop; ``--net`` puts all addresses
+into another loopback network, so that several demos can run beside each other.
 """
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -17,6 +20,7 @@
 import typing as t
 
 import aiohttp
+import cappa
 import msgspec
 from aiohttp import web
 
@@ -45,6 +49,8 @@
 HERE = pathlib.Path(__file__).parent
 BIN = pathlib.Path(sys.executable).parent
 BOXES = 3
+NET = "127.0.0"
+"""The loopback network of the addresses in the example files."""
 SECRETS = {
     "SPANSHUNT_OPERATOR": "example-operator-credential",
     "SPANSHUNT_SESSION_KEY": "example-session-key",
@@ -109,8 +115,8 @@
 class Standins:
     """The platform and the backend servers of one fleet, inside this process."""
 
-    def __init__(self, fleet: Fleet) -> None:
-        raw = (HERE / fleet.name / "boxes.json").read_bytes()
+    def __init__(self, fleet: Fleet, files: pathlib.Path, net: str) -> None:
+        raw = (files / "boxes.json").read_bytes()
         listed = msgspec.json.decode(raw, type=BoxList).boxes
         routers = [row for row in listed if not row.service][:BOXES]
         self.workers = [row for row in listed if row.service]
@@ -119,16 +125,15 @@
         self.boxes = BoxListStandin(BoxList((*routers, *self.workers)))
         self.engines: list[EngineStandin] = []
         self.services: list[ServiceStandin] = []
-        self._base = fleet.base
+        self._host = f"{net}.{fleet.base}"
         self._best = best_of(fleet)
         self._runners: list[web.AppRunner] = []
 
     async def start(self) -> None:
         """Begin to listen."""
-        host = f"127.0.0.{self._base}"
-        await self._serve(self.log.app(), f"{host}:7100")
-        await self._serve(self.rater.app(), f"{host}:7400")
-        await self._serve(self.boxes.app(), f"{host}:7500")
+        await self._serve(self.log.app(), f"{self._host}:7100")
+        await self._serve(self.rater.app(), f"{self._host}:7400")
+        await self._serve(self.boxes.app(), f"{self._host}:7500")
         model = EngineModel(prefill_ms=5, token_ms=1, batch_ms=0.02)
         for index, row in enumerate(self.workers):
             if row.versions:
@@ -175,9 +180,8 @@
 class Boxes:
     """The daemons of one fleet, each a process of its own."""
 
-    def __init__(self, fleet: Fleet, logs: pathlib.Path) -> None:
-        files = sorted((HERE / fleet.name).glob("*-?.json"))[:BOXES]
-        self.files = files
+    def __init__(self, files: pathlib.Path, logs: pathlib.Path) -> None:
+        self.files = sorted(files.glob("*-?.json"))[:BOXES]
         self._logs = logs
         self._running: dict[int, subprocess.Popen[bytes]] = {}
 
@@ -222,16 +226,17 @@
 class Demo:
     """One fleet's run, and what held of it."""
 
-    def __init__(self, fleet: Fleet, logs: pathlib.Path) -> None:
+    def __init__(self, fleet: Fleet, work: pathlib.Path, net: str) -> None:
         self.fleet = fleet
-        self.standins = Standins(fleet)
-        self.boxes = Boxes(fleet, logs)
+        self.files = _moved_files(fleet, work, net)
+        self.standins = Standins(fleet, self.files, net)
+        self.boxes = Boxes(self.files, work)
         self.failed: list[str] = []
         self.whole: list[str] = []
-        self._work = logs
+        self._work = work
 
-    async def run(self) -> None:
-        """Run the fleet from start to end."""
+    async def run(self, *, short: bool) -> None:
+        """Run the fleet from start to end, or without crash and planned stop."""
         began = time.monotonic()
         await self.standins.start()
         for index in range(BOXES):
@@ -240,7 +245,8 @@
             await self._configure()
             await self._serve(began)
             await self._bad_version()
-            await self._crash_and_drain()
+            if not short:
+                await self._crash_and_drain()
             await self._reconcile()
         finally:
             self.boxes.stop()
@@ -277,7 +283,7 @@
     async def apply(self, intents: str) -> str:
         """Plan the intents of a file and confirm the plan."""
         plan = str(self._work / f"{self.fleet.name}-plan.json")
-        source = str(HERE / self.fleet.name / intents)
+        source = str(self.files / intents)
         shown = await self.cli("plan", "--intents", source, "--out", plan)
         print("  " + "\n  ".join(shown.strip().splitlines()[:6]))
         outcome = await self.cli("confirm", plan)
@@ -286,7 +292,7 @@
 
     async def load(self, seconds: float, seed: int, boxes: int = BOXES) -> LoadReport:
         """Run the fleet's load for a while."""
-        raw = (HERE / self.fleet.name / "load.json").read_bytes()
+        raw = (self.files / "load.json").read_bytes()
         spec = msgspec.json.decode(raw, type=LoadSpec)
         targets = tuple(self.boxes.callers(index) for index in range(boxes))
         report = await run_load(
@@ -385,16 +391,38 @@
         self.check(part < 1, "that is cheaper than always the best version")
 
 
-async def main() -> int:
-    """Run both fleets; return the exit status."""
+def _moved_files(fleet: Fleet, work: pathlib.Path, net: str) -> pathlib.Path:
+    """Return a folder with the fleet's files, their addresses in a loopback network."""
+    folder = work / fleet.name
+    folder.mkdir()
+    for path in (HERE / fleet.name).glob("*.json"):
+        moved = path.read_text().replace(f"{NET}.", f"{net}.")
+        (folder / path.name).write_text(moved)
+    return folder
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """What the command line says."""
+
+    short: t.Annotated[
+        bool, cappa.Arg(long="--short", help="One fleet, no crash, no planned stop.")
+    ] = False
+    net: t.Annotated[
+        str, cappa.Arg(long="--net", help="The first three parts of all addresses.")
+    ] = NET
+
+
+async def main(options: Options) -> int:
+    """Run the fleets; return the exit status."""
     failed = []
     folder = pathlib.Path(tempfile.mkdtemp(prefix="spanshunt-demo-"))
-    for fleet in FLEETS:
+    for fleet in FLEETS[:1] if options.short else FLEETS:
         os.environ.update(SECRETS)
         for number, org in enumerate(fleet.credentials, 1):
             os.environ[f"CREDENTIAL_{number}"] = f"example-credential-{org}"
-        demo = Demo(fleet, folder)
-        await demo.run()
+        demo = Demo(fleet, folder, options.net)
+        await demo.run(short=options.short)
         failed += demo.failed
     print()
     if failed:
@@ -408,4 +436,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(asyncio.run(main(cappa.parse(Options))))
