Records that come while the store closes its connections are known at once

A play with logs shows why: the store closed all connections 0.1 s after the order; each follower paused 400 ms and read all records anew, so the order was known 0.64 to 0.84 s after it was given, and its time was counted from then on.

Ruled out: evidence (400 answers, no suspicion), the box that records (at its turn, 0.4 s), the peers (told within 0.1 s). Success earlier for every version was not taken: it shortens the time in which a version that is bad under load shows it.

Change: after a read of the end that was cut, one more at the same place after 100 ms, without wait; what it brings is not taken as seen to come, since the connection may have been dead for long. One priced call for each connection that ends. The pause after a first failure stands once, with the readers.

--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from result import Err
+from result import Result
 
 from ..catalog_taking import take_catalog
 from ..ids import DomainId
@@ -31,7 +32,10 @@
 from ..tables.rollouts import Verdict
 from . import wire
 from .store import Listing
+from .store import StoreFault
 from .store import StoreProblem
+from .store import Tail
+from .store_reader import FIRST_RETRY_MS
 from .store_reader import RETRY_MS
 from .store_reader import StoreReader
 
@@ -104,6 +108,10 @@
         # What is missing from a copy is looked for again when it should be back.
         wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
         got = await self._reader.store.tail(wire.OPERATORS_TOPIC, end, wait_ms)
+        cut = isinstance(got, Err) and got.err_value.problem is StoreProblem.LOST
+        if cut:
+            log_event("INFO", "records read again", topic=wire.OPERATORS_TOPIC)
+            got = await self._read_after_cut(end)
         if isinstance(got, Err):
             if got.err_value.problem is StoreProblem.TRIMMED:
                 return await self._read()
@@ -111,11 +119,21 @@
             return None
         self._reader.note_answer()
         for record in got.ok_value.records:
-            self._take(record.key, record.value, record.offset, seen=True)
+            # The connection may have been dead for long before it was known to be.
+            self._take(record.key, record.value, record.offset, seen=not cut)
         if held and not awaits_operators(self._fleet, self._reader.now()):
             return await self._read()
         return got.ok_value.next
 
+    async def _read_after_cut(self, end: Offset) -> Result[Tail, StoreFault]:
+        """Read what came while a connection ended, at the same place and without wait.
+
+        A store that closes its connections serves new ones at once: the record is
+        known 0.1 s after that in place of 0.5 to 0.7 s, by one more priced call.
+        """
+        await asyncio.sleep(FIRST_RETRY_MS / 1_000)
+        return await self._reader.store.tail(wire.OPERATORS_TOPIC, end, 0)
+
     def _take(self, key: str, value: bytes, offset: Offset, *, seen: bool) -> None:
         if key == wire.CATALOG_KEY and value:
             take_catalog(self._fleet, value, wire.decode_catalog, source="store")
--- a/src/spanshunt/platform/store_reader.py
+++ b/src/spanshunt/platform/store_reader.py
@@ -15,6 +15,9 @@
 LOOK_MS = 100
 """How often a box looks whether it must read for itself, in ms."""
 
+FIRST_RETRY_MS = 100
+"""Pause after the first call in a row that failed, in ms; after others, `RETRY_MS`."""
+
 RETRY_MS = 400
 """Pause after a call that failed, in ms: well within what configuration may take to be
 in force (2 s), and 2.5 priced calls a second."""
--- a/src/spanshunt/platform/worker_list.py
+++ b/src/spanshunt/platform/worker_list.py
@@ -15,6 +15,7 @@
 from ..tables.workers import WorkerRow
 from . import wire
 from .store import Listing
+from .store_reader import FIRST_RETRY_MS
 from .store_reader import RETRY_MS
 from .store_reader import StoreReader
 
@@ -28,9 +29,6 @@
 that hangs on a dead connection must leave time for another. A slow store answers in
 about 240 ms."""
 
-FIRST_RETRY_MS = 100
-"""Pause after the first reading that failed, in ms; after others it is `RETRY_MS`."""
-
 
 class WorkerList:
     """Follows the list of workers and takes it into the tables.
