Sight: how old a box's proof is that its catalog is the newest

A refusal at the entry now tells proof_age_ms, proof_by, waiting_ms, served, peers_heard and newest_told; a peer's word of a newer catalog has a line of its own, once a version; the fleet page shows proof and each peer's catalog. A reading proves as of the moment it began, a wait that no record ended as of its end. Nothing decides by it yet. Bounded as before: one line a refusal, one a version; writing never blocks.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -24,6 +24,7 @@
 from .logs import log_event
 from .planning import plan
 from .planning import retry_after
+from .platform_lines import catalog_fields
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Call
@@ -170,7 +171,6 @@
     """Refuse a request that was not admitted."""
     await reply.refuse(refusal)
     core.count(f"requests.{refusal.problem.slug}")
-    catalog = core.fleet.catalog
     log_event(
         "INFO",
         "refused",
@@ -178,7 +178,7 @@
         outcome=refusal.problem.slug,
         host=call.host,
         path=call.path,
-        catalog=catalog.version if catalog else None,
+        **catalog_fields(core.fleet, core.clock.now()),
         detail=refusal.detail,
     )
 
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -34,6 +34,7 @@
 from .peers.partners import Partners
 from .peers.talks import Talks
 from .platform_lines import log_evacuation
+from .platform_lines import log_newer_catalog
 from .platform_lines import log_older_store
 from .rollout_lines import log_order
 from .rollout_lines import log_turned_bad
@@ -45,6 +46,7 @@
 from .systems.following_workers import note_reading
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
+from .systems.proving import newest_told
 from .systems.quarantining import kept_digest
 from .systems.quarantining import newly_kept
 from .systems.quarantining import take_suspect
@@ -232,8 +234,11 @@
         fleet.stale_until = Millis(0)
         if take_era(fleet, news.store_era, now):
             log_older_store(fleet, news.box)
+        told_before = newest_told(fleet)
         self._take_peers(news, now)
         if news.catalog_version > known_version(fleet):
+            if news.catalog_version > told_before:
+                log_newer_catalog(fleet, news.box, news.catalog_version, now)
             self._on_newer()
         self._take_workers(news, now)
         for order in news.rollouts:
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -18,6 +18,7 @@
 from .systems.exposing import share_at
 from .systems.following_workers import reader_of
 from .systems.placing import batch_load
+from .systems.proving import proof_age
 from .systems.quarantining import kept_contents
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
@@ -101,13 +102,17 @@
 
 
 class PeerView(msgspec.Struct, frozen=True):
-    """Another box; ``heard_ms`` is how long ago it was heard, -1 for never."""
+    """Another box; ``heard_ms`` is how long ago it was heard, -1 for never.
+
+    ``catalog`` is the newest catalog that it told of.
+    """
 
     box: BoxId
     domain: DomainId
     heard_ms: Millis
     served: bool
     failures: int
+    catalog: int = -1
 
 
 class FleetView(msgspec.Struct, frozen=True):
@@ -121,6 +126,9 @@
         Why the box takes no new connections; "yes" if it does.
     catalog, routes, organisations : int
         The newest catalog's version (-1 for none) and size.
+    proof_age_ms, proof_by
+        How old the proof is that no newer one was there, in ms (-1 for none), and the
+        box that read it from the store.
     store_failing_ms : int
         How long calls to the store have been failing; -1 while they do not.
     list_age_ms : int
@@ -142,6 +150,8 @@
     catalog: int
     routes: int
     organisations: int
+    proof_age_ms: Millis
+    proof_by: BoxId
     store_failing_ms: Millis
     list_age_ms: Millis
     list_reader: BoxId
@@ -168,6 +178,8 @@
         catalog=catalog.version if catalog else -1,
         routes=len(catalog.routes) if catalog else 0,
         organisations=len(catalog.orgs) if catalog else 0,
+        proof_age_ms=proof_age(fleet, now),
+        proof_by=fleet.catalog_proof.source,
         store_failing_ms=_since(fleet.store.failing_since, now),
         list_age_ms=_since(fleet.workers_read_at, now),
         list_reader=reader_of(fleet, now),
@@ -284,5 +296,10 @@
 
 def _peer(row: PeerRow, now: Millis) -> PeerView:
     return PeerView(
-        row.box, row.domain, _since(row.heard, now), row.served, row.failures
+        row.box,
+        row.domain,
+        _since(row.heard, now),
+        row.served,
+        row.failures,
+        row.catalog_version,
     )
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -22,6 +22,7 @@
 from ..systems.evacuating import take_absent
 from ..systems.evacuating import take_evacuation
 from ..systems.following_workers import follows_operators
+from ..systems.proving import prove_catalog
 from ..systems.quarantining import release
 from ..systems.ramping import bar_versions
 from ..systems.ramping import take_beginning
@@ -90,6 +91,7 @@
         return follows_operators(self._fleet, self._reader.now())
 
     async def _read(self) -> Offset | None:
+        sent = self._reader.now()
         listing = await self._reader.newest(wire.OPERATORS_TOPIC)
         if listing is None:
             return None
@@ -99,6 +101,7 @@
             offset = Offset(item.offset)
             self._take(item.key_file, item.content(), offset, seen=False)
             orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
+        prove_catalog(self._fleet, sent, listing.end)
         if orders and not await self._read_status():
             return None
         return listing.end
@@ -107,10 +110,18 @@
         held = awaits_operators(self._fleet, self._reader.now())
         # What is missing from a copy is looked for again when it should be back.
         wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
+        sent = self._fleet.waiting_since = self._reader.now()
         got = await self._reader.store.tail(wire.OPERATORS_TOPIC, end, wait_ms)
+        self._fleet.waiting_since = Millis(-1)
         cut = isinstance(got, Err) and got.err_value.problem is StoreProblem.LOST
         if cut:
-            log_event("INFO", "records read again", topic=wire.OPERATORS_TOPIC)
+            log_event(
+                "INFO",
+                "records read again",
+                topic=wire.OPERATORS_TOPIC,
+                waited_ms=self._reader.now() - sent,
+            )
+            sent = self._reader.now()
             got = await self._read_after_cut(end)
         if isinstance(got, Err):
             if got.err_value.problem is StoreProblem.TRIMMED:
@@ -121,6 +132,9 @@
         for record in got.ok_value.records:
             # The connection may have been dead for long before it was known to be.
             self._take(record.key, record.value, record.offset, seen=not cut)
+        # A wait that no record ended shows that none came until its end.
+        waited_ms = 0 if cut or got.ok_value.records else wait_ms
+        prove_catalog(self._fleet, Millis(sent + waited_ms), got.ok_value.next)
         if held and not awaits_operators(self._fleet, self._reader.now()):
             return await self._read()
         return got.ok_value.next
--- a/src/spanshunt/platform_lines.py
+++ b/src/spanshunt/platform_lines.py
@@ -1,10 +1,41 @@
-"""Log lines that tell what a box believes of failure domains and of the store."""
+"""Log lines that tell what a box believes of catalogs, domains and the store."""
 
+from .ids import BoxId
 from .ids import DomainId
+from .ids import Millis
 from .logs import log_event
+from .systems.blaming import heard_peers
+from .systems.following_workers import is_served
+from .systems.proving import newest_told
+from .systems.proving import proof_age
 from .tables.fleet import Fleet
 
 
+def catalog_fields(fleet: Fleet, now: Millis) -> dict[str, object]:
+    """Return which catalog a box knows and how sure it is that it is the newest."""
+    waiting = fleet.waiting_since
+    return {
+        "catalog": fleet.catalog.version if fleet.catalog else None,
+        "proof_age_ms": proof_age(fleet, now),
+        "proof_by": fleet.catalog_proof.source,
+        "waiting_ms": now - waiting if waiting >= 0 else None,
+        "served": is_served(fleet, now),
+        "peers_heard": len(heard_peers(fleet, now)),
+        "newest_told": newest_told(fleet),
+    }
+
+
+def log_newer_catalog(fleet: Fleet, source: BoxId, version: int, now: Millis) -> None:
+    """Log that a peer told of a newer catalog, before this box has it."""
+    log_event(
+        "INFO",
+        "newer catalog told",
+        version=version,
+        source=source,
+        **catalog_fields(fleet, now),
+    )
+
+
 def log_evacuation(fleet: Fleet, domain: DomainId, source: str) -> None:
     """Log that a failure domain was emptied or given back, as this box knows now."""
     row = fleet.evacuations[domain]
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -151,6 +151,24 @@
     era_began: Millis = Millis(-1)
 
 
+class CatalogProof(msgspec.Struct, frozen=True):
+    """What shows that the catalog known was the newest at some time.
+
+    Attributes
+    ----------
+    at : int
+        That time, in ms; -1 for never.
+    end : int
+        Where the operators' stream ended then; -1 for unknown.
+    source : str
+        The box that read it from the store; empty for none.
+    """
+
+    at: Millis = Millis(-1)
+    end: Offset = Offset(-1)
+    source: BoxId = BoxId("")
+
+
 class Readings(msgspec.Struct):
     """A row of readings of the workers' list, by any boxes, without a gap between them.
 
@@ -175,6 +193,11 @@
         The newest catalog known; never replaced by an older one.
     catalog_packed : bytes
         The same as it came, packed for peers.
+    catalog_proof : CatalogProof
+        What shows that it is the newest.
+    waiting_since : int
+        When this box's read that waits for operators' records began, in ms; -1 while
+        there is none.
     workers : Workers
         Backend servers.
     workers_end : int
@@ -246,6 +269,8 @@
     me: Identity
     catalog: Catalog | None = None
     catalog_packed: bytes = b""
+    catalog_proof: CatalogProof = CatalogProof()
+    waiting_since: Millis = Millis(-1)
     workers: Workers = msgspec.field(default_factory=Workers)
     workers_end: Offset = Offset(-1)
     workers_read_at: Millis = Millis(-1)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -100,6 +100,9 @@
     assert "outcome=bad-credential" in refused and "catalog=8" in refused
     taken = [line for line in lines if "catalog: version=8" in line]
     assert taken and "source=store" in taken[0]
+    assert "proof_by=box-1" in refused and "waiting_ms=" in refused
+    age = int(refused.partition("proof_age_ms=")[2].split()[0])
+    assert 0 <= age < 10_000
 
 
 async def test_bad_version(tmp_path):
