Catalogs are fetched on new connections, from another peer beside a slow one

Callers at a box that the store turned away saw a route refused that its peers served. Cause: the box asked one peer at a time, over a connection kept from an earlier fetch, and waited 1, 2, 4 and 8 s for each. After connections had gone silent each of them was dead. A peer that stops answering does the same to every box that draws it. Ruled out: hearing of the newer catalog (told within 2 s of the silence, by the lines). Change: each fetch has a connection of its own and 8 s; after 0.3 s another peer is asked beside it, three at once at most. The growing time-outs are gone: a slow link still gets its 8 s, and no failure makes the next one wait longer.

--- a/src/spanshunt/catalog_fetcher.py
+++ b/src/spanshunt/catalog_fetcher.py
@@ -1,9 +1,10 @@
-"""Fetching a newer catalog from a peer, one at a time, however slow the link is.
+"""Fetching a newer catalog from a peer, however slow its link is.
 
 Boxes tell each other only which version they know. A box that hears of a newer one
 fetches it, packed, from a peer of its own failure domain where one has it. A peer that
 serves enough others already says so, and the box asks another: so a catalog spreads
-over boxes and not over the link of the first that knew it.
+over boxes and not over the link of the first that knew it. A peer that has not answered
+for a while may be out of reach, or slow: it goes on, and another is asked beside it.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 import random
 
 from result import Err
+from result import Result
 
 from .catalog_taking import Decode
 from .catalog_taking import known_version
@@ -24,12 +26,20 @@
 from .peers.news import ask_catalog
 from .peers.packing import unpack
 from .peers.unary import Channels
+from .peers.unary import PeerFault
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 
-FIRST_TIMEOUT_S, LAST_TIMEOUT_S = 1.0, 8.0
-"""How long a fetch may take, in s, the first time and after failures that doubled it: a
-catalog of 1,400 routes is 40 KB packed, 0.1 s on a link of 5 Mbit/s that is shared."""
+FETCH_S = 8.0
+"""How long a fetch may take, in s: a catalog of 1,400 routes is 40 KB packed, 0.1 s on
+a link of 5 Mbit/s, which many boxes may share."""
+
+NEXT_S = 0.3
+"""How long a fetch goes on until another peer is asked beside it, in s: several fit
+into the time within which a change must be in force."""
+
+AT_ONCE_MOST = 3
+"""Peers asked at once: each may send the whole catalog over this box's link."""
 
 SERVED_MOST, SERVED_WITHIN_MS = 3, 200
 """Boxes that one box gives its catalog to within so many ms: with 40 KB each that fills
@@ -65,16 +75,10 @@
         self._clock = clock
         self._rng = rng
         self._decode = decode
-        self._channels = Channels()
         self._due = asyncio.Event()
         self._tried: set[BoxId] = set()
-        self._timeout_s = FIRST_TIMEOUT_S
         self._served: collections.deque[Millis] = collections.deque(maxlen=SERVED_MOST)
 
-    def stop(self) -> None:
-        """Close all channels."""
-        self._channels.stop()
-
     def look(self) -> None:
         """Look for a newer catalog: a peer told of one."""
         self._due.set()
@@ -83,11 +87,24 @@
         """Fetch whenever a peer is known to have a newer catalog."""
         while True:
             await self._due.wait()
-            peer = self._whom_to_ask()
-            if peer is None:
-                self._due.clear()
-            elif not await self._fetch(peer):
-                await asyncio.sleep(PAUSE_S)
+            await self._catch_up()
+            self._due.clear()
+
+    async def _catch_up(self) -> None:
+        """Ask peers, some at once, until none is known to have a newer catalog."""
+        under_way: set[asyncio.Task[bool]] = set()
+        try:
+            while peer := self._whom_to_ask():
+                if len(under_way) < AT_ONCE_MOST:
+                    under_way.add(asyncio.create_task(self._fetch(peer)))
+                done, under_way = await asyncio.wait(
+                    under_way, timeout=NEXT_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done and not any(fetch.result() for fetch in done):
+                    await asyncio.sleep(PAUSE_S)
+        finally:
+            for fetch in under_way:
+                fetch.cancel()
 
     async def tell(self, ask: CatalogAsk) -> CatalogTold:
         """Give this box's catalog to a peer, unless enough others get it already."""
@@ -123,14 +140,12 @@
         fleet = self._fleet
         mine = known_version(fleet)
         began = self._clock.now()
-        ask = CatalogAsk(fleet.me.box, mine)
-        told = await ask_catalog(self._channels, peer.address, ask, self._timeout_s)
+        self._tried.add(peer.box)
+        told = await self._ask(peer, CatalogAsk(fleet.me.box, mine))
         if isinstance(told, Err):
-            self._timeout_s = min(LAST_TIMEOUT_S, 2 * self._timeout_s)
             self._note_failed(peer, told.err_value.detail)
             return False
         if not told.ok_value.packed:
-            self._tried.add(peer.box)
             return False
         raw = unpack(told.ok_value.packed)
         if isinstance(raw, Err):
@@ -145,19 +160,26 @@
             took_ms=self._clock.now() - began,
         )
         self._tried.clear()
-        self._timeout_s = FIRST_TIMEOUT_S
         packed = told.ok_value.packed
         return take_catalog(
             fleet, raw.ok_value, self._decode, source=peer.box, packed=packed
         )
 
+    async def _ask(
+        self, peer: PeerRow, ask: CatalogAsk
+    ) -> Result[CatalogTold, PeerFault]:
+        """Ask on a connection of its own: one that was kept may be dead by now."""
+        channels = Channels()
+        try:
+            return await ask_catalog(channels, peer.address, ask, FETCH_S)
+        finally:
+            channels.stop()
+
     def _note_failed(self, peer: PeerRow, detail: str) -> None:
-        self._tried.add(peer.box)
         log_event(
             "WARNING",
             "catalog not fetched",
             peer=peer.box,
             version=peer.catalog_version,
             detail=detail,
-            next_timeout_s=self._timeout_s,
         )
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -289,7 +289,6 @@
         self._news.close()
         self._server.close()
         self._exchange.stop()
-        self._fetcher.stop()
         await self._workers.stop()
         await self._store.stop()
 
--- a/src/spanshunt/standins/store.py
+++ b/src/spanshunt/standins/store.py
@@ -144,9 +144,7 @@
     ) -> t.Callable[[web.Request], t.Awaitable[web.Response]]:
         async def serve(req: web.Request) -> web.Response:
             waits = " waits" if req.query.get("WaitMs", "0") != "0" else ""
-            self._store.calls.append(
-                f"{req.path} {req.query.get('Topic', '')}{waits}"
-            )
+            self._store.calls.append(f"{req.path} {req.query.get('Topic', '')}{waits}")
             turned_away = await self._turn_away(req)
             if turned_away is not None:
                 return turned_away
--- a/tests/test_catalog_fetcher.py
+++ b/tests/test_catalog_fetcher.py
@@ -50,6 +50,22 @@
         await until(lambda: refused.node.fleet.catalog.version == 11, "version 11", 8)
 
 
+async def test_peer_that_does_not_answer_holds_the_catalog_up_no_longer():
+    """Others are asked beside it; it may yet answer, as its link may be slow."""
+    async with running_fleet(boxes=3) as fleet:
+        refused = fleet.boxes[2]
+        refused.endpoint.fault = EndpointFault.BUSY
+
+        async def tell_never(_ask: CatalogAsk):
+            await asyncio.sleep(60)
+
+        fleet.boxes[0].node._news._tell_catalog = tell_never
+        for version in (11, 13, 15, 17):
+            await fleet.configure(config(version))
+            known = refused.node.fleet
+            await until(lambda v=version, k=known: k.catalog.version == v, "it", 2.0)
+
+
 async def test_box_gives_its_catalog_to_few_at_once():
     fetcher, clock = a_fetcher()
     ask = CatalogAsk(BoxId("box-2"), 3)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -21,11 +21,9 @@
 from fleet_builders import TestFleet
 from fleet_builders import config
 from fleet_builders import running_fleet
+from fleet_builders import until
 from fleet_builders import without_key
 from spanshunt.clock import Clock
-from spanshunt.ids import BoxId
-from spanshunt.peers.news import CatalogAsk
-from spanshunt.peers.news import ask_catalog
 from spanshunt.platform.store import StoreClient
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.store import StoreStandin
@@ -160,18 +158,22 @@
 
 
 async def test_change_is_in_force_at_a_box_whose_connections_to_peers_were_all_dead():
-    """The store turns the box away; it knows from peers that there is a newer one."""
+    """A box that the store turned away knew of a newer catalog and refused by its own.
+
+    It asked peers one after the other over connections kept from earlier fetches, for
+    1, 2, 4 and 8 s. Its lines proved it: a newer catalog told, then one fetch after the
+    other without an answer.
+    """
     async with running_fleet(
         boxes=6, domains=DOMAINS, links=True, timeout_ms=STORE_MS
     ) as fleet:
-        refused, *others = fleet.boxes
+        refused = fleet.boxes[0]
         refused.endpoint.fault = EndpointFault.BUSY
-        await asyncio.sleep(1.0)
-        fetcher = refused.node._fetcher
-        for box in others:
+        peers = refused.node.fleet.peers
+        await until(lambda: len(peers) == 5, "all boxes are known")
+        for peer in peers.values():
             # As if it had fetched an earlier catalog from each of them.
-            ask = CatalogAsk(BoxId("box-1"), 0)
-            await ask_catalog(fetcher._channels, box.seed, ask, 1.0)
+            await refused.node._fetcher._fetch(peer)
         for box in fleet.boxes:
             box.peers_link.silence()
         await asyncio.sleep(CALM_S)
