A request is refused for good only by a catalog that is proved to be the newest

Callers got 404 (and 401) at a box that was cut off from store and peers, for a route that operators had added; callers take that for final and do not ask again. Cause: a refusal at the entry was given by whatever catalog the box had, however old. Change: before a 401 or 404 a proof older than half of the bound is renewed by one look that all such requests share; if that fails and the proof is older than the bound, the answer is 503, not run, and when to come back. The entry stands in a module of its own. Before: 404 at the cut off box from the first request on. After: 503 for all of them, and the route that was added is served at once where a look brings it. Cost under abuse: 400 requests for what is not there in a row make no call beyond the looks that are due anyway (test).

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -13,6 +13,8 @@
 from .attempt_outcomes import note_silent
 from .attempt_outcomes import version_of
 from .break_causes import look_into
+from .catalog_entry import enter
+from .catalog_entry import refuse_entry
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
@@ -24,14 +26,12 @@
 from .logs import log_event
 from .planning import plan
 from .planning import retry_after
-from .platform_lines import catalog_fields
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Call
 from .ports import Dispatch
 from .ports import Reply
 from .ports import SendFault
-from .refusals import Refusal
 from .relaying import relay_stream
 from .relaying import wants_better
 from .repeating import budget_allows
@@ -39,9 +39,6 @@
 from .request_state import Ending
 from .request_state import WorkerFailure
 from .systems.admitting import Admitted
-from .systems.admitting import Asked
-from .systems.admitting import admit
-from .systems.admitting import held_ms
 from .systems.cascading import note_lateness
 from .systems.doubting import note_reached
 from .systems.ending import note_return
@@ -68,13 +65,6 @@
 BUDGET_STEP_S = 0.2
 """How often a request whose worker is silent looks whether it may be repeated, in s."""
 
-CATALOG_STEP_S = 0.02
-"""How often a request that waits for the first catalog looks for it, in s."""
-
-STALE_STEP_S = 0.01
-"""How often a request that came just after the box woke looks whether it heard news, in
-s."""
-
 CatalogSteps = Steps[CatalogRequest, CatalogAttempt]
 
 
@@ -100,14 +90,9 @@
 async def answer(core: Core, steps: CatalogSteps, call: Call, reply: Reply) -> None:
     """Answer a request, whatever happens on the way."""
     core.look()
-    if core.fleet.catalog is None:
-        await _await_catalog(core, call)
-    await _await_news(core)
-    left_ms = call.deadline - core.clock.now()
-    asked = Asked(call.host, call.path, call.credential, left_ms)
-    admitted = admit(core.fleet.catalog, asked)
+    admitted = await enter(core, call)
     if isinstance(admitted, Err):
-        await _refuse_entry(core, call, reply, admitted.err_value)
+        await refuse_entry(core, call, reply, admitted.err_value)
         return
     state = _begin(core, call, admitted.ok_value)
     core.running[call.request] = state
@@ -118,34 +103,6 @@
         share(core.fleet, state.fingerprint, core.clock.now())
 
 
-async def _await_news(core: Core) -> None:
-    """Wait for a peer or the store just after the box woke, while that may come."""
-    left_ms = core.fleet.stale_until - core.clock.now()
-    for _ in range(int(left_ms / (1_000 * STALE_STEP_S)) + 1):
-        if core.clock.now() >= core.fleet.stale_until:
-            return
-        await asyncio.sleep(STALE_STEP_S)
-
-
-async def _await_catalog(core: Core, call: Call) -> None:
-    """Wait for the first catalog, as long as that may still serve the caller."""
-    clock = core.clock
-    steps = held_ms(call.deadline - clock.now()) / (1_000 * CATALOG_STEP_S)
-    for _ in range(int(steps)):
-        if core.fleet.catalog is not None:
-            break
-        await asyncio.sleep(CATALOG_STEP_S)
-    catalog = core.fleet.catalog
-    core.count("requests_held.served" if catalog else "requests_held.not_ready")
-    log_event(
-        "INFO",
-        "held for a catalog",
-        request=call.request,
-        catalog=catalog.version if catalog else None,
-        held_ms=clock.now() - call.began,
-    )
-
-
 def _begin(core: Core, call: Call, admitted: Admitted) -> CatalogRequest:
     route = admitted.route
     org = admitted.org.name if admitted.org else OrgId("")
@@ -167,22 +124,6 @@
     )
 
 
-async def _refuse_entry(core: Core, call: Call, reply: Reply, refusal: Refusal) -> None:
-    """Refuse a request that was not admitted."""
-    await reply.refuse(refusal)
-    core.count(f"requests.{refusal.problem.slug}")
-    log_event(
-        "INFO",
-        "refused",
-        request=call.request,
-        outcome=refusal.problem.slug,
-        host=call.host,
-        path=call.path,
-        **catalog_fields(core.fleet, core.clock.now()),
-        detail=refusal.detail,
-    )
-
-
 def _before_send(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
     """Count an attempt in the budget of repeats and log what it rests on."""
     _note_prompt(core, state, attempt)
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -134,6 +134,10 @@
         Reads what is kept back from the store, where no peer can tell.
     look : callable
         Looks whether the box was suspended.
+    prove : callable
+        Finds out whether the catalog is the newest, for all that ask at once.
+    in_force_ms : int
+        Within which a change of the operators must be in force, in ms.
     fingerprint_key : str
         What digests of requests' contents are keyed with.
     """
@@ -149,5 +153,7 @@
     tell_now: t.Callable[[], None] = lambda: None
     recall: t.Callable[[], t.Awaitable[None]] = _know_nothing
     look: t.Callable[[], None] = lambda: None
+    prove: t.Callable[[], t.Awaitable[None]] = _know_nothing
+    in_force_ms: Millis = Millis(2_000)
     fingerprint_key: str = ""
     running: dict[RequestId, CatalogRequest] = {}
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -158,6 +158,8 @@
             tell_now=lambda: self._exchange.tell_now(),
             recall=lambda: self._kept_back.recall(),
             look=lambda: self._wakes.look(),
+            prove=lambda: self._operator_records.prove(),
+            in_force_ms=Millis(bounds.in_force_ms),
             fingerprint_key=settings.fingerprint_key,
             bounds=RepeatBounds(
                 ratio=bounds.repeat_ratio,
--- a/src/spanshunt/systems/admitting.py
+++ b/src/spanshunt/systems/admitting.py
@@ -71,9 +71,7 @@
 def admit(catalog: Catalog | None, asked: Asked) -> Result[Admitted, Refusal]:
     """Find route and organisation of a request in the catalog as it is now."""
     if catalog is None:
-        detail = "this box knows no catalog yet"
-        retry_ms = Millis(int(min(NOT_READY_MOST_MS, NOT_READY_PART * asked.left_ms)))
-        return Err(Refusal(Problem.NOT_READY, detail, retry_ms=retry_ms))
+        return Err(_not_ready("this box knows no catalog yet", asked.left_ms))
     route = find_route(catalog, asked.host, asked.path)
     if route is None:
         detail = f"catalog {catalog.version} has no route for {asked.host}{asked.path}"
@@ -83,3 +81,15 @@
         detail = f"the credential is not known in catalog {catalog.version}"
         return Err(Refusal(Problem.BAD_CREDENTIAL, detail))
     return Ok(Admitted(route, org, catalog.version))
+
+
+def unproved(catalog: Catalog | None, left_ms: int) -> Refusal:
+    """Return the refusal of a request that the newest catalog may well allow."""
+    known = catalog.version if catalog is not None else "none"
+    detail = f"this box can't tell whether catalog {known} is the newest"
+    return _not_ready(detail, left_ms)
+
+
+def _not_ready(detail: str, left_ms: int) -> Refusal:
+    retry_ms = Millis(int(min(NOT_READY_MOST_MS, NOT_READY_PART * left_ms)))
+    return Refusal(Problem.NOT_READY, detail, retry_ms=retry_ms)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -9,6 +9,7 @@
 import asyncio
 import typing as t
 
+import msgspec
 import pytest
 from aiohttp import web
 from bench.links import Link
@@ -24,9 +25,11 @@
 from fleet_builders import until
 from fleet_builders import without_key
 from spanshunt.clock import Clock
+from spanshunt.ids import Millis
 from spanshunt.platform.store import StoreClient
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.store import StoreStandin
+from spanshunt.systems.proving import FIRST_PART
 
 DOMAINS = ("north", "west", "south")
 
@@ -212,7 +215,13 @@
 
 @pytest.mark.parametrize("fault", [EndpointFault.BUSY, EndpointFault.SILENT])
 async def test_box_that_can_not_know_what_is_newest_refuses_nothing_for_good(fault):
-    """Neither the store nor peers reach the box: its 404 would be a guess."""
+    """A box answered 404 for a route that had been added since it heard of anybody.
+
+    Callers take a 404 for final: they lost a request that any other box would have
+    served. The box gave it by whatever catalog it had, however old its proof. That it
+    is a cause of its own shows here, where no box is late that could know. Now it says
+    that the request has not run and when to come back.
+    """
     async with running_fleet(
         boxes=2, domains=DOMAINS, links=True, timeout_ms=STORE_MS
     ) as fleet:
@@ -223,5 +232,47 @@
             await box.peers_link.stop()
         await asyncio.sleep(CALM_S)
         found = await change(fleet, boxes=[cut_off])
-    refused = [asked for asked in found if asked.status == 404]
-    assert not refused
+    added = {asked.status for asked in found if asked.path.startswith("/added")}
+    assert added == {503}
+
+
+async def test_refusal_says_when_to_come_back():
+    async with running_fleet(links=True) as fleet:
+        (box,) = fleet.boxes
+        box.endpoint.fault = EndpointFault.BUSY
+        await until(
+            lambda: box.node.fleet.store.failing_since >= 0, "the store is away"
+        )
+        await asyncio.sleep(IN_FORCE_S)
+        reply = await fleet.ask(box, "/added/x")
+        known = await fleet.ask(box, "/view/")
+    assert (reply.status, known.status) == (503, 200)
+    assert 0 < float(reply.headers["Retry-After"]) <= 2
+
+
+async def test_doubt_is_settled_by_a_look():
+    """A route that was added just now is served, where the proof is old."""
+    async with running_fleet(links=True) as fleet:
+        (box,) = fleet.boxes
+        box.store_link.silence()
+        await fleet.configure(changed(11))
+        known = box.node.fleet
+        known.catalog_proof = msgspec.structs.replace(
+            known.catalog_proof, at=Millis(known.catalog_proof.at - 1_500)
+        )
+        assert (await fleet.ask(box, "/added/x")).status == 200
+        assert known.catalog.version == 11
+
+
+async def test_doubts_of_many_cost_few_calls():
+    """Callers who ask for what is not there must not make a box press the store."""
+    async with running_fleet() as fleet:
+        (box,) = fleet.boxes
+        before = len(fleet.store.calls)
+        began = asyncio.get_running_loop().time()
+        for _ in range(20):
+            asks = (fleet.ask(box, "/nowhere/", key="unknown") for _ in range(20))
+            assert {reply.status for reply in await asyncio.gather(*asks)} == {404}
+        took_s = asyncio.get_running_loop().time() - began
+        reads = fleet.store.calls[before:].count("/log-read keyed.op")
+    assert reads <= 2 + took_s / (FIRST_PART * IN_FORCE_S)
