Ages that peers tell count from when they were told

Seen in a test alone: news that a link held up for 5 s were taken as fresh as when they were sent, so a box took an old list of workers for 0.1 s old and left the next reading to others. Real networks do that: after a cut the kernel sends again what an orderly closed connection still owed. Change: the time at which a message was told, by how far its teller's clock is ahead at most, counts for the workers' list as it does for proofs. A teller that never answered tells no ages. Roll-outs' beginnings keep the time of hearing, as being early is the dangerous side there.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -246,12 +246,13 @@
             log_older_store(fleet, news.box)
         told_before = newest_told(fleet)
         self._take_peers(news, now)
-        self._take_proof(news, asked_at)
+        told_at = self._told_at(news, asked_at)
+        self._take_proof(news, told_at)
         if news.catalog_version > known_version(fleet):
             if news.catalog_version > told_before:
                 log_newer_catalog(fleet, news.box, news.catalog_version, now)
             self._on_newer()
-        self._take_workers(news, now)
+        self._take_workers(news, told_at, now)
         for order in news.rollouts:
             self._take_rollout(news, order, now)
         for word in news.evacuations:
@@ -267,31 +268,39 @@
                 self._on_kept(row, news.box)
         take_engine_news(fleet, news, now)
 
-    def _take_proof(self, news: News, asked_at: Millis | None) -> None:
-        """Take in how old the peer's proof is that its catalog is the newest.
+    def _told_at(self, news: News, asked_at: Millis | None) -> Millis | None:
+        """Return when a peer told this at the earliest, by this box's clock.
 
-        A message may have been held up on its way for any time. Its age is counted from
-        when it was told at the earliest, by how far the peer's clock is ahead: by as
-        much as an answer's time lies behind its question at most.
+        A message may have been held up on its way for any time, as by a link that comes
+        back. Its clock is ahead of this box's by as much as an answer's time lies
+        behind its question at most; None until it has answered one.
         """
         row = self._fleet.peers[news.box]
         if asked_at is not None and news.told_at >= 0:
             row.clock_ahead = news.told_at - asked_at
-        if row.clock_ahead is None or news.proof_age_ms < 0:
+        if row.clock_ahead is None or news.told_at < 0:
+            return None
+        return Millis(news.told_at - row.clock_ahead)
+
+    def _take_proof(self, news: News, told_at: Millis | None) -> None:
+        """Take in how old the peer's proof is that its catalog is the newest."""
+        if told_at is None or news.proof_age_ms < 0:
             return
-        at = Millis(news.told_at - row.clock_ahead - news.proof_age_ms)
+        at = Millis(told_at - news.proof_age_ms)
         told = CatalogProof(at, Offset(news.proof_end), news.proof_by)
         take_told_proof(self._fleet, news.catalog_version, told)
 
-    def _take_workers(self, news: News, now: Millis) -> None:
+    def _take_workers(self, news: News, told_at: Millis | None, now: Millis) -> None:
         """Take in a newer list, or that this box's is as new as the teller's."""
         fleet = self._fleet
-        if news.read_age_ms >= 0:
-            last = Millis(now - news.read_age_ms)
+        if news.read_age_ms >= 0 and told_at is not None:
+            last = Millis(told_at - news.read_age_ms)
             note_reading(fleet, last, Millis(last - news.read_unbroken_ms))
         if news.workers_end < fleet.workers_end or not news.workers_digest:
             return
-        read_at = Millis(now - news.workers_age_ms)
+        read_at = fleet.workers_read_at
+        if told_at is not None:
+            read_at = Millis(told_at - news.workers_age_ms)
         if news.workers:
             rows = [listed(item) for item in news.workers]
             change = take_list(fleet, rows, Offset(news.workers_end), now)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -4,11 +4,15 @@
 import random
 import typing as t
 
+import msgspec
 from grpclib.server import Server
 
+from fleet_builders import add_worker
 from fleet_builders import make_fleet
+from fleet_builders import make_worker
 from fleet_builders import ms
 from spanshunt.clock import Clock
+from spanshunt.clock import ManualClock
 from spanshunt.exchange import NEWCOMER_TOLD
 from spanshunt.exchange import PEERS_TOLD
 from spanshunt.exchange import Exchange
@@ -20,6 +24,7 @@
 from spanshunt.peers.news import News
 from spanshunt.peers.news import NewsService
 from spanshunt.peers.news import news_talks
+from spanshunt.peers.news_rows import workers_news
 from spanshunt.peers.partners import PARTNERS_MOST
 from spanshunt.peers.partners import Partners
 from spanshunt.standins.ports import free_ports
@@ -103,6 +108,39 @@
     assert new.boxes == 92
 
 
+def test_list_of_workers_is_as_old_as_its_message_was_held_up():
+    """A link that came back delivered news of 5 s ago, as fresh as when it was sent.
+
+    The box took its list for 0.1 s old and left the next reading to others. Ages were
+    counted from when a message was heard; they count from when it was told.
+    """
+    fleet, clock = make_fleet("box-1"), ManualClock(60_000)
+    exchange = Exchange(fleet, clock, random.Random(1), lambda: None, ())
+    news = msgspec.structs.replace(
+        news_of("box-2"),
+        workers_end=4,
+        workers_age_ms=100,
+        workers_digest=7,
+        workers=workers_news(a_listed_fleet(), clock.now()),
+        read_age_ms=100,
+        told_at=9_000,
+    )
+    exchange.take(news, clock.now())
+    assert fleet.workers_read_at == clock.now() - 100
+    clock.advance(5_000)
+    exchange.take(msgspec.structs.replace(news, workers_end=5, told_at=9_000))
+    assert fleet.workers_end == 5
+    assert fleet.workers_read_at == fleet.readings.last == clock.now() - 5_100
+
+
+def a_listed_fleet() -> Fleet:
+    """Return tables with a worker whose list was read."""
+    fleet = make_fleet("box-2")
+    add_worker(fleet, make_worker("w-1"))
+    fleet.workers_read_at = Millis(0)
+    return fleet
+
+
 class Peer:
     """A box that answers exchanges, counts them, and may fall silent."""
 
