The first box's waits for records are short, and it tells what comes

Cause: a look proves that nothing newer is there, not that the wait is alive. Others keep the wait of 20 s.

--- a/bench/play_store.py
+++ b/bench/play_store.py
@@ -56,7 +56,13 @@
         return Ok(Listing(items, Offset(found.end)))
 
     async def tail(
-        self, topic: str, since: Offset, wait_ms: int
+        self,
+        topic: str,
+        since: Offset,
+        wait_ms: int,
+        most_ms: int | None = None,
+        *,
+        fresh: bool = False,
     ) -> Result[Tail, StoreFault]:
         """Return records from an offset on, waiting for the first one."""
         fault = await self._pass()
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -25,6 +25,7 @@
 from ..systems.evacuating import take_absent
 from ..systems.evacuating import take_evacuation
 from ..systems.following_workers import follows_operators
+from ..systems.following_workers import is_first
 from ..systems.following_workers import may_try
 from ..systems.proving import LOOK_PART
 from ..systems.proving import is_proved
@@ -49,8 +50,12 @@
 
 TAIL_WAIT_MS = 20_000
 """How long a read of the operators' records waits for one, in ms: each read is
-priced, and a record ends it at once. Looks bound what a dead connection keeps from this
-box."""
+priced, and a record ends it at once."""
+
+WAIT_PART = 0.3
+"""How long it waits at the first box of the fleet, as a part of the time within which a
+change must be in force: its end renews the proof, and shows that the connection is not
+dead."""
 
 WAIT_GRACE_S = 0.1
 """How much later than a look a read that waits may bring the same record, in s."""
@@ -82,12 +87,13 @@
         self._reader = reader
         self._fleet = reader.fleet
         self._in_force_ms = in_force_ms
+        self._look_ms = int(LOOK_PART * in_force_ms)
         self._tell_now = tell_now
         self._due = asyncio.Event()
         self._wait: _Wait | None = None
         self._look_due = asyncio.Event()
         self._looked = asyncio.Event()
-        self._proved = True
+        self._proved: bool | None = None
 
     async def look(self) -> None:
         """Look whether this box follows the records or renews its proof; `LOOK_MS`."""
@@ -98,6 +104,8 @@
         self._note_age(now)
         if self._wait is None and follows:
             return
+        if self._wait is not None and is_first(self._fleet, now) > self._wait.first:
+            self._wait.give_up(self._wait.since)
         if must_look(self._fleet, now, self._in_force_ms) or self._is_overtaken():
             self._look_due.set()
 
@@ -111,7 +119,7 @@
             return
         self._look_due.set()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LOOK_PART * self._in_force_ms / 1_000):
+            async with asyncio.timeout(self._look_ms / 1_000):
                 await self._looked.wait()
 
     async def renew(self) -> None:
@@ -159,16 +167,16 @@
 
     async def _await(self, end: Offset) -> Offset | None:
         held = awaits_operators(self._fleet, self._reader.now())
+        first = is_first(self._fleet, self._reader.now())
         # What is missing from a copy is looked for again when it should be back.
         wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
+        if first:
+            wait_ms = min(wait_ms, int(WAIT_PART * self._in_force_ms))
         sent = self._fleet.waiting_since = self._reader.now()
-        self._wait = _Wait(
-            end,
-            known_version(self._fleet),
-            asyncio.create_task(
-                self._reader.store.tail(wire.OPERATORS_TOPIC, end, wait_ms)
-            ),
+        read = self._reader.store.tail(
+            wire.OPERATORS_TOPIC, end, wait_ms, self._look_ms if first else None
         )
+        self._wait = _Wait(end, known_version(self._fleet), first, read)
         got, found_end = await self._wait.ended()
         self._wait, self._fleet.waiting_since = None, Millis(-1)
         if got is None:
@@ -192,6 +200,9 @@
         for record in got.ok_value.records:
             # The connection may have been dead for long before it was known to be.
             self._take(record.key, record.value, record.offset, seen=not cut)
+        if first and got.ok_value.records:
+            # The others' waits may be dead: theirs are seldom put to the test.
+            self._tell_now()
         # A wait that no record ended shows that none came until its end.
         waited_ms = 0 if cut or got.ok_value.records else wait_ms
         prove_catalog(self._fleet, Millis(sent + waited_ms), got.ok_value.next)
@@ -207,7 +218,7 @@
             await self._read()
             return
         got = await self._reader.store.tail(
-            wire.OPERATORS_TOPIC, since, 0, int(LOOK_PART * self._in_force_ms)
+            wire.OPERATORS_TOPIC, since, 0, self._look_ms, fresh=True
         )
         if isinstance(got, Err):
             if got.err_value.problem is StoreProblem.TRIMMED:
@@ -251,12 +262,14 @@
 
     def _note_age(self, now: Millis) -> None:
         """Log when the proof grows older than changes may take, and its renewal."""
-        proved = is_proved(self._fleet, now, self._in_force_ms)
-        if proved is not self._proved and self._fleet.catalog is not None:
-            self._proved = proved
+        before = self._proved
+        self._proved = is_proved(self._fleet, now, self._in_force_ms)
+        if before is None and not self._proved:
+            self._proved = None
+        elif before not in (None, self._proved):
             log_event(
-                "INFO" if proved else "WARNING",
-                "catalog proved again" if proved else "catalog unproved",
+                "INFO" if self._proved else "WARNING",
+                "catalog proved again" if self._proved else "catalog unproved",
                 **catalog_fields(self._fleet, now),
             )
 
@@ -345,7 +358,9 @@
         From where on it reads.
     version : int
         The catalog that was known when it began.
-    read : asyncio.Task
+    first : bool
+        Whether this box was the first of all then, whose waits are short.
+    read : coroutine
         The read.
     """
 
@@ -353,11 +368,13 @@
         self,
         since: Offset,
         version: int,
-        read: asyncio.Task[Result[Tail, StoreFault]],
+        first: bool,
+        read: t.Coroutine[t.Any, t.Any, Result[Tail, StoreFault]],
     ) -> None:
         self.since = since
         self.version = version
-        self.read = read
+        self.first = first
+        self.read = asyncio.get_running_loop().create_task(read)
         self._given_up = asyncio.get_running_loop().create_future()
 
     def give_up(self, end: Offset) -> None:
--- a/src/spanshunt/platform/store.py
+++ b/src/spanshunt/platform/store.py
@@ -169,12 +169,18 @@
         return Ok(Listing(tuple(items), Offset(end or 0)))
 
     async def tail(
-        self, topic: str, since: Offset, wait_ms: int, fresh_ms: int | None = None
+        self,
+        topic: str,
+        since: Offset,
+        wait_ms: int,
+        most_ms: int | None = None,
+        *,
+        fresh: bool = False,
     ) -> Result[Tail, StoreFault]:
         """Return records from an offset on, waiting for the first one.
 
-        With `fresh_ms` a connection of its own is taken, which can't be dead already,
-        and the answer must come within so many ms.
+        The answer must come within `most_ms` beyond the wait. A `fresh` read takes a
+        connection of its own, which can't be dead already.
         """
         query = {
             "Topic": topic,
@@ -184,14 +190,13 @@
         }
         if era_of(since) != self._era:
             return Err(_trimmed("/log-read: a place from before the store's copy"))
-        sessions = self._kept if fresh_ms is None else self._fresh
         got = await self._call(
             "GET",
             "/log-read",
             query,
             wait_ms=wait_ms,
-            most_ms=fresh_ms,
-            sessions=sessions,
+            most_ms=most_ms,
+            sessions=self._fresh if fresh else self._kept,
         )
         if isinstance(got, Err):
             return got
--- a/src/spanshunt/standins/store.py
+++ b/src/spanshunt/standins/store.py
@@ -17,13 +17,16 @@
 
 _PAGE = 500
 
+_PAUSE_STEP_S = 0.02
+
 
 class EndpointFault(enum.Enum):
     """How an endpoint to the store fails.
 
     ``BUSY``: 503, nothing done. ``MANY``: 429, nothing done. ``SILENT``: no answer,
-    nothing done. ``RESET``: the connection is reset, nothing done. ``LOST``: writes are
-    done and their answers lost. ``SLOW``: each answer takes ``slow_s``.
+    nothing done. ``RESET``: the connection is reset, nothing done. ``PAUSED``: no
+    answer until it goes on, then all of them. ``LOST``: writes are done and their
+    answers lost. ``SLOW``: each answer takes ``slow_s``.
     """
 
     NONE = "none"
@@ -31,6 +34,7 @@
     MANY = "many"
     SILENT = "silent"
     RESET = "reset"
+    PAUSED = "paused"
     LOST = "lost"
     SLOW = "slow"
 
@@ -168,6 +172,8 @@
             return web.Response(status=429)
         if self.fault is EndpointFault.SILENT:
             await asyncio.sleep(3_600)
+        while self.fault is EndpointFault.PAUSED:  # noqa: ASYNC110
+            await asyncio.sleep(_PAUSE_STEP_S)
         if self.fault is EndpointFault.RESET:
             return _reset(req)
         return None
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -53,13 +53,14 @@
 
 
 class SeenRequest(msgspec.Struct, frozen=True):
-    """A request as it reached the worker."""
+    """A request as it reached the worker; ``at`` is when, by the loop, in s."""
 
     request: str
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float
 
 
 class WorkerStandin:
@@ -318,4 +319,5 @@
     pairs = (line.partition(":") for line in lines)
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return SeenRequest(headers.get("attempt-id", ""), method, target, headers, body)
+    at = asyncio.get_running_loop().time()
+    return SeenRequest(headers.get("attempt-id", ""), method, target, headers, body, at)
--- a/src/spanshunt/systems/proving.py
+++ b/src/spanshunt/systems/proving.py
@@ -16,10 +16,10 @@
 
 FIRST_PART, READER_PART, OWN_PART = 0.35, 0.6, 0.75
 """How old a proof may grow before it is renewed, in parts of the time within which a
-change must be in force: by the first box of all that hear each other, by the first of
-each failure domain, and by any box. So one box of the fleet looks, however large it is;
-a domain or a box that is cut off from it looks for itself, and what it finds is in
-force in time."""
+change must be in force: by the first box of all that hear each other, whose own read
+ends before that, by the first of each failure domain, and by any box. So one box proves
+it for the fleet, however large that is; a domain or a box that is cut off from it looks
+for itself, and what it finds is in force in time."""
 
 LOOK_PART = 0.2
 """Longest that a look may take, as a part of the same time: a slow store answers within
--- a/tests/test_operator_records.py
+++ b/tests/test_operator_records.py
@@ -18,9 +18,13 @@
 from fleet_builders import config
 from fleet_builders import make_fleet
 from spanshunt.clock import Clock
+from spanshunt.ids import BoxId
+from spanshunt.ids import DomainId
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
+from spanshunt.platform.operator_records import TAIL_WAIT_MS
+from spanshunt.platform.operator_records import WAIT_PART
 from spanshunt.platform.operator_records import OperatorRecords
 from spanshunt.platform.store import KeyedRecord
 from spanshunt.platform.store import Listing
@@ -31,6 +35,7 @@
 from spanshunt.platform.wire import StoreItem
 from spanshunt.tables.fleet import CatalogProof
 from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
 
 SERVICE = ServiceId("writer")
 ORDER = KeyedRecord(
@@ -53,6 +58,7 @@
         self.listed = 0
         self.looked = 0
         self.tailed: list[Offset] = []
+        self.waits: list[int] = []
         self.found = found
         self.items: tuple[StoreItem, ...] = ()
         self._tails: t.Iterator[Result[Tail, StoreFault]] = iter(tails)
@@ -67,23 +73,26 @@
         self,
         _topic: str,
         offset: Offset,
-        _wait_ms: int,
-        fresh_ms: int | None = None,
+        wait_ms: int,
+        most_ms: int | None = None,
+        *,
+        fresh: bool = False,
     ) -> Result[Tail, StoreFault]:
-        if fresh_ms is not None:
+        if fresh:
             self.looked += 1
             records = tuple(row for row in self.found if row.offset >= offset)
             return Ok(Tail(records, Offset(offset + len(records))))
         self.tailed.append(offset)
+        self.waits.append(wait_ms)
         for answer in self._tails:
             return answer
         await asyncio.sleep(60)
         return Ok(Tail((), offset))
 
 
-async def follow(store: Store, for_ms: int) -> Fleet:
+async def follow(store: Store, for_ms: int, fleet: Fleet | None = None) -> Fleet:
     """Follow the records for a while; return the tables."""
-    fleet = make_fleet()
+    fleet = fleet or make_fleet()
     records = OperatorRecords(StoreReader(fleet, Clock(), t.cast(t.Any, store)))
     jobs = [asyncio.create_task(job()) for job in (records.follow, records.renew)]
     for _ in range(for_ms // 50):
@@ -157,3 +166,35 @@
     await asyncio.gather(*(records.prove() for _ in range(50)))
     renewer.cancel()
     assert store.looked == 1
+
+
+def heard(box: str, domain: str = "north") -> PeerRow:
+    """Return a peer that was heard just now, and goes on being heard."""
+    at = Millis(Clock().now() + 60_000)
+    return PeerRow(BoxId(box), "h:1", DomainId(domain), heard=at)
+
+
+async def test_waits_of_the_first_box_alone_are_short():
+    """Their end shows that the connection lives, soon after others went silent."""
+    store = Store()
+    store.items = (listed(CATALOG),)
+    await follow(store, for_ms=100, fleet=make_fleet("box-1"))
+    assert store.waits == [WAIT_PART * 2_000]
+    later = Store()
+    later.items = store.items
+    fleet = make_fleet("box-2")
+    fleet.peers[BoxId("box-1")] = heard("box-1", domain="south")
+    await follow(later, for_ms=100, fleet=fleet)
+    assert later.waits == [TAIL_WAIT_MS]
+
+
+async def test_box_that_becomes_the_first_begins_a_short_wait():
+    store = Store()
+    store.items = (listed(CATALOG),)
+    fleet = make_fleet("box-2")
+    fleet.peers[BoxId("box-1")] = heard("box-1", domain="south")
+    follower = asyncio.create_task(follow(store, for_ms=400, fleet=fleet))
+    await asyncio.sleep(0.2)
+    fleet.peers.clear()
+    await follower
+    assert store.waits == [TAIL_WAIT_MS, WAIT_PART * 2_000]
