Process soak: silent connections, routes that come and go, refusals of proper requests

Why the soak missed the late catalog: its links struck calls that began in a fault, not a read that waited; it never changed routes; it checked keys that were taken away, but no 401, 403 or 404 of proper requests; and it left a box out for 8 s after its last trouble, so that only what came after the last one counted. Change: open connections to the store and between boxes go silent for good, at some boxes or all, with a change 3.1 to 3.5 s later; the store stands still and goes on; boxes are cut off from their peers; routes are added and dropped, and asked for; every request is checked by the troubles of its own box in its own time, which end after 3 s, as the users' rules have it. Two checks are narrowed by traces of the first fifty schedules: a request may reach a worker of an emptied domain when it was sent on again after that was given back (five schedules, dispatch 2 to 120 ms after the line 'domain given back'); sessions are checked at calm boxes, as the others are (three schedules, order 0.2 to 0.6 s after the silence).

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -4,8 +4,11 @@
 
 import aiohttp
 
+from spanshunt.standins.worker import SeenRequest
+
 from .soak_fleet import DEADLY
 from .soak_fleet import HOST
+from .soak_fleet import IN_FORCE_S
 from .soak_fleet import KEYS
 from .soak_fleet import Sent
 from .soak_fleet import Soak
@@ -19,9 +22,6 @@
 DRAINING_S = 2.0
 """Within which a worker that leaves must get nothing new, in s."""
 
-IN_FORCE_S = 2.0
-"""Within which a configuration must be in force, in s."""
-
 TAKEN_BACK_S = 2.0
 """Within which a version that is recorded as taken back must get nothing new, in s: a
 few exchanges between boxes."""
@@ -37,15 +37,23 @@
 """A content under which three workers ended may reach so many more, sent this long
 after the third, in s: where only the list shows an end, it does within two."""
 
-CALM_S = 8.0
-"""A box counts for promises with a time bound when nothing struck it for this long, in
-s: what a box in touch needs, and the longest stretch that an unstable store allows."""
+PROBES = 0.2
+"""Part of the requests that ask for routes that come and go, or never were."""
+
+REFUSED_MOST = 10
+"""Proper requests that boxes may refuse for good which something struck."""
+
+FINAL = frozenset({401, 403, 404})
+"""Statuses after which a caller does not ask again."""
 
 
 async def _call(soak: Soak, http: aiohttp.ClientSession, number: int) -> None:
     rng = soak.rng
     box = rng.choice(soak.boxes)
     path = rng.choice(("once", "safe", "stream"))
+    if rng.random() < PROBES:
+        path = rng.choice(["never", *(row.name for row in soak.routes)])
+        soak.probed += 1
     org, key = rng.choice(list(KEYS.items()))
     sent = Sent(f"try-{number}", path, org, key, box, soak.now())
     # One organisation sends it: another's would be another content.
@@ -73,6 +81,8 @@
             sent.status = resp.status
             soak.answered += resp.status == 200
             _check_answer(soak, sent, resp, found)
+            sent.ended = soak.now()
+            _check_refusal(soak, sent)
     except (aiohttp.ClientError, TimeoutError, OSError):
         sent.status = -1
     sent.ended = soak.now()
@@ -94,6 +104,34 @@
         soak.fail("own answer", f"{sent.request} got {body[:40]!r}")
 
 
+def _check_refusal(soak: Soak, sent: Sent) -> None:
+    """Check that a request which every catalog in force allows is not refused for good.
+
+    A box that something struck may be behind; it still refuses few.
+    """
+    if sent.status not in FINAL or not _is_proper(soak, sent):
+        return
+    if sent.box.is_calm(sent.at, sent.ended):
+        soak.fail("refused", f"{sent.request} to /{sent.path}/ got {sent.status}")
+    else:
+        soak.refused_in_trouble.append(sent.request)
+
+
+def _is_proper(soak: Soak, sent: Sent) -> bool:
+    """Tell whether all catalogs that may be in force allow a request."""
+    for key, since, until in soak.keys_gone:
+        if key == sent.key and since < sent.ended and sent.at < until + IN_FORCE_S:
+            return False
+    if sent.path in ("once", "safe", "stream"):
+        return True
+    return any(
+        row.name == sent.path
+        and row.added + IN_FORCE_S < sent.at
+        and row.dropped > sent.ended
+        for row in soak.routes
+    )
+
+
 def check_records(soak: Soak) -> None:
     """Check what the workers recorded against what callers sent and got."""
     runs: dict[str, int] = {}
@@ -101,7 +139,7 @@
         for request in worker.ran:
             runs[request] = runs.get(request, 0) + 1
         for seen in worker.seen:
-            _check_seen(soak, name, seen.request, seen.headers.get("tenant", ""))
+            _check_seen(soak, name, seen)
         for request in worker.ran:
             _check_session(soak, worker.version, request)
     _check_kept_back(soak)
@@ -116,21 +154,26 @@
             soak.fail("at most once", f"{request} ran {count} times")
         if sent.status in (408, 421, 429, 503) and sent.path == "once":
             soak.fail("true refusal", f"{request} got {sent.status} and ran")
-        _check_key(soak, sent)
+        _check_in_force(soak, sent)
+    if len(soak.refused_in_trouble) > REFUSED_MOST:
+        found = soak.refused_in_trouble
+        soak.fail("refused in trouble", f"{len(found)} requests: {found[:4]}")
 
 
-def _check_seen(soak: Soak, name: str, request: str, org: str) -> None:
+def _check_seen(soak: Soak, name: str, seen: SeenRequest) -> None:
+    request, org = seen.request, seen.headers.get("tenant", "")
     sent = soak.sent.get(request)
     if sent is None:
         return
     if org != sent.org:
         soak.fail("organisation", f"{request} of {sent.org} reached {name} as {org}")
     left = soak.draining.get(name)
-    calm = sent.box.struck + CALM_S < sent.at
+    calm = sent.box.is_calm(sent.at, sent.ended)
     if left is not None and calm and sent.at > left + DRAINING_S:
         soak.fail("leaving worker", f"{request} reached {name} while it was leaving")
     for since, until in soak.emptied if name in soak.far and calm else ():
-        if since + EMPTIED_S < sent.at < until:
+        # It may have been sent on once more just when the domain was given back.
+        if since + EMPTIED_S < sent.at and seen.at < until:
             soak.fail("emptied", f"{request} reached {name} in an emptied domain")
     judged = soak.taken_back.get(name)
     if judged is not None and calm and sent.at > judged + TAKEN_BACK_S:
@@ -141,12 +184,15 @@
     """Check that sessions, which come to any box, stay in an order's first half.
 
     The soak lists workers of a version before its order, as any others: what was sent
-    before that may run on them.
+    before that may run on them, and so may what a box sends whose way to know of the
+    order something has just struck.
     """
     sent = soak.sent.get(request)
     ordered, seconds = soak.ordered.get(version, (float("inf"), 0.0))
     if sent is None or sent.path != "stream" or sent.at < ordered:
         return
+    if not sent.box.is_calm(sent.at, sent.ended):
+        return
     if sent.ended < ordered + seconds / 2:
         late = sent.ended - ordered
         soak.fail("session", f"{request} ran on {version} {late:.1f} s after its order")
@@ -163,7 +209,8 @@
         for sent in soak.sent.values()
         if sent.deadly
         and sent.request in reached
-        and sent.at > max(bound, sent.box.struck + CALM_S)
+        and sent.at > bound
+        and sent.box.is_calm(sent.at, sent.ended)
     ]
     if len(late) > KEPT_BACK_MOST:
         soak.fail("kept back", f"{len(late)} more reached workers: {late[:4]}")
@@ -178,17 +225,29 @@
     bound = failed[BAD_MOST - 1] + EXPOSED_S
     for request in [seen.request for worker in workers for seen in worker.seen]:
         sent = soak.sent.get(request)
-        if sent is None or sent.at <= bound or sent.box.struck + CALM_S >= sent.at:
+        if sent is None or sent.at <= bound:
+            continue
+        if not sent.box.is_calm(sent.at, sent.ended):
             continue
         late = sent.at - bound
         soak.fail("exposed", f"{request} reached {version} {late:.1f} s late")
 
 
-def _check_key(soak: Soak, sent: Sent) -> None:
-    taken = soak.revoked.get(sent.key)
-    calm = sent.box.struck + CALM_S < sent.at
-    if taken is not None and calm and sent.at > taken + IN_FORCE_S:
-        soak.fail("configuration", f"{sent.request} ran with a key that was taken away")
+def _check_in_force(soak: Soak, sent: Sent) -> None:
+    """Check that what ran was allowed by a catalog that may have been in force."""
+    if sent.path == "never":
+        soak.fail("route", f"{sent.request} ran on a route that never was")
+    if not sent.box.is_calm(sent.at, sent.ended):
+        return
+    for key, since, until in soak.keys_gone:
+        if key == sent.key and since + IN_FORCE_S < sent.at and sent.ended < until:
+            detail = f"{sent.request} ran with a key that was taken away"
+            soak.fail("configuration", detail)
+    for row in soak.routes:
+        if row.name == sent.path and row.dropped + IN_FORCE_S < sent.at:
+            late = sent.at - row.dropped
+            detail = f"{sent.request} ran on a route dropped {late:.1f} s before"
+            soak.fail("configuration", detail)
 
 
 async def call_until(soak: Soak, end: float) -> None:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -7,12 +7,15 @@
 
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.store import StoredRecord
+from spanshunt.standins.store import StoredTopic
 from spanshunt.standins.worker import WorkerFault
 
 from .links import LinkFault
+from .soak_fleet import CALM_S
 from .soak_fleet import EVENT_S
 from .soak_fleet import KEYS
 from .soak_fleet import BoxProcess
+from .soak_fleet import Route
 from .soak_fleet import Soak
 from .soak_fleet import add_worker
 from .soak_fleet import come_back
@@ -20,6 +23,7 @@
 from .soak_fleet import list_worker
 from .soak_fleet import send_signal
 from .soak_fleet import start
+from .soak_fleet import struck
 
 ORDER_S = 4
 """How long a roll-out may take, in s: two fit into the shortest schedule."""
@@ -35,6 +39,10 @@
 SLOW_X = 6.0
 """How many times as long a version that is slow takes between events."""
 
+QUIET_S = CALM_S + 2.5
+"""How long after all boxes were struck nothing else strikes all of them, in s: until
+what changes meanwhile must be in force, and a little for callers to see it."""
+
 LOOK_S = 0.05
 """How often its state is looked at, in s."""
 
@@ -54,6 +62,10 @@
     "worker": 4,
     "drain": 1,
     "keys": 2,
+    "routes": 3,
+    "silence": 2,
+    "cut": 1,
+    "pause": 1,
     "order": 3,
     "forget": 1,
     "end": 1,
@@ -63,30 +75,77 @@
 """Actions, and how often each is drawn against the others."""
 
 
+QUIET_WEIGHTS = {"silence": 6, "worker": 2, "drain": 1, "empty": 1, "end": 1, "hup": 1}
+"""The same in a schedule that strikes no single box: whoever is struck begins anew with
+live connections, and tells the others what theirs keep from them."""
+
+
 async def _restart(soak: Soak, box: BoxProcess, number: int, pause: float) -> None:
-    send_signal(box, number)
-    if box.process is not None:
-        await box.process.wait()
-    await asyncio.sleep(pause)
-    await start(soak, box)
-    box.struck = soak.now()
+    if box.starting:
+        return
+    box.starting = True
+    with struck(soak, [box]):
+        send_signal(box, signal.SIGCONT)
+        send_signal(box, number)
+        if box.process is not None:
+            await box.process.wait()
+        await asyncio.sleep(pause)
+        await start(soak, box)
+    box.starting = False
 
 
 async def _freeze(soak: Soak, box: BoxProcess, seconds: float) -> None:
-    send_signal(box, signal.SIGSTOP)
-    await asyncio.sleep(seconds)
-    send_signal(box, signal.SIGCONT)
-    box.struck = soak.now()
+    with struck(soak, [box]):
+        send_signal(box, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        send_signal(box, signal.SIGCONT)
 
 
 async def _harm_store(soak: Soak, box: BoxProcess) -> None:
-    if soak.rng.random() < 0.5:
-        box.endpoint.fault = soak.rng.choice(list(EndpointFault))
-    else:
-        box.link.fault = soak.rng.choice(list(LinkFault))
-    await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
-    box.endpoint.fault, box.link.fault = EndpointFault.NONE, LinkFault.NONE
-    box.struck = soak.now()
+    with struck(soak, [box]):
+        if soak.rng.random() < 0.5:
+            box.endpoint.fault = soak.rng.choice(list(EndpointFault))
+        else:
+            box.link.fault = soak.rng.choice(list(LinkFault))
+        await asyncio.sleep(soak.rng.uniform(0.5, 4.0))
+        box.endpoint.fault, box.link.fault = EndpointFault.NONE, LinkFault.NONE
+
+
+async def _pause_store(soak: Soak) -> None:
+    """Let the store stand still for all boxes, and then go on with what it holds."""
+    ways = [box.endpoint for box in soak.boxes]
+    ways = [way for way in ways if way.fault is EndpointFault.NONE]
+    with struck(soak, soak.boxes):
+        for way in ways:
+            way.fault = EndpointFault.PAUSED
+        await asyncio.sleep(soak.rng.uniform(0.3, 3.0))
+        for way in ways:
+            if way.fault is EndpointFault.PAUSED:
+                way.fault = EndpointFault.NONE
+
+
+async def _silence(soak: Soak) -> None:
+    """Let open connections go silent for good: to the store, between boxes, or both."""
+    boxes = soak.boxes
+    if soak.rng.random() < 0.4:
+        boxes = soak.rng.sample(boxes, 2)
+    ways = soak.rng.choice(("store", "peers", "both"))
+    # For the rules it is a reset of the connections of all boxes.
+    with struck(soak, soak.boxes):
+        for box in boxes:
+            if ways != "peers":
+                box.link.silence()
+            if ways != "store":
+                box.peers_link.silence()
+    await asyncio.sleep(CALM_S + soak.rng.uniform(0.1, 0.5))
+    await soak.rng.choice((_change_keys, _change_routes))(soak)
+
+
+async def _cut_peers(soak: Soak, box: BoxProcess) -> None:
+    """Cut a box off from what others ask it; it is still in touch with the store."""
+    box.peers_link.fault = soak.rng.choice(list(LinkFault))
+    await asyncio.sleep(soak.rng.uniform(0.5, 5.0))
+    box.peers_link.fault = LinkFault.NONE
 
 
 async def _harm_worker(soak: Soak) -> None:
@@ -213,6 +272,11 @@
     """
     copied = soak.store.copy()
     await asyncio.sleep(soak.rng.uniform(0.5, 3.0))
+    with struck(soak, soak.boxes):
+        await _come_back_from(soak, copied)
+
+
+async def _come_back_from(soak: Soak, copied: dict[str, StoredTopic]) -> None:
     away = [box.endpoint for box in soak.boxes]
     away = [way for way in away if way.fault is EndpointFault.NONE]
     for way in away:
@@ -222,8 +286,6 @@
     await soak.store.come_back(copied)
     for way in away:
         way.fault = EndpointFault.NONE
-    for box in soak.boxes:
-        box.struck = max(box.struck, soak.now())
     for name, values in lost.items():
         now = dict(soak.store.topic(name).values)
         changed = [key for key in values if values[key] != now.get(key)]
@@ -233,51 +295,77 @@
 
 
 async def _change_keys(soak: Soak) -> None:
-    if soak.revoked:
-        soak.revoked.clear()
+    now = soak.now()
+    if soak.is_gone(KEYS["radio"]):
+        key, since, _until = soak.keys_gone[-1]
+        soak.keys_gone[-1] = (key, since, now)
     else:
-        soak.revoked[KEYS["radio"]] = soak.now()
+        soak.keys_gone.append((KEYS["radio"], now, float("inf")))
     await configure(soak)
 
 
+async def _change_routes(soak: Soak) -> None:
+    """Add a route, or drop one that was added."""
+    live = [row for row in soak.routes if row.dropped > soak.now()]
+    if live and soak.rng.random() < 0.4:
+        soak.rng.choice(live).dropped = soak.now()
+        await configure(soak)
+        return
+    row = Route(f"added-{len(soak.routes)}", float("inf"))
+    soak.routes.append(row)
+    await configure(soak)
+    row.added = soak.now()
+
+
 async def act(soak: Soak) -> None:
     """Take one random action; those that last go on beside others."""
     rng = soak.rng
     box = rng.choice(soak.boxes[soak.spared :])
-    kind = rng.choices(
-        list(WEIGHTS),
-        list(WEIGHTS.values()),
-    )[0]
-    lasting = box.process is not None and box.struck != float("inf")
-    if kind in ("kill", "term", "freeze", "store") and lasting:
-        box.struck = float("inf")
-        if kind == "kill":
-            await _restart(soak, box, signal.SIGKILL, rng.uniform(0.0, 1.0))
-        elif kind == "term":
-            await _restart(soak, box, signal.SIGTERM, 0.0)
-        elif kind == "freeze":
-            await _freeze(soak, box, rng.uniform(0.2, 3.0))
-        else:
-            await _harm_store(soak, box)
+    weights = QUIET_WEIGHTS if soak.quiet else WEIGHTS
+    kind = rng.choices(list(weights), list(weights.values()))[0]
+    if kind == "kill":
+        await _restart(soak, box, signal.SIGKILL, rng.uniform(0.0, 1.0))
+    elif kind == "term":
+        await _restart(soak, box, signal.SIGTERM, 0.0)
+    elif kind == "freeze":
+        await _freeze(soak, box, rng.uniform(0.2, 3.0))
+    elif kind == "store":
+        await _harm_store(soak, box)
     elif kind == "hup":
         send_signal(box, signal.SIGHUP)
-    elif kind == "worker":
-        await _harm_worker(soak)
-    elif kind == "drain":
-        await _drain_worker(soak)
-    elif kind == "keys":
-        await _change_keys(soak)
+    elif kind == "cut":
+        await _cut_peers(soak, box)
+    elif kind == "forget":
+        soak.store.forget("keyed.op")
     elif kind == "order" and not soak.ordering:
         soak.ordering = True
         await _order(soak)
         soak.ordering = False
-    elif kind == "forget":
-        soak.store.forget("keyed.op")
-    elif kind == "end":
-        await _end_worker(soak)
     elif kind == "empty" and not soak.emptying:
         soak.emptying = True
         await _empty_domain(soak)
         soak.emptying = False
-    elif kind == "older":
-        await _come_back_older(soak)
+    elif kind in FLEET_WIDE and not soak.shaken:
+        soak.shaken = True
+        await FLEET_WIDE[kind](soak)
+        await asyncio.sleep(QUIET_S)
+        soak.shaken = False
+    elif kind in ACTIONS:
+        await ACTIONS[kind](soak)
+
+
+FLEET_WIDE = {
+    "older": _come_back_older,
+    "silence": _silence,
+    "pause": _pause_store,
+}
+"""Actions that strike all boxes at once."""
+
+ACTIONS = {
+    "worker": _harm_worker,
+    "drain": _drain_worker,
+    "keys": _change_keys,
+    "routes": _change_routes,
+    "end": _end_worker,
+}
+"""Actions that strike no box."""
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -1,6 +1,7 @@
 """The fleet of a fault soak: daemons as processes, stand-ins and links in this one."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -12,6 +13,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import aiohttp
 from aiohttp import web
 
 from spanshunt.standins.store import StoreEndpoint
@@ -32,13 +34,26 @@
 BACK_S = (0.3, 1.5)
 """Bounds of the time after which a worker that ended is back, in s."""
 
+CALM_S = 3.0
+"""How long nothing must have struck a box until promises with a time bound hold there,
+in s: what the users' rules ask of a box in touch."""
+
+IN_FORCE_S = 2.0
+"""Within which a configuration must be in force, in s."""
+
+ROOT = pathlib.Path(__file__).parent.parent
+
 KEYS = {"museo": "key-museo", "radio": "key-radio"}
 """Each organisation's credential."""
 
 
 @dataclass
 class BoxProcess:
-    """One daemon: its process, its way to the store, and when it was last struck."""
+    """One daemon: its process, its ways to the store and from its peers, its troubles.
+
+    ``troubles`` say from when until when something struck it; ``starting`` is whether
+    it is being ended and started again; ``seed`` is where its peers reach it.
+    """
 
     name: str
     settings: pathlib.Path
@@ -46,8 +61,38 @@
     readiness: str
     endpoint: StoreEndpoint
     link: Link
+    peers_link: Link
     process: asyncio.subprocess.Process | None = None
-    struck: float = 0.0
+    troubles: list[list[float]] = field(default_factory=list)
+    starting: bool = False
+    seed: str = ""
+
+    def is_calm(self, since: float, until: float) -> bool:
+        """Tell whether nothing struck it for a while before a time and in it."""
+        return all(
+            begun > until or ended + CALM_S < since for begun, ended in self.troubles
+        )
+
+
+@contextlib.contextmanager
+def struck(soak: "Soak", boxes: t.Iterable[BoxProcess]) -> t.Iterator[None]:
+    """Note that something strikes boxes meanwhile."""
+    trouble = [soak.now(), float("inf")]
+    for box in boxes:
+        box.troubles.append(trouble)
+    try:
+        yield
+    finally:
+        trouble[1] = soak.now()
+
+
+@dataclass
+class Route:
+    """A route that operators added in a schedule, and when; ``dropped`` once it was."""
+
+    name: str
+    added: float
+    dropped: float = float("inf")
 
 
 @dataclass
@@ -69,13 +114,16 @@
 class Soak:
     """One schedule under way.
 
-    ``draining``, ``revoked`` and ``taken_back`` say since when a worker leaves, a key
-    is gone, and a worker's version is recorded as taken back. ``ordered`` says when a
-    version was, and for how long. ``bad`` are workers whose faults an order decides,
-    ``bad_versions`` those that it made bad; ``end`` is when the last request comes.
-    ``deadly_share`` of the streams end their workers, which they did at ``deadly_at``.
-    ``emptied`` says from when until when operators had the second failure domain
-    emptied, whose workers are ``far``.
+    ``draining`` and ``taken_back`` say since when a worker leaves, and its version is
+    recorded as taken back; ``keys_gone`` from when until when a key is. ``ordered``
+    says when a version was, and for how long. ``bad`` are workers whose faults an order
+    decides, ``bad_versions`` those that it made bad; ``end`` is when the last request
+    comes. ``deadly_share`` of the streams end their workers, which they did at
+    ``deadly_at``. ``emptied`` says from when until when operators had the second
+    failure domain emptied, whose workers are ``far``. ``routes`` were added since the
+    start, ``probed`` requests asked for them; ``refused_in_trouble`` are proper ones
+    that boxes refused for good which something had struck. A ``quiet`` schedule
+    strikes no single box.
     """
 
     rng: random.Random
@@ -87,7 +135,7 @@
     links: dict[str, Link] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
     draining: dict[str, float] = field(default_factory=dict)
-    revoked: dict[str, float] = field(default_factory=dict)
+    keys_gone: list[tuple[str, float, float]] = field(default_factory=list)
     taken_back: dict[str, float] = field(default_factory=dict)
     ordered: dict[str, tuple[float, float]] = field(default_factory=dict)
     bad: set[str] = field(default_factory=set)
@@ -107,11 +155,24 @@
     far: set[str] = field(default_factory=set)
     emptied: list[tuple[float, float]] = field(default_factory=list)
     emptying: bool = False
+    shaken: bool = False
+    quiet: bool = False
+    domains: tuple[str, ...] = ("north", "south")
+    peers_linked: bool = True
+    routes: list[Route] = field(default_factory=list)
+    probed: int = 0
+    refused_in_trouble: list[str] = field(default_factory=list)
 
     def now(self) -> float:
         """Return the time, in s."""
         return asyncio.get_running_loop().time()
 
+    def is_gone(self, key: str) -> bool:
+        """Tell whether a key is taken away now."""
+        return any(
+            name == key and until > self.now() for name, _since, until in self.keys_gone
+        )
+
     def fail(self, promise: str, detail: str) -> None:
         """Note a broken promise."""
         self.broken.append(f"{promise}: {detail}")
@@ -136,13 +197,18 @@
                 StreamResume=True,
                 Sizes=["small", "large"],
             ),
+            *(
+                route(row.name, "safe", "web", MaxAttempts=2)
+                for row in soak.routes
+                if row.dropped > soak.now()
+            ),
         ],
         "Backends": [
             {"Name": "web"},
             {"Name": "writer", "Engine": {"Models": [{"Name": "large", "Cost": 0.1}]}},
         ],
         "Tenants": [
-            {"Name": org, "ApiKeys": [] if key in soak.revoked else [key]}
+            {"Name": org, "ApiKeys": [] if soak.is_gone(key) else [key]}
             for org, key in KEYS.items()
         ],
     }
@@ -202,8 +268,8 @@
     await list_worker(soak, name, "draining" if name in soak.draining else "ready")
 
 
-async def add_box(soak: Soak, ports: list[int], seeds: list[str]) -> None:
-    """Start a daemon with a way of its own to the store."""
+async def add_box(soak: Soak, ports: list[int], seeds: list[str]) -> BoxProcess:
+    """Start a daemon with ways of its own to the store and from its peers."""
     number = len(soak.boxes) + 1
     endpoint = soak.store.endpoint()
     runner = web.AppRunner(
@@ -218,9 +284,13 @@
     listen = {
         name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
     }
+    peers_link = Link(listen["peers"])
+    await peers_link.start()
+    if soak.peers_linked:
+        listen["advertised"] = peers_link.address
     settings = {
         "box": f"box-{number}",
-        "domain": "north" if number % 2 else "south",
+        "domain": soak.domains[(number - 1) % len(soak.domains)],
         "listen": listen,
         "store": {"address": link.address, "timeout_ms": 800},
         "seeds": seeds,
@@ -229,10 +299,18 @@
     path = soak.folder / f"box-{number}.json"
     path.write_text(json.dumps(settings))
     box = BoxProcess(
-        f"box-{number}", path, listen["callers"], listen["readiness"], endpoint, link
+        f"box-{number}",
+        path,
+        listen["callers"],
+        listen["readiness"],
+        endpoint,
+        link,
+        peers_link,
+        seed=listen.get("advertised", listen["peers"]),
     )
     soak.boxes.append(box)
     await start(soak, box)
+    return box
 
 
 async def start(soak: Soak, box: BoxProcess) -> None:
@@ -248,6 +326,19 @@
         )
 
 
+async def await_ready(box: BoxProcess, wait: float = 15.0) -> None:
+    """Wait until a box takes connections."""
+    end = asyncio.get_running_loop().time() + wait
+    async with aiohttp.ClientSession() as http:
+        while asyncio.get_running_loop().time() < end:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with http.get(f"http://{box.readiness}/ready") as resp:
+                    if resp.status == 200:
+                        return
+            await asyncio.sleep(0.1)
+    raise RuntimeError(f"{box.name} was not ready within {wait} s")
+
+
 def send_signal(box: BoxProcess, number: int) -> None:
     """Send a signal to a box's process if it runs."""
     if box.process is not None and box.process.returncode is None:
@@ -263,6 +354,7 @@
         if box.process is not None:
             await box.process.wait()
         await box.link.stop()
+        await box.peers_link.stop()
     for name, worker in soak.workers.items():
         await worker.stop()
         await soak.links[name].stop()
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import random
 import shutil
@@ -16,7 +15,6 @@
 import typing as t
 from dataclasses import dataclass
 
-import aiohttp
 import cappa
 
 from spanshunt.standins.ports import free_ports
@@ -24,15 +22,14 @@
 from .soak_callers import call_until
 from .soak_callers import check_records
 from .soak_faults import act
-from .soak_fleet import BoxProcess
+from .soak_fleet import ROOT
 from .soak_fleet import Soak
 from .soak_fleet import add_box
 from .soak_fleet import add_worker
+from .soak_fleet import await_ready
 from .soak_fleet import configure
 from .soak_fleet import stop_fleet
 
-ROOT = pathlib.Path(__file__).parent.parent
-
 BOXES = 4
 """Daemons of a soak."""
 
@@ -44,11 +41,15 @@
 
 
 class Mutation(t.NamedTuple):
-    """A bug to put in: in which file of the package, which text, and by what."""
+    """A bug to put in: in which file of the package, which text, and by what.
+
+    ``also`` is put in beside it, where a promise is kept in two ways.
+    """
 
     file: str
     old: str
     new: str
+    also: "Mutation | None" = None
 
 
 MUTATIONS = {
@@ -82,6 +83,20 @@
     "emptied": Mutation(
         "systems/evacuating.py", "for row in rows if row.active", "for row in ()"
     ),
+    "proof": Mutation(
+        "systems/proving.py",
+        "FIRST_PART, READER_PART, OWN_PART = 0.35, 0.6, 0.75",
+        "FIRST_PART, READER_PART, OWN_PART = 99.0, 99.0, 99.0",
+        Mutation(
+            "platform/operator_records.py",
+            "WAIT_PART = 0.3",
+            "WAIT_PART = 9.0",
+            Mutation("catalog_entry.py", "await core.prove()", "pass"),
+        ),
+    ),
+    "doubt": Mutation(
+        "catalog_entry.py", "if _is_proved(core, DOUBT_PART):", "if True:"
+    ),
     "revoked": Mutation(
         "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
@@ -91,18 +106,6 @@
 """What the soak must find, one for each promise that it checks."""
 
 
-async def _ready(box: BoxProcess, wait: float = 15.0) -> None:
-    end = asyncio.get_running_loop().time() + wait
-    async with aiohttp.ClientSession() as http:
-        while asyncio.get_running_loop().time() < end:
-            with contextlib.suppress(aiohttp.ClientError, OSError):
-                async with http.get(f"http://{box.readiness}/ready") as resp:
-                    if resp.status == 200:
-                        return
-            await asyncio.sleep(0.1)
-    raise RuntimeError(f"{box.name} was not ready within {wait} s")
-
-
 async def play(
     seed: int, duration: float, folder: pathlib.Path, source: pathlib.Path, boxes: int
 ) -> Soak:
@@ -111,18 +114,20 @@
     # In half of the schedules one box is left alone, so that promises with a time bound
     # are checked while others are struck.
     soak.spared = seed % 2
+    soak.quiet = seed % 4 == 3
     soak.deadly_share = DEADLY_SHARE if seed % 3 == 0 else 0.0
     await configure(soak)
     for service in ("web", "web", "writer", "writer", "writer"):
         await add_worker(soak, service)
     ports = free_ports(4 * boxes)
-    seeds = [f"127.0.0.1:{ports[4 * n + 2]}" for n in range(min(3, boxes))]
+    seeds: list[str] = []
     acts: set[asyncio.Task[None]] = set()
     try:
         for number in range(boxes):
-            await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
+            box = await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
+            seeds = [*seeds, box.seed][:3]
         for box in soak.boxes:
-            await _ready(box)
+            await await_ready(box)
         soak.end = soak.now() + duration
         calling = asyncio.create_task(call_until(soak, soak.end))
         while soak.now() < soak.end - 2.0:
@@ -144,14 +149,16 @@
     """Return a copy of the sources with a bug put in."""
     copy = folder / "src"
     shutil.copytree(ROOT / "src", copy)
-    mutation = MUTATIONS[name]
-    path = copy / "spanshunt" / mutation.file
-    text = path.read_text()
-    if mutation.old not in text:
-        raise RuntimeError(
-            f"mutation {name!r}: {mutation.file} has changed; adapt MUTATIONS"
-        )
-    path.write_text(text.replace(mutation.old, mutation.new))
+    mutation: Mutation | None = MUTATIONS[name]
+    while mutation is not None:
+        path = copy / "spanshunt" / mutation.file
+        text = path.read_text()
+        if mutation.old not in text:
+            raise RuntimeError(
+                f"mutation {name!r}: {mutation.file} has changed; adapt MUTATIONS"
+            )
+        path.write_text(text.replace(mutation.old, mutation.new))
+        mutation = mutation.also
     if name in ("twice", "not run"):
         # The program's own check of the promise would stop the process first.
         checks = copy / "spanshunt" / "systems" / "invariants.py"
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -8,6 +8,9 @@
 
 SHORT_S = 8.0
 
+OPERATORS_PROMISES = ("configuration", "refused", "emptied")
+"""What the soak checks of changes that operators make."""
+
 
 @pytest.mark.parametrize("seed", [7, 9, *REGRESSIONS])
 def test_seed_keeps_the_promises(seed):
@@ -16,13 +19,19 @@
     assert soak.answered > 50
 
 
-def test_soak_can_fail():
-    soak = run_seed(7, SHORT_S, mutation="organisation")
-    assert any(text.startswith("organisation") for text in soak.broken)
+@pytest.mark.parametrize(
+    ("mutation", "promises"),
+    [("organisation", ("organisation",)), ("proof", OPERATORS_PROMISES)],
+)
+def test_soak_can_fail(mutation, promises):
+    soak = run_seed(7, SHORT_S, mutation=mutation)
+    assert any(text.startswith(promises) for text in soak.broken)
 
 
 @pytest.mark.parametrize("name", MUTATIONS)
 def test_plants_still_fit_the_code(name):
     mutation = MUTATIONS[name]
-    text = (ROOT / "src" / "spanshunt" / mutation.file).read_text()
-    assert text.count(mutation.old) >= 1
+    while mutation is not None:
+        text = (ROOT / "src" / "spanshunt" / mutation.file).read_text()
+        assert text.count(mutation.old) >= 1
+        mutation = mutation.also
