--- a/bench/silences.py
+++ b/bench/silences.py
@@ -17,8 +17,6 @@
 import aiohttp
 import cappa
 
-from spanshunt.standins.ports import free_ports
-
 from .soak_fleet import CALM_S
 from .soak_fleet import HOST
 from .soak_fleet import IN_FORCE_S
@@ -27,10 +25,9 @@
 from .soak_fleet import BoxProcess
 from .soak_fleet import Route
 from .soak_fleet import Soak
-from .soak_fleet import add_box
 from .soak_fleet import add_worker
-from .soak_fleet import await_ready
 from .soak_fleet import configure
+from .soak_fleet import start_boxes
 from .soak_fleet import stop_fleet
 
 DOMAINS = ("north", "west", "south")
@@ -68,14 +65,8 @@
     await configure(soak)
     for service in ("web", "web", "writer"):
         await add_worker(soak, service)
-    ports = free_ports(4 * boxes)
-    seeds: list[str] = []
     try:
-        for number in range(boxes):
-            box = await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
-            seeds = [*seeds, box.seed][:3]
-        for box in soak.boxes:
-            await await_ready(box)
+        await start_boxes(soak, boxes)
         await asyncio.sleep(soak.rng.uniform(2.0, 4.0))
         for box in soak.rng.sample(soak.boxes, who):
             if ways != "peers":
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -16,6 +16,7 @@
 import aiohttp
 from aiohttp import web
 
+from spanshunt.standins.ports import free_ports
 from spanshunt.standins.store import StoreEndpoint
 from spanshunt.standins.store import StoreStandin
 from spanshunt.standins.worker import WorkerStandin
@@ -313,6 +314,17 @@
     return box
 
 
+async def start_boxes(soak: Soak, count: int) -> None:
+    """Start daemons, and wait until they take connections."""
+    ports = free_ports(4 * count)
+    seeds: list[str] = []
+    for number in range(count):
+        box = await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
+        seeds = [*seeds, box.seed][:3]
+    for box in soak.boxes:
+        await await_ready(box)
+
+
 async def start(soak: Soak, box: BoxProcess) -> None:
     """Start a box's process."""
     env = {**os.environ, "SPANSHUNT_NODE_FILE": str(box.settings)}
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -17,17 +17,14 @@
 
 import cappa
 
-from spanshunt.standins.ports import free_ports
-
 from .soak_callers import call_until
 from .soak_callers import check_records
 from .soak_faults import act
 from .soak_fleet import ROOT
 from .soak_fleet import Soak
-from .soak_fleet import add_box
 from .soak_fleet import add_worker
-from .soak_fleet import await_ready
 from .soak_fleet import configure
+from .soak_fleet import start_boxes
 from .soak_fleet import stop_fleet
 
 BOXES = 4
@@ -119,15 +116,9 @@
     await configure(soak)
     for service in ("web", "web", "writer", "writer", "writer"):
         await add_worker(soak, service)
-    ports = free_ports(4 * boxes)
-    seeds: list[str] = []
     acts: set[asyncio.Task[None]] = set()
     try:
-        for number in range(boxes):
-            box = await add_box(soak, ports[4 * number : 4 * number + 4], seeds)
-            seeds = [*seeds, box.seed][:3]
-        for box in soak.boxes:
-            await await_ready(box)
+        await start_boxes(soak, boxes)
         soak.end = soak.now() + duration
         calling = asyncio.create_task(call_until(soak, soak.end))
         while soak.now() < soak.end - 2.0:
