--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import typing as t
@@ -187,6 +188,9 @@
 def main() -> None:
     """Play seeds and exit with 1 if a promise was broken."""
     command = cappa.parse(SoakCommand)
+    # Ended by SIGTERM it ends its daemons, as by a key: they would go on calling ports
+    # that others draw.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = command.first or random.SystemRandom().randrange(1, 1_000_000)
     failed = 0
     for seed in range(first, first + command.seeds):
