--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -77,10 +77,8 @@
 """How long a peer may take, in s: a slowed box still answers in a few tenths."""
 
 SPREAD_MOST = 4
-"""Peers told at once of a content that is kept back, by each box that learns of it: 91
-boxes know within four calls one after the other. Of one that came to seven boxes two at
-a time, 4.6 engines ended in the mean of eight plays, 5.4 with rounds alone
-(``bench/ends.py``)."""
+"""Peers told at once of what can't wait for the next round, by each box that learns of
+it: a hundred boxes know within four calls one after the other."""
 
 PEERS_TOLD = 8
 """Other boxes named in one exchange."""
--- a/src/spanshunt/peers/talks.py
+++ b/src/spanshunt/peers/talks.py
@@ -1,8 +1,7 @@
 """Exchanges with peers over streams that stay open.
 
-A call of its own for each message costs 1.5 ms of a core on both sides together, nearly
-all of it for the heads of HTTP/2; a message each way on an open stream costs 0.25 ms
-(the same message, one process, means of 500).
+A call of its own for each message takes most of its processor time for the heads of
+HTTP/2.
 """
 
 import asyncio
--- a/src/spanshunt/platform/box_list.py
+++ b/src/spanshunt/platform/box_list.py
@@ -54,7 +54,7 @@
                     written_at = await self._tell_place(place)
 
     def _knows_all(self) -> bool:
-        """Tell whether peers told of all boxes already: a reading is a priced call."""
+        """Tell whether peers told of all boxes already."""
         return 1 < self._fleet.boxes_told <= 1 + len(self._fleet.peers)
 
     async def _tell_place(self, place: bytes) -> Millis:
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -49,8 +49,8 @@
 from .store_reader import StoreReader
 
 TAIL_WAIT_MS = 20_000
-"""How long a read of the operators' records waits for one, in ms: each read is
-priced, and a record ends it at once."""
+"""How long a read of the operators' records waits for one, in ms: a record
+ends it at once."""
 
 WAIT_PART = 0.3
 """How long it waits at the first box of the fleet, as a part of the time within which a
@@ -62,7 +62,7 @@
 
 AGAIN_MS = 1_000
 """How long such a read waits after the store came back from a copy, in ms, until what
-the copy lacks is no longer waited for: five more priced calls of two boxes a domain."""
+the copy lacks is no longer waited for."""
 
 
 class OperatorRecords:
@@ -276,8 +276,7 @@
     async def _read_after_cut(self, end: Offset) -> Result[Tail, StoreFault]:
         """Read what came while a connection ended, at the same place and without wait.
 
-        A store that closes its connections serves new ones at once: the record is
-        known 0.1 s after that in place of 0.5 to 0.7 s, by one more priced call.
+        A store that closes its connections serves new ones at once.
         """
         await asyncio.sleep(FIRST_RETRY_MS / 1_000)
         return await self._reader.store.tail(wire.OPERATORS_TOPIC, end, 0)
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -40,7 +40,7 @@
 
 LOOK_MS = 1_000
 """How often a box that does not hear most of the others reads recorded verdicts, in ms:
-a priced call, and a version must get nothing 5 s after it is known to be bad."""
+a version must get nothing more soon after it is known to be bad."""
 
 
 class Recorder:
--- a/src/spanshunt/platform/store_reader.py
+++ b/src/spanshunt/platform/store_reader.py
@@ -19,8 +19,8 @@
 """Pause after the first call in a row that failed, in ms; after others, `RETRY_MS`."""
 
 RETRY_MS = 400
-"""Pause after a call that failed, in ms: well within what configuration may take to be
-in force (2 s), and 2.5 priced calls a second."""
+"""Pause after a call that failed, in ms: well within what a change may take to be in
+force."""
 
 
 class StoreReader:
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -26,13 +26,12 @@
 
 HOLD_PART = 0.4
 """Part of that evidence from which on a version neither gets all requests nor succeeds
-until more answers decide. Beside engines that all fail a third, a version that fails
-half was taken for sound in 2 of 6 plays without it."""
+until more answers decide: beside ailing engines of the leaving version, evidence that
+is not enough yet is often that of a bad one."""
 
 ELSEWHERE_BAD, ELSEWHERE_ANSWERS = 2, 4
 """Bad answers that a version must give beyond those of its worst worker, once the
-others gave so many answers: four answers of a version that fails half hold two failures
-seven times in ten."""
+others gave so many answers: a version that fails half shows that in most cases."""
 
 PEER_LIVE_MS = 2_000
 """A peer not heard for this long is not counted on to record a verdict, in ms."""
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -29,9 +29,7 @@
 SURE_MIDDLE, SURE_WIDTH = 0.45, 0.07
 """How sure a model is, in 0 to 1, when its answer is as likely good as not, and how far
 from there that changes. A model's own opinion says whether a request was too hard for
-it, roughly; it is no chance. Measured by answers kept from 0.3, 0.45, 0.6 and 0.75 on,
-six classes of two deployments: of those added at each step about all, a half, a quarter
-and none were bad."""
+it, roughly; it is no chance."""
 
 READ_PRICE_PART = 0.25
 """Price of a read token against a generated one."""
@@ -165,9 +163,8 @@
 def _cascade_gain(needed: float) -> float:
     """Return the worth of asking the small model first, in parts of a good answer's.
 
-    Its sureness is spread evenly (measured on both first users' sheets), so the large
-    one is asked in as many cases as the sureness that is wanted, and gains `needed`
-    there.
+    Its sureness is taken to be spread evenly, so the large one is asked in as many
+    cases as the sureness that is wanted, and gains `needed` there.
     """
     wanted = sureness_wanted(needed)
     unsure = math.log1p(math.exp(-(wanted - SURE_MIDDLE) / SURE_WIDTH))
--- a/src/spanshunt/systems/exposing.py
+++ b/src/spanshunt/systems/exposing.py
@@ -23,11 +23,11 @@
 """Part of the order's time from which sessions enter. They must keep their version in
 the first half, and only the box that answered a session knows what it ran on: so none
 enters before all boxes agree that the half is over. The margin is for boxes that see an
-order some tenths of a second apart: 0.3 s of the shortest order seen, 16 s."""
+order some tenths of a second apart."""
 
 FULL_PART, FULL_MOST_MS = 0.48, 3_000
 """Part of what a version may get that is left for the time in which it gets all
-requests, at the end, and how long that is at most, in ms: 1.7 s of an order of 24 s. A
+requests, at the end, and how long that is at most, in ms. A
 version that is bad under this load alone, or turns bad late, shows it then; a longer
 order needs no more of it."""
 
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -21,7 +21,7 @@
 
 RETURN_GRACE_MS = 2_000
 """How long after the store's return a lapsed entry is waited for, in ms: workers that
-live write theirs again within about two seconds (the users' letter, point 8)."""
+live write theirs again within about two seconds."""
 
 READ_GAP_MS = 1_500
 """Longest time between two readings of the list, by any box, in which the store is not
@@ -38,8 +38,8 @@
 
 OPERATOR_FOLLOWERS = 2
 """Boxes of a failure domain that follow the operators' records: two, so that one which
-is frozen, cut or killed holds nobody up; what each further one costs is a priced call
-for each record and one every 20 s."""
+is frozen, cut or killed holds nobody up; each further one makes a call for each record
+and one every 20 s."""
 
 TRY_MS = 200
 """Pause of a box whose last call to the store failed and that another box should read
--- a/src/spanshunt/systems/pacing.py
+++ b/src/spanshunt/systems/pacing.py
@@ -24,10 +24,9 @@
 """Weight of a peer's word of a time against one's own, at each exchange."""
 
 SLOW_WRITE_FACTOR = 1.7
-"""An answer is slow if its events took this many times the usual time. Of a sound
-version's answers 0 to 40 % are, with its load, and fewer of its canary's; of one that
-makes half of its answers four times slower nearly all, as others of a batch wait for
-these. At 2.5 a canary of such a version passed (its median was 2.2 times the usual)."""
+"""An answer is slow if its events took this many times the usual time. Answers of a
+sound version may be, with its load; of one that makes half of its answers slow nearly
+all are, as others of a batch wait for these."""
 
 WRITE_GAPS_LEAST = 3
 """Times between events below which an answer tells nothing of the pace: engines read
--- a/src/spanshunt/systems/quarantining.py
+++ b/src/spanshunt/systems/quarantining.py
@@ -23,9 +23,8 @@
 from .blaming import heard_peers
 
 ENDS_MOST = 3
-"""Workers that may end under one content. Where workers end by themselves, one of ten a
-second, 0 to 4 of 1,000 sound requests are kept back, at two ends 13 to 34 (four plays
-each, ``bench/ends.py``); a content that ends workers costs three instead of two."""
+"""Workers that may end under one content: where workers end by themselves, two would
+keep many a sound request back, and a third costs one worker more."""
 
 KEPT_MS = 3_600_000
 """How long after the last end a content is kept back before it is tried once more, in
--- a/src/spanshunt/systems/silence.py
+++ b/src/spanshunt/systems/silence.py
@@ -15,8 +15,7 @@
 from ..utils import unit_hash
 
 WITNESSES = 2
-"""Boxes that must have found a worker silent: of 72 reports of one day 66 were of the
-one worker that was, the others single ones of five workers."""
+"""Boxes that must have found a worker silent: single ones report busy workers, too."""
 
 COUNTS_MS = 2_500
 """How long a report counts at most, in ms. Each box forgets at a time of its own within
--- a/src/spanshunt/systems/succeeding.py
+++ b/src/spanshunt/systems/succeeding.py
@@ -22,8 +22,8 @@
 
 DONE_LEFT_MS, DONE_LAST_LEFT_MS = 1_200, 600
 """And how long before the order's time is over, in ms: the later, the less can go wrong
-unseen. A verdict is reached and recorded within 0.3 s, within 0.6 s by a second box and
-within 0.9 s where the store is a hundred times slower than usual."""
+unseen. What is left suffices to record a verdict, by a second box or at a slow store,
+too."""
 
 LEAST_ANSWERS = 30
 """Answers of the entering version that suffice for the earlier time: of 30, a version
@@ -36,9 +36,7 @@
 
 SPAN_MS, SPAN_PART = 4_000, 0.25
 """How long before success its first answers came at the least, in ms and as a part of
-the order's time: answers that are slow end last. Where all boxes ended in the middle of
-an order and knew nothing of it, half of them four times slower, 15 of 24 versions were
-taken for sound without it."""
+the order's time: answers that are slow end last."""
 
 QUIET_MS = 1_000
 """How long before all requests enter the latest request for the service may have been
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -23,9 +23,8 @@
 """Bad answers without which nothing is held against a version."""
 
 WORKERS_TOLD = 8
-"""Workers of each version that are counted one by one, about: each costs some 20 bytes
-in an exchange. Of ten workers of which nine are ailing, eight hold the sound one in
-four of five orders; of a fleet where half are, almost always."""
+"""Workers of each version that are counted one by one, about: each takes some 20 bytes
+in an exchange, and where most are ailing a sound one should be among them."""
 
 BEGAN = Tally(answers=1)
 """An answer that began."""
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -21,16 +21,16 @@
 
 GAP_LEAST_MS = 950
 """A shorter silence in a stream is not taken for a stall, in ms: an engine that reads
-long prompts between the tokens of others makes an event in up to 0.8 s here, and what
-is taken up elsewhere is read again there. Measured against 700."""
+long prompts between the tokens of others takes nearly as long for an event, and what is
+taken up elsewhere is read again there."""
 
 ALIVE_MS = 400
 """A worker that sent bytes on any request within this time is alive, in ms: what it
 owes is waited for longer, as it is more likely busy than stuck."""
 
 ALIVE_FACTOR = 2.5
-"""How many times longer a worker that is alive is waited for. Asking elsewhere sooner
-doubled the load of engines that were merely busy."""
+"""How many times longer a worker that is alive is waited for: asking elsewhere sooner
+adds to the load of engines that are merely busy."""
 
 SLOW_FACTOR = 3.0
 """An answer counts as slow if its first byte took this many times the usual time."""
--- a/src/spanshunt/systems/warming.py
+++ b/src/spanshunt/systems/warming.py
@@ -15,8 +15,7 @@
 BOUND_PART = 1 / 3
 """Part of what a cold worker may get in a second that boxes send it by plan. The rest
 is for two sends of one box that arrive within one second, and for chance in how many
-boxes the hash takes: of 20 that may come where seven are planned, over 13 do at one
-worker in 110, over 20 at one in 140,000."""
+boxes the hash takes."""
 
 PACE_MS = 1_000
 """Shortest time between two sends of one box to one cold worker, in ms, where boxes are
--- a/src/spanshunt/tables/suspects.py
+++ b/src/spanshunt/tables/suspects.py
@@ -10,9 +10,8 @@
 from ..ids import VersionId
 
 SOUND_MS = 60_000
-"""How long a whole answer speaks for a content, in ms. What ends workers is answered by
-none; of a sound content that came ten times a second while 1.5 of ten workers ended in
-each, a quarter was refused where an end counted from the next moment on."""
+"""How long a whole answer speaks for a content, in ms: what ends workers is answered by
+none, while a sound one that is asked often meets ends by chance."""
 
 
 class Break(msgspec.Struct, frozen=True):
