--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -8,22 +8,11 @@
 from result import Result
 
 from ..catalog_taking import known_version
-from ..catalog_taking import take_catalog
-from ..ids import DomainId
-from ..ids import Fingerprint
 from ..ids import Millis
 from ..ids import Offset
-from ..ids import ServiceId
-from ..ids import VersionId
 from ..logs import log_event
 from ..platform_lines import catalog_fields
-from ..platform_lines import log_evacuation
-from ..rollout_lines import log_order
-from ..rollout_lines import log_verdict
 from ..systems.eras import awaits_operators
-from ..systems.eras import is_same_offset
-from ..systems.evacuating import take_absent
-from ..systems.evacuating import take_evacuation
 from ..systems.following_workers import follows_operators
 from ..systems.following_workers import is_first
 from ..systems.following_workers import may_try
@@ -31,22 +20,16 @@
 from ..systems.proving import is_proved
 from ..systems.proving import must_look
 from ..systems.proving import prove_catalog
-from ..systems.quarantining import release
-from ..systems.ramping import bar_versions
-from ..systems.ramping import take_beginning
-from ..systems.ramping import take_order
-from ..systems.ramping import take_verdict
-from ..tables.fleet import EvacuationRow
-from ..tables.fleet import Fleet
-from ..tables.rollouts import Verdict
 from . import wire
-from .store import Listing
+from .record_taking import RecordTaker
+from .recorded_status import take_status
 from .store import StoreFault
 from .store import StoreProblem
 from .store import Tail
 from .store_reader import FIRST_RETRY_MS
 from .store_reader import RETRY_MS
 from .store_reader import StoreReader
+from .waits import Wait
 
 TAIL_WAIT_MS = 20_000
 """How long a read of the operators' records waits for one, in ms: a record
@@ -89,8 +72,9 @@
         self._in_force_ms = in_force_ms
         self._look_ms = int(LOOK_PART * in_force_ms)
         self._tell_now = tell_now
+        self._taker = RecordTaker(reader, tell_now)
         self._due = asyncio.Event()
-        self._wait: _Wait | None = None
+        self._wait: Wait | None = None
         self._look_due = asyncio.Event()
         self._looked = asyncio.Event()
         self._proved: bool | None = None
@@ -106,7 +90,8 @@
             return
         if self._wait is not None and is_first(self._fleet, now) > self._wait.first:
             self._wait.give_up(self._wait.since)
-        if must_look(self._fleet, now, self._in_force_ms) or self._is_overtaken():
+        overtaken = self._is_overtaken() and may_try(self._fleet, now)
+        if overtaken or must_look(self._fleet, now, self._in_force_ms):
             self._look_due.set()
 
     async def prove(self) -> None:
@@ -154,11 +139,11 @@
         listing = await self._reader.newest(wire.OPERATORS_TOPIC)
         if listing is None:
             return None
-        self._take_absent(listing)
+        self._taker.take_absent(listing)
         orders = False
         for item in listing.items:
             offset = Offset(item.offset)
-            self._take(item.key_file, item.content(), offset, seen=False)
+            self._taker.take(item.key_file, item.content(), offset, seen=False)
             orders = orders or item.key_file.startswith(wire.ROLLOUT_PREFIX)
         prove_catalog(self._fleet, sent, listing.end)
         if orders and not await self._read_status():
@@ -176,11 +161,12 @@
         read = self._reader.store.tail(
             wire.OPERATORS_TOPIC, end, wait_ms, self._look_ms if first else None
         )
-        self._wait = _Wait(end, known_version(self._fleet), first, read)
-        got, found_end = await self._wait.ended()
+        self._wait = Wait(end, known_version(self._fleet), first, read)
+        wait = self._wait
+        got = await wait.ended()
         self._wait, self._fleet.waiting_since = None, Millis(-1)
         if got is None:
-            return found_end
+            return wait.known_end if wait.known_end is not None else await self._read()
         cut = isinstance(got, Err) and got.err_value.problem is StoreProblem.LOST
         if cut:
             log_event(
@@ -199,13 +185,14 @@
         self._reader.note_answer()
         for record in got.ok_value.records:
             # The connection may have been dead for long before it was known to be.
-            self._take(record.key, record.value, record.offset, seen=not cut)
+            self._taker.take(record.key, record.value, record.offset, seen=not cut)
         if first and got.ok_value.records:
             # The others' waits may be dead: theirs are seldom put to the test.
             self._tell_now()
-        # A wait that no record ended shows that none came until its end.
-        waited_ms = 0 if cut or got.ok_value.records else wait_ms
-        prove_catalog(self._fleet, Millis(sent + waited_ms), got.ok_value.next)
+        # A wait that was over before a record came shows that none came meanwhile.
+        over = not got.ok_value.records and self._reader.now() >= sent + wait_ms
+        proved_at = Millis(sent + wait_ms) if over and not cut else sent
+        prove_catalog(self._fleet, proved_at, got.ok_value.next)
         if held and not awaits_operators(self._fleet, self._reader.now()):
             return await self._read()
         return got.ok_value.next
@@ -221,23 +208,31 @@
             wire.OPERATORS_TOPIC, since, 0, self._look_ms, fresh=True
         )
         if isinstance(got, Err):
-            if got.err_value.problem is StoreProblem.TRIMMED:
-                await self._read()
-            else:
-                self._reader.note_failure(got.err_value)
+            await self._note_not_looked(got.err_value, wait)
             return
         self._reader.note_answer()
         tail = got.ok_value
         if tail.records and wait is not None:
-            await asyncio.wait({wait.read}, timeout=WAIT_GRACE_S)
-            if wait.read.done():
+            if await wait.brings(WAIT_GRACE_S):
                 return
             self._give_up(wait, tail)
         elif tail.records:
             self._take_found(tail)
+        elif wait is not None:
+            # What others brought is not in the store, which came back from a copy.
+            wait.version = known_version(self._fleet)
         prove_catalog(self._fleet, sent, tail.next)
 
-    def _give_up(self, wait: "_Wait", tail: Tail) -> None:
+    async def _note_not_looked(self, fault: StoreFault, wait: Wait | None) -> None:
+        """Take in why a look failed; where the place is gone, all is read anew."""
+        if fault.problem is not StoreProblem.TRIMMED:
+            self._reader.note_failure(fault)
+        elif wait is not None:
+            wait.give_up(None)
+        else:
+            await self._read()
+
+    def _give_up(self, wait: Wait, tail: Tail) -> None:
         """Take what a read that waits did not bring; its connection is dead."""
         log_event(
             "WARNING",
@@ -252,7 +247,7 @@
     def _take_found(self, tail: Tail) -> None:
         """Take records that a look found: this box did not see them come."""
         for record in tail.records:
-            self._take(record.key, record.value, record.offset, seen=False)
+            self._taker.take(record.key, record.value, record.offset, seen=False)
         self._tell_now()
 
     def _is_overtaken(self) -> bool:
@@ -281,64 +276,6 @@
         await asyncio.sleep(FIRST_RETRY_MS / 1_000)
         return await self._reader.store.tail(wire.OPERATORS_TOPIC, end, 0)
 
-    def _take(self, key: str, value: bytes, offset: Offset, *, seen: bool) -> None:
-        if key == wire.CATALOG_KEY and value:
-            take_catalog(self._fleet, value, wire.decode_catalog, source="store")
-        elif key.startswith(wire.ROLLOUT_PREFIX) and value:
-            self._take_order(value, offset, seen=seen)
-        elif key.startswith(wire.EVACUATION_PREFIX):
-            domain = DomainId(key[len(wire.EVACUATION_PREFIX) :])
-            self._take_evacuation(EvacuationRow(domain, offset, active=bool(value)))
-        elif key.startswith(wire.RELEASE_PREFIX) and value:
-            self._take_release(Fingerprint(key[len(wire.RELEASE_PREFIX) :]), value)
-
-    def _take_evacuation(self, told: EvacuationRow) -> None:
-        if take_evacuation(self._fleet, told, self._reader.now()):
-            log_evacuation(self._fleet, told.domain, "store")
-            self._tell_now()
-
-    def _take_absent(self, listing: Listing) -> None:
-        """Take in which failure domains are not emptied any more by a whole list."""
-        prefix = wire.EVACUATION_PREFIX
-        listed = {
-            DomainId(item.key_file[len(prefix) :])
-            for item in listing.items
-            if item.key_file.startswith(prefix)
-        }
-        freed = take_absent(self._fleet, listed, listing.end, self._reader.now())
-        for domain in freed:
-            log_evacuation(self._fleet, domain, "store")
-
-    def _take_release(self, content: Fingerprint, value: bytes) -> None:
-        decoded = wire.decode(value, wire.Release)
-        if isinstance(decoded, Err):
-            log_event("ERROR", "release unreadable", detail=decoded.err_value)
-            return
-        age = max(0, self._reader.clock.wall() - decoded.ok_value.at)
-        now = self._reader.now()
-        release(self._fleet, content, Millis(now - age), now)
-        log_event("INFO", "content released", fingerprint=content, age_ms=age)
-
-    def _take_order(self, value: bytes, offset: Offset, *, seen: bool) -> None:
-        decoded = wire.decode(value, wire.RolloutOrder)
-        if isinstance(decoded, Err):
-            log_event("ERROR", "order unreadable", detail=decoded.err_value)
-            return
-        order = decoded.ok_value
-        service = ServiceId(order.backend)
-        now = self._reader.now()
-        new = take_order(
-            self._fleet,
-            service,
-            VersionId(order.target_version),
-            offset,
-            Millis(int(order.duration_s * 1_000)),
-            now,
-            seen=seen,
-        )
-        if new:
-            log_order(self._fleet.rollouts.rows[service], now, "store")
-
     async def _read_status(self) -> bool:
         """Take in what is recorded of the orders, for a box that starts midway."""
         listing = await self._reader.newest(wire.STATUS_TOPIC)
@@ -346,82 +283,3 @@
             return False
         take_status(self._fleet, listing, self._reader.clock)
         return True
-
-
-class _Wait:
-    """A read that waits for records, until it ends or is given up.
-
-    Parameters
-    ----------
-    since : int
-        From where on it reads.
-    version : int
-        The catalog that was known when it began.
-    first : bool
-        Whether this box was the first of all then, whose waits are short.
-    read : coroutine
-        The read.
-    """
-
-    def __init__(
-        self,
-        since: Offset,
-        version: int,
-        first: bool,
-        read: t.Coroutine[t.Any, t.Any, Result[Tail, StoreFault]],
-    ) -> None:
-        self.since = since
-        self.version = version
-        self.first = first
-        self.read = asyncio.get_running_loop().create_task(read)
-        self._given_up = asyncio.get_running_loop().create_future()
-
-    def give_up(self, end: Offset) -> None:
-        """End it: what came up to `end` is known without it."""
-        if not self._given_up.done():
-            self._given_up.set_result(end)
-
-    async def ended(self) -> tuple[Result[Tail, StoreFault] | None, Offset]:
-        """Return what it read, or None and the end that is known without it."""
-        try:
-            await asyncio.wait(
-                {self.read, self._given_up}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            self.read.cancel()
-        if self._given_up.done():
-            return None, self._given_up.result()
-        return self.read.result(), self.since
-
-
-def take_status(fleet: Fleet, listing: Listing, clock: t.Any) -> None:
-    """Take recorded verdicts and beginnings into the roll-outs' rows."""
-    now = clock.now()
-    for item in listing.items:
-        decoded = wire.decode(item.content(), wire.RolloutStatus)
-        if isinstance(decoded, Err):
-            continue
-        status = decoded.ok_value
-        row = fleet.rollouts.rows.get(ServiceId(status.backend))
-        if row is None:
-            continue
-        verdict = wire.decode_verdict(status.state)
-        version = VersionId(status.target_version)
-        order = Offset(status.order)
-        other = order >= 0 and not is_same_offset(order, row.order)
-        if version != row.version or other:
-            if verdict is Verdict.ROLLED_BACK and status.order < row.order:
-                bar_versions(row, {version, *map(VersionId, status.barred)})
-            continue
-        if order >= 0:
-            row.order = min(row.order, order)
-        bar_versions(row, [VersionId(name) for name in status.barred])
-        row.announced = True
-        row.against = wire.decode_against(status.against)
-        if verdict is Verdict.RUNNING and status.began:
-            age = max(0, clock.wall() - status.began)
-            take_beginning(row, Millis(now - age), seen=False)
-        if row.turned_bad and verdict is Verdict.ROLLED_BACK:
-            row.way_back_recorded = True
-        elif take_verdict(row, verdict, "recorded", now, recorded=True):
-            log_verdict(row, "store")
--- /dev/null
+++ b/src/spanshunt/platform/recorded_status.py
@@ -0,0 +1,52 @@
+"""What is recorded of roll-outs: verdicts, beginnings, suspicions."""
+
+import typing as t
+
+from result import Err
+
+from ..ids import Millis
+from ..ids import Offset
+from ..ids import ServiceId
+from ..ids import VersionId
+from ..rollout_lines import log_verdict
+from ..systems.eras import is_same_offset
+from ..systems.ramping import bar_versions
+from ..systems.ramping import take_beginning
+from ..systems.ramping import take_verdict
+from ..tables.fleet import Fleet
+from ..tables.rollouts import Verdict
+from . import wire
+from .store import Listing
+
+
+def take_status(fleet: Fleet, listing: Listing, clock: t.Any) -> None:
+    """Take recorded verdicts and beginnings into the roll-outs' rows."""
+    now = clock.now()
+    for item in listing.items:
+        decoded = wire.decode(item.content(), wire.RolloutStatus)
+        if isinstance(decoded, Err):
+            continue
+        status = decoded.ok_value
+        row = fleet.rollouts.rows.get(ServiceId(status.backend))
+        if row is None:
+            continue
+        verdict = wire.decode_verdict(status.state)
+        version = VersionId(status.target_version)
+        order = Offset(status.order)
+        other = order >= 0 and not is_same_offset(order, row.order)
+        if version != row.version or other:
+            if verdict is Verdict.ROLLED_BACK and status.order < row.order:
+                bar_versions(row, {version, *map(VersionId, status.barred)})
+            continue
+        if order >= 0:
+            row.order = min(row.order, order)
+        bar_versions(row, [VersionId(name) for name in status.barred])
+        row.announced = True
+        row.against = wire.decode_against(status.against)
+        if verdict is Verdict.RUNNING and status.began:
+            age = max(0, clock.wall() - status.began)
+            take_beginning(row, Millis(now - age), seen=False)
+        if row.turned_bad and verdict is Verdict.ROLLED_BACK:
+            row.way_back_recorded = True
+        elif take_verdict(row, verdict, "recorded", now, recorded=True):
+            log_verdict(row, "store")
--- a/src/spanshunt/platform/recorder.py
+++ b/src/spanshunt/platform/recorder.py
@@ -30,7 +30,7 @@
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Verdict
 from . import wire
-from .operator_records import take_status
+from .recorded_status import take_status
 from .store import StoreProblem
 from .store_reader import StoreReader
 
--- a/tests/test_operator_records.py
+++ b/tests/test_operator_records.py
@@ -17,7 +17,9 @@
 
 from fleet_builders import config
 from fleet_builders import make_fleet
+from spanshunt.catalog_taking import take_catalog
 from spanshunt.clock import Clock
+from spanshunt.clock import ManualClock
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
 from spanshunt.ids import Millis
@@ -33,6 +35,8 @@
 from spanshunt.platform.store import Tail
 from spanshunt.platform.store_reader import StoreReader
 from spanshunt.platform.wire import StoreItem
+from spanshunt.platform.wire import decode_catalog
+from spanshunt.systems.following_workers import TRY_MS
 from spanshunt.tables.fleet import CatalogProof
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
@@ -57,6 +61,7 @@
     ) -> None:
         self.listed = 0
         self.looked = 0
+        self.looks_fail = self.trimmed = False
         self.tailed: list[Offset] = []
         self.waits: list[int] = []
         self.found = found
@@ -80,6 +85,9 @@
     ) -> Result[Tail, StoreFault]:
         if fresh:
             self.looked += 1
+            if self.looks_fail or self.trimmed:
+                problem = StoreProblem.TRIMMED if self.trimmed else StoreProblem.REFUSED
+                return Err(StoreFault(problem, "a look"))
             records = tuple(row for row in self.found if row.offset >= offset)
             return Ok(Tail(records, Offset(offset + len(records))))
         self.tailed.append(offset)
@@ -198,3 +206,66 @@
     fleet.peers.clear()
     await follower
     assert store.waits == [TAIL_WAIT_MS, WAIT_PART * 2_000]
+
+
+def overtake(fleet: Fleet, version: int = 12) -> None:
+    """Let a peer bring a newer catalog than the read under way did."""
+    raw = msgspec.json.encode(config(version))
+    assert take_catalog(fleet, raw, decode_catalog, source="box-9")
+
+
+async def test_wait_that_others_overtake_is_looked_after_once():
+    """What they brought may not be in the store any more, which came back older."""
+    store = Store()
+    store.items = (listed(CATALOG),)
+    fleet = make_fleet("box-2")
+    fleet.peers[BoxId("box-1")] = heard("box-1", domain="south")
+    follower = asyncio.create_task(follow(store, for_ms=700, fleet=fleet))
+    await asyncio.sleep(0.1)
+    overtake(fleet)
+    await follower
+    assert store.looked == 1
+    assert store.waits == [TAIL_WAIT_MS]
+
+
+async def test_box_that_the_store_refuses_looks_after_its_wait_at_the_usual_pace():
+    store = Store()
+    store.items = (listed(CATALOG),)
+    store.looks_fail = True
+    fleet = make_fleet("box-2")
+    fleet.peers[BoxId("box-1")] = heard("box-1", domain="south")
+    follower = asyncio.create_task(follow(store, for_ms=1_000, fleet=fleet))
+    await asyncio.sleep(0.1)
+    overtake(fleet)
+    await follower
+    assert 2 <= store.looked <= 1 + 900 // TRY_MS
+
+
+async def test_all_is_read_anew_where_a_look_finds_its_place_gone():
+    """The store dropped its history, or came back older, while the wait was dead."""
+    store = Store()
+    store.items = (listed(CATALOG),)
+    store.trimmed = True
+    fleet = make_fleet("box-2")
+    fleet.peers[BoxId("box-1")] = heard("box-1", domain="south")
+    follower = asyncio.create_task(follow(store, for_ms=500, fleet=fleet))
+    await asyncio.sleep(0.1)
+    overtake(fleet)
+    await asyncio.sleep(0.2)
+    store.trimmed = False
+    await follower
+    assert store.listed == 2
+    assert len(store.waits) == 2
+
+
+async def test_wait_that_ends_early_proves_nothing_of_the_rest():
+    """A store may answer before the time is over, with no record."""
+    clock = ManualClock(60_000)
+    fleet = make_fleet("box-1")
+    store = Store(Ok(Tail((), Offset(7))))
+    records = OperatorRecords(StoreReader(fleet, clock, t.cast(t.Any, store)))
+    follower = asyncio.create_task(records.follow())
+    await records.look()
+    await asyncio.sleep(0.05)
+    follower.cancel()
+    assert fleet.catalog_proof.at == clock.now()
