The version that a box knows is told by its table

known_version stood beside the same words in the pure module of proofs, which may not import it; both are a property of the table now. No behaviour changes (mypy, 110 tests of boxes, proofs, exchanges).

--- a/src/spanshunt/catalog_fetcher.py
+++ b/src/spanshunt/catalog_fetcher.py
@@ -15,7 +15,6 @@
 from result import Result
 
 from .catalog_taking import Decode
-from .catalog_taking import known_version
 from .catalog_taking import take_catalog
 from .clock import Clock
 from .ids import BoxId
@@ -109,7 +108,7 @@
     async def tell(self, ask: CatalogAsk) -> CatalogTold:
         """Give this box's catalog to a peer, unless enough others get it already."""
         fleet = self._fleet
-        known = known_version(fleet)
+        known = fleet.catalog_version
         if known <= ask.version or self._serves_enough():
             return CatalogTold(known)
         self._served.append(self._clock.now())
@@ -123,7 +122,7 @@
     def _whom_to_ask(self) -> PeerRow | None:
         """Return a peer with a newer catalog: heard just now, near, not tried yet."""
         fleet = self._fleet
-        mine = known_version(fleet)
+        mine = fleet.catalog_version
         ahead = [row for row in fleet.peers.values() if row.catalog_version > mine]
         untried = [row for row in ahead if row.box not in self._tried]
         if ahead and not untried:
@@ -138,7 +137,7 @@
     async def _fetch(self, peer: PeerRow) -> bool:
         """Fetch from one peer; return whether that brought a newer catalog."""
         fleet = self._fleet
-        mine = known_version(fleet)
+        mine = fleet.catalog_version
         began = self._clock.now()
         self._tried.add(peer.box)
         told = await self._ask(peer, CatalogAsk(fleet.me.box, mine))
--- a/src/spanshunt/catalog_taking.py
+++ b/src/spanshunt/catalog_taking.py
@@ -14,11 +14,6 @@
 """Decodes a catalog as it came from the store."""
 
 
-def known_version(fleet: Fleet) -> int:
-    """Return the version of the catalog that a box knows; -1 for none."""
-    return fleet.catalog.version if fleet.catalog is not None else -1
-
-
 def take_catalog(
     fleet: Fleet, raw: bytes, decode: Decode, *, source: str, packed: bytes = b""
 ) -> bool:
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -6,7 +6,6 @@
 
 from result import Err
 
-from .catalog_taking import known_version
 from .clock import Clock
 from .engine_news import take_engine_news
 from .ids import DomainId
@@ -188,7 +187,7 @@
             address=fleet.me.address,
             domain=fleet.me.domain,
             incarnation=fleet.me.incarnation,
-            catalog_version=known_version(fleet),
+            catalog_version=fleet.catalog_version,
             workers_end=fleet.workers_end,
             workers_age_ms=max(0, now - fleet.workers_read_at),
             read_age_ms=max(0, now - readings.last) if readings.last >= 0 else -1,
@@ -246,7 +245,7 @@
         self._take_peers(news, now)
         told_at = self._told_at(news, asked_at)
         self._take_proof(news, told_at)
-        if news.catalog_version > known_version(fleet):
+        if news.catalog_version > fleet.catalog_version:
             if news.catalog_version > told_before:
                 log_newer_catalog(fleet, news.box, news.catalog_version, now)
             self._on_newer()
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -175,7 +175,7 @@
         domain=fleet.me.domain,
         incarnation=fleet.me.incarnation,
         ready=not_ready or "yes",
-        catalog=catalog.version if catalog else -1,
+        catalog=fleet.catalog_version,
         routes=len(catalog.routes) if catalog else 0,
         organisations=len(catalog.orgs) if catalog else 0,
         proof_age_ms=proof_age(fleet, now),
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -7,7 +7,6 @@
 from result import Err
 from result import Result
 
-from ..catalog_taking import known_version
 from ..ids import Millis
 from ..ids import Offset
 from ..logs import log_event
@@ -161,7 +160,7 @@
         read = self._reader.store.tail(
             wire.OPERATORS_TOPIC, end, wait_ms, self._look_ms if first else None
         )
-        self._wait = Wait(end, known_version(self._fleet), first, read)
+        self._wait = Wait(end, self._fleet.catalog_version, first, read)
         wait = self._wait
         got = await wait.ended()
         self._wait, self._fleet.waiting_since = None, Millis(-1)
@@ -220,7 +219,7 @@
             self._take_found(tail)
         elif wait is not None:
             # What others brought is not in the store, which came back from a copy.
-            wait.version = known_version(self._fleet)
+            wait.version = self._fleet.catalog_version
         prove_catalog(self._fleet, sent, tail.next)
 
     async def _note_not_looked(self, fault: StoreFault, wait: Wait | None) -> None:
@@ -253,7 +252,7 @@
     def _is_overtaken(self) -> bool:
         """Tell whether others brought a catalog that the read under way did not."""
         wait = self._wait
-        return wait is not None and known_version(self._fleet) > wait.version
+        return wait is not None and self._fleet.catalog_version > wait.version
 
     def _note_age(self, now: Millis) -> None:
         """Log when the proof grows older than changes may take, and its renewal."""
--- a/src/spanshunt/systems/proving.py
+++ b/src/spanshunt/systems/proving.py
@@ -38,8 +38,7 @@
 
 def take_told_proof(fleet: Fleet, version: int, told: CatalogProof) -> None:
     """Take in a peer's proof for a catalog's version, if this box has that one."""
-    known = fleet.catalog.version if fleet.catalog is not None else -1
-    if version == known and told.at > fleet.catalog_proof.at:
+    if version == fleet.catalog_version and told.at > fleet.catalog_proof.at:
         fleet.catalog_proof = told
 
 
@@ -56,9 +55,8 @@
 
 def is_proved(fleet: Fleet, now: Millis, most_ms: float) -> bool:
     """Tell whether the catalog was the newest at most so long ago, by all it heard."""
-    known = fleet.catalog.version if fleet.catalog is not None else -1
     age = proof_age(fleet, now)
-    return 0 <= age <= most_ms and newest_told(fleet) <= known
+    return 0 <= age <= most_ms and newest_told(fleet) <= fleet.catalog_version
 
 
 def must_look(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -306,3 +306,8 @@
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     stale_until: Millis = Millis(0)
     stopping: bool = False
+
+    @property
+    def catalog_version(self) -> int:
+        """The version of the catalog that this box knows; -1 for none."""
+        return self.catalog.version if self.catalog is not None else -1
