--- a/tests/test_bad_versions.py
+++ b/tests/test_bad_versions.py
@@ -153,8 +153,8 @@
 def test_slow_version_is_found_beside_slow_workers_of_the_leaving_one():
     """Both are mostly slow against one usual time; by how much does not show.
 
-    Two or three of a hundred plays pass for sound; which ones changes with the timing of
-    boxes.
+    Two or three of a hundred plays pass for sound; which ones changes with the timing
+    of boxes.
     """
     for seed in (10, 17, 20, 51, 80, 88):
         outcome = play_case(Kind.SLOW_4, Trouble.SLOW_LEAVING, seed)
