Looks leave a store alone that does not serve the box

Traced: boxes that read the list and those that look tried at the same ticks, so that an outage was asked more often than before.

--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -14,7 +14,7 @@
 from ..systems.eras import awaits_operators
 from ..systems.following_workers import follows_operators
 from ..systems.following_workers import is_first
-from ..systems.following_workers import may_try
+from ..systems.following_workers import is_served
 from ..systems.proving import LOOK_PART
 from ..systems.proving import is_proved
 from ..systems.proving import must_look
@@ -89,17 +89,16 @@
             return
         if self._wait is not None and is_first(self._fleet, now) > self._wait.first:
             self._wait.give_up(self._wait.since)
-        overtaken = self._is_overtaken() and may_try(self._fleet, now)
+        overtaken = self._is_overtaken() and is_served(self._fleet, now)
         if overtaken or must_look(self._fleet, now, self._in_force_ms):
             self._look_due.set()
 
     async def prove(self) -> None:
         """Renew the proof that the catalog is the newest; all that ask share a look.
 
-        While the store does not serve this box it is asked no more often than it is
-        without a question.
+        While the store does not serve this box, no question makes it ask.
         """
-        if not may_try(self._fleet, self._reader.now()):
+        if not is_served(self._fleet, self._reader.now()):
             return
         self._look_due.set()
         with contextlib.suppress(TimeoutError):
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -311,11 +311,6 @@
         return True
     if now - fleet.workers_read_at <= OLD_PART * draining_ms:
         return False
-    return may_try(fleet, now)
-
-
-def may_try(fleet: Fleet, now: Millis) -> bool:
-    """Tell whether a box calls the store that others call as well."""
     store = fleet.store
     pause_ms = TRY_MS * len(_near_heard(fleet, now))
     return store.failing_since < 0 or now >= store.failed_at + pause_ms
--- a/src/spanshunt/systems/proving.py
+++ b/src/spanshunt/systems/proving.py
@@ -11,7 +11,7 @@
 from ..tables.fleet import CatalogProof
 from ..tables.fleet import Fleet
 from .following_workers import is_first
-from .following_workers import may_try
+from .following_workers import is_served
 from .following_workers import reader_of
 
 FIRST_PART, READER_PART, OWN_PART = 0.35, 0.6, 0.75
@@ -60,11 +60,15 @@
 
 
 def must_look(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
-    """Tell whether this box is to renew the proof now."""
+    """Tell whether this box is to renew the proof now.
+
+    While the store does not serve it, readings of the workers' list find out when it
+    does again.
+    """
     age = proof_age(fleet, now)
     if fleet.catalog is None or age < FIRST_PART * in_force_ms:
         return False
-    return age >= _part(fleet, now) * in_force_ms and may_try(fleet, now)
+    return age >= _part(fleet, now) * in_force_ms and is_served(fleet, now)
 
 
 def _part(fleet: Fleet, now: Millis) -> float:
