Who proves the catalog for the fleet is told by the proofs

Cause: a box takes itself for the first by name of those that it hears; in a large fleet it hears few. Ruled out: names that sort by domain alone, where few are wrong (the users' names do). Change: a box that was told of a fresh proof by one before it is not the first; proofs spread within half a second. The test plays 6, 60 and 120 boxes by the same play (it needs the new question and was not run on the code before).

--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -13,9 +13,9 @@
 from ..platform_lines import catalog_fields
 from ..systems.eras import awaits_operators
 from ..systems.following_workers import follows_operators
-from ..systems.following_workers import is_first
 from ..systems.following_workers import is_served
 from ..systems.proving import LOOK_PART
+from ..systems.proving import is_first
 from ..systems.proving import is_proved
 from ..systems.proving import must_look
 from ..systems.proving import prove_catalog
@@ -87,7 +87,8 @@
         self._note_age(now)
         if self._wait is None and follows:
             return
-        if self._wait is not None and is_first(self._fleet, now) > self._wait.first:
+        first = is_first(self._fleet, now, self._in_force_ms)
+        if self._wait is not None and first and not self._wait.first:
             self._wait.give_up(self._wait.since)
         overtaken = self._is_overtaken() and is_served(self._fleet, now)
         if overtaken or must_look(self._fleet, now, self._in_force_ms):
@@ -150,7 +151,7 @@
 
     async def _await(self, end: Offset) -> Offset | None:
         held = awaits_operators(self._fleet, self._reader.now())
-        first = is_first(self._fleet, self._reader.now())
+        first = is_first(self._fleet, self._reader.now(), self._in_force_ms)
         # What is missing from a copy is looked for again when it should be back.
         wait_ms = AGAIN_MS if held else TAIL_WAIT_MS
         if first:
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -316,17 +316,6 @@
     return store.failing_since < 0 or now >= store.failed_at + pause_ms
 
 
-def is_first(fleet: Fleet, now: Millis) -> bool:
-    """Tell whether this box is the first by name of all that are heard and served."""
-    if not is_served(fleet, now):
-        return False
-    return all(
-        fleet.me.box < peer.box
-        for peer in fleet.peers.values()
-        if 0 <= peer.heard > now - HEARD_MS and peer.served
-    )
-
-
 def list_digest(fleet: Fleet) -> int:
     """Return a number that is alike for lists that say the same; 0 for none.
 
--- a/src/spanshunt/systems/proving.py
+++ b/src/spanshunt/systems/proving.py
@@ -10,7 +10,7 @@
 from ..ids import Offset
 from ..tables.fleet import CatalogProof
 from ..tables.fleet import Fleet
-from .following_workers import is_first
+from .following_workers import HEARD_MS
 from .following_workers import is_served
 from .following_workers import reader_of
 
@@ -38,6 +38,8 @@
 
 def take_told_proof(fleet: Fleet, version: int, told: CatalogProof) -> None:
     """Take in a peer's proof for a catalog's version, if this box has that one."""
+    if told.source < fleet.me.box:
+        fleet.proved_before_me = max(fleet.proved_before_me, told.at)
     if version == fleet.catalog_version and told.at > fleet.catalog_proof.at:
         fleet.catalog_proof = told
 
@@ -59,6 +61,22 @@
     return 0 <= age <= most_ms and newest_told(fleet) <= fleet.catalog_version
 
 
+def is_first(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
+    """Tell whether this box proves the catalog for the fleet.
+
+    The first one by name does of those that are heard and served. In a large fleet a
+    box hears few others: it is not the first while one before it proves.
+    """
+    proved = fleet.proved_before_me
+    if proved >= 0 and now - proved < READER_PART * in_force_ms:
+        return False
+    return is_served(fleet, now) and all(
+        fleet.me.box < peer.box
+        for peer in fleet.peers.values()
+        if 0 <= peer.heard > now - HEARD_MS and peer.served
+    )
+
+
 def must_look(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
     """Tell whether this box is to renew the proof now.
 
@@ -68,11 +86,11 @@
     age = proof_age(fleet, now)
     if fleet.catalog is None or age < FIRST_PART * in_force_ms:
         return False
-    return age >= _part(fleet, now) * in_force_ms and is_served(fleet, now)
+    return age >= _part(fleet, now, in_force_ms) * in_force_ms and is_served(fleet, now)
 
 
-def _part(fleet: Fleet, now: Millis) -> float:
-    if is_first(fleet, now):
+def _part(fleet: Fleet, now: Millis, in_force_ms: int) -> float:
+    if is_first(fleet, now, in_force_ms):
         return FIRST_PART
     if reader_of(fleet, now) == fleet.me.box:
         return READER_PART
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -198,6 +198,9 @@
         The same as it came, packed for peers.
     catalog_proof : CatalogProof
         What shows that it is the newest.
+    proved_before_me : int
+        As of when a box before this one by name proved its own, as far as told, in ms;
+        -1 for never.
     waiting_since : int
         When this box's read that waits for operators' records began, in ms; -1 while
         there is none.
@@ -273,6 +276,7 @@
     catalog: Catalog | None = None
     catalog_packed: bytes = b""
     catalog_proof: CatalogProof = CatalogProof()
+    proved_before_me: Millis = Millis(-1)
     waiting_since: Millis = Millis(-1)
     workers: Workers = msgspec.field(default_factory=Workers)
     workers_end: Offset = Offset(-1)
--- a/tests/test_proving.py
+++ b/tests/test_proving.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from bench.proofs import play
 
 from fleet_builders import config
 from fleet_builders import make_fleet
@@ -17,16 +18,20 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.peers.news import News
+from spanshunt.platform.operator_records import WAIT_PART
 from spanshunt.platform.wire import decode_catalog
 from spanshunt.systems.following_workers import HEARD_MS
 from spanshunt.systems.following_workers import note_store_failure
 from spanshunt.systems.proving import FIRST_PART
 from spanshunt.systems.proving import OWN_PART
 from spanshunt.systems.proving import READER_PART
+from spanshunt.systems.proving import is_first
 from spanshunt.systems.proving import is_proved
 from spanshunt.systems.proving import must_look
 from spanshunt.systems.proving import proof_age
 from spanshunt.systems.proving import prove_catalog
+from spanshunt.systems.proving import take_told_proof
+from spanshunt.tables.fleet import CatalogProof
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 
@@ -112,6 +117,27 @@
         add_peer(fleet, "b-1", "north", heard_ms=HEARD_MS)
         assert looks_from(fleet) == pytest.approx(FIRST_PART)
 
+    def test_box_is_not_the_first_while_one_before_it_proves(self):
+        """In a large fleet it hears few others, and that one is seldom among them."""
+        fleet = a_fleet("b-2")
+        told = CatalogProof(Millis(NOW - 900), Offset(7), BoxId("b-1"))
+        take_told_proof(fleet, 7, told)
+        assert not is_first(fleet, NOW, IN_FORCE_MS)
+        assert is_first(fleet, Millis(NOW + 300), IN_FORCE_MS)
+
+    @pytest.mark.parametrize(("boxes", "domains"), [(6, 3), (60, 3), (120, 12)])
+    def test_one_box_proves_for_a_fleet_of_any_size(self, boxes, domains):
+        """Three of sixty boxes took themselves for the first, one in each domain."""
+        found = play(boxes, domains, IN_FORCE_MS, seconds=10, seed=1, cut=False)
+        assert found.calls_per_s <= 1.25 / (WAIT_PART * IN_FORCE_MS / 1_000)
+        assert found.oldest_ms < OWN_PART * IN_FORCE_MS
+
+    @pytest.mark.parametrize(("boxes", "domains"), [(6, 3), (60, 3)])
+    def test_each_part_that_is_cut_off_proves_for_itself(self, boxes, domains):
+        found = play(boxes, domains, IN_FORCE_MS, seconds=10, seed=1, cut=True)
+        assert found.calls_per_s <= 1.25 * domains / (WAIT_PART * IN_FORCE_MS / 1_000)
+        assert found.oldest_ms < OWN_PART * IN_FORCE_MS
+
     def test_box_that_the_store_does_not_serve_looks_at_the_usual_pace(self):
         fleet = a_fleet("b-2")
         note_store_failure(fleet, Millis(NOW - 100))
