A signal to a box that starts does not end it

Callers that waited for a box that was starting lost their connections, and the box was gone, when its settings file changed just then. Ruled out: that the box itself ended; the process ended by the signal (return code -1). Change: the signal is ignored from the script's first line on; the file is read later than that, so nothing is missed. Before the script runs the interpreter's own start is left. Before: the test's process ended with -1; after: it goes on.

--- a/src/spanshunt_node.py
+++ b/src/spanshunt_node.py
@@ -2,8 +2,13 @@
 
 import json
 import os
+import signal
 import socket
 
+# Until the box is up nobody takes the signal, and it would end the process; the file is
+# read later than this anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 BACKLOG = 1_024
 """Callers that may wait for the box to take their connections."""
 
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -17,6 +17,7 @@
 
 from fleet_builders import TestFleet
 from fleet_builders import running_fleet
+from fleet_builders import until
 from spanshunt.standins.ports import free_ports
 
 START = pathlib.Path(__file__).parent.parent / "src" / "spanshunt_node.py"
@@ -35,6 +36,17 @@
 """Holds the process up where it imports most, until a file is there."""
 
 
+IMPORT = """
+import pathlib, sys, time
+
+pathlib.Path({began!r}).touch()
+while not pathlib.Path({go!r}).exists():
+    time.sleep(0.01)
+sys.exit(7)
+"""
+"""Stands in for what a box imports: waits until a file is there, and ends."""
+
+
 def write_settings(fleet: TestFleet, folder: pathlib.Path) -> tuple[pathlib.Path, int]:
     """Write settings of one more box of a fleet; return their path, and its port."""
     ports = free_ports(4)
@@ -117,3 +129,26 @@
         _, err = await process.communicate()
         assert process.returncode == 2
         assert b"spanshunt-node:" in err
+
+
+async def test_signal_to_a_box_that_starts_does_not_end_it(
+    tmp_path: pathlib.Path,
+):
+    """Settings files of a whole fleet change at once, also of boxes that just start.
+
+    The process knew no such signal before it was up, so it ended, and with it the
+    connections of callers that waited for it. Proof: it ended with the signal.
+    """
+    began, go = tmp_path / "began", tmp_path / "go"
+    gate = tmp_path / "gate" / "spanshunt"
+    gate.mkdir(parents=True)
+    gate.joinpath("__init__.py").write_text(IMPORT.format(began=str(began), go=str(go)))
+    script = tmp_path / "gate" / "spanshunt_node.py"
+    script.write_text(START.read_text())
+    env = {**os.environ, "SPANSHUNT_NODE_FILE": str(tmp_path / "none.json")}
+    process = await asyncio.create_subprocess_exec(sys.executable, str(script), env=env)
+    await until(began.exists, "the process runs")
+    process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.1)
+    go.touch()
+    assert await process.wait() == 7
