A changed settings file is in force at once, and any box tells which one it holds

Operators could not tell from outside which settings a box held. A running box read the file at SIGHUP, logged whether it differed and applied nothing; a change without a signal was missed. All fields but box, domain, listen, store.address and fingerprint_key are put in force in one step; those are named as waiting for a start. Weighed: a look at the file's state each second against a watcher of the kernel, which the machines do not have; a digest of the whole file against one of what boxes share, which is what can be compared. The soak's signal now changes the file.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import json
+import random
 import signal
 
 from spanshunt.standins.store import EndpointFault
@@ -94,6 +95,20 @@
     box.starting = False
 
 
+async def _change_settings(box: BoxProcess, rng: random.Random) -> None:
+    """Change a box's settings file, with a moment half written, and signal it."""
+    good = json.loads(box.settings.read_text())
+    good["bounds"] = {**good.get("bounds", {}), "grace_s": rng.uniform(6.0, 10.0)}
+    raw = json.dumps(good)
+    if box.starting:
+        return
+    box.settings.write_text(raw[: len(raw) // 2])
+    send_signal(box, signal.SIGHUP)
+    # No pause between the halves: a box that is started now must find a whole file.
+    box.settings.write_text(raw)
+    send_signal(box, signal.SIGHUP)
+
+
 async def _freeze(soak: Soak, box: BoxProcess, seconds: float) -> None:
     with struck(soak, [box]):
         send_signal(box, signal.SIGSTOP)
@@ -336,7 +351,7 @@
     elif kind == "store":
         await _harm_store(soak, box)
     elif kind == "hup":
-        send_signal(box, signal.SIGHUP)
+        await _change_settings(box, rng)
     elif kind == "cut":
         await _cut_peers(soak, box)
     elif kind == "forget":
--- a/src/spanshunt/cli_files.py
+++ b/src/spanshunt/cli_files.py
@@ -19,6 +19,8 @@
 from .exceptions import SettingsError
 from .fleet_report import FLEET_PATH
 from .fleet_report import FleetView
+from .platform.settings import load_node_settings
+from .platform.settings import shared_digest
 from .run_page import NoPlotsError
 from .run_page import run_page
 from .run_summary import summarise
@@ -115,16 +117,29 @@
     """Arguments of ``check``."""
 
     files: t.Annotated[list[str], cappa.Arg(help="Settings files.")]
+    platform: t.Annotated[
+        bool,
+        cappa.Arg(
+            long="--platform",
+            help="They are of boxes on the platform; tells the digest that boxes show.",
+        ),
+    ] = False
 
     def __call__(self) -> None:
         """Check the files; exit with 2 if one is wrong."""
         failed = False
         for file in self.files:
             try:
-                load_settings(file)
-                print(f"{file}: ok")
+                print(f"{file}: ok{self._check(file)}")
             except SettingsError as exc:
                 print(exc, file=sys.stderr)
                 failed = True
         if failed:
             raise cappa.Exit(code=EXIT_USAGE)
+
+    def _check(self, file: str) -> str:
+        """Check one file; return what else to tell of it."""
+        if not self.platform:
+            load_settings(file)
+            return ""
+        return f", digest {shared_digest(load_node_settings(file))}"
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -64,6 +64,7 @@
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
 from .tables.rollouts import Verdict
+from .tables.settings_state import ToldSettings
 from .tables.suspects import Suspect
 from .tables.workers import WorkerRow
 
@@ -140,6 +141,10 @@
         self._on_ended = on_ended
         self._spreading: set[asyncio.Task[None]] = set()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Set the addresses to ask while no box is known."""
+        self._seeds = seeds
+
     def stop(self) -> None:
         """Close all streams."""
         for task in self._spreading:
@@ -211,6 +216,10 @@
             proof_age_ms=proof_age(fleet, now),
             proof_end=fleet.catalog_proof.end,
             proof_by=fleet.catalog_proof.source,
+            settings_digest=fleet.settings.digest,
+            settings_age_ms=now - fleet.settings.since,
+            settings_refused=bool(fleet.settings.refused),
+            settings_waiting=bool(fleet.settings.waiting),
             workers_digest=digest,
             workers=workers_news(fleet, now) if wants_list else (),
             rollouts=tuple(
@@ -323,6 +332,12 @@
         row.domain, row.served = news.domain, news.served
         row.catalog_version = news.catalog_version
         row.heard, row.failures = now, 0
+        row.settings = ToldSettings(
+            digest=news.settings_digest,
+            since=Millis(now - news.settings_age_ms),
+            refused=news.settings_refused,
+            waiting=news.settings_waiting,
+        )
         for item in news.peers:
             if item.box != self._fleet.me.box and item.box not in peers:
                 peers[item.box] = PeerRow(item.box, item.address, item.domain)
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -28,6 +28,8 @@
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
+from .tables.settings_state import SettingsRow
+from .tables.settings_state import ToldSettings
 from .tables.suspects import Suspect
 from .tables.workers import WorkerRow
 
@@ -101,10 +103,26 @@
     recorded: bool
 
 
+class SettingsView(msgspec.Struct, frozen=True):
+    """Settings in force: their digest, for how long, and what of the file is not.
+
+    ``refused`` tells why the newest file is not taken (empty if it is), ``refused_ms``
+    for how long (-1 if it is), ``waiting`` its fields that need the next start.
+    """
+
+    digest: str
+    in_force_ms: Millis
+    refused: str
+    refused_ms: Millis
+    waiting: tuple[str, ...]
+
+
 class PeerView(msgspec.Struct, frozen=True):
     """Another box; ``heard_ms`` is how long ago it was heard, -1 for never.
 
-    ``catalog`` is the newest catalog that it told of.
+    ``catalog`` is the newest catalog that it told of; ``settings`` names the settings
+    that it told to have in force, for ``settings_ms``; ``settings_file`` is what is
+    wrong with its newest file.
     """
 
     box: BoxId
@@ -113,6 +131,9 @@
     served: bool
     failures: int
     catalog: int = -1
+    settings: str = ""
+    settings_ms: Millis = Millis(-1)
+    settings_file: str = ""
 
 
 class FleetView(msgspec.Struct, frozen=True):
@@ -139,8 +160,10 @@
         How often the store came back from a copy; -1 while that is unknown.
     emptied : tuple of str
         Failure domains that operators emptied.
+    settings : SettingsView
+        What the box has in force.
     workers, rollouts, budgets, models, peers, kept_back
-        Rows of each.
+        Rows of each; peers whose settings differ from this box's come first.
     """
 
     box: BoxId
@@ -157,6 +180,7 @@
     list_reader: BoxId
     store_era: int
     emptied: tuple[DomainId, ...]
+    settings: SettingsView
     workers: tuple[WorkerView, ...]
     rollouts: tuple[RolloutView, ...]
     budgets: tuple[BudgetView, ...]
@@ -185,6 +209,7 @@
         list_reader=reader_of(fleet, now),
         store_era=fleet.store.era,
         emptied=tuple(sorted(emptied_domains(fleet))),
+        settings=_settings(fleet.settings, now),
         workers=tuple(
             _worker(fleet, row, now) for _, row in sorted(fleet.workers.rows.items())
         ),
@@ -198,11 +223,22 @@
             ModelView(name, row.answers, round(row.confidence, 3))
             for name, row in sorted(fleet.models.items())
         ),
-        peers=tuple(_peer(row, now) for _, row in sorted(fleet.peers.items())),
+        peers=tuple(_peer(row, now) for row in _peers_in_order(fleet)),
         kept_back=tuple(_kept_back(row, now) for row in kept_contents(fleet)),
     )
 
 
+def settings_lines(fleet: Fleet, now: Millis) -> str:
+    """Return for the metrics page which settings are in force, one figure a line."""
+    row = fleet.settings
+    label = f'digest="{row.digest}"'
+    return (
+        f"spanshunt_settings_in_force_ms{{{label}}} {_since(row.since, now)}\n"
+        f"spanshunt_settings_refused {int(bool(row.refused))}\n"
+        f"spanshunt_settings_waiting {len(row.waiting)}\n"
+    )
+
+
 def _since(at: Millis, now: Millis) -> Millis:
     return Millis(now - at if at >= 0 else -1)
 
@@ -294,6 +330,27 @@
     )
 
 
+def _settings(row: SettingsRow, now: Millis) -> SettingsView:
+    return SettingsView(
+        digest=row.digest,
+        in_force_ms=_since(row.since, now),
+        refused=row.refused,
+        refused_ms=_since(row.refused_since, now),
+        waiting=row.waiting,
+    )
+
+
+def _peers_in_order(fleet: Fleet) -> list[PeerRow]:
+    """Return all peers by name, those whose settings differ from this box's first."""
+
+    def order(row: PeerRow) -> tuple[bool, BoxId]:
+        told = row.settings
+        alike = told.digest == fleet.settings.digest
+        return alike and not told.refused and not told.waiting, row.box
+
+    return sorted(fleet.peers.values(), key=order)
+
+
 def _peer(row: PeerRow, now: Millis) -> PeerView:
     return PeerView(
         row.box,
@@ -302,4 +359,14 @@
         row.served,
         row.failures,
         row.catalog_version,
+        row.settings.digest,
+        _since(row.settings.since, now),
+        _settings_file(row.settings),
     )
+
+
+def _settings_file(told: ToldSettings) -> str:
+    """Return what is wrong with a box's newest settings file; empty for nothing."""
+    if told.refused:
+        return "refused"
+    return "waits for the next start" if told.waiting else ""
--- a/src/spanshunt/logs.py
+++ b/src/spanshunt/logs.py
@@ -95,6 +95,12 @@
     """
     queue = LineQueue(sys.stdout.fileno())
     os.set_blocking(sys.stdout.fileno(), False)
+    send_logs(settings, box, queue)
+    return queue
+
+
+def send_logs(settings: "Logging", box: str, queue: LineQueue) -> None:
+    """Send logs to a queue as the settings say; what was set up before ends."""
     logger.remove()
     logger.configure(extra={"box": box, "fields": ""})
     if settings.json:
@@ -105,7 +111,6 @@
             queue.put(message.encode())
 
         logger.add(write_text, level=settings.level, format=_TEXT)
-    return queue
 
 
 def log_event(level: str, message: str, **fields: object) -> None:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -273,6 +273,12 @@
     proof_age_ms, proof_end, proof_by
         How old the teller's proof is that its catalog is the newest (-1 for none),
         where the operators' stream ended then, and the box that read it.
+    settings_digest, settings_age_ms
+        Names the settings that the teller has in force ("" for untold), and for how
+        long, in ms.
+    settings_refused, settings_waiting : bool
+        Whether its newest settings file is refused, and whether fields of it wait for
+        the teller's next start.
     """
 
     box: BoxId
@@ -302,6 +308,10 @@
     proof_age_ms: int = -1
     proof_end: int = -1
     proof_by: BoxId = BoxId("")
+    settings_digest: str = ""
+    settings_age_ms: int = 0
+    settings_refused: bool = False
+    settings_waiting: bool = False
 
 
 class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -25,6 +25,7 @@
 from ..exchange import Exchange
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
+from ..fleet_report import settings_lines
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -33,10 +34,14 @@
 from ..keeping_back import keep_back
 from ..logs import LineQueue
 from ..logs import log_event
+from ..logs import send_logs
 from ..logs import set_up_logs
 from ..peers.codec import MsgpackCodec
 from ..peers.news import NewsService
 from ..platform_lines import log_older_store
+from ..settings_file import LOOK_MS as SETTINGS_MS
+from ..settings_file import Applied
+from ..settings_file import SettingsFile
 from ..systems.eras import take_era
 from ..systems.forgetting import forget_old
 from ..systems.repeats import RepeatBounds
@@ -57,8 +62,12 @@
 from .operator_records import OperatorRecords
 from .recorder import Recorder
 from .settings import PATH_VARIABLE
+from .settings import NodeBounds
 from .settings import NodeSettings
+from .settings import changed_fields
+from .settings import keep_until_start
 from .settings import load_node_settings
+from .settings import shared_digest
 from .store import StoreClient
 from .store_reader import LOOK_MS
 from .store_reader import StoreReader
@@ -121,6 +130,10 @@
         The source of time.
     callers : socket.socket or None
         Listens where callers connect already; None if nothing does yet.
+    path : str
+        The settings file, followed while the box runs; empty for none.
+    lines : LineQueue or None
+        Where log lines go; None where that is not this box's to change.
     """
 
     def __init__(
@@ -128,8 +141,12 @@
         settings: NodeSettings,
         clock: Clock,
         callers: socket.socket | None = None,
+        path: str = "",
+        lines: LineQueue | None = None,
     ) -> None:
         self.settings = settings
+        self._path = path
+        self._lines = lines
         self._callers = callers
         self.clock = clock
         self.stop_asked = asyncio.Event()
@@ -161,11 +178,7 @@
             prove=lambda: self._operator_records.prove(),
             in_force_ms=Millis(bounds.in_force_ms),
             fingerprint_key=settings.fingerprint_key,
-            bounds=RepeatBounds(
-                ratio=bounds.repeat_ratio,
-                slack=bounds.repeat_slack,
-                window_s=bounds.repeat_window_s,
-            ),
+            bounds=_repeat_bounds(bounds),
             histograms=self.histograms,
             count=self.counters.add,
         )
@@ -191,6 +204,14 @@
             on_kept=partial(keep_back, self.core),
             on_ended=self._take_listed_end,
         )
+        self._settings_file = SettingsFile(
+            path,
+            clock,
+            self.fleet.settings,
+            load_node_settings,
+            self.apply,
+            self.counters.add,
+        )
         self._news = NewsService(self._exchange.hear, self._fetcher.tell)
         self._server = Server([self._news], codec=MsgpackCodec())
 
@@ -214,6 +235,7 @@
             domain=self.settings.domain,
             callers=listen.callers,
             incarnation=self.fleet.me.incarnation,
+            settings=self.fleet.settings.digest,
             catalog=self.fleet.catalog.version if self.fleet.catalog else None,
         )
 
@@ -242,6 +264,8 @@
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
         jobs.every(SWEEP_MS, self._sweep)
+        if self._path:
+            jobs.every(SETTINGS_MS, self._settings_file.look)
 
     def why_not_ready(self) -> str:
         """Return why this box should get no new connections, empty if it should."""
@@ -294,14 +318,30 @@
         await self._workers.stop()
         await self._store.stop()
 
-    def reload(self, path: str) -> None:
-        """Check the settings file again and say what would change at the next start."""
-        try:
-            changed = load_node_settings(path)
-        except SettingsError as exc:
-            log_event("ERROR", "reload refused", detail=str(exc))
-            return
-        log_event("INFO", "reload", changed=changed != self.settings)
+    def reload(self) -> None:
+        """Read the settings file again soon."""
+        if self._path:
+            self._settings_file.ask()
+
+    def apply(self, found: NodeSettings) -> Applied:
+        """Put settings in force at once, but for what only a start can change."""
+        before = self.settings
+        now = keep_until_start(before, found)
+        self.settings = now
+        _set_tables(self.fleet, now)
+        self.core.bounds = _repeat_bounds(now.bounds)
+        self.core.in_force_ms = Millis(now.bounds.in_force_ms)
+        self._store.set_timeout(now.store.timeout_ms)
+        self._operator_records.set_bound(now.bounds.in_force_ms)
+        self._worker_list.set_bound(now.bounds.draining_ms)
+        self._exchange.set_seeds(now.seeds)
+        if self._lines is not None and now.logging != before.logging:
+            send_logs(now.logging, now.box, self._lines)
+        return Applied(
+            digest=shared_digest(now),
+            changed=changed_fields(before, now),
+            waiting=changed_fields(now, found),
+        )
 
     def _on_broken(self, exc: InvariantError) -> None:
         log_event("ERROR", "invariant broken", promise=exc.promise, detail=exc.detail)
@@ -349,13 +389,13 @@
             )
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
-        return web.Response(text=metrics_page(self.counters, self.histograms))
+        page = metrics_page(self.counters, self.histograms)
+        return web.Response(text=page + settings_lines(self.fleet, self.clock.now()))
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
     """Return the tables of a box that starts, with what its settings tell."""
     box = BoxId(settings.box)
-    bounds = settings.bounds
     fleet = Fleet(
         me=Identity(
             box=box,
@@ -364,16 +404,32 @@
             incarnation=new_incarnation(box, clock.wall()),
         ),
         alone_until=Millis(clock.now() + ALONE_MS),
-        cold_bounds=ColdBounds(bounds.cold_over, bounds.cold_slack),
-        regions={
-            DomainId(domain): RegionId(region)
-            for domain, region in settings.regions.items()
-        },
     )
-    fleet.rollouts.bounds = ExposeBounds(bounds.expose_share, bounds.expose_slack)
+    _set_tables(fleet, settings)
+    fleet.settings.digest = shared_digest(settings)
+    fleet.settings.since = clock.now()
     return fleet
 
 
+def _set_tables(fleet: Fleet, settings: NodeSettings) -> None:
+    """Put into the tables what settings tell of the fleet."""
+    bounds = settings.bounds
+    fleet.cold_bounds = ColdBounds(bounds.cold_over, bounds.cold_slack)
+    fleet.rollouts.bounds = ExposeBounds(bounds.expose_share, bounds.expose_slack)
+    fleet.regions = {
+        DomainId(domain): RegionId(region)
+        for domain, region in settings.regions.items()
+    }
+
+
+def _repeat_bounds(bounds: NodeBounds) -> RepeatBounds:
+    return RepeatBounds(
+        ratio=bounds.repeat_ratio,
+        slack=bounds.repeat_slack,
+        window_s=bounds.repeat_window_s,
+    )
+
+
 def main(callers: socket.socket | None = None) -> None:
     """Run a box; the settings file's path is in the environment.
 
@@ -395,11 +451,11 @@
     lines: LineQueue,
     callers: socket.socket | None,
 ) -> int:
-    node = Node(settings, Clock(), callers)
+    node = Node(settings, Clock(), callers, path, lines)
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, node.stop_asked.set)
-    loop.add_signal_handler(signal.SIGHUP, node.reload, path)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
     flusher = asyncio.create_task(_flush(lines))
     try:
         await node.start()
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -68,8 +68,7 @@
     ) -> None:
         self._reader = reader
         self._fleet = reader.fleet
-        self._in_force_ms = in_force_ms
-        self._look_ms = int(LOOK_PART * in_force_ms)
+        self.set_bound(in_force_ms)
         self._tell_now = tell_now
         self._taker = RecordTaker(reader, tell_now)
         self._due = asyncio.Event()
@@ -78,6 +77,11 @@
         self._looked = asyncio.Event()
         self._proved: bool | None = None
 
+    def set_bound(self, in_force_ms: int) -> None:
+        """Set within which time a change must be in force, in ms."""
+        self._in_force_ms = in_force_ms
+        self._look_ms = int(LOOK_PART * in_force_ms)
+
     async def look(self) -> None:
         """Look whether this box follows the records or renews its proof; `LOOK_MS`."""
         now = self._reader.now()
--- a/src/spanshunt/platform/settings.py
+++ b/src/spanshunt/platform/settings.py
@@ -3,11 +3,13 @@
 import typing as t
 
 import msgspec
+from msgspec.structs import replace
 
 from ..settings import Address
 from ..settings import Duration
 from ..settings import Logging
 from ..settings import load_file
+from ..utils import digest
 
 PATH_VARIABLE = "SPANSHUNT_NODE_FILE"
 """The environment variable that holds the path of the settings file."""
@@ -119,6 +121,58 @@
     fingerprint_key: t.Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
+START_FIELDS = frozenset(
+    {"box", "domain", "listen", "store.address", "fingerprint_key"}
+)
+"""Fields, or whole sections, that take effect at a start only: who the box is, where it
+listens, whose records it follows, and what its knowledge of contents is keyed with."""
+
+OWN_FIELDS = frozenset({"box", "domain", "listen", "seeds"})
+"""What differs from box to box; the rest is the same on all of them."""
+
+DIGEST_SIGNS = 12
+"""Length of the digest that names settings, in hex digits."""
+
+
+def shared_digest(settings: NodeSettings) -> str:
+    """Return what names those settings that all boxes of a fleet share."""
+    told = msgspec.to_builtins(settings)
+    return digest({name: told[name] for name in told.keys() - OWN_FIELDS})[
+        :DIGEST_SIGNS
+    ]
+
+
+def keep_until_start(now: NodeSettings, found: NodeSettings) -> NodeSettings:
+    """Return what may come into force at once of `found`; the rest stays as `now`."""
+    return replace(
+        found,
+        box=now.box,
+        domain=now.domain,
+        listen=now.listen,
+        store=replace(found.store, address=now.store.address),
+        fingerprint_key=now.fingerprint_key,
+    )
+
+
+def changed_fields(before: NodeSettings, after: NodeSettings) -> tuple[str, ...]:
+    """Return the fields that differ, as ``section.field``, sorted."""
+    old, new = flat_fields(before), flat_fields(after)
+    return tuple(sorted(name for name in old if old[name] != new[name]))
+
+
+def flat_fields(settings: NodeSettings) -> dict[str, object]:
+    """Return all fields by name, those of sections as ``section.field``."""
+    found: dict[str, object] = {}
+    for name in settings.__struct_fields__:
+        value = getattr(settings, name)
+        if isinstance(value, msgspec.Struct):
+            for inner in value.__struct_fields__:
+                found[f"{name}.{inner}"] = getattr(value, inner)
+        else:
+            found[name] = value
+    return found
+
+
 def load_node_settings(path: str) -> NodeSettings:
     """Read and check the settings file of a box.
 
--- a/src/spanshunt/platform/store.py
+++ b/src/spanshunt/platform/store.py
@@ -126,6 +126,10 @@
         self._kept = KeptSessions()
         self._fresh = KeptSessions(keep=False)
 
+    def set_timeout(self, timeout_ms: int) -> None:
+        """Let calls that begin from now on take this long, in ms."""
+        self._timeout = timeout_ms / 1_000
+
     async def start(self) -> None:
         """Open the sessions."""
         self._kept.start()
--- a/src/spanshunt/platform/worker_list.py
+++ b/src/spanshunt/platform/worker_list.py
@@ -57,6 +57,10 @@
         self._odd: dict[str, str] = {}
         self._due = asyncio.Event()
 
+    def set_bound(self, draining_ms: int) -> None:
+        """Set within which time a worker that leaves must get nothing new, in ms."""
+        self._draining_ms = draining_ms
+
     async def look(self) -> None:
         """Look whether this box is to read the list now; every `LOOK_MS`."""
         now = self._reader.now()
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -20,6 +20,8 @@
 from .engines import WritePace
 from .identity import Identity
 from .rollouts import Rollouts
+from .settings_state import SettingsRow
+from .settings_state import ToldSettings
 from .suspects import Break
 from .suspects import Suspect
 from .workers import Workers
@@ -46,6 +48,8 @@
         The newest catalog that it knows, by its own word; -1 for none.
     clock_ahead : int or None
         How far its clock is ahead of this box's at most, in ms, by its last answer.
+    settings : ToldSettings
+        Which settings it has in force, by its own word.
     """
 
     box: BoxId
@@ -58,6 +62,7 @@
     served: bool = True
     catalog_version: int = -1
     clock_ahead: int | None = None
+    settings: ToldSettings = ToldSettings()
 
 
 class TrafficSecond(msgspec.Struct):
@@ -192,6 +197,8 @@
     ----------
     me : Identity
         Who this box is.
+    settings : SettingsRow
+        Which settings it has in force.
     catalog : Catalog or None
         The newest catalog known; never replaced by an older one.
     catalog_packed : bytes
@@ -273,6 +280,7 @@
     """
 
     me: Identity
+    settings: SettingsRow = msgspec.field(default_factory=SettingsRow)
     catalog: Catalog | None = None
     catalog_packed: bytes = b""
     catalog_proof: CatalogProof = CatalogProof()
