--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -18,6 +18,7 @@
 from loguru import logger
 from result import Err
 
+from spanshunt.platform import wire
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
 
@@ -127,3 +128,33 @@
 
     assert run(playing) == 0
     assert dark.tried
+
+
+def test_exchanges_between_domains_do_not_grow_with_the_boxes():
+    """Each box asked another domain in each round: 2.5 times a second, whatever there
+    was to tell. Bytes between domains are priced."""
+
+    async def playing(play: Play) -> float:
+        await asyncio.sleep(5.0)
+        play.exchanges.clear()
+        await asyncio.sleep(10.0)
+        far = sum(n for (one, other), n in play.exchanges.items() if one != other)
+        return far / 10.0 / len(DOMAINS)
+
+    assert run(playing) <= 20.0
+
+
+def test_change_is_known_to_all_boxes_in_time():
+    """Fewer exchanges between domains: what is new still comes to each box at once."""
+
+    async def playing(play: Play) -> float:
+        await asyncio.sleep(5.0)
+        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 24.0}
+        key = wire.ROLLOUT_PREFIX + "writer"
+        begun = play.since()
+        await play.store.put(wire.OPERATORS_TOPIC, key, body)
+        while not all(box.fleet.rollouts.rows for box in play.boxes.values()):
+            await asyncio.sleep(0.02)
+        return play.since() - begun
+
+    assert run(playing) <= 2.0
