From an answer that came twice, or hung, to its cause

A caller's further try has an id of its own, so the way of one id told nothing of why an answer came late and then twice. Change: spanshunt trace also shows other tries of the same content, marked = with their ids, from the logs of all boxes. Tests: the page's steps on a fleet with two boxes, and with one silent plain worker. The first fails on the code before.

--- a/src/spanshunt/cli_files.py
+++ b/src/spanshunt/cli_files.py
@@ -43,12 +43,12 @@
         """Read the logs and show what bears on the request."""
         raw = [line for file in self.logs for line in read_file(file).splitlines()]
         found = trace(raw, self.request)
-        if not any("request" in line for line in found.lines):
+        if not any(line.get("request") == self.request for line in found.lines):
             message = f"{self.request}: not in {len(raw)} lines"
             raise cappa.Exit(message, code=EXIT_REFUSED)
         begin = float(found.lines[0].get("at", 0.0))
         for line in found.lines:
-            print(show(line, begin))
+            print(show(line, begin, self.request))
         if found.unreadable:
             print(f"{found.unreadable} lines are no log lines", file=sys.stderr)
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,5 +1,6 @@
 """docs/OPERATIONS.md: from a failed request's id to its cause, by the page's steps."""
 
+import asyncio
 import contextlib
 import json
 import os
@@ -185,3 +186,49 @@
 )
 def test_page_names_each_outcome(outcome):
     assert f"`{outcome}`" in PAGE.read_text()
+
+
+async def test_late_then_twice(tmp_path):
+    """The caller's next try has an id of its own and came to another box."""
+    path = tmp_path / "all.log"
+    with logging_to(path):
+        async with running_fleet(boxes=2) as fleet:
+            late, again = fleet.boxes
+            for worker in fleet.workers.values():
+                worker.event_s = 0.1
+            ask = [
+                asyncio.create_task(fleet.ask(box, "/long/", Attempt_Id=name))
+                for box, name in ((late, "first-try"), (again, "second-try"))
+            ]
+            replies = await asyncio.gather(*ask)
+            other = await fleet.ask(again, "/long/other", Attempt_Id="another")
+            assert {reply.status for reply in [*replies, other]} == {200}
+    lines = traced(path, "first-try")
+    assert "outcome=delivered" in mine(lines)[-1]
+    tries = [line for line in lines if line.startswith("= second-try")]
+    assert any("outcome=delivered" in line for line in tries)
+    assert any("dispatch" in line for line in tries)
+    assert not any("another" in line.split()[:2] for line in lines)
+
+
+async def test_hung_beside_another_kind(tmp_path):
+    """One plain worker is silent to lookups; streams and the other worker go on."""
+    path = tmp_path / "box.log"
+    with logging_to(path):
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            fleet.workers["p-1"].fault = WorkerFault.MUTE
+            box.node.fleet.workers.rows["p-2"].inflight = 30
+            hung = asyncio.create_task(fleet.ask(box, "/look/", Attempt_Id="hung"))
+            healthy = await fleet.ask(box, "/long/", Attempt_Id="healthy")
+            assert healthy.status == 200
+            assert not hung.done()
+            box.node.fleet.workers.rows["p-2"].inflight = 0
+            assert (await hung).status == 200
+    lines = mine(traced(path, "hung"))
+    held = [line for line in lines if "attempt failed" in line]
+    assert len(held) == 1
+    assert "worker=p-1" in held[0] and "no answer within" in held[0]
+    assert "worker=p-2" in lines[-2] or "p-2" in lines[-1]
+    other = mine(traced(path, "healthy"))
+    assert not any("p-1" in line for line in other)
