The first box of a failure domain names who follows the operators' records

A storm of changes made hundreds of priced calls to the store in large fleets: each change makes each follower read anew, and more than two boxes of a domain followed. Cause: a box follows while it is one of the first two by name of those that it heard of late; in a large fleet it hears few. Change: all boxes of a domain ask its first one in every round, so that one hears all; it names the followers in its answers, and a box that hears it goes by that.

--- a/bench/play_store.py
+++ b/bench/play_store.py
@@ -28,7 +28,8 @@
 class PlayStore:
     """One box's way to the store; `refused` while the store does not serve it.
 
-    ``read`` and ``wrote`` count its readings of each topic and its appends.
+    ``read`` and ``wrote`` count its readings of each topic and its appends, ``waited``
+    its readings that wait for records.
     """
 
     store: StoreStandin
@@ -36,6 +37,7 @@
     refused: bool = False
     read: collections.Counter[str] = field(default_factory=collections.Counter)
     wrote: collections.Counter[str] = field(default_factory=collections.Counter)
+    waited: collections.Counter[str] = field(default_factory=collections.Counter)
 
     async def newest(
         self, topic: str, most_ms: int | None = None
@@ -66,6 +68,7 @@
         fresh: bool = False,
     ) -> Result[Tail, StoreFault]:
         """Return records from an offset on, waiting for the first one."""
+        self.waited[topic] += wait_ms > 0
         fault = await self._pass()
         if fault is not None:
             return Err(fault)
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -42,6 +42,7 @@
 from .systems.evacuating import take_evacuation
 from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
+from .systems.following_workers import named_followers
 from .systems.following_workers import note_reading
 from .systems.following_workers import reader_of
 from .systems.following_workers import take_list
@@ -215,6 +216,7 @@
             ),
             kept_digest=kept_digest(fleet),
             kept_known=fleet.kept_known,
+            followers=named_followers(fleet, now) if domain == fleet.me.domain else (),
             evacuations=evacuations_news(fleet),
             boxes=box_count(fleet),
             store_era=fleet.store.era,
@@ -340,6 +342,7 @@
         row.domain, row.served = news.domain, news.served
         row.catalog_version = news.catalog_version
         row.heard, row.failures = now, 0
+        row.followers = news.followers
         row.settings = ToldSettings(
             digest=news.settings_digest,
             since=Millis(now - news.settings_age_ms),
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -264,6 +264,9 @@
         the same ones.
     kept_known : bool
         Whether the teller knows those that the store has recorded.
+    followers : tuple of str
+        Who follows the operators' records in the teller's failure domain, where it is
+        the first by name there.
     evacuations : tuple of EvacuationNews
         Failure domains that operators emptied, or gave back.
     boxes : int
@@ -315,6 +318,7 @@
     settings_refused: bool = False
     settings_waiting: bool = False
     kept_known: bool = False
+    followers: tuple[BoxId, ...] = ()
 
 
 class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -282,11 +282,28 @@
     """Tell whether this box follows the operators' records itself.
 
     The first boxes by name of each failure domain do, and any that knows no catalog
-    yet; the others hear of records from them.
+    yet; the others hear of records from them. All boxes of a domain ask its first one
+    in each round, so that one hears all and names who follows; of the others each hears
+    a few, and would take itself for one of the first.
     """
     if fleet.catalog is None:
         return True
-    return fleet.me.box in _near_heard(fleet, now)[:OPERATOR_FOLLOWERS]
+    near = _near_heard(fleet, now)
+    first = fleet.peers.get(near[0])
+    if first is not None and first.followers:
+        return fleet.me.box in first.followers
+    return fleet.me.box in near[:OPERATOR_FOLLOWERS]
+
+
+def named_followers(fleet: Fleet, now: Millis) -> tuple[BoxId, ...]:
+    """Return who follows the operators' records, if this box is the one to name them.
+
+    It is while it is the first by name of its failure domain; else nobody is named.
+    """
+    near = _near_heard(fleet, now)
+    if near[0] != fleet.me.box:
+        return ()
+    return tuple(near[:OPERATOR_FOLLOWERS])
 
 
 def is_listed(fleet: Fleet, now: Millis) -> bool:
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -50,6 +50,9 @@
         How far its clock is ahead of this box's at most, in ms, by its last answer.
     settings : ToldSettings
         Which settings it has in force, by its own word.
+    followers : tuple of str
+        Who follows the operators' records, by its word as the first of its failure
+        domain; empty if it is not.
     """
 
     box: BoxId
@@ -63,6 +66,7 @@
     catalog_version: int = -1
     clock_ahead: int | None = None
     settings: ToldSettings = ToldSettings()
+    followers: tuple[BoxId, ...] = ()
 
 
 class TrafficSecond(msgspec.Struct):
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -204,3 +204,47 @@
         return play.since() - begun
 
     assert run(playing) <= 2.0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_record_wakes_two_boxes_of_each_failure_domain(seed: int):
+    """Each box that hears few others took itself for one of the first of its domain.
+
+    Two follow the operators' records, whatever the boxes there: each record makes each
+    follower read anew, and a storm of changes made hundreds of calls.
+    """
+    records = 8
+
+    async def playing(play: Play) -> int:
+        await asyncio.sleep(8.0)
+        for box in play.boxes.values():
+            box.store.waited.clear()
+        for number in range(records):
+            body = {"Backend": "writer", "TargetVersion": f"v{number + 2}"}
+            key = wire.ROLLOUT_PREFIX + "writer"
+            await play.store.put(wire.OPERATORS_TOPIC, key, {**body, "DurationS": 24.0})
+            await asyncio.sleep(0.5)
+        topic = wire.OPERATORS_TOPIC
+        return sum(box.store.waited[topic] for box in play.boxes.values())
+
+    # The first of all boxes ends its waits early, to prove the catalog for the rest.
+    proofs = 8
+    assert run(playing, seed) <= 2 * len(DOMAINS) * (records + 1) + proofs
+
+
+def test_others_follow_once_those_that_were_named_are_gone():
+    async def playing(play: Play) -> float:
+        await asyncio.sleep(6.0)
+        for domain in DOMAINS:
+            names = sorted(n for n, at in play.places.items() if at == domain)
+            for name in names[:2]:
+                await play.stop_box(name)
+        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 24.0}
+        key = wire.ROLLOUT_PREFIX + "writer"
+        begun = play.since()
+        await play.store.put(wire.OPERATORS_TOPIC, key, body)
+        while not all(box.fleet.rollouts.rows for box in play.boxes.values()):
+            await asyncio.sleep(0.02)
+        return play.since() - begun
+
+    assert run(playing) <= 4.0
