List of boxes and kept-back contents: the same boxes as follow the operators

At a start of 195 boxes 101 of them stood in the list and 57 read what is kept back (trial on the large site, calls logged by topic), where some ten are wanted. Cause: who is one of the first of its domain was told by what a box heard within 1.5 s. Change: the first box's word decides here, too; one rule, two boxes of a domain.

--- a/src/spanshunt/platform/box_list.py
+++ b/src/spanshunt/platform/box_list.py
@@ -9,7 +9,7 @@
 from ..ids import Millis
 from ..logs import log_event
 from ..systems.eras import COPY_AGE_MS
-from ..systems.following_workers import is_listed
+from ..systems.following_workers import is_first_near
 from ..systems.following_workers import is_served
 from ..tables.fleet import PeerRow
 from . import wire
@@ -65,7 +65,7 @@
 
     def _must_tell(self, now: Millis) -> bool:
         """Tell whether the list should hold where this box is, and may lack it."""
-        if not is_listed(self._fleet, now) or not is_served(self._fleet, now):
+        if not is_first_near(self._fleet, now) or not is_served(self._fleet, now):
             return False
         written_at = self._written_at
         era_began = self._fleet.store.era_began
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -37,16 +37,9 @@
 while the store is away from all, each box tries that seldom."""
 
 OPERATOR_FOLLOWERS = 2
-"""Boxes of a failure domain that follow the operators' records: two, so that one which
-is frozen, cut or killed holds nobody up; each further one makes a call for each record
-and one every 20 s."""
-
-LISTED_BOXES = 3
-"""Boxes of a failure domain that the list of boxes names: who starts needs one that
-answers, and hears of the others from it."""
-
-KEPT_BACK_READERS = 2
-"""Boxes of a failure domain that read which contents are kept back when they start."""
+"""Boxes of a failure domain that follow the operators' records, stand in the list of
+boxes, and read what is kept back: two, so that one which is frozen, cut or killed holds
+nobody up; each further one makes a call for each record and one every 20 s."""
 
 TRY_MS = 200
 """Pause of a box whose last call to the store failed and that another box should read
@@ -282,12 +275,17 @@
     """Tell whether this box follows the operators' records itself.
 
     The first boxes by name of each failure domain do, and any that knows no catalog
-    yet; the others hear of records from them. All boxes of a domain ask its first one
-    in each round, so that one hears all and names who follows; of the others each hears
-    a few, and would take itself for one of the first.
+    yet; the others hear of records from them.
+    """
+    return fleet.catalog is None or is_first_near(fleet, now)
+
+
+def is_first_near(fleet: Fleet, now: Millis) -> bool:
+    """Tell whether this box is one of the first by name of its failure domain.
+
+    All boxes of a domain ask its first one in each round, so that one hears all and
+    names them; of the others each hears a few, and would take itself for one.
     """
-    if fleet.catalog is None:
-        return True
     near = _near_heard(fleet, now)
     first = fleet.peers.get(near[0])
     if first is not None and first.followers:
@@ -296,9 +294,9 @@
 
 
 def named_followers(fleet: Fleet, now: Millis) -> tuple[BoxId, ...]:
-    """Return who follows the operators' records, if this box is the one to name them.
+    """Return the first boxes of this failure domain, if this one is to name them.
 
-    It is while it is the first by name of its failure domain; else nobody is named.
+    It is while it is the first by name itself; else nobody is named.
     """
     near = _near_heard(fleet, now)
     if near[0] != fleet.me.box:
@@ -306,19 +304,6 @@
     return tuple(near[:OPERATOR_FOLLOWERS])
 
 
-def is_listed(fleet: Fleet, now: Millis) -> bool:
-    """Tell whether boxes that start shall find this one in the list of boxes."""
-    return fleet.me.box in _near_heard(fleet, now)[:LISTED_BOXES]
-
-
-def reads_kept_back(fleet: Fleet, now: Millis) -> bool:
-    """Tell whether this box reads from the store which contents are kept back.
-
-    Those of its failure domain that do tell the others.
-    """
-    return fleet.me.box in _near_heard(fleet, now)[:KEPT_BACK_READERS]
-
-
 def _near_heard(fleet: Fleet, now: Millis) -> list[BoxId]:
     """Return this box and those of its failure domain heard of late, by name.
 
