A box asks the one before the reader by name, too

A box took one for the reader that was not the first of its domain until it heard that one by chance, so several read the workers' list and named followers. Change: in each round it also asks the first box by name that it knows of before the reader; one that does not answer is left alone for longer and longer, as before.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -411,7 +411,12 @@
         reader = reader_of(fleet, now)
         near = [peer for peer in ready if peer.domain == fleet.me.domain]
         far = [peer for peer in ready if peer.domain != fleet.me.domain]
-        asked = [peer for peer in near if peer.box == reader]
+        # One before the reader by name is it, if it lives: a box that starts finds the
+        # same one as the others of its domain within a round or two.
+        asked = sorted(
+            (peer for peer in near if peer.box < reader), key=lambda peer: peer.box
+        )[:1]
+        asked += [peer for peer in near if peer.box == reader]
         asked += self._near.draw(near, NEAR_ASKED, now)
         # All of its domain ask the reader: what it hears from others they know at once.
         if reader == fleet.me.box or self._rng.random() * len(near) < FAR_CALLERS:
