Soak: a changed settings file draws nothing, so that schedules stay as they were

test_soak_can_fail[proof] found no broken promise in its seed: the changed signal drew a number, so each seed's schedule was another one, the kept regression seeds among them. Change: the file's change is a fixed one.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -3,7 +3,6 @@
 import asyncio
 import enum
 import json
-import random
 import signal
 
 from spanshunt.standins.store import EndpointFault
@@ -95,13 +94,17 @@
     box.starting = False
 
 
-async def _change_settings(box: BoxProcess, rng: random.Random) -> None:
-    """Change a box's settings file, with a moment half written, and signal it."""
-    good = json.loads(box.settings.read_text())
-    good["bounds"] = {**good.get("bounds", {}), "grace_s": rng.uniform(6.0, 10.0)}
-    raw = json.dumps(good)
+def _change_settings(box: BoxProcess) -> None:
+    """Change a box's settings file, with a moment half written, and signal it.
+
+    Nothing is drawn for it: a seed's schedule stays as it was.
+    """
     if box.starting:
         return
+    good = json.loads(box.settings.read_text())
+    bounds = good.get("bounds", {})
+    changed = 7.5 if bounds.get("grace_s") != 7.5 else 8.0
+    raw = json.dumps({**good, "bounds": {**bounds, "grace_s": changed}})
     box.settings.write_text(raw[: len(raw) // 2])
     send_signal(box, signal.SIGHUP)
     # No pause between the halves: a box that is started now must find a whole file.
@@ -351,7 +354,7 @@
     elif kind == "store":
         await _harm_store(soak, box)
     elif kind == "hup":
-        await _change_settings(box, rng)
+        _change_settings(box)
     elif kind == "cut":
         await _cut_peers(soak, box)
     elif kind == "forget":
