--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -1,15 +1,11 @@
 """One box on the platform: its composition root and its life."""
 
 import asyncio
-import os
 import random
-import signal
 import socket
-import sys
 from functools import partial
 
 import msgspec
-import uvloop
 from aiohttp import web
 from grpclib.server import Server
 
@@ -21,7 +17,6 @@
 from ..counters import Counters
 from ..counters import metrics_page
 from ..exceptions import InvariantError
-from ..exceptions import SettingsError
 from ..exchange import Exchange
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
@@ -30,12 +25,10 @@
 from ..ids import BoxId
 from ..ids import DomainId
 from ..ids import Millis
-from ..ids import RegionId
 from ..keeping_back import keep_back
 from ..logs import LineQueue
 from ..logs import log_event
 from ..logs import send_logs
-from ..logs import set_up_logs
 from ..peers.codec import MsgpackCodec
 from ..peers.news import NewsService
 from ..platform_lines import log_older_store
@@ -44,11 +37,8 @@
 from ..settings_file import SettingsFile
 from ..systems.eras import take_era
 from ..systems.forgetting import forget_old
-from ..systems.repeats import RepeatBounds
-from ..tables.fleet import ColdBounds
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
-from ..tables.rollouts import ExposeBounds
 from ..tables.workers import WorkerRow
 from ..utils import new_incarnation
 from ..version import __version__
@@ -56,13 +46,13 @@
 from ..waking import take_wake
 from ..worker_probes import WorkerProbes
 from . import wire
+from .bounds import repeat_bounds
+from .bounds import set_tables
 from .box_list import BoxList
 from .front import Front
 from .kept_back import KeptBackRecords
 from .operator_records import OperatorRecords
 from .recorder import Recorder
-from .settings import PATH_VARIABLE
-from .settings import NodeBounds
 from .settings import NodeSettings
 from .settings import changed_fields
 from .settings import keep_until_start
@@ -86,9 +76,6 @@
 WAKES_MS = 100
 """Period of looking whether the box was suspended, in ms; each request looks, too."""
 
-EXIT_SETTINGS = 2
-"""Exit status when the settings can't be used."""
-
 ALONE_MS = 3_000
 """How long after its start a box that heard of no other one takes it that there are
 some, in ms: peers answer within two rounds, and the list of boxes is read after 1.5
@@ -99,9 +86,6 @@
 requests, in ms, and how often it looks, in s: the store answers in 4 ms, a slow one in
 240."""
 
-FLUSH_MS = 200
-"""Period of writing log lines, in ms."""
-
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -178,7 +162,7 @@
             prove=lambda: self._operator_records.prove(),
             in_force_ms=Millis(bounds.in_force_ms),
             fingerprint_key=settings.fingerprint_key,
-            bounds=_repeat_bounds(bounds),
+            bounds=repeat_bounds(bounds),
             histograms=self.histograms,
             count=self.counters.add,
         )
@@ -328,8 +312,8 @@
         before = self.settings
         now = keep_until_start(before, found)
         self.settings = now
-        _set_tables(self.fleet, now)
-        self.core.bounds = _repeat_bounds(now.bounds)
+        set_tables(self.fleet, now)
+        self.core.bounds = repeat_bounds(now.bounds)
         self.core.in_force_ms = Millis(now.bounds.in_force_ms)
         self._store.set_timeout(now.store.timeout_ms)
         self._operator_records.set_bound(now.bounds.in_force_ms)
@@ -405,72 +389,7 @@
         ),
         alone_until=Millis(clock.now() + ALONE_MS),
     )
-    _set_tables(fleet, settings)
+    set_tables(fleet, settings)
     fleet.settings.digest = shared_digest(settings)
     fleet.settings.since = clock.now()
     return fleet
-
-
-def _set_tables(fleet: Fleet, settings: NodeSettings) -> None:
-    """Put into the tables what settings tell of the fleet."""
-    bounds = settings.bounds
-    fleet.cold_bounds = ColdBounds(bounds.cold_over, bounds.cold_slack)
-    fleet.rollouts.bounds = ExposeBounds(bounds.expose_share, bounds.expose_slack)
-    fleet.regions = {
-        DomainId(domain): RegionId(region)
-        for domain, region in settings.regions.items()
-    }
-
-
-def _repeat_bounds(bounds: NodeBounds) -> RepeatBounds:
-    return RepeatBounds(
-        ratio=bounds.repeat_ratio,
-        slack=bounds.repeat_slack,
-        window_s=bounds.repeat_window_s,
-    )
-
-
-def main(callers: socket.socket | None = None) -> None:
-    """Run a box; the settings file's path is in the environment.
-
-    `callers` listens where callers connect already, if anything does.
-    """
-    path = os.environ.get(PATH_VARIABLE, "")
-    try:
-        settings = load_node_settings(path)
-    except SettingsError as exc:
-        print(f"spanshunt-node: {exc}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    lines = set_up_logs(settings.logging, settings.box)
-    sys.exit(uvloop.run(_run(settings, path, lines, callers)))
-
-
-async def _run(
-    settings: NodeSettings,
-    path: str,
-    lines: LineQueue,
-    callers: socket.socket | None,
-) -> int:
-    node = Node(settings, Clock(), callers, path, lines)
-    loop = asyncio.get_running_loop()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, node.stop_asked.set)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
-    flusher = asyncio.create_task(_flush(lines))
-    try:
-        await node.start()
-    except OSError as exc:
-        log_event("ERROR", "not started", detail=f"can't listen: {exc}")
-        lines.flush()
-        return EXIT_SETTINGS
-    await node.stop_asked.wait()
-    await node.stop()
-    flusher.cancel()
-    lines.flush()
-    return 1 if node.broken else 0
-
-
-async def _flush(lines: LineQueue) -> None:
-    while True:
-        await asyncio.sleep(FLUSH_MS / 1_000)
-        lines.flush()
--- a/src/spanshunt_node.py
+++ b/src/spanshunt_node.py
@@ -42,6 +42,6 @@
 os.environ["SSL_CERT_FILE"] = os.devnull
 os.environ.pop("SSL_CERT_DIR", None)
 
-from spanshunt.platform.node import main  # noqa: E402
+from spanshunt.platform.main import main  # noqa: E402
 
 main(callers)
