--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -22,7 +22,7 @@
 from spanshunt.platform.store_reader import LOOK_MS
 from spanshunt.systems.following_workers import reader_of
 from spanshunt.systems.proving import is_first
-from spanshunt.systems.proving import must_look
+from spanshunt.systems.proving import must_probe
 from spanshunt.systems.proving import proof_age
 from spanshunt.systems.proving import prove_catalog
 from spanshunt.systems.proving import take_told_proof
@@ -88,7 +88,7 @@
             self.wait_ends = Millis(now + int(WAIT_PART * bound_ms))
         elif not first:
             self.wait_ends = Millis(-1)
-        if due or must_look(self.fleet, now, bound_ms):
+        if due or must_probe(self.fleet, now, bound_ms):
             prove_catalog(self.fleet, now, Offset(0))
             return 1
         return 0
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -92,8 +92,8 @@
             Mutation("catalog_entry.py", "await core.prove()", "pass"),
         ),
     ),
-    "doubt": Mutation(
-        "catalog_entry.py", "if _is_proved(core, DOUBT_PART):", "if True:"
+    "unchecked": Mutation(
+        "catalog_entry.py", "if _is_proved(core, FINAL_PART):", "if True:"
     ),
     "revoked": Mutation(
         "catalog_taking.py",
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -12,9 +12,9 @@
 from .ports import CutAnswerError
 from .ports import SendFault
 from .ports import SilentWorkerError
-from .systems.doubting import note_doubt
 from .systems.estimating import note_first_event
 from .systems.estimating import speed_of
+from .systems.outages import note_domain_unreached
 from .systems.pacing import is_slow_writing
 from .systems.pacing import note_pace
 from .systems.pacing import tells_pace
@@ -49,7 +49,7 @@
         note_unreached(attempt.worker, now)
     if fault.unreached:
         note_started(core.fleet, attempt.worker, now)
-        note_doubt(core.fleet, attempt.worker, now)
+        note_domain_unreached(core.fleet, attempt.worker, now)
     if fault.unreached and attempt.repeat:
         take_back_repeat(core.fleet, attempt.service, Millis(attempt.sent))
     if fault.silent:
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -40,11 +40,11 @@
 from .request_state import WorkerFailure
 from .systems.admitting import Admitted
 from .systems.cascading import note_lateness
-from .systems.doubting import note_reached
 from .systems.ending import note_return
 from .systems.estimating import note_prompt
 from .systems.estimating import urgency_of
 from .systems.following_workers import note_replaced
+from .systems.outages import note_domain_reached
 from .systems.quarantining import note_sound
 from .systems.quarantining import share
 from .systems.recognising import fingerprint_of
@@ -262,7 +262,7 @@
     now = core.clock.now()
     attempt.answered = True
     attempt.worker.heard_at = now
-    note_reached(core.fleet, attempt.worker)
+    note_domain_reached(core.fleet, attempt.worker)
     note_return(core.fleet, attempt.worker, now)
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
--- a/src/spanshunt/catalog_entry.py
+++ b/src/spanshunt/catalog_entry.py
@@ -22,7 +22,7 @@
 from .systems.admitting import admit
 from .systems.admitting import held_ms
 from .systems.admitting import unproved
-from .systems.proving import DOUBT_PART
+from .systems.proving import FINAL_PART
 from .systems.proving import is_proved
 
 FINAL = frozenset({Problem.NOT_FOUND, Problem.BAD_CREDENTIAL})
@@ -44,14 +44,14 @@
     admitted = _admit(core, call)
     if not isinstance(admitted, Err) or admitted.err_value.problem not in FINAL:
         return admitted
-    if _is_proved(core, DOUBT_PART):
+    if _is_proved(core, FINAL_PART):
         return admitted
-    core.count("refusals_doubted")
+    core.count("refusals_checked")
     await core.prove()
     again = _admit(core, call)
     if not isinstance(again, Err) or _is_proved(core, 1.0):
         return again
-    core.count("refusals_doubted.unproved")
+    core.count("refusals_checked.unproved")
     return Err(unproved(core.fleet.catalog, call.deadline - core.clock.now()))
 
 
--- a/src/spanshunt/platform/operator_records.py
+++ b/src/spanshunt/platform/operator_records.py
@@ -14,10 +14,10 @@
 from ..systems.eras import awaits_operators
 from ..systems.following_workers import follows_operators
 from ..systems.following_workers import is_served
-from ..systems.proving import LOOK_PART
+from ..systems.proving import PROBE_PART
 from ..systems.proving import is_first
 from ..systems.proving import is_proved
-from ..systems.proving import must_look
+from ..systems.proving import must_probe
 from ..systems.proving import prove_catalog
 from . import wire
 from .record_taking import RecordTaker
@@ -40,7 +40,7 @@
 dead."""
 
 WAIT_GRACE_S = 0.1
-"""How much later than a look a read that waits may bring the same record, in s."""
+"""How much later than a probe a read that waits may bring the same record, in s."""
 
 AGAIN_MS = 1_000
 """How long such a read waits after the store came back from a copy, in ms, until what
@@ -73,14 +73,14 @@
         self._taker = RecordTaker(reader, tell_now)
         self._due = asyncio.Event()
         self._wait: Wait | None = None
-        self._look_due = asyncio.Event()
-        self._looked = asyncio.Event()
+        self._probe_due = asyncio.Event()
+        self._probed = asyncio.Event()
         self._proved: bool | None = None
 
     def set_bound(self, in_force_ms: int) -> None:
         """Set within which time a change must be in force, in ms."""
         self._in_force_ms = in_force_ms
-        self._look_ms = int(LOOK_PART * in_force_ms)
+        self._probe_ms = int(PROBE_PART * in_force_ms)
 
     async def look(self) -> None:
         """Look whether this box follows the records or renews its proof; `LOOK_MS`."""
@@ -95,31 +95,31 @@
         if self._wait is not None and first and not self._wait.first:
             self._wait.give_up(self._wait.since)
         overtaken = self._is_overtaken() and is_served(self._fleet, now)
-        if overtaken or must_look(self._fleet, now, self._in_force_ms):
-            self._look_due.set()
+        if overtaken or must_probe(self._fleet, now, self._in_force_ms):
+            self._probe_due.set()
 
     async def prove(self) -> None:
-        """Renew the proof that the catalog is the newest; all that ask share a look.
+        """Renew the proof that the catalog is the newest; all that ask share a probe.
 
         While the store does not serve this box, no question makes it ask.
         """
         if not is_served(self._fleet, self._reader.now()):
             return
-        self._look_due.set()
+        self._probe_due.set()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._look_ms / 1_000):
-                await self._looked.wait()
+            async with asyncio.timeout(self._probe_ms / 1_000):
+                await self._probed.wait()
 
     async def renew(self) -> None:
         """Look at the records' end whenever that is due."""
         while True:
-            await self._look_due.wait()
+            await self._probe_due.wait()
             try:
-                await self._look_at_end()
+                await self._probe_end()
             finally:
-                self._look_due.clear()
-                self._looked.set()
-                self._looked = asyncio.Event()
+                self._probe_due.clear()
+                self._probed.set()
+                self._probed = asyncio.Event()
 
     async def follow(self) -> None:
         """Read all that is newest, then wait for records; begin anew on faults.
@@ -162,7 +162,7 @@
             wait_ms = min(wait_ms, int(WAIT_PART * self._in_force_ms))
         sent = self._fleet.waiting_since = self._reader.now()
         read = self._reader.store.tail(
-            wire.OPERATORS_TOPIC, end, wait_ms, self._look_ms if first else None
+            wire.OPERATORS_TOPIC, end, wait_ms, self._probe_ms if first else None
         )
         self._wait = Wait(end, self._fleet.catalog_version, first, read)
         wait = self._wait
@@ -200,7 +200,7 @@
             return await self._read()
         return got.ok_value.next
 
-    async def _look_at_end(self) -> None:
+    async def _probe_end(self) -> None:
         """Read what came since, on a connection of its own and without a wait."""
         wait, sent = self._wait, self._reader.now()
         since = wait.since if wait is not None else self._fleet.catalog_proof.end
@@ -208,10 +208,10 @@
             await self._read()
             return
         got = await self._reader.store.tail(
-            wire.OPERATORS_TOPIC, since, 0, self._look_ms, fresh=True
+            wire.OPERATORS_TOPIC, since, 0, self._probe_ms, fresh=True
         )
         if isinstance(got, Err):
-            await self._note_not_looked(got.err_value, wait)
+            await self._note_probe_failed(got.err_value, wait)
             return
         self._reader.note_answer()
         tail = got.ok_value
@@ -226,8 +226,8 @@
             wait.version = self._fleet.catalog_version
         prove_catalog(self._fleet, sent, tail.next)
 
-    async def _note_not_looked(self, fault: StoreFault, wait: Wait | None) -> None:
-        """Take in why a look failed; where the place is gone, all is read anew."""
+    async def _note_probe_failed(self, fault: StoreFault, wait: Wait | None) -> None:
+        """Take in why a probe failed; where the place is gone, all is read anew."""
         if fault.problem is not StoreProblem.TRIMMED:
             self._reader.note_failure(fault)
         elif wait is not None:
@@ -248,7 +248,7 @@
         wait.give_up(tail.next)
 
     def _take_found(self, tail: Tail) -> None:
-        """Take records that a look found: this box did not see them come."""
+        """Take records that a probe found: this box did not see them come."""
         for record in tail.records:
             self._taker.take(record.key, record.value, record.offset, seen=False)
         self._tell_now()
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -21,7 +21,6 @@
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
 from ..utils import rendezvous
-from .doubting import is_doubtful
 from .estimating import Effort
 from .estimating import Estimate
 from .estimating import estimator
@@ -29,6 +28,7 @@
 from .estimating import speed_of
 from .evacuating import emptied_domains
 from .keeping import part_key
+from .outages import is_out_of_reach
 from .ramping import VersionRule
 from .warming import may_send_to
 
@@ -219,9 +219,9 @@
     if not rows and wanted.again:
         rows = able
     live = [row for row in rows if row.back_at <= now and row.name not in wanted.silent]
-    doubtful = {domain for domain in fleet.doubts if is_doubtful(fleet, domain, now)}
-    sure = [row for row in live if row.domain not in doubtful] if doubtful else live
-    return sure or live or rows
+    away = {domain for domain in fleet.outages if is_out_of_reach(fleet, domain, now)}
+    near = [row for row in live if row.domain not in away] if away else live
+    return near or live or rows
 
 
 def _filter(fleet: Fleet, wanted: Wanted, now: Millis) -> t.Callable[[WorkerRow], bool]:
--- a/src/spanshunt/systems/proving.py
+++ b/src/spanshunt/systems/proving.py
@@ -3,7 +3,7 @@
 A reading of the operators' records that reached their end proves it as of the moment at
 which the reading began. Boxes tell each other their proofs. A proof grows old where
 every read that waits for records is on a dead connection, or where this box hears of no
-reading; then it is renewed by a short look at the records' end on a new connection.
+reading; then it is renewed by a short probe of the records' end on a new connection.
 """
 
 from ..ids import Millis
@@ -18,14 +18,14 @@
 """How old a proof may grow before it is renewed, in parts of the time within which a
 change must be in force: by the first box of all that hear each other, whose own read
 ends before that, by the first of each failure domain, and by any box. So one box proves
-it for the fleet, however large that is; a domain or a box that is cut off from it looks
-for itself, and what it finds is in force in time."""
+it for the fleet, however large that is; a domain or a box that is cut off from it
+probes for itself, and what it finds is in force in time."""
 
-LOOK_PART = 0.2
-"""Longest that a look may take, as a part of the same time: a slow store answers within
-it, and a second look still fits in."""
+PROBE_PART = 0.2
+"""Longest that a probe may take, as a part of the same time: a slow store answers
+within it, and a second probe still fits in."""
 
-DOUBT_PART = 0.5
+FINAL_PART = 0.5
 """A proof older than this part of the same time is renewed before a request is refused
 for good: nearly all are younger while boxes hear each other."""
 
@@ -77,7 +77,7 @@
     )
 
 
-def must_look(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
+def must_probe(fleet: Fleet, now: Millis, in_force_ms: int) -> bool:
     """Tell whether this box is to renew the proof now.
 
     While the store does not serve it, readings of the workers' list find out when it
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -121,7 +121,7 @@
     active: bool
 
 
-class DomainDoubt(msgspec.Struct):
+class DomainOutage(msgspec.Struct):
     """Workers of a failure domain out of reach since one answered, and when, in ms."""
 
     unreached: dict[WorkerId, Millis] = {}
@@ -247,7 +247,7 @@
         What a worker may get while it is cold.
     evacuations : dict
         What operators said last of each failure domain's workers.
-    doubts : dict
+    outages : dict
         Failure domains of which workers could not be reached just now.
     regions : dict
         The region of each failure domain, as the settings tell it.
@@ -307,7 +307,7 @@
     alone_until: Millis = Millis(0)
     cold_bounds: ColdBounds = ColdBounds()
     evacuations: dict[DomainId, EvacuationRow] = {}
-    doubts: dict[DomainId, DomainDoubt] = {}
+    outages: dict[DomainId, DomainOutage] = {}
     regions: dict[DomainId, RegionId] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
--- a/tests/test_proving.py
+++ b/tests/test_proving.py
@@ -27,7 +27,7 @@
 from spanshunt.systems.proving import READER_PART
 from spanshunt.systems.proving import is_first
 from spanshunt.systems.proving import is_proved
-from spanshunt.systems.proving import must_look
+from spanshunt.systems.proving import must_probe
 from spanshunt.systems.proving import proof_age
 from spanshunt.systems.proving import prove_catalog
 from spanshunt.systems.proving import take_told_proof
@@ -63,7 +63,7 @@
         fleet.catalog_proof = msgspec.structs.replace(
             fleet.catalog_proof, at=Millis(NOW - age)
         )
-        if must_look(fleet, NOW, IN_FORCE_MS):
+        if must_probe(fleet, NOW, IN_FORCE_MS):
             return age / IN_FORCE_MS
     return float("inf")
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -250,7 +250,7 @@
     assert 0 < float(reply.headers["Retry-After"]) <= 2
 
 
-async def test_doubt_is_settled_by_a_look():
+async def test_refusal_for_good_is_checked_by_a_probe():
     """A route that was added just now is served, where the proof is old."""
     async with running_fleet(links=True) as fleet:
         (box,) = fleet.boxes
@@ -264,7 +264,7 @@
         assert known.catalog.version == 11
 
 
-async def test_doubts_of_many_cost_few_calls():
+async def test_checks_of_many_refusals_cost_few_calls():
     """Callers who ask for what is not there must not make a box press the store."""
     async with running_fleet() as fleet:
         (box,) = fleet.boxes
