--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -412,10 +412,10 @@
         near = [peer for peer in ready if peer.domain == fleet.me.domain]
         far = [peer for peer in ready if peer.domain != fleet.me.domain]
         # One before the reader by name is it, if it lives: a box that starts finds the
-        # same one as the others of its domain within a round or two.
-        asked = sorted(
-            (peer for peer in near if peer.box < reader), key=lambda peer: peer.box
-        )[:1]
+        # same one as the others of its domain within a round or two. One that did not
+        # answer is not asked for this again: each round waits for all that it asks.
+        ahead = [p for p in near if p.box < reader and not p.failures]
+        asked = sorted(ahead, key=lambda peer: peer.box)[:1]
         asked += [peer for peer in near if peer.box == reader]
         asked += self._near.draw(near, NEAR_ASKED, now)
         # All of its domain ask the reader: what it hears from others they know at once.
