Soak: callers who leave, seen from the back ends' side

Each thirteenth request's caller leaves after 0.2 s, while its worker holds it for a second: the worker must see its connection close before it would answer, but for a quarter.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -7,11 +7,13 @@
 from spanshunt.standins.worker import SeenRequest
 
 from .soak_fleet import DEADLY
+from .soak_fleet import HELD_S
 from .soak_fleet import HOST
 from .soak_fleet import IN_FORCE_S
 from .soak_fleet import KEYS
 from .soak_fleet import Sent
 from .soak_fleet import Soak
+from .soak_fleet import held_s
 
 CALLERS = 12
 """Callers that ask at once."""
@@ -37,6 +39,13 @@
 """A content under which three workers ended may reach so many more, sent this long
 after the third, in s: where only the list shows an end, it does within two."""
 
+LEAVES_AFTER_S = 0.2
+"""How long after it asked a caller leaves that does, in s."""
+
+LEFT_PART, LEFT_LEAST = 0.25, 8
+"""Part of the requests that callers left which workers may go on with, and how many of
+them tell."""
+
 PROBES = 0.2
 """Part of the requests that ask for routes that come and go, or never were."""
 
@@ -73,7 +82,8 @@
             "Session": f"s-{number % SESSIONS}",
         }
     url = f"http://{box.callers}/{path}/x"
-    timeout = aiohttp.ClientTimeout(total=4.0)
+    leaves = held_s(sent.request) > 0.0 and not sent.deadly
+    timeout = aiohttp.ClientTimeout(total=LEAVES_AFTER_S if leaves else 4.0)
     try:
         body = DEADLY if sent.deadly else None
         async with http.post(url, headers=headers, data=body, timeout=timeout) as resp:
@@ -83,8 +93,10 @@
             _check_answer(soak, sent, resp, found)
             sent.ended = soak.now()
             _check_refusal(soak, sent)
-    except (aiohttp.ClientError, TimeoutError, OSError):
+    except (aiohttp.ClientError, TimeoutError, OSError) as exc:
         sent.status = -1
+        if leaves and isinstance(exc, TimeoutError):
+            sent.left = soak.now()
     sent.ended = soak.now()
 
 
@@ -143,6 +155,7 @@
         for request in worker.ran:
             _check_session(soak, worker.version, request)
     _check_kept_back(soak)
+    _check_left(soak)
     for version in soak.bad_versions:
         _check_exposure(soak, version)
     for request, count in runs.items():
@@ -216,6 +229,27 @@
         soak.fail("kept back", f"{len(late)} more reached workers: {late[:4]}")
 
 
+def _check_left(soak: Soak) -> None:
+    """Check that workers are told of callers who left, by boxes that could know.
+
+    A worker that holds such a request sees its connection close before it would answer.
+    """
+    went_on, told = [], 0
+    for worker in soak.workers.values():
+        for request in set(worker.ran):
+            sent = soak.sent.get(request)
+            if sent is None or sent.left == float("inf") or sent.path == "once":
+                continue
+            if not sent.box.is_calm(sent.at, sent.left + HELD_S):
+                continue
+            told += request in worker.cancelled
+            if request not in worker.cancelled:
+                went_on.append(request)
+    known = told + len(went_on)
+    if known >= LEFT_LEAST and len(went_on) > LEFT_PART * known:
+        soak.fail("left", f"workers went on with {len(went_on)} of {known}")
+
+
 def _check_exposure(soak: Soak, version: str) -> None:
     """Check that a version which goes on failing gets no more from calm boxes."""
     workers = [worker for worker in soak.workers.values() if worker.version == version]
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -48,6 +48,20 @@
 """Each organisation's credential."""
 
 
+LEAVES_EACH = 13
+"""Of so many requests one caller leaves."""
+
+HELD_S = 1.0
+"""How long workers hold a request whose caller leaves, in s: twice the time in which
+they must be told."""
+
+
+def held_s(request: str) -> float:
+    """Return how long workers hold a request, in s: those whose callers leave."""
+    number = request.removeprefix("try-")
+    return HELD_S if number.isdigit() and int(number) % LEAVES_EACH == 0 else 0.0
+
+
 @dataclass
 class BoxProcess:
     """One daemon: its process, its ways to the store and from its peers, its troubles.
@@ -98,7 +112,7 @@
 
 @dataclass
 class Sent:
-    """One request of a caller, and what came of it."""
+    """One request of a caller, and what came of it; ``left`` is when it went away."""
 
     request: str
     path: str
@@ -109,6 +123,7 @@
     ended: float = float("inf")
     status: int = 0
     deadly: bool = False
+    left: float = float("inf")
 
 
 @dataclass
@@ -243,6 +258,7 @@
     worker.sureness = {"small": soak.rng.randrange(100), "large": 90}
     worker.born = round(time.time() * 1_000)
     worker.ends_on = DEADLY
+    worker.holds = held_s
     worker.on_end = lambda: take_deadly_end(soak, name)
     await worker.start()
     if sum(known == service for known in soak.services.values()) % 2:
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -95,6 +95,9 @@
     "unchecked": Mutation(
         "catalog_entry.py", "if _is_proved(core, FINAL_PART):", "if True:"
     ),
+    "left": Mutation(
+        "platform/front.py", "handler_cancellation=True", "handler_cancellation=False"
+    ),
     "revoked": Mutation(
         "catalog_taking.py",
         "catalog.version <= fleet.catalog.version",
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -88,6 +88,7 @@
         self.born = 0
         self.ends_on = b""
         self.ends_after_s = 0.02
+        self.holds: t.Callable[[str], float] = lambda _request: 0.0
         self.on_end: t.Callable[[], None] = lambda: None
         self.events = 4
         self.event_s = 0.0
@@ -197,6 +198,10 @@
             self.end()
             self.on_end()
             return False
+        held_s = self.holds(seen.request)
+        if held_s and await self._closed_within(reader, held_s):
+            self.cancelled.append(seen.request)
+            return False
         if fault is WorkerFault.ERROR:
             self.failed_at.append(asyncio.get_running_loop().time())
         if fault is WorkerFault.MUTE:
