--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -176,6 +176,22 @@
     assert run(playing)
 
 
+async def order(play: Play, version: str) -> None:
+    """Order a version, as operators do."""
+    body = {"Backend": "writer", "TargetVersion": version, "DurationS": 24.0}
+    key = wire.ROLLOUT_PREFIX + "writer"
+    await play.store.put(wire.OPERATORS_TOPIC, key, body)
+
+
+async def time_to_know(play: Play) -> float:
+    """Order a version; return when all boxes know of the order, in s."""
+    begun = play.since()
+    await order(play, "v2")
+    while not all(box.fleet.rollouts.rows for box in play.boxes.values()):
+        await asyncio.sleep(0.02)
+    return play.since() - begun
+
+
 def test_exchanges_between_domains_do_not_grow_with_the_boxes():
     """Each box asked another domain in each round: 2.5 times a second, whatever there
     was to tell. Bytes between domains are priced."""
@@ -195,13 +211,7 @@
 
     async def playing(play: Play) -> float:
         await asyncio.sleep(5.0)
-        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 24.0}
-        key = wire.ROLLOUT_PREFIX + "writer"
-        begun = play.since()
-        await play.store.put(wire.OPERATORS_TOPIC, key, body)
-        while not all(box.fleet.rollouts.rows for box in play.boxes.values()):
-            await asyncio.sleep(0.02)
-        return play.since() - begun
+        return await time_to_know(play)
 
     assert run(playing) <= 2.0
 
@@ -220,9 +230,7 @@
         for box in play.boxes.values():
             box.store.waited.clear()
         for number in range(records):
-            body = {"Backend": "writer", "TargetVersion": f"v{number + 2}"}
-            key = wire.ROLLOUT_PREFIX + "writer"
-            await play.store.put(wire.OPERATORS_TOPIC, key, {**body, "DurationS": 24.0})
+            await order(play, f"v{number + 2}")
             await asyncio.sleep(0.5)
         topic = wire.OPERATORS_TOPIC
         return sum(box.store.waited[topic] for box in play.boxes.values())
@@ -239,12 +247,6 @@
             names = sorted(n for n, at in play.places.items() if at == domain)
             for name in names[:2]:
                 await play.stop_box(name)
-        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 24.0}
-        key = wire.ROLLOUT_PREFIX + "writer"
-        begun = play.since()
-        await play.store.put(wire.OPERATORS_TOPIC, key, body)
-        while not all(box.fleet.rollouts.rows for box in play.boxes.values()):
-            await asyncio.sleep(0.02)
-        return play.since() - begun
+        return await time_to_know(play)
 
     assert run(playing) <= 4.0
