A worker's word on the rate that it takes is read and logged

What a worker in need says of itself stood in its answers' heads and no box read it: logs, metrics and /fleet could not tell whether boxes did not know of a limit, or knew and sent on. Each answer's word is now decoded into a Notice, kept in the worker's row with its time and who heard it, and logged when it changes; what is no decimal number is logged once a worker and tells nothing. An answer without a limit ends the one known only if its request was sent after that was heard: two answers may cross. The stand-in of a worker can say headers in all its answers. No choice of a worker is changed.

--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -19,6 +19,7 @@
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
 from spanshunt.systems.worker_health import Load
+from spanshunt.tables.notices import Notice
 
 PACES = {"small": 0.3, "middle": 0.8, "large": 3.0}
 """Steps of each model, as parts of the engines' own."""
@@ -162,6 +163,7 @@
     flaw = ""
     confidence: float | None = None
     load: Load | None = None
+    notice = Notice()
 
     def __init__(self) -> None:
         self.headers: CIMultiDict[str] = CIMultiDict()
@@ -193,6 +195,7 @@
         low, high = SURENESS[dispatch.model]
         self.confidence: float | None = engine.rng.uniform(low, high)
         self.load: Load | None = Load(engine.running, 0, 128)
+        self.notice = Notice()
         self._engine = engine
         self._model = dispatch.model
         self._slow_x = slow_x
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -58,6 +58,7 @@
 from .systems.worker_health import note_load
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
+from .worker_notices import note_notice
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run and never will."""
@@ -256,9 +257,9 @@
 
 
 def _note_head(
-    core: Core, _state: CatalogRequest, attempt: CatalogAttempt, found: Answer
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, found: Answer
 ) -> None:
-    """Take in that a worker answers, its load, and that it may be another one now."""
+    """Take in that a worker answers, what it says, and that it may be another one."""
     now = core.clock.now()
     attempt.answered = True
     attempt.worker.heard_at = now
@@ -266,6 +267,7 @@
     note_return(core.fleet, attempt.worker, now)
     if found.load is not None:
         note_load(attempt.worker, found.load, now)
+    note_notice(core, state, attempt, found)
     if found.replaced:
         note_replaced(core.fleet, attempt.worker)
 
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -281,6 +281,10 @@
         return f"cold for {row.cold_until - now} ms; gets little"
     if row.back_at > now:
         return f"failed {row.failures} times; out for {row.back_at - now} ms"
+    limit = row.limit
+    if limit is not None and limit.per_s is not None:
+        age = now - limit.at
+        return f"takes {limit.per_s} a second; {limit.source} heard it {age} ms ago"
     if row.name in fleet.missing:
         return "kept, though its entry lapsed with the store"
     return ""
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -16,6 +16,7 @@
 from .ports import CutAnswerError
 from .ports import SendFault
 from .systems.worker_health import Load
+from .tables.notices import Notice
 
 READ_BYTES_MOST = 16_777_216
 """Longest answer that is read whole before it is given, in bytes: a box has some 100 MB
@@ -101,6 +102,7 @@
         self.flaw = ""
         self.confidence: float | None = None
         self.load: Load | None = None
+        self.notice = Notice()
 
     async def read(self) -> bytes:
         """Return the whole body, or raise ``BrokenAnswerError``."""
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import re
 import typing as t
 
 import msgspec
@@ -70,6 +71,9 @@
 LOAD = "Instance-Load"
 SURENESS = "Confidence"
 RETRY_AFTER = "Retry-After"
+RATE_LIMIT = "Server-Limit"
+"""Requests a second that a worker takes from all boxes together, in its answers."""
+
 ERA = "Store-Era"
 """How often the store came back from a copy, in each of its answers."""
 
@@ -298,6 +302,9 @@
 """Longest time that a worker may say it is slow for, in ms: ten minutes are longer than
 any model takes to load."""
 
+FLAW_SHOWN = 60
+"""Characters of a header that can't be used which a log line shows at most."""
+
 WHOLE_DIGITS = 15
 """Digits that a whole number in a header may have: more than any time or size needs."""
 
@@ -310,6 +317,20 @@
     return int(found)
 
 
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{0,20})?", re.ASCII)
+
+
+def decode_rate(texts: t.Sequence[str]) -> Result[float | None, str]:
+    """Decode the limits that an answer names: none, or one decimal number."""
+    if not texts:
+        return Ok(None)
+    text = texts[0].strip()
+    if len(texts) == 1 and _DECIMAL.fullmatch(text):
+        return Ok(float(text))
+    found = ", ".join(texts)[:FLAW_SHOWN]
+    return Err(f"{RATE_LIMIT} is {found!r}; one decimal number is allowed")
+
+
 T = t.TypeVar("T")
 
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -21,6 +21,7 @@
 from ..ports import Dispatch
 from ..ports import SendFault
 from ..systems.worker_health import Load
+from ..tables.notices import Notice
 from . import wire
 
 CONNECT_TIMEOUT_S = 0.4
@@ -73,6 +74,7 @@
         self.confidence = _sureness(resp.headers.get(wire.SURENESS))
         self.load = _load(resp.headers.get(wire.LOAD))
         self.flaw = _flaw(resp, request)
+        self.notice = _notice(resp)
 
 
 class WorkerClient:
@@ -151,6 +153,14 @@
     return ""
 
 
+def _notice(resp: aiohttp.ClientResponse) -> Notice:
+    """Decode what a worker says of itself; what can't be read is named."""
+    per_s = wire.decode_rate(resp.headers.getall(wire.RATE_LIMIT, []))
+    if isinstance(per_s, Err):
+        return Notice(flaw=per_s.err_value)
+    return Notice(per_s.ok_value)
+
+
 def _sureness(text: str | None) -> float | None:
     try:
         return min(1.0, max(0.0, float(text) / 100)) if text else None
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -16,6 +16,7 @@
 from .systems.cascading import RequestTokens
 from .systems.worker_health import Load
 from .tables.engines import PromptPart
+from .tables.notices import Notice
 from .tables.workers import WorkerRow
 
 
@@ -157,6 +158,8 @@
         How sure the model is, in 0 to 1.
     load : Load or None
         What the worker says of its load.
+    notice : Notice
+        What else it says of itself.
     """
 
     status: int
@@ -166,6 +169,7 @@
     flaw: str
     confidence: float | None
     load: Load | None
+    notice: Notice
 
     async def read(self) -> bytes:
         """Return the whole body, or raise ``BrokenAnswerError``."""
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -68,7 +68,8 @@
 
     ``fault`` strikes ``fault_share`` of its requests; ``failed_at`` tells when it gave
     failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
-    when it has run for ``ends_after_s``, and ``on_end`` is called then.
+    when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
+    headers that it puts into all its answers.
 
     Parameters
     ----------
@@ -93,6 +94,7 @@
         self.events = 4
         self.event_s = 0.0
         self.sureness: dict[str, int] = {}
+        self.says: dict[str, str] = {}
         self.seen: list[SeenRequest] = []
         self.ran: list[str] = []
         self.cancelled: list[str] = []
@@ -182,12 +184,13 @@
         if fault is WorkerFault.DROP:
             return False
         if expected != self.name or fault is WorkerFault.REPLACED:
-            writer.write(_head(421, seen.request, length=0, sealed=False))
+            writer.write(self._head(421, seen.request, length=0, sealed=False))
             await writer.drain()
             return True
         if fault is WorkerFault.FULL:
             extra = {"Not-Executed": "1"}
-            writer.write(_head(503, seen.request, length=0, sealed=False, extra=extra))
+            head = self._head(503, seen.request, length=0, sealed=False, extra=extra)
+            writer.write(head)
             await writer.drain()
             return True
         self.ran.append(seen.request)
@@ -219,14 +222,14 @@
         request = "someone-else" if fault is WorkerFault.OTHER else seen.request
         sealed = fault is not WorkerFault.UNSEALED
         if fault is WorkerFault.RESET:
-            writer.write(_head(status, request, length=None, sealed=sealed))
+            writer.write(self._head(status, request, length=None, sealed=sealed))
             writer.write(body[:5])
             await writer.drain()
             # What was written must be on its way before the reset drops the rest.
             await asyncio.sleep(0.02)
             reset(t.cast(asyncio.Transport, writer.transport))
             return False
-        answer = _head(status, request, length=len(body), sealed=sealed) + body
+        answer = self._head(status, request, length=len(body), sealed=sealed) + body
         writer.write(answer)
         if fault is WorkerFault.EXTRA:
             writer.write(SURPLUS)
@@ -249,7 +252,7 @@
         sure = self.sureness.get(seen.headers["model"])
         if sure is not None:
             extra["Confidence"] = str(sure)
-        writer.write(_head(status, seen.request, None, sealed=sealed, extra=extra))
+        writer.write(self._head(status, seen.request, None, sealed=sealed, extra=extra))
         begin = int(seen.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(begin, self.events + 1)):
             event = f"id: {number}\ndata: {seen.request}/{number}\n\n".encode()
@@ -274,6 +277,19 @@
         await writer.drain()
         return True
 
+    def _head(
+        self,
+        status: int,
+        request: str,
+        length: int | None,
+        *,
+        sealed: bool,
+        extra: dict[str, str] | None = None,
+    ) -> bytes:
+        """Return an answer's head, with what this worker says of itself."""
+        headers = {**(extra or {}), **self.says}
+        return _head(status, request, length, sealed=sealed, extra=headers)
+
     async def _until_closed(
         self, seen: SeenRequest, reader: asyncio.StreamReader
     ) -> None:
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -12,6 +12,7 @@
 from ..ids import VersionId
 from ..ids import WorkerId
 from .engines import KeptParts
+from .notices import RateLimit
 
 
 class WorkerState(enum.Enum):
@@ -90,6 +91,10 @@
         Whether the list said so when it was last taken in.
     cold_sent_at : int
         When this box last sent it a request while it was cold, in ms; -1 for never.
+    limit : RateLimit or None
+        Its newest word on the rate that it takes; None while it never named one.
+    notice_flaw : str
+        The first thing that it said of itself and that can't be used; empty for none.
     """
 
     name: WorkerId
@@ -122,6 +127,8 @@
     cold_until: Millis = Millis(0)
     cold_listed: bool = False
     cold_sent_at: Millis = Millis(-1)
+    limit: RateLimit | None = None
+    notice_flaw: str = ""
 
     @property
     def life(self) -> LifeId:
--- /dev/null
+++ b/src/spanshunt/worker_notices.py
@@ -0,0 +1,70 @@
+"""What workers say of themselves in their answers: taken in, and logged as it changes.
+
+A worker says the same in each of its answers, so a line is written only when it says
+something else.
+"""
+
+from .catalog_state import CatalogAttempt
+from .catalog_state import CatalogRequest
+from .catalog_state import Core
+from .logs import log_event
+from .ports import Answer
+from .systems.throttling import is_over
+from .systems.throttling import take_limit
+from .tables.notices import Notice
+from .tables.notices import RateLimit
+from .tables.workers import WorkerRow
+
+
+def note_notice(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, found: Answer
+) -> None:
+    """Take in what an answer says of the worker that it was asked of.
+
+    One that is another request's may be old, one that is another worker's tells nothing
+    of this one.
+    """
+    if found.flaw or found.replaced:
+        return
+    notice, worker = found.notice, attempt.worker
+    if notice.flaw:
+        _log_flaw(state, worker, notice)
+        return
+    if notice.per_s is not None or is_over(worker, attempt.sent):
+        me = core.fleet.me.box
+        limit = RateLimit(notice.per_s, core.clock.now(), me)
+        before = worker.limit
+        if take_limit(worker, limit):
+            core.count("worker_limits")
+            log_limit(worker, before, request=state.request)
+
+
+def _log_flaw(state: CatalogRequest, worker: WorkerRow, notice: Notice) -> None:
+    """Log the first thing that a worker says of itself and that can't be used."""
+    if worker.notice_flaw:
+        return
+    worker.notice_flaw = notice.flaw
+    log_event(
+        "WARNING",
+        "worker's word can't be used",
+        worker=worker.name,
+        request=state.request,
+        detail=notice.flaw,
+    )
+
+
+def log_limit(
+    worker: WorkerRow, before: RateLimit | None, request: str | None = None
+) -> None:
+    """Log that a worker names another limit than before, or none any more."""
+    limit = worker.limit
+    assert limit is not None
+    log_event(
+        "INFO",
+        "worker limit",
+        worker=worker.name,
+        per_s=limit.per_s,
+        before=before.per_s if before is not None else None,
+        source=limit.source,
+        request=request,
+    )
