--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -60,6 +60,13 @@
     return 0.0
 
 
+class Arrival(t.NamedTuple):
+    """A request as it reached an engine: when, in s from the order, and from where."""
+
+    at: float
+    box: str
+
+
 @dataclass
 class Faults:
     """What can be wrong with an engine's answers; `slow_x` times as long if slow."""
@@ -74,9 +81,10 @@
     """One engine.
 
     ``own`` are faults of this worker, ``version_faults`` those of the version that it
-    runs; ``arrived`` and ``bad_at`` tell when requests came and when bad answers left,
+    runs; ``arrivals`` and ``bad_at`` tell when requests came and when bad answers left,
     in seconds from the order. A request whose body is ``ends_on`` ends it as soon as it
-    runs, and ``on_end`` is called then.
+    runs, and ``on_end`` is called then. ``notice`` is what its answers say of it;
+    ``limit_told_at`` tells when each run of a box first got one that names a limit.
     """
 
     name: str
@@ -90,16 +98,29 @@
     version_faults: Faults = field(default_factory=Faults)
     running: int = 0
     gone: bool = False
-    arrived: list[float] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
     bad_at: list[float] = field(default_factory=list)
     content_at: list[float] = field(default_factory=list)
-
-    async def send(self, dispatch: Dispatch) -> Result[Answer, SendFault]:
-        """Take a request and return the head of its answer."""
+    notice: t.Callable[[], Notice] = Notice
+    limit_told_at: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def arrived(self) -> list[float]:
+        """When requests came, in s from the order."""
+        return [arrival.at for arrival in self.arrivals]
+
+    async def send(self, box: str, dispatch: Dispatch) -> Result[Answer, SendFault]:
+        """Take a request of a run of a box and return the head of its answer."""
+        answered = await self._answer(box, dispatch)
+        if isinstance(answered, Ok) and answered.ok_value.notice.per_s is not None:
+            self.limit_told_at.setdefault(box, self.since())
+        return answered
+
+    async def _answer(self, box: str, dispatch: Dispatch) -> Result[Answer, SendFault]:
         if self.gone:
             detail = "not reached: the worker is gone"
             return Err(SendFault(True, detail, refused=True))
-        self.arrived.append(self.since())
+        self.arrivals.append(Arrival(self.since(), box))
         if self.ends_on and dispatch.call.body == self.ends_on:
             self.content_at.append(self.since())
         route = dispatch.call.path.strip("/")
@@ -138,7 +159,7 @@
 
     async def _fail(self) -> Result[Answer, SendFault]:
         await asyncio.sleep(FAILED_MS / 1_000)
-        return Ok(FailedAnswer())
+        return Ok(FailedAnswer(self.notice()))
 
     def _first_ms(self, dispatch: Dispatch) -> float:
         read = dispatch.call.tokens.read / READ_TOKENS_MS
@@ -163,10 +184,10 @@
     flaw = ""
     confidence: float | None = None
     load: Load | None = None
-    notice = Notice()
 
-    def __init__(self) -> None:
+    def __init__(self, notice: Notice) -> None:
         self.headers: CIMultiDict[str] = CIMultiDict()
+        self.notice = notice
 
     async def read(self) -> bytes:
         """Return its body."""
@@ -195,7 +216,7 @@
         low, high = SURENESS[dispatch.model]
         self.confidence: float | None = engine.rng.uniform(low, high)
         self.load: Load | None = Load(engine.running, 0, 128)
-        self.notice = Notice()
+        self.notice = engine.notice()
         self._engine = engine
         self._model = dispatch.model
         self._slow_x = slow_x
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -172,7 +172,7 @@
             clock=clock,
             rng=rng,
             fleet=self.fleet,
-            send=play.send,
+            send=partial(play.send, me.incarnation),
             probe=play.probe,
             tell_now=lambda: self.exchange.tell_now(),
             bounds=play.repeats,
@@ -229,6 +229,7 @@
     domain: str = ""
     first_status: int = 0
     served: bool = False
+    route: str = ""
 
 
 @dataclass
@@ -268,12 +269,12 @@
         """Return the seconds from the order, negative before it."""
         return asyncio.get_running_loop().time() - self.ordered_at
 
-    async def send(self, dispatch: Dispatch) -> Result[Answer, SendFault]:
-        """Send to an engine."""
+    async def send(self, box: str, dispatch: Dispatch) -> Result[Answer, SendFault]:
+        """Send a request of a run of a box to an engine."""
         engine = self.engines.get(dispatch.worker.name)
         if engine is None:
             return Err(SendFault(True, "not reached: no such worker", refused=True))
-        return await engine.send(dispatch)
+        return await engine.send(box, dispatch)
 
     async def probe(self, worker: WorkerRow) -> Presence:
         """Find out whether an engine is there."""
@@ -333,7 +334,7 @@
     async def _call(self, request: str, session: str) -> None:
         """Ask one box, and another one once more if that fails."""
         route = self.rng.choice(list(ROUTES))
-        asked = Asked(self.since())
+        asked = Asked(self.since(), route=route)
         self.asked.append(asked)
         for attempt in range(2):
             if not self.boxes:
--- a/tests/test_many_boxes.py
+++ b/tests/test_many_boxes.py
@@ -42,7 +42,7 @@
     def strike(self, play: Play, engine: Engine) -> None:
         """Let an engine lose power."""
 
-        async def hang(_dispatch: Dispatch) -> t.Any:
+        async def hang(_box: str, _dispatch: Dispatch) -> t.Any:
             self.tried.append((play.since(), engine.name))
             await asyncio.sleep(CONNECT_S)
             fault = "not reached: the connection did not come up"
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -1,6 +1,8 @@
 """Workers in need, which name the requests a second that they take from all boxes."""
 
 import pytest
+from bench.limits import Need
+from bench.limits import play_limits
 from loguru import logger
 
 from fleet_builders import make_worker
@@ -42,6 +44,15 @@
     logger.remove(sink)
 
 
+# Guards against boxes that send a worker in need as much as before it named its limit.
+@pytest.mark.parametrize("boxes", [1, 6, 61])
+@pytest.mark.parametrize("need", list(Need), ids=lambda need: need.name.lower())
+def test_worker_gets_no_more_than_the_rate_that_it_named(need, boxes):
+    outcome = play_limits(need, boxes, seed=1)
+    assert outcome.over <= 0, outcome
+    assert not outcome.broken
+
+
 @pytest.mark.parametrize(
     ("texts", "per_s"),
     [([], None), (["1.7"], 1.7), (["12"], 12.0), ([" 0 "], 0.0), (["0.25"], 0.25)],
