Boxes keep together to the rate that a worker in need names

Cause: a worker's word on itself had no table.

A word is of one life of a worker, carries its time and who heard it, is told to peers, ends by an answer to a request sent after it; a limit of 0 is asked a quarter of a time a second in all. Where grants are short the more urgent take them first and none is starved. While none takes more, callers are refused at once and told when this box's next grant opens.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -50,6 +50,7 @@
 from .systems.recognising import fingerprint_of
 from .systems.repeats import note_repeat
 from .systems.repeats import note_request
+from .systems.throttling import note_sent as note_limited_sent
 from .systems.timing import ALIVE_FACTOR
 from .systems.timing import first_limit_ms
 from .systems.timing import is_alive
@@ -130,6 +131,7 @@
     _note_prompt(core, state, attempt)
     cold = is_cold(attempt.worker, core.clock.now())
     note_sent(attempt.worker, core.clock.now())
+    note_limited_sent(core.fleet, attempt.worker, core.clock.now())
     attempt.repeat = state.sends > state.unreached
     if attempt.repeat:
         note_repeat(core.fleet, attempt.service, core.clock.now())
@@ -152,6 +154,7 @@
         load=round(attempt.load, 2),
         load_age_ms=attempt.report_age_ms,
         candidates=attempt.candidates,
+        passed_over=attempt.passed_over,
         cold=cold,
         send=state.sends + 1,
         left_ms=state.limit - attempt.sent,
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -46,6 +46,8 @@
         What its prompt asks of the engine; None for plain requests.
     expected : Estimate
         What it was expected to meet there.
+    passed_over : tuple of str
+        Workers that were left out for a limit that they name, for the log.
     slow : bool
         Whether it was found several times slower than usual.
     first_at : int
@@ -65,6 +67,7 @@
     rule: VersionRule = VersionRule()
     effort: Effort | None = None
     expected: Estimate = Estimate()
+    passed_over: tuple[str, ...] = ()
     slow: bool = False
     first_at: Millis = Millis(-1)
     gaps: int = 0
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -19,6 +19,7 @@
 from .peers.news import SilenceNews
 from .peers.news import news_talks
 from .peers.news_rows import evacuations_news
+from .peers.news_rows import limits_news
 from .peers.news_rows import listed
 from .peers.news_rows import readings_news
 from .peers.news_rows import reads_news
@@ -40,6 +41,7 @@
 from .rollout_lines import log_verdict
 from .systems.eras import take_era
 from .systems.evacuating import take_evacuation
+from .systems.fleet_size import box_count
 from .systems.following_workers import is_served
 from .systems.following_workers import list_digest
 from .systems.following_workers import named_followers
@@ -59,7 +61,6 @@
 from .systems.silence import is_silent
 from .systems.silence import newest_silences
 from .systems.silence import note_silence
-from .systems.warming import box_count
 from .tables.fleet import CatalogProof
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
@@ -68,6 +69,7 @@
 from .tables.settings_state import ToldSettings
 from .tables.suspects import Suspect
 from .tables.workers import WorkerRow
+from .worker_notices import take_limit_news
 
 NEAR_ASKED, FAR_ASKED = 1, 1
 """Peers of this and of other failure domains asked in a round, beside the box that
@@ -217,6 +219,7 @@
             kept_digest=kept_digest(fleet),
             kept_known=fleet.kept_known,
             followers=named_followers(fleet, now) if domain == fleet.me.domain else (),
+            limits=limits_news(fleet, now),
             evacuations=evacuations_news(fleet),
             boxes=box_count(fleet),
             store_era=fleet.store.era,
@@ -283,6 +286,7 @@
         if news.kept_known and news.kept_digest == kept_digest(fleet):
             fleet.kept_known = True
         take_engine_news(fleet, news, now)
+        take_limit_news(fleet, news, told_at, now)
 
     def _told_at(self, news: News, asked_at: Millis | None) -> Millis | None:
         """Return when a peer told this at the earliest, by this box's clock.
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -182,6 +182,28 @@
     shared: tuple[tuple[str, int], ...]
 
 
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """A worker's word on the rate that it takes from all boxes, as the teller knows it.
+
+    Attributes
+    ----------
+    worker, born
+        The worker, and when its life began.
+    per_s : float
+        Requests a second; -1 once it names no limit any more.
+    age_ms : int
+        How long ago it was heard.
+    source : str
+        The box that heard it.
+    """
+
+    worker: WorkerId
+    born: int
+    per_s: float
+    age_ms: int
+    source: BoxId
+
+
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
     """A content under which workers ended, as the teller knows it.
 
@@ -267,6 +289,8 @@
     followers : tuple of str
         Who follows the operators' records in the teller's failure domain, where it is
         the first by name there.
+    limits : tuple of LimitNews
+        What workers said of the rates that they take, the newest.
     evacuations : tuple of EvacuationNews
         Failure domains that operators emptied, or gave back.
     boxes : int
@@ -319,6 +343,7 @@
     settings_waiting: bool = False
     kept_known: bool = False
     followers: tuple[BoxId, ...] = ()
+    limits: tuple[LimitNews, ...] = ()
 
 
 class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -8,6 +8,7 @@
 from ..systems.following_workers import ListedWorker
 from ..systems.quarantining import told_suspects
 from ..systems.tallies import add_up
+from ..systems.throttling import newest_limits
 from ..tables.fleet import EvacuationRow
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
@@ -23,6 +24,7 @@
 from ..tables.workers import WorkerRow
 from .news import AgainstNews
 from .news import EvacuationNews
+from .news import LimitNews
 from .news import ReadingNews
 from .news import ReadNews
 from .news import RolloutNews
@@ -239,6 +241,20 @@
     )
 
 
+def limits_news(fleet: Fleet, now: Millis) -> tuple[LimitNews, ...]:
+    """Return what workers said of the rates that they take."""
+    return tuple(
+        LimitNews(
+            worker=heard.worker.name,
+            born=heard.worker.born,
+            per_s=-1.0 if heard.limit.per_s is None else heard.limit.per_s,
+            age_ms=now - heard.limit.at,
+            source=heard.limit.source,
+        )
+        for heard in newest_limits(fleet, now)
+    )
+
+
 def evacuations_news(fleet: Fleet) -> tuple[EvacuationNews, ...]:
     """Return what operators said last of each failure domain."""
     return tuple(
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -24,17 +24,20 @@
 from .systems.cascading import plan_models
 from .systems.estimating import Effort
 from .systems.estimating import Estimate
-from .systems.placing import Placed
 from .systems.placing import Wanted
+from .systems.placing import limited_ones
+from .systems.placing import next_grant_ms
 from .systems.placing import place
 from .systems.quarantining import is_suspected
 from .systems.quarantining import may_be_sent
 from .systems.ramping import VersionRule
 from .systems.ramping import version_for
 from .systems.silence import silent_workers
+from .systems.throttling import has_limits
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
 from .utils import unit_hash
+from .worker_notices import limit_words
 
 RETRY_AIM_PART = 0.2
 """When to come back after a refusal, as a part of the route's aim: a second try must
@@ -44,6 +47,11 @@
 """Bounds of the time to come back, in ms."""
 
 
+LIMITED_MOST_MS = 3_000
+"""Longest wait that a refusal tells for the next grant at this box's workers, in ms: of
+many boxes one has a grant sooner, and a caller comes back to any of them."""
+
+
 def plan(core: Core, state: CatalogRequest) -> Result[CatalogAttempt, Refusal]:
     """Choose service, version, model and worker for the next attempt."""
     kept = _kept_back(core, state)
@@ -55,10 +63,11 @@
     state.service = service.name
     rule = _version_rule(core, state)
     model = _model(core, state, service, rule)
-    placed = _place(core, state, service, rule, model)
+    eager = _is_eager(core, state)
+    wanted = _wanted(core, state, service, rule, model, eager=eager)
+    placed = place(core.fleet, wanted, core.clock.now(), core.rng)
     if placed is None:
-        detail = f"no worker of {service.name} takes work now"
-        return Err(_no_worker(core, state, detail))
+        return Err(_none_takes(core, state, wanted))
     return Ok(
         CatalogAttempt(
             worker=placed.worker,
@@ -70,6 +79,7 @@
             rule=rule,
             effort=_effort(state, service, model),
             expected=placed.expected or Estimate(),
+            passed_over=_passed_over(core, wanted),
         )
     )
 
@@ -167,9 +177,12 @@
 ) -> Prospect:
     """Return what asking the largest model next means."""
     rule = _version_rule(core, state) if rule is None else rule
-    placed = _place(core, state, service, rule, state.admitted.route.models[-1])
+    largest = state.admitted.route.models[-1]
+    wanted = _wanted(core, state, service, rule, largest, eager=False)
+    placed = place(core.fleet, wanted, core.clock.now(), core.rng)
     found = placed.expected if placed is not None else None
-    return Prospect(found or Estimate(), core.clock.now() - state.began)
+    spent_ms = core.clock.now() - state.began
+    return Prospect(found or Estimate(), spent_ms, possible=placed is not None)
 
 
 def _effort(
@@ -182,17 +195,18 @@
     return Effort(service, named, call.tokens.read, call.shared)
 
 
-def _place(
+def _wanted(
     core: Core,
     state: CatalogRequest,
     service: ServiceRow,
     rule: VersionRule,
     model: ModelId,
-) -> Placed | None:
+    *,
+    eager: bool,
+) -> Wanted:
     fleet, route = core.fleet, state.admitted.route
-    now = core.clock.now()
     suspected = is_suspected(fleet, state.fingerprint)
-    wanted = Wanted(
+    return Wanted(
         service=state.service,
         rule=rule,
         domain=fleet.me.domain,
@@ -200,13 +214,54 @@
         aim_ms=route.aim_ms,
         avoid=state.tried,
         again=route.repeatable,
-        silent=silent_workers(fleet, now),
+        silent=silent_workers(fleet, core.clock.now()),
+        eager=eager,
         regions=state.admitted.regions,
         apart=_workers_of_suspects(core, state) if suspected else None,
     )
-    return place(fleet, wanted, now, core.rng)
 
 
-def _no_worker(core: Core, state: CatalogRequest, detail: str) -> Refusal:
-    retry_ms = retry_after(core, state.admitted.route)
+def _is_eager(core: Core, state: CatalogRequest) -> bool:
+    """Tell whether a request may take a limited worker's grant as soon as it opens.
+
+    Where grants are short the more urgent are served more often, and none is starved:
+    of a rank below the most urgent one of the service every second request may, of the
+    next every third. A larger model's answer is never worth a grant that another
+    caller could use.
+    """
+    fleet, catalog = core.fleet, core.fleet.catalog
+    if catalog is None or not has_limits(fleet, state.service):
+        return True
+    if state.raised:
+        return False
+    below = state.admitted.rank - catalog.most_urgent.get(state.service, 0)
+    return unit_hash("grant", state.request) * (1 + max(0, below)) < 1
+
+
+def _passed_over(core: Core, wanted: Wanted) -> tuple[str, ...]:
+    """Return for the log which workers' words kept a request from them."""
+    if not has_limits(core.fleet, wanted.service):
+        return ()
+    now = core.clock.now()
+    return limit_words(limited_ones(core.fleet, wanted, now), now)
+
+
+def _none_takes(core: Core, state: CatalogRequest, wanted: Wanted) -> Refusal:
+    """Return the refusal of a request that no worker takes now."""
+    fleet, now = core.fleet, core.clock.now()
+    limited = limited_ones(fleet, wanted, now)
+    if not limited:
+        detail = f"no worker of {wanted.service} takes work now"
+        return _no_worker(core, state, detail)
+    core.count("refused_at_limits")
+    wait_ms = next_grant_ms(fleet, limited, wanted, now)
+    names = limit_words(limited, now)
+    detail = f"no worker of {wanted.service} takes more now; limits: {', '.join(names)}"
+    return _no_worker(core, state, detail, min(LIMITED_MOST_MS, wait_ms))
+
+
+def _no_worker(
+    core: Core, state: CatalogRequest, detail: str, wait_ms: int = 0
+) -> Refusal:
+    retry_ms = Millis(wait_ms + retry_after(core, state.admitted.route))
     return Refusal(Problem.NO_WORKER, detail, retry_ms=retry_ms)
--- a/src/spanshunt/systems/cascading.py
+++ b/src/spanshunt/systems/cascading.py
@@ -116,10 +116,13 @@
         What the request meets at the engine that it would go to.
     spent_ms : int
         How long ago the request came, in ms.
+    possible : bool
+        Whether any engine takes it now.
     """
 
     expected: Estimate
     spent_ms: int = 0
+    possible: bool = True
 
 
 def plan_models(
--- a/src/spanshunt/systems/ending.py
+++ b/src/spanshunt/systems/ending.py
@@ -10,6 +10,7 @@
 from ..tables.fleet import Fleet
 from ..tables.suspects import Break
 from ..tables.workers import WorkerRow
+from .throttling import forget_limit
 from .warming import note_started
 
 BREAK_COUNTS_MS = 5_000
@@ -32,6 +33,7 @@
     """Take in that a worker has ended; return the breaks that this explains."""
     worker.ended_at = now
     _forget_life(worker)
+    forget_limit(worker, now)
     note_started(fleet, worker, now)
     for read in [read for read in fleet.prompts_read if read.worker == worker.name]:
         fleet.prompts_read.remove(read)
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -30,6 +30,9 @@
 from .keeping import part_key
 from .outages import is_out_of_reach
 from .ramping import VersionRule
+from .throttling import grant_wait_ms
+from .throttling import is_limited
+from .throttling import may_send_to as has_grant
 from .warming import may_send_to
 
 FAR_COST = 0.35
@@ -84,6 +87,8 @@
         Whether one of these is better than none.
     silent : collection of str
         Workers that boxes found silent.
+    eager : bool
+        Whether it may use a limited worker's grant as soon as that opens.
     regions : tuple of frozenset of str
         Regions that the worker must be in, each of them; an empty one allows any.
     apart : collection of str or None
@@ -99,6 +104,7 @@
     avoid: t.Collection[WorkerId] = ()
     again: bool = False
     silent: t.Collection[WorkerId] = ()
+    eager: bool = True
     regions: tuple[frozenset[RegionId], ...] = ()
     apart: t.Collection[WorkerId] | None = None
 
@@ -213,7 +219,9 @@
     able = [
         row
         for row in fleet.workers.able(wanted.service, wanted.rule.only)
-        if wanted.rule.admits(row.versions) and takes_work(row)
+        if wanted.rule.admits(row.versions)
+        and takes_work(row)
+        and has_grant(fleet, row, now, eager=wanted.eager)
     ]
     rows = [row for row in able if row.name not in wanted.avoid]
     if not rows and wanted.again:
@@ -224,8 +232,28 @@
     return near or live or rows
 
 
+def limited_ones(fleet: Fleet, wanted: Wanted, now: Millis) -> list[WorkerRow]:
+    """Return workers that could answer but for the limit that they name now."""
+    takes_work = _filter(fleet, wanted, now)
+    return [
+        row
+        for row in fleet.workers.able(wanted.service, wanted.rule.only)
+        if is_limited(row)
+        and wanted.rule.admits(row.versions)
+        and takes_work(row)
+        and not has_grant(fleet, row, now, eager=wanted.eager)
+    ]
+
+
+def next_grant_ms(
+    fleet: Fleet, rows: t.Iterable[WorkerRow], wanted: Wanted, now: Millis
+) -> Millis:
+    """Return in how long one of some limited workers takes a request, in ms."""
+    return min(grant_wait_ms(fleet, row, now, eager=wanted.eager) for row in rows)
+
+
 def _filter(fleet: Fleet, wanted: Wanted, now: Millis) -> t.Callable[[WorkerRow], bool]:
-    """Return what tells whether this box may send a worker such a request at all."""
+    """Return what tells whether a worker takes such requests, but for its limit."""
     leaving = fleet.workers.leaving
     emptied = emptied_domains(fleet)
     bound = [allowed for allowed in wanted.regions if allowed]
--- a/src/spanshunt/systems/warming.py
+++ b/src/spanshunt/systems/warming.py
@@ -11,6 +11,8 @@
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
 from ..utils import unit_hash
+from .fleet_size import box_count
+from .fleet_size import may_be_alone
 
 BOUND_PART = 1 / 3
 """Part of what a cold worker may get in a second that boxes send it by plan. The rest
@@ -35,7 +37,7 @@
     if rate <= 0.0:
         return True
     boxes = box_count(fleet)
-    if boxes == 1 and now < fleet.alone_until:
+    if not may_be_alone(fleet, now):
         return False
     if unit_hash("cold", row.name, fleet.me.box) >= rate / boxes:
         return False
@@ -57,11 +59,6 @@
         row.cold_until = max(row.cold_until, Millis(now + service.cold_ms))
 
 
-def box_count(fleet: Fleet) -> int:
-    """Return how many boxes there are, as far as this one heard."""
-    return max(1 + len(fleet.peers), fleet.boxes_told)
-
-
 def _planned_rate(fleet: Fleet, row: WorkerRow) -> float:
     """Return the requests a second that a cold worker is to get; 0 for any number."""
     catalog = fleet.catalog
--- a/src/spanshunt/tables/catalog.py
+++ b/src/spanshunt/tables/catalog.py
@@ -159,6 +159,8 @@
         Routes by host, the longest prefix first; filled in by :func:`index`.
     by_credential : dict
         Organisations by credential; likewise.
+    most_urgent : dict
+        The rank of each service's most urgent route; likewise.
     """
 
     version: int
@@ -168,12 +170,16 @@
     limits: CallerLimits = CallerLimits()
     by_host: dict[str, list[RouteRow]] = {}
     by_credential: dict[str, OrgRow] = {}
+    most_urgent: dict[ServiceId, int] = {}
 
 
 def index(catalog: Catalog) -> Catalog:
     """Fill in the look-up tables of a catalog and return it."""
     for route in sorted(catalog.routes, key=lambda row: -len(row.prefix)):
         catalog.by_host.setdefault(route.host, []).append(route)
+        for share in route.shares:
+            known = catalog.most_urgent.get(share.service, route.rank)
+            catalog.most_urgent[share.service] = min(known, route.rank)
     for org in catalog.orgs:
         for credential in org.credentials:
             catalog.by_credential[credential] = org
--- a/src/spanshunt/tables/notices.py
+++ b/src/spanshunt/tables/notices.py
@@ -38,3 +38,18 @@
     per_s: float | None
     at: Millis
     source: BoxId
+
+
+class Grants(msgspec.Struct):
+    """When this box may send to a worker that names a limit.
+
+    Attributes
+    ----------
+    opens_at : float
+        When the oldest grant that was not used opens, or did, in ms.
+    period_ms : float
+        Time from one grant to the next, in ms.
+    """
+
+    opens_at: float
+    period_ms: float
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -12,6 +12,7 @@
 from ..ids import VersionId
 from ..ids import WorkerId
 from .engines import KeptParts
+from .notices import Grants
 from .notices import RateLimit
 
 
@@ -93,6 +94,10 @@
         When this box last sent it a request while it was cold, in ms; -1 for never.
     limit : RateLimit or None
         Its newest word on the rate that it takes; None while it never named one.
+    grants : Grants or None
+        This box's part of that rate; None while there is no limit.
+    words_from : int
+        From when on words are of this life of it, in ms.
     notice_flaw : str
         The first thing that it said of itself and that can't be used; empty for none.
     """
@@ -128,6 +133,8 @@
     cold_listed: bool = False
     cold_sent_at: Millis = Millis(-1)
     limit: RateLimit | None = None
+    grants: Grants | None = None
+    words_from: Millis = Millis(0)
     notice_flaw: str = ""
 
     @property
