An answer is kept where no worker takes the larger model's request

Found beside the limits: with every engine limited, or cold, a small model's answer was dropped for a larger model's that no engine could be asked for, and its caller got a 502. What asking the larger model means now says whether any engine takes it. The test failed before: the first caller got 502.

--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -48,7 +48,7 @@
     prospect = larger_prospect(core, state, service)
     needed = sureness_needed(core.fleet, route, service, call.tokens, prospect)
     affordable = budget_allows(core, state, for_quality=True)
-    wanted = likely_good(found.confidence) < needed
+    wanted = prospect.possible and likely_good(found.confidence) < needed
     if wanted:
         note_repeat_wanted(core.fleet, service.name, allowed=affordable)
     state.raised = wanted and affordable
@@ -62,6 +62,7 @@
         needed=round(needed, 2),
         budget=affordable,
         raised=state.raised,
+        larger_possible=prospect.possible,
         first_ms=first_ms,
         larger_wait_ms=round(prospect.expected.wait_ms),
         larger_read_ms=round(prospect.expected.read_ms),
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -260,6 +260,18 @@
         assert len(ran) == len(replies) - len(refused)
 
 
+async def test_answer_is_not_dropped_for_a_larger_model_that_no_worker_takes():
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        box.node.fleet.alone_until = ms(0)
+        for worker in fleet.workers.values():
+            worker.sureness = {"small": 1, "middle": 1, "large": 90}
+            worker.says["Server-Limit"] = "0.3"
+        replies = [await fleet.ask(box, "/long/") for _ in range(6)]
+        assert {reply.status for reply in replies} <= {200, 503}
+        assert replies[0].status == 200
+
+
 def test_answer_that_crossed_the_limit_does_not_end_it():
     _, row = limited(at_s=1.0)
     assert not is_over(row, sent=ms(0.9))
