Soak: workers of both services name limits, seen from the back ends' side

A worker of each service names a limit until the end of a schedule; each window of 4 s is held against it, of requests from calm boxes that it had told. What is drawn for it is drawn apart.

--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -110,6 +110,14 @@
     dropped: float = float("inf")
 
 
+class NamedLimit(t.NamedTuple):
+    """A worker that named a limit, in requests a second, until the end, and when."""
+
+    worker: str
+    per_s: float
+    since: float
+
+
 @dataclass
 class Sent:
     """One request of a caller, and what came of it; ``left`` is when it went away."""
@@ -139,7 +147,7 @@
     failure domain emptied, whose workers are ``far``. ``routes`` were added since the
     start, ``probed`` requests asked for them; ``refused_in_trouble`` are proper ones
     that boxes refused for good which something had struck. A ``quiet`` schedule
-    strikes no single box.
+    strikes no single box. ``limits`` were named by workers.
     """
 
     rng: random.Random
@@ -178,6 +186,7 @@
     routes: list[Route] = field(default_factory=list)
     probed: int = 0
     refused_in_trouble: list[str] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
 
     def now(self) -> float:
         """Return the time, in s."""
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -27,6 +27,8 @@
 from .soak_fleet import configure
 from .soak_fleet import start_boxes
 from .soak_fleet import stop_fleet
+from .soak_words import check_words
+from .soak_words import say_words
 
 BOXES = 4
 """Daemons of a soak."""
@@ -66,6 +68,9 @@
     "leaving": Mutation(
         "systems/following_workers.py", "if item.draining and", "if False and"
     ),
+    "limit": Mutation(
+        "systems/throttling.py", "GRANTED_PART = 0.9", "GRANTED_PART = 90.0"
+    ),
     "taken back": Mutation(
         "systems/ramping.py",
         "taken_back = known.verdict is Verdict.ROLLED_BACK",
@@ -125,12 +130,14 @@
         await start_boxes(soak, boxes)
         soak.end = soak.now() + duration
         calling = asyncio.create_task(call_until(soak, soak.end))
+        acts.add(asyncio.create_task(say_words(soak, random.Random(f"words {seed}"))))
         while soak.now() < soak.end - 2.0:
             acts.add(asyncio.create_task(act(soak)))
             await asyncio.sleep(soak.rng.uniform(0.1, 0.6))
         await calling
         await asyncio.gather(*acts)
         check_records(soak)
+        check_words(soak)
         if soak.answered == 0:
             soak.fail("service", "no request was answered")
     finally:
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -63,13 +63,21 @@
     at: float
 
 
+class Said(msgspec.Struct, frozen=True):
+    """What an answer said of the worker: to which request, and when, by the loop."""
+
+    request: str
+    at: float
+    headers: dict[str, str]
+
+
 class WorkerStandin:
     """One worker.
 
     ``fault`` strikes ``fault_share`` of its requests; ``failed_at`` tells when it gave
     failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
-    headers that it puts into all its answers.
+    headers that it puts into all its answers, ``said`` which answers had some.
 
     Parameters
     ----------
@@ -95,6 +103,7 @@
         self.event_s = 0.0
         self.sureness: dict[str, int] = {}
         self.says: dict[str, str] = {}
+        self.said: list[Said] = []
         self.seen: list[SeenRequest] = []
         self.ran: list[str] = []
         self.cancelled: list[str] = []
@@ -287,6 +296,9 @@
         extra: dict[str, str] | None = None,
     ) -> bytes:
         """Return an answer's head, with what this worker says of itself."""
+        if self.says:
+            at = asyncio.get_running_loop().time()
+            self.said.append(Said(request, at, dict(self.says)))
         headers = {**(extra or {}), **self.says}
         return _head(status, request, length, sealed=sealed, extra=headers)
 
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -27,6 +27,7 @@
     [
         ("organisation", ("organisation",), SHORT_S),
         ("proof", OPERATORS_PROMISES, LONGER_S),
+        ("limit", ("limit",), LONGER_S),
     ],
 )
 def test_soak_can_fail(mutation, promises, duration):
