A worker that says it leaves gets nothing more, whatever its entry says

Seen: requests reached a worker 2.2 s and later after a box had passed on an answer with the word that it leaves; the store took no writes for 13 s, so its entry said nothing, and the word in the answers was read by nobody.

The first such answer marks the life of the worker as leaving; no list takes that back, only another life does. Peers are told at once, as a worker's leaving concerns all, with who heard it and how long ago. Lists stay alike between boxes that heard it and those that didn't. Each word of an answer is read by itself: an odd one hides no other.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -19,6 +19,7 @@
 from .peers.news import SilenceNews
 from .peers.news import news_talks
 from .peers.news_rows import evacuations_news
+from .peers.news_rows import leavings_news
 from .peers.news_rows import limits_news
 from .peers.news_rows import listed
 from .peers.news_rows import readings_news
@@ -69,6 +70,7 @@
 from .tables.settings_state import ToldSettings
 from .tables.suspects import Suspect
 from .tables.workers import WorkerRow
+from .worker_notices import take_leaving_news
 from .worker_notices import take_limit_news
 
 NEAR_ASKED, FAR_ASKED = 1, 1
@@ -220,6 +222,7 @@
             kept_known=fleet.kept_known,
             followers=named_followers(fleet, now) if domain == fleet.me.domain else (),
             limits=limits_news(fleet, now),
+            leavings=leavings_news(fleet, now),
             evacuations=evacuations_news(fleet),
             boxes=box_count(fleet),
             store_era=fleet.store.era,
@@ -287,6 +290,7 @@
             fleet.kept_known = True
         take_engine_news(fleet, news, now)
         take_limit_news(fleet, news, told_at, now)
+        take_leaving_news(fleet, news, told_at, now)
 
     def _told_at(self, news: News, asked_at: Millis | None) -> Millis | None:
         """Return when a peer told this at the earliest, by this box's clock.
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -204,6 +204,15 @@
     source: BoxId
 
 
+class LeavingNews(msgspec.Struct, frozen=True, array_like=True):
+    """That a life of a worker said it leaves, how long ago, and the box that heard."""
+
+    worker: WorkerId
+    born: int
+    age_ms: int
+    source: BoxId
+
+
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
     """A content under which workers ended, as the teller knows it.
 
@@ -291,6 +300,8 @@
         the first by name there.
     limits : tuple of LimitNews
         What workers said of the rates that they take, the newest.
+    leavings : tuple of LeavingNews
+        Workers whose answers say that they leave, and whose entries don't yet.
     evacuations : tuple of EvacuationNews
         Failure domains that operators emptied, or gave back.
     boxes : int
@@ -344,6 +355,7 @@
     kept_known: bool = False
     followers: tuple[BoxId, ...] = ()
     limits: tuple[LimitNews, ...] = ()
+    leavings: tuple[LeavingNews, ...] = ()
 
 
 class CatalogAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -6,6 +6,7 @@
 from ..ids import Offset
 from ..systems.estimating import newest_reads
 from ..systems.following_workers import ListedWorker
+from ..systems.following_workers import is_listed_leaving
 from ..systems.quarantining import told_suspects
 from ..systems.tallies import add_up
 from ..systems.throttling import newest_limits
@@ -24,6 +25,7 @@
 from ..tables.workers import WorkerRow
 from .news import AgainstNews
 from .news import EvacuationNews
+from .news import LeavingNews
 from .news import LimitNews
 from .news import ReadingNews
 from .news import ReadNews
@@ -44,6 +46,10 @@
 for about as many bytes as the newest epochs take."""
 
 
+LEAVINGS_TOLD = 32
+"""Workers told in one exchange at most whose answers alone say that they leave."""
+
+
 def workers_news(fleet: Fleet, now: Millis) -> tuple[WorkerNews, ...]:
     """Return the list of workers as the store gave it."""
     return tuple(
@@ -54,7 +60,7 @@
             domain=row.domain,
             versions=tuple(row.versions),
             slots=row.slots,
-            draining=row.name in fleet.workers.leaving,
+            draining=is_listed_leaving(fleet, row),
             born=row.born,
             cold_ms=max(0, row.cold_until - now) if row.cold_listed else 0,
         )
@@ -255,6 +261,16 @@
     )
 
 
+def leavings_news(fleet: Fleet, now: Millis) -> tuple[LeavingNews, ...]:
+    """Return which workers said that they leave, the newest first."""
+    said = [
+        LeavingNews(row.name, row.born, now - row.leaving.at, row.leaving.source)
+        for row in fleet.workers.rows.values()
+        if row.leaving is not None and not row.drain_listed
+    ]
+    return tuple(sorted(said, key=lambda item: item.age_ms)[:LEAVINGS_TOLD])
+
+
 def evacuations_news(fleet: Fleet) -> tuple[EvacuationNews, ...]:
     """Return what operators said last of each failure domain."""
     return tuple(
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -74,6 +74,9 @@
 RATE_LIMIT = "Server-Limit"
 """Requests a second that a worker takes from all boxes together, in its answers."""
 
+LEAVING = "Server-Leaving"
+"""That a worker leaves, in all its answers from then on."""
+
 ERA = "Store-Era"
 """How often the store came back from a copy, in each of its answers."""
 
@@ -331,6 +334,16 @@
     return Err(f"{RATE_LIMIT} is {found!r}; one decimal number is allowed")
 
 
+def decode_leaving(texts: t.Sequence[str]) -> Result[bool, str]:
+    """Decode whether an answer says that its worker leaves."""
+    if not texts:
+        return Ok(False)
+    if len(texts) == 1 and texts[0].strip() == "1":
+        return Ok(True)
+    found = ", ".join(texts)[:FLAW_SHOWN]
+    return Err(f"{LEAVING} is {found!r}; 1 or no such header is allowed")
+
+
 T = t.TypeVar("T")
 
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -21,7 +21,9 @@
 from ..ports import Dispatch
 from ..ports import SendFault
 from ..systems.worker_health import Load
+from ..tables.notices import Flaw
 from ..tables.notices import Notice
+from ..tables.notices import Word
 from . import wire
 
 CONNECT_TIMEOUT_S = 0.4
@@ -155,10 +157,15 @@
 
 def _notice(resp: aiohttp.ClientResponse) -> Notice:
     """Decode what a worker says of itself; what can't be read is named."""
-    per_s = wire.decode_rate(resp.headers.getall(wire.RATE_LIMIT, []))
-    if isinstance(per_s, Err):
-        return Notice(flaw=per_s.err_value)
-    return Notice(per_s.ok_value)
+    headers = resp.headers
+    per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
+    leaving = wire.decode_leaving(headers.getall(wire.LEAVING, []))
+    found = ((Word.LIMIT, per_s.err()), (Word.LEAVING, leaving.err()))
+    return Notice(
+        per_s=per_s.unwrap_or(None),
+        leaving=leaving.unwrap_or(False),
+        flaws=tuple(Flaw(word, detail) for word, detail in found if detail),
+    )
 
 
 def _sureness(text: str | None) -> float | None:
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -15,6 +15,7 @@
 from ..ids import Offset
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
+from ..tables.notices import Leaving
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
 from .warming import note_started
@@ -142,6 +143,7 @@
             row.cold_until = max(row.cold_until, Millis(now + item.cold_ms))
         elif row is fresh:
             note_started(fleet, row, now)
+        row.drain_listed = item.draining
         if item.draining and fresh.name not in workers.leaving:
             _mark_leaving(fleet, fresh.name)
             leaving.append(fresh.name)
@@ -239,6 +241,24 @@
         row.state = WorkerState.LEAVING
 
 
+def note_leaving(fleet: Fleet, row: WorkerRow, word: Leaving) -> bool:
+    """Take in that a worker said it leaves; return whether that is news.
+
+    It holds for this life of the worker, whatever its entry says and for how long.
+    """
+    if row.leaving is not None:
+        return False
+    row.leaving = word
+    _mark_leaving(fleet, row.name)
+    return True
+
+
+def is_listed_leaving(fleet: Fleet, row: WorkerRow) -> bool:
+    """Tell whether a worker leaves by more than its own answers."""
+    leaves = row.name in fleet.workers.leaving
+    return row.drain_listed or (leaves and row.leaving is None)
+
+
 def note_replaced(fleet: Fleet, row: WorkerRow) -> None:
     """Take in that another worker answered at this worker's address: it has ended."""
     _mark_leaving(fleet, row.name)
@@ -353,7 +373,7 @@
 def _digest(fleet: Fleet) -> int:
     said = sorted(
         f"{row.life} {row.address} {row.service} {sorted(row.versions)} "
-        f"{row.name in fleet.workers.leaving} {row.cold_listed}"
+        f"{is_listed_leaving(fleet, row)} {row.cold_listed}"
         for row in fleet.workers.rows.values()
         if row.name not in fleet.missing
     )
--- a/src/spanshunt/tables/notices.py
+++ b/src/spanshunt/tables/notices.py
@@ -1,11 +1,27 @@
 """What backend servers say of themselves at the heads of their answers."""
 
+import enum
+
 import msgspec
 
 from ..ids import BoxId
 from ..ids import Millis
 
 
+class Word(enum.Enum):
+    """What a worker may say of itself."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+
+
+class Flaw(msgspec.Struct, frozen=True):
+    """A word that can't be used: which one, what was found and what is allowed."""
+
+    word: Word
+    detail: str
+
+
 class Notice(msgspec.Struct, frozen=True):
     """What one answer says of its worker, beside the load.
 
@@ -13,13 +29,20 @@
     ----------
     per_s : float or None
         Requests a second that it takes from all boxes together; None where it names no
-        limit.
-    flaw : str
-        What it says that can't be used; empty for nothing. It then tells nothing.
+        limit that can be read.
+    leaving : bool
+        Whether it says that it leaves.
+    flaws : tuple of Flaw
+        What it says that can't be used.
     """
 
     per_s: float | None = None
-    flaw: str = ""
+    leaving: bool = False
+    flaws: tuple[Flaw, ...] = ()
+
+    def is_odd(self, word: Word) -> bool:
+        """Tell whether one of its words is there and can't be used."""
+        return any(flaw.word is word for flaw in self.flaws)
 
 
 class RateLimit(msgspec.Struct, frozen=True):
@@ -40,6 +63,13 @@
     source: BoxId
 
 
+class Leaving(msgspec.Struct, frozen=True):
+    """That a worker said it leaves: when that was heard first, in ms, by which box."""
+
+    at: Millis
+    source: BoxId
+
+
 class Grants(msgspec.Struct):
     """When this box may send to a worker that names a limit.
 
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -13,7 +13,9 @@
 from ..ids import WorkerId
 from .engines import KeptParts
 from .notices import Grants
+from .notices import Leaving
 from .notices import RateLimit
+from .notices import Word
 
 
 class WorkerState(enum.Enum):
@@ -98,8 +100,12 @@
         This box's part of that rate; None while there is no limit.
     words_from : int
         From when on words are of this life of it, in ms.
-    notice_flaw : str
-        The first thing that it said of itself and that can't be used; empty for none.
+    leaving : Leaving or None
+        Its word that it leaves; None while it did not say so.
+    drain_listed : bool
+        Whether its entry in the list says so.
+    odd_words : set of Word
+        Words of it that could not be used.
     """
 
     name: WorkerId
@@ -135,7 +141,9 @@
     limit: RateLimit | None = None
     grants: Grants | None = None
     words_from: Millis = Millis(0)
-    notice_flaw: str = ""
+    leaving: Leaving | None = None
+    drain_listed: bool = False
+    odd_words: set[Word] = set()
 
     @property
     def life(self) -> LifeId:
--- a/src/spanshunt/worker_notices.py
+++ b/src/spanshunt/worker_notices.py
@@ -14,12 +14,16 @@
 from .logs import log_event
 from .peers.news import News
 from .ports import Answer
+from .systems.following_workers import note_leaving
 from .systems.throttling import is_over
 from .systems.throttling import take_limit
 from .systems.throttling import take_told_limit
 from .tables.fleet import Fleet
+from .tables.notices import Flaw
+from .tables.notices import Leaving
 from .tables.notices import Notice
 from .tables.notices import RateLimit
+from .tables.notices import Word
 from .tables.workers import WorkerRow
 
 WORDS_SHOWN = 4
@@ -36,30 +40,61 @@
     """
     if found.flaw or found.replaced:
         return
-    notice, worker = found.notice, attempt.worker
-    if notice.flaw:
-        _log_flaw(state, worker, notice)
+    for flaw in found.notice.flaws:
+        _log_flaw(state, attempt.worker, flaw)
+    _note_limit(core, state, attempt, found.notice)
+    if found.notice.leaving:
+        _note_leaving(core, state, attempt.worker)
+
+
+def _note_limit(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, notice: Notice
+) -> None:
+    worker = attempt.worker
+    if notice.is_odd(Word.LIMIT):
         return
-    if notice.per_s is not None or is_over(worker, attempt.sent):
-        me = core.fleet.me.box
-        limit = RateLimit(notice.per_s, core.clock.now(), me)
-        before = worker.limit
-        if take_limit(core.fleet, worker, limit, limit.at):
-            core.count("worker_limits")
-            log_limit(worker, before, request=state.request)
-
-
-def _log_flaw(state: CatalogRequest, worker: WorkerRow, notice: Notice) -> None:
-    """Log the first thing that a worker says of itself and that can't be used."""
-    if worker.notice_flaw:
+    if notice.per_s is None and not is_over(worker, attempt.sent):
         return
-    worker.notice_flaw = notice.flaw
+    limit = RateLimit(notice.per_s, core.clock.now(), core.fleet.me.box)
+    before = worker.limit
+    if take_limit(core.fleet, worker, limit, limit.at):
+        core.count("worker_limits")
+        log_limit(worker, before, request=state.request)
+
+
+def _note_leaving(core: Core, state: CatalogRequest, worker: WorkerRow) -> None:
+    """Take in that a worker leaves, and tell peers: its entry may say so much later."""
+    word = Leaving(core.clock.now(), core.fleet.me.box)
+    if note_leaving(core.fleet, worker, word):
+        core.count("workers_leaving")
+        _log_leaving(worker, request=state.request)
+        core.tell_now()
+
+
+def _log_flaw(state: CatalogRequest, worker: WorkerRow, flaw: Flaw) -> None:
+    """Log the first word of its kind of a worker that can't be used."""
+    if flaw.word in worker.odd_words:
+        return
+    worker.odd_words.add(flaw.word)
     log_event(
         "WARNING",
         "worker's word can't be used",
         worker=worker.name,
         request=state.request,
-        detail=notice.flaw,
+        detail=flaw.detail,
+    )
+
+
+def _log_leaving(worker: WorkerRow, request: str | None = None) -> None:
+    """Log that a worker said it leaves, who heard it first, and where it stands."""
+    assert worker.leaving is not None
+    log_event(
+        "INFO",
+        "worker leaves",
+        worker=worker.name,
+        source=worker.leaving.source,
+        listed=worker.drain_listed,
+        request=request,
     )
 
 
@@ -107,3 +142,16 @@
         changed = take_told_limit(fleet, told.worker, Millis(told.born), limit, now)
         if changed is not None:
             log_limit(changed, before)
+
+
+def take_leaving_news(
+    fleet: Fleet, news: News, told_at: Millis | None, now: Millis
+) -> None:
+    """Take in which workers told a peer, or one that it heard of, that they leave."""
+    for told in news.leavings:
+        row = fleet.workers.rows.get(told.worker)
+        if row is None or row.born != told.born:
+            continue
+        at = Millis((now if told_at is None else told_at) - told.age_ms)
+        if at >= row.words_from and note_leaving(fleet, row, Leaving(at, told.source)):
+            _log_leaving(row)
