A worker that asks a box for rest gets nothing of it meanwhile

Seen: a worker turned a box away with 503 and Retry-After: 3, and got 11 requests of it in that time where 2 are allowed; other boxes' 7. Its callers waited for a second worker, some got a 502 after three that turned them away. Cause: of a 503 nothing but its status was read, and a worker that turns away at once has nothing running, so each answer made it look the least loaded.

The rest is kept in the row of the worker's life at this box alone, the longest one holds, and candidates() leaves a resting worker out whatever else is left. While all rest, callers are refused at once and told when the first takes requests again.

--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -22,6 +22,7 @@
 from .systems.quarantining import kept_contents
 from .systems.repeats import RepeatBounds
 from .systems.repeats import allowance
+from .systems.resting import rest_left_ms
 from .systems.silence import is_silent
 from .systems.tallies import pooled
 from .systems.warming import is_cold
@@ -281,6 +282,9 @@
         return f"cold for {row.cold_until - now} ms; gets little"
     if row.back_at > now:
         return f"failed {row.failures} times; out for {row.back_at - now} ms"
+    rest_ms = rest_left_ms(row, now)
+    if rest_ms:
+        return f"asked for rest; gets nothing for {rest_ms} ms"
     limit = row.limit
     if limit is not None and limit.per_s is not None:
         age = now - limit.at
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -25,8 +25,8 @@
 from .systems.estimating import Effort
 from .systems.estimating import Estimate
 from .systems.placing import Wanted
-from .systems.placing import limited_ones
-from .systems.placing import next_grant_ms
+from .systems.placing import held_off
+from .systems.placing import open_in_ms
 from .systems.placing import place
 from .systems.quarantining import is_suspected
 from .systems.quarantining import may_be_sent
@@ -37,7 +37,7 @@
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
 from .utils import unit_hash
-from .worker_notices import limit_words
+from .worker_notices import words_of
 
 RETRY_AIM_PART = 0.2
 """When to come back after a refusal, as a part of the route's aim: a second try must
@@ -47,9 +47,9 @@
 """Bounds of the time to come back, in ms."""
 
 
-LIMITED_MOST_MS = 3_000
-"""Longest wait that a refusal tells for the next grant at this box's workers, in ms: of
-many boxes one has a grant sooner, and a caller comes back to any of them."""
+HELD_OFF_MOST_MS = 3_000
+"""Longest wait that a refusal tells for workers that take no more of this box, in ms:
+of many boxes another may send sooner, and a caller comes back to any of them."""
 
 
 def plan(core: Core, state: CatalogRequest) -> Result[CatalogAttempt, Refusal]:
@@ -240,24 +240,22 @@
 
 def _passed_over(core: Core, wanted: Wanted) -> tuple[str, ...]:
     """Return for the log which workers' words kept a request from them."""
-    if not has_limits(core.fleet, wanted.service):
-        return ()
     now = core.clock.now()
-    return limit_words(limited_ones(core.fleet, wanted, now), now)
+    return words_of(held_off(core.fleet, wanted, now), now)
 
 
 def _none_takes(core: Core, state: CatalogRequest, wanted: Wanted) -> Refusal:
     """Return the refusal of a request that no worker takes now."""
     fleet, now = core.fleet, core.clock.now()
-    limited = limited_ones(fleet, wanted, now)
-    if not limited:
+    rows = held_off(fleet, wanted, now)
+    if not rows:
         detail = f"no worker of {wanted.service} takes work now"
         return _no_worker(core, state, detail)
-    core.count("refused_at_limits")
-    wait_ms = next_grant_ms(fleet, limited, wanted, now)
-    names = limit_words(limited, now)
-    detail = f"no worker of {wanted.service} takes more now; limits: {', '.join(names)}"
-    return _no_worker(core, state, detail, min(LIMITED_MOST_MS, wait_ms))
+    core.count("refused_held_off")
+    wait_ms = min(open_in_ms(fleet, row, wanted, now) for row in rows)
+    words = "; ".join(words_of(rows, now))
+    detail = f"no worker of {wanted.service} takes more now: {words}"
+    return _no_worker(core, state, detail, min(HELD_OFF_MOST_MS, wait_ms))
 
 
 def _no_worker(
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -5,8 +5,10 @@
 """
 
 import base64
+import datetime
 import re
 import typing as t
+from email.utils import parsedate_to_datetime
 
 import msgspec
 from result import Err
@@ -305,6 +307,10 @@
 """Longest time that a worker may say it is slow for, in ms: ten minutes are longer than
 any model takes to load."""
 
+REST_MOST_MS = 3_600_000
+"""Longest rest that a worker gets at one word, in ms: an hour is longer than any lack
+of room lasts, and a worker that asks for a year means nothing by it."""
+
 FLAW_SHOWN = 60
 """Characters of a header that can't be used which a log line shows at most."""
 
@@ -344,6 +350,35 @@
     return Err(f"{LEAVING} is {found!r}; 1 or no such header is allowed")
 
 
+def decode_rest(
+    texts: t.Sequence[str], dates: t.Sequence[str]
+) -> Result[Millis | None, str]:
+    """Decode for how long a worker that turned a request away wants nothing, in ms.
+
+    A time of day is taken against the answer's own `dates`: clocks differ.
+    """
+    if not texts:
+        return Ok(None)
+    text = texts[0].strip()
+    if len(texts) == 1 and _DECIMAL.fullmatch(text):
+        return Ok(Millis(min(REST_MOST_MS, round(float(text) * 1_000))))
+    until, said = _time_of_day(texts), _time_of_day(dates)
+    if until is not None and said is not None:
+        seconds = (until - said).total_seconds()
+        return Ok(Millis(max(0, min(REST_MOST_MS, round(seconds * 1_000)))))
+    found = ", ".join(texts)[:FLAW_SHOWN]
+    return Err(f"{RETRY_AFTER} is {found!r}; seconds or a time of day are allowed")
+
+
+def _time_of_day(texts: t.Sequence[str]) -> datetime.datetime | None:
+    """Decode the one time of day of a header; None for anything else."""
+    try:
+        found = parsedate_to_datetime(texts[0]) if len(texts) == 1 else None
+    except ValueError:
+        return None
+    return found if found is not None and found.tzinfo is not None else None
+
+
 T = t.TypeVar("T")
 
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -17,6 +17,7 @@
 from ..http_sends import send_http
 from ..http_sends import without
 from ..http_sends import worker_session
+from ..ids import Millis
 from ..ports import Answer
 from ..ports import Dispatch
 from ..ports import SendFault
@@ -40,6 +41,10 @@
 before it has read all of one, and what follows must not be taken for the rest."""
 
 
+TURNED_AWAY = 503
+"""The status of a worker that has no room, and may ask for rest."""
+
+
 class _Connection(ResponseHandler):
     """A connection that takes no byte for an answer that isn't asked for.
 
@@ -160,10 +165,19 @@
     headers = resp.headers
     per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
     leaving = wire.decode_leaving(headers.getall(wire.LEAVING, []))
-    found = ((Word.LIMIT, per_s.err()), (Word.LEAVING, leaving.err()))
+    rest_ms: Result[Millis | None, str] = Ok(None)
+    if resp.status == TURNED_AWAY:
+        asked = headers.getall(wire.RETRY_AFTER, [])
+        rest_ms = wire.decode_rest(asked, headers.getall("Date", []))
+    found = (
+        (Word.LIMIT, per_s.err()),
+        (Word.LEAVING, leaving.err()),
+        (Word.REST, rest_ms.err()),
+    )
     return Notice(
         per_s=per_s.unwrap_or(None),
         leaving=leaving.unwrap_or(False),
+        rest_ms=rest_ms.unwrap_or(None),
         flaws=tuple(Flaw(word, detail) for word, detail in found if detail),
     )
 
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -77,7 +77,8 @@
     ``fault`` strikes ``fault_share`` of its requests; ``failed_at`` tells when it gave
     failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
-    headers that it puts into all its answers, ``said`` which answers had some.
+    headers that it puts into all its answers, ``asks`` those beside its word
+    that it has no room, ``said`` which answers had any.
 
     Parameters
     ----------
@@ -104,6 +105,7 @@
         self.sureness: dict[str, int] = {}
         self.says: dict[str, str] = {}
         self.said: list[Said] = []
+        self.asks: dict[str, str] = {}
         self.seen: list[SeenRequest] = []
         self.ran: list[str] = []
         self.cancelled: list[str] = []
@@ -197,7 +199,7 @@
             await writer.drain()
             return True
         if fault is WorkerFault.FULL:
-            extra = {"Not-Executed": "1"}
+            extra = {"Not-Executed": "1", **self.asks}
             head = self._head(503, seen.request, length=0, sealed=False, extra=extra)
             writer.write(head)
             await writer.drain()
@@ -296,10 +298,10 @@
         extra: dict[str, str] | None = None,
     ) -> bytes:
         """Return an answer's head, with what this worker says of itself."""
-        if self.says:
-            at = asyncio.get_running_loop().time()
-            self.said.append(Said(request, at, dict(self.says)))
         headers = {**(extra or {}), **self.says}
+        if self.says or self.asks:
+            at = asyncio.get_running_loop().time()
+            self.said.append(Said(request, at, headers))
         return _head(status, request, length, sealed=sealed, extra=headers)
 
     async def _until_closed(
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -30,9 +30,9 @@
 from .keeping import part_key
 from .outages import is_out_of_reach
 from .ramping import VersionRule
+from .resting import rest_left_ms
 from .throttling import grant_wait_ms
 from .throttling import is_limited
-from .throttling import may_send_to as has_grant
 from .warming import may_send_to
 
 FAR_COST = 0.35
@@ -221,7 +221,7 @@
         for row in fleet.workers.able(wanted.service, wanted.rule.only)
         if wanted.rule.admits(row.versions)
         and takes_work(row)
-        and has_grant(fleet, row, now, eager=wanted.eager)
+        and open_in_ms(fleet, row, wanted, now) <= 0
     ]
     rows = [row for row in able if row.name not in wanted.avoid]
     if not rows and wanted.again:
@@ -232,28 +232,28 @@
     return near or live or rows
 
 
-def limited_ones(fleet: Fleet, wanted: Wanted, now: Millis) -> list[WorkerRow]:
-    """Return workers that could answer but for the limit that they name now."""
+def held_off(fleet: Fleet, wanted: Wanted, now: Millis) -> list[WorkerRow]:
+    """Return workers that could answer but for the limit or the rest they ask for."""
     takes_work = _filter(fleet, wanted, now)
     return [
         row
         for row in fleet.workers.able(wanted.service, wanted.rule.only)
-        if is_limited(row)
+        if open_in_ms(fleet, row, wanted, now) > 0
         and wanted.rule.admits(row.versions)
         and takes_work(row)
-        and not has_grant(fleet, row, now, eager=wanted.eager)
     ]
 
 
-def next_grant_ms(
-    fleet: Fleet, rows: t.Iterable[WorkerRow], wanted: Wanted, now: Millis
-) -> Millis:
-    """Return in how long one of some limited workers takes a request, in ms."""
-    return min(grant_wait_ms(fleet, row, now, eager=wanted.eager) for row in rows)
+def open_in_ms(fleet: Fleet, row: WorkerRow, wanted: Wanted, now: Millis) -> Millis:
+    """Return in how long a worker takes such a request by its own word, in ms."""
+    rest_ms = rest_left_ms(row, now)
+    if not is_limited(row):
+        return rest_ms
+    return max(rest_ms, grant_wait_ms(fleet, row, now, eager=wanted.eager))
 
 
 def _filter(fleet: Fleet, wanted: Wanted, now: Millis) -> t.Callable[[WorkerRow], bool]:
-    """Return what tells whether a worker takes such requests, but for its limit."""
+    """Return what tells whether a worker takes such requests, but for its own word."""
     leaving = fleet.workers.leaving
     emptied = emptied_domains(fleet)
     bound = [allowed for allowed in wanted.regions if allowed]
--- a/src/spanshunt/tables/notices.py
+++ b/src/spanshunt/tables/notices.py
@@ -13,6 +13,7 @@
 
     LIMIT = "limit"
     LEAVING = "leaving"
+    REST = "rest"
 
 
 class Flaw(msgspec.Struct, frozen=True):
@@ -32,12 +33,16 @@
         limit that can be read.
     leaving : bool
         Whether it says that it leaves.
+    rest_ms : int or None
+        For how long it wants nothing from the box that it turned away, in ms; None
+        where it does not say so.
     flaws : tuple of Flaw
         What it says that can't be used.
     """
 
     per_s: float | None = None
     leaving: bool = False
+    rest_ms: Millis | None = None
     flaws: tuple[Flaw, ...] = ()
 
     def is_odd(self, word: Word) -> bool:
@@ -70,6 +75,13 @@
     source: BoxId
 
 
+class Rest(msgspec.Struct, frozen=True):
+    """That a worker asked this box for rest: when it did, and until when, in ms."""
+
+    at: Millis
+    until: Millis
+
+
 class Grants(msgspec.Struct):
     """When this box may send to a worker that names a limit.
 
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -15,6 +15,7 @@
 from .notices import Grants
 from .notices import Leaving
 from .notices import RateLimit
+from .notices import Rest
 from .notices import Word
 
 
@@ -102,6 +103,8 @@
         From when on words are of this life of it, in ms.
     leaving : Leaving or None
         Its word that it leaves; None while it did not say so.
+    rest : Rest or None
+        The longest rest that it asked this box for; None while it never did.
     drain_listed : bool
         Whether its entry in the list says so.
     odd_words : set of Word
@@ -142,6 +145,7 @@
     grants: Grants | None = None
     words_from: Millis = Millis(0)
     leaving: Leaving | None = None
+    rest: Rest | None = None
     drain_listed: bool = False
     odd_words: set[Word] = set()
 
--- a/src/spanshunt/worker_notices.py
+++ b/src/spanshunt/worker_notices.py
@@ -15,6 +15,8 @@
 from .peers.news import News
 from .ports import Answer
 from .systems.following_workers import note_leaving
+from .systems.resting import note_rest
+from .systems.resting import rest_left_ms
 from .systems.throttling import is_over
 from .systems.throttling import take_limit
 from .systems.throttling import take_told_limit
@@ -45,6 +47,8 @@
     _note_limit(core, state, attempt, found.notice)
     if found.notice.leaving:
         _note_leaving(core, state, attempt.worker)
+    if found.notice.rest_ms is not None:
+        _note_rest(core, state, attempt.worker, found.notice.rest_ms)
 
 
 def _note_limit(
@@ -71,6 +75,22 @@
         core.tell_now()
 
 
+def _note_rest(
+    core: Core, state: CatalogRequest, worker: WorkerRow, rest_ms: Millis
+) -> None:
+    """Take in that a worker turned this box away and asks it for rest."""
+    if not note_rest(worker, rest_ms, core.clock.now()):
+        return
+    core.count("worker_rests")
+    log_event(
+        "INFO",
+        "worker rests",
+        worker=worker.name,
+        rest_ms=rest_ms,
+        request=state.request,
+    )
+
+
 def _log_flaw(state: CatalogRequest, worker: WorkerRow, flaw: Flaw) -> None:
     """Log the first word of its kind of a worker that can't be used."""
     if flaw.word in worker.odd_words:
@@ -115,13 +135,20 @@
     )
 
 
-def limit_words(rows: t.Iterable[WorkerRow], now: Millis) -> tuple[str, ...]:
-    """Return for logs which limits some workers name, how old, and who heard them."""
-    return tuple(
-        f"{row.name} {row.limit.per_s}/s {now - row.limit.at} ms by {row.limit.source}"
-        for row in itertools.islice(rows, WORDS_SHOWN)
-        if row.limit is not None
-    )
+def words_of(rows: t.Iterable[WorkerRow], now: Millis) -> tuple[str, ...]:
+    """Return for logs what keeps requests from some workers, and how old that is."""
+    shown = itertools.islice(rows, WORDS_SHOWN)
+    return tuple(f"{row.name} {_word_of(row, now)}" for row in shown)
+
+
+def _word_of(row: WorkerRow, now: Millis) -> str:
+    left_ms = rest_left_ms(row, now)
+    if row.rest is not None and left_ms:
+        return f"rests {left_ms} ms more, asked {now - row.rest.at} ms ago"
+    if row.limit is not None:
+        limit = row.limit
+        return f"takes {limit.per_s}/s, heard {now - limit.at} ms ago by {limit.source}"
+    return ""
 
 
 def take_limit_news(
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -255,7 +255,7 @@
         refused = [reply for reply in replies if reply.status == 503]
         assert len(refused) >= 8
         assert all(0 < float(one.headers["Retry-After"]) < 6 for one in refused)
-        assert b"limits" in refused[-1].body
+        assert b"takes 0.5/s" in refused[-1].body
         ran = {name for worker in fleet.workers.values() for name in worker.ran}
         assert len(ran) == len(replies) - len(refused)
 
