Soak: workers that leave by their answers alone, and that ask for rest

Both rules are checked from the workers' side as they are written: a leaving one bounds each box that it told, calm or not, but for boxes whose process stopped since; a rest is between one box and one worker, two requests are allowed.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -84,7 +84,7 @@
     if box.starting:
         return
     box.starting = True
-    with struck(soak, [box]):
+    with struck(soak, [box], stopped=True):
         send_signal(box, signal.SIGCONT)
         send_signal(box, number)
         if box.process is not None:
@@ -113,7 +113,7 @@
 
 
 async def _freeze(soak: Soak, box: BoxProcess, seconds: float) -> None:
-    with struck(soak, [box]):
+    with struck(soak, [box], stopped=True):
         send_signal(box, signal.SIGSTOP)
         await asyncio.sleep(seconds)
         send_signal(box, signal.SIGCONT)
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -66,7 +66,8 @@
 class BoxProcess:
     """One daemon: its process, its ways to the store and from its peers, its troubles.
 
-    ``troubles`` say from when until when something struck it; ``starting`` is whether
+    ``troubles`` say from when until when something struck it, ``stops`` those in which
+    its process did not run; ``starting`` is whether
     it is being ended and started again; ``seed`` is where its peers reach it.
     """
 
@@ -79,9 +80,18 @@
     peers_link: Link
     process: asyncio.subprocess.Process | None = None
     troubles: list[list[float]] = field(default_factory=list)
+    stops: list[list[float]] = field(default_factory=list)
     starting: bool = False
     seed: str = ""
 
+    def was_stopped(self, since: float, until: float) -> bool:
+        """Tell whether its process was frozen or started again within a time."""
+        return any(begun < until and ended > since for begun, ended in self.stops)
+
+    def is_untroubled(self, since: float, until: float) -> bool:
+        """Tell whether nothing struck it within a time."""
+        return not any(b < until and ended > since for b, ended in self.troubles)
+
     def is_calm(self, since: float, until: float) -> bool:
         """Tell whether nothing struck it for a while before a time and in it."""
         return all(
@@ -90,11 +100,15 @@
 
 
 @contextlib.contextmanager
-def struck(soak: "Soak", boxes: t.Iterable[BoxProcess]) -> t.Iterator[None]:
-    """Note that something strikes boxes meanwhile."""
+def struck(
+    soak: "Soak", boxes: t.Iterable[BoxProcess], *, stopped: bool = False
+) -> t.Iterator[None]:
+    """Note that something strikes boxes meanwhile, and whether it stops them."""
     trouble = [soak.now(), float("inf")]
     for box in boxes:
         box.troubles.append(trouble)
+        if stopped:
+            box.stops.append(trouble)
     try:
         yield
     finally:
@@ -147,7 +161,8 @@
     failure domain emptied, whose workers are ``far``. ``routes`` were added since the
     start, ``probed`` requests asked for them; ``refused_in_trouble`` are proper ones
     that boxes refused for good which something had struck. A ``quiet`` schedule
-    strikes no single box. ``limits`` were named by workers.
+    strikes no single box. ``limits`` were named by workers; those
+    that are ``leaving`` say so in their answers alone.
     """
 
     rng: random.Random
@@ -187,6 +202,7 @@
     probed: int = 0
     refused_in_trouble: list[str] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    leaving: set[str] = field(default_factory=set)
 
     def now(self) -> float:
         """Return the time, in s."""
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -71,6 +71,12 @@
     "limit": Mutation(
         "systems/throttling.py", "GRANTED_PART = 0.9", "GRANTED_PART = 90.0"
     ),
+    "said to leave": Mutation(
+        "worker_notices.py", "if found.notice.leaving:", "if False:"
+    ),
+    "rest": Mutation(
+        "worker_notices.py", "if found.notice.rest_ms is not None:", "if False:"
+    ),
     "taken back": Mutation(
         "systems/ramping.py",
         "taken_back = known.verdict is Verdict.ROLLED_BACK",
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -3,8 +3,11 @@
 import asyncio
 import random
 
+from spanshunt.standins.worker import WorkerFault
+
 from .soak_fleet import NamedLimit
 from .soak_fleet import Soak
+from .soak_fleet import add_worker
 
 LIMITS_PER_S = (0.5, 4.0)
 """Bounds of the limits that workers name, in requests a second."""
@@ -16,16 +19,39 @@
 """How long after a limit is named it binds, and how long after its answer a box, in
 s."""
 
+LEAVES_AT_S, RESTS_AT_S = (1.0, 4.0), (1.0, 4.0)
+"""When a worker says that it leaves, and when one begins to turn requests away, in s
+from the first request."""
+
+LEAVING_S = 2.0
+"""Within which a worker that told a box so must get nothing new of it, in s."""
+
+REST_S, TURNS_AWAY_S = 3.0, 2.0
+"""The rest that a worker asks for, and for how long it turns requests away, in s."""
+
+RESTING_S, REST_MOST = 0.5, 2
+"""How long after it asked a rest binds a box, in s, and how many requests it may still
+get of that box until the end of it."""
+
 WINDOW_S, OVER, SLACK = 4.0, 1.5, 5.0
 """A window, in s; in any such one a worker may get so many times what its limit allows,
 and so many requests more."""
 
 
 async def say_words(soak: Soak, rng: random.Random) -> None:
-    """Let a worker of each service name a limit until the end.
+    """Let workers name limits, say that they leave, and ask for rest.
 
     What is drawn for it is drawn apart, so that schedules stay as they were.
     """
+    await asyncio.gather(
+        _name_limits(soak, random.Random(rng.random())),
+        _leave(soak, random.Random(rng.random())),
+        _rest(soak, random.Random(rng.random())),
+    )
+
+
+async def _name_limits(soak: Soak, rng: random.Random) -> None:
+    """Let a worker of each service name a limit until the end."""
     await asyncio.sleep(rng.uniform(*NAMED_AT_S))
     for service in ("web", "writer"):
         known = sorted(name for name, of in soak.services.items() if of == service)
@@ -34,10 +60,77 @@
         soak.limits.append(NamedLimit(name, per_s, soak.now()))
 
 
+async def _leave(soak: Soak, rng: random.Random) -> None:
+    """Let a worker say in its answers that it leaves; its entry says nothing."""
+    await asyncio.sleep(rng.uniform(*LEAVES_AT_S))
+    name = rng.choice(_unspoken(soak))
+    await add_worker(soak, soak.services[name], soak.workers[name].version)
+    soak.workers[name].says["Server-Leaving"] = "1"
+    soak.leaving.add(name)
+
+
+async def _rest(soak: Soak, rng: random.Random) -> None:
+    """Let a worker turn requests away for a while, and ask for rest."""
+    await asyncio.sleep(rng.uniform(*RESTS_AT_S))
+    name = rng.choice(_unspoken(soak))
+    worker = soak.workers[name]
+    worker.asks["Retry-After"] = str(REST_S)
+    worker.fault = WorkerFault.FULL
+    await asyncio.sleep(TURNS_AWAY_S)
+    worker.fault = WorkerFault.NONE
+
+
+def _unspoken(soak: Soak) -> list[str]:
+    """Return the workers that said nothing of themselves yet, and are to stay."""
+    out = soak.draining.keys() | soak.bad
+    return sorted(
+        name
+        for name, worker in soak.workers.items()
+        if name not in out and not (worker.says or worker.asks)
+    )
+
+
 def check_words(soak: Soak) -> None:
     """Check what reached workers against what they had said."""
     for named in soak.limits:
         _check_limit(soak, named)
+    for name in soak.leaving:
+        _check_leaving(soak, name)
+    for name in soak.workers:
+        _check_rest(soak, name)
+
+
+def _check_leaving(soak: Soak, name: str) -> None:
+    """Check that boxes which an answer told so send a leaving worker nothing more."""
+    told = _told_at(soak, name, "Server-Leaving")
+    for seen in soak.workers[name].seen:
+        sent = soak.sent.get(seen.request)
+        since = told.get(sent.box.name) if sent is not None else None
+        if sent is None or since is None or sent.at <= since + LEAVING_S:
+            continue
+        if not sent.box.was_stopped(since, seen.at):
+            detail = f"{seen.request} reached {name}, which had told {sent.box.name}"
+            soak.fail("said to leave", f"{detail} {sent.at - since:.1f} s before")
+
+
+def _check_rest(soak: Soak, name: str) -> None:
+    """Check that a worker gets its rest from each box that it turned away."""
+    for said in soak.workers[name].said:
+        asked = soak.sent.get(said.request)
+        if asked is None or "Retry-After" not in said.headers:
+            continue
+        since, until = said.at + RESTING_S, said.at + REST_S
+        got = [
+            seen.at
+            for seen in soak.workers[name].seen
+            if since < seen.at < until
+            and (sent := soak.sent.get(seen.request)) is not None
+            and sent.box is asked.box
+        ]
+        if len(got) > REST_MOST and asked.box.is_untroubled(said.at, until):
+            detail = f"{name} asked {asked.box.name} for {REST_S} s and got {len(got)}"
+            soak.fail("rest", detail)
+            return
 
 
 def _check_limit(soak: Soak, named: NamedLimit) -> None:
