--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -58,6 +58,11 @@
 ERROR_COST = 2.0
 """What a worker costs that fails all its answers, in parts of a batch."""
 
+GRANT_AIM_PART, GRANT_BATCH_PART = 0.5, 1.0
+"""What a limited worker's open grant is worth to a prompt, in parts of the aim, and to
+a plain request, in parts of a batch: more than distance and load, as one that is not
+used soon is lost, and each of many boxes has one seldom."""
+
 NOISE = 0.04
 """Size of the random part, in parts of a batch: about one request of a batch of 32."""
 
@@ -177,6 +182,7 @@
         batch_load(row, now)
         + (FAR_COST if row.domain != wanted.domain else 0.0)
         + ERROR_COST * row.error_rate
+        - (GRANT_BATCH_PART if is_limited(row) else 0.0)
         + NOISE * rng.random()
     )
 
@@ -206,6 +212,8 @@
         aims = LOAD_AIM_PART * batch_load(row, now) + ERROR_AIM_PART * row.error_rate
         if row.domain != wanted.domain:
             aims += FAR_AIM_PART
+        if is_limited(row):
+            aims -= GRANT_AIM_PART
         cost = found.wait_ms + (own_ms if owns else found.read_ms) + aims * aim_ms
         cost += noise * rng.random()
         if cost < least:
--- a/src/spanshunt/systems/throttling.py
+++ b/src/spanshunt/systems/throttling.py
@@ -26,8 +26,8 @@
 many there are, or learned of the limit at different times."""
 
 GRANT_MS = 1_500
-"""How long a grant may be used, in ms. What opened so long before 4 s and in them is
-within the one and a half times of its rate that a worker bears in 4 s."""
+"""How long a grant may be used, in ms: what opens in 4 s, and so long before them, is
+5.5 s worth of the rate. A worker bears 6 s worth in 4 s, and five requests."""
 
 LEAST_PER_S = 0.25
 """Requests a second that a worker gets which takes fewer, or none at all: else nobody
@@ -95,11 +95,6 @@
     return any(is_limited(row) for row in fleet.workers.able(service, None))
 
 
-def may_send_to(fleet: Fleet, row: WorkerRow, now: Millis, *, eager: bool) -> bool:
-    """Tell whether this box may send a worker a request now."""
-    return not is_limited(row) or grant_wait_ms(fleet, row, now, eager=eager) <= 0
-
-
 def grant_wait_ms(fleet: Fleet, row: WorkerRow, now: Millis, *, eager: bool) -> Millis:
     """Return in how long this box may send a limited worker a request, in ms."""
     limit = row.limit
@@ -121,7 +116,7 @@
 
 
 def newest_limits(fleet: Fleet, now: Millis) -> list[HeardLimit]:
-    """Return the newest words that other boxes may not have heard."""
+    """Return the newest limits to tell other boxes, and those that ended just now."""
     heard = [
         HeardLimit(row, row.limit)
         for row in fleet.workers.rows.values()
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -8,6 +8,8 @@
 from loguru import logger
 
 from fleet_builders import add_worker
+from fleet_builders import an_effort
+from fleet_builders import learn_speed
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
@@ -15,17 +17,21 @@
 from fleet_builders import seeded
 from fleet_builders import until
 from spanshunt.ids import BoxId
+from spanshunt.ids import DomainId
 from spanshunt.ids import Millis
+from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
 from spanshunt.peers.news import LimitNews
 from spanshunt.peers.news import News
 from spanshunt.peers.news_rows import limits_news
 from spanshunt.platform.wire import decode_rate
 from spanshunt.systems.ending import note_end
+from spanshunt.systems.placing import Wanted
+from spanshunt.systems.placing import place
+from spanshunt.systems.ramping import VersionRule
 from spanshunt.systems.throttling import grant_wait_ms
 from spanshunt.systems.throttling import is_limited
 from spanshunt.systems.throttling import is_over
-from spanshunt.systems.throttling import may_send_to
 from spanshunt.systems.throttling import note_sent
 from spanshunt.systems.throttling import take_limit
 from spanshunt.tables.fleet import Fleet
@@ -62,6 +68,10 @@
     return fleet, row
 
 
+def may_send_to(fleet: Fleet, row: WorkerRow, now: Millis, *, eager: bool) -> bool:
+    return grant_wait_ms(fleet, row, now, eager=eager) <= 0
+
+
 def sends_of(
     fleet: Fleet, row: WorkerRow, since_s: float, until_s: float
 ) -> list[Millis]:
@@ -181,6 +191,35 @@
     assert sends_of(fleet, row, 3.0, 5.0)
 
 
+@pytest.mark.parametrize("boxes", [6, 61])
+def test_worker_in_need_gets_much_of_its_rate_though_others_are_free(boxes):
+    assert play_limits(Need.ONE, boxes, seed=1).used >= 0.5
+
+
+def test_more_urgent_requests_are_served_more_often_and_none_is_starved():
+    served = play_limits(Need.ALL, 6, seed=1).served
+    assert served["summary"] > served["query"] > served["tag"]
+    assert served["tag"] > 0.25 * sum(served.values()) / len(served)
+
+
+@pytest.mark.parametrize("effort", [None, an_effort()])
+def test_open_grant_is_used_before_a_free_worker_of_this_domain(effort):
+    fleet, row = limited(per_s=1.7, at_s=0.0)
+    row.domain = DomainId("south")
+    add_worker(fleet, make_worker("w-2"))
+    learn_speed(fleet, "large", read_ms=0.01)
+    wanted = Wanted(
+        ServiceId("writer"),
+        VersionRule(),
+        DomainId("north"),
+        effort=effort,
+        aim_ms=Millis(1_500),
+    )
+    placed = place(fleet, wanted, ms(0.1), seeded())
+    assert placed is not None
+    assert placed.worker is row
+
+
 def test_grants_that_were_not_used_do_not_add_up():
     fleet, row = limited(per_s=2.0, at_s=0.0)
     assert len(sends_of(fleet, row, 60.0, 60.1)) <= 3
