--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -47,7 +47,7 @@
     expected : Estimate
         What it was expected to meet there.
     passed_over : tuple of str
-        Workers that were left out for a limit that they name, for the log.
+        Workers that were left out for a limit or a rest of theirs, for the log.
     slow : bool
         Whether it was found several times slower than usual.
     first_at : int
--- a/src/spanshunt/systems/throttling.py
+++ b/src/spanshunt/systems/throttling.py
@@ -38,7 +38,7 @@
 that, grants are not short."""
 
 WORDS_TOLD = 16
-"""Workers' words told in one exchange at most, the newest first."""
+"""Workers' limits told in one exchange at most, the newest first."""
 
 END_TOLD_MS = 5_000
 """How long boxes tell each other that a worker names no limit any more, in ms: all of
