A worker's words outlast an entry that goes and comes back in the same life

The words stood in the row alone, and the row went with the entry. So a limit and a rest were lost as well. Cause: a word is of a life of a worker, not of its place in the list.

Rows of workers that said anything are kept when their entries go, 256 at most; what comes back under the id in the same life takes their words on, another life does not. The new test fails without it.

--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -52,6 +52,11 @@
 nothing new is read anew by any box, whoever should have: a call then still fits in."""
 
 
+FORMER_KEPT = 256
+"""Workers at most whose words are kept after their entries went: an entry may come back
+with the store, and few of a fleet say anything."""
+
+
 class ListedWorker(msgspec.Struct, frozen=True):
     """One entry of the list.
 
@@ -163,6 +168,17 @@
     fleet.workers.rows[fresh.name] = fresh
     fleet.workers.leaving.discard(fresh.name)
     fleet.silences.pop(fresh.name, None)
+    former = fleet.workers.former.pop(fresh.name, None)
+    if former is not None and former.born == fresh.born:
+        _take_words(fleet, fresh, former)
+
+
+def _take_words(fleet: Fleet, fresh: WorkerRow, former: WorkerRow) -> None:
+    """Let a worker's words hold on whose entry went and came back in the same life."""
+    fresh.limit, fresh.grants = former.limit, former.grants
+    fresh.rest, fresh.words_from = former.rest, former.words_from
+    if former.leaving is not None:
+        note_leaving(fleet, fresh, former.leaving)
 
 
 def _take_missing(
@@ -207,7 +223,12 @@
     fleet.missing.discard(name)
     _mark_leaving(fleet, name)
     fleet.workers.leaving.discard(name)
-    del fleet.workers.rows[name]
+    row = fleet.workers.rows.pop(name)
+    former = fleet.workers.former
+    if row.has_words:
+        former[name] = row
+    while len(former) > FORMER_KEPT:
+        del former[next(iter(former))]
 
 
 def note_reading(
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -149,6 +149,11 @@
     drain_listed: bool = False
     odd_words: set[Word] = set()
 
+    @property
+    def has_words(self) -> bool:
+        """Whether it said anything of itself that holds for its life."""
+        return any((self.limit, self.leaving, self.rest))
+
     @property
     def life(self) -> LifeId:
         """Which life of the worker this is; an id may come again with a later start."""
@@ -170,6 +175,9 @@
         Those that failed too often.
     index : dict
         Workers by service, and by service and version; see :meth:`able`.
+    former : dict
+        Rows that went with their entries and whose workers had said something of
+        themselves, the oldest first.
     digest : int
         What the list says, as a number; 0 until it is worked out.
     """
@@ -177,6 +185,7 @@
     rows: dict[WorkerId, WorkerRow] = {}
     leaving: set[WorkerId] = set()
     ejected: set[WorkerId] = set()
+    former: dict[WorkerId, WorkerRow] = {}
     index: dict[tuple[ServiceId, VersionId | None], list[WorkerRow]] = {}
     digest: int = 0
 
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -22,12 +22,17 @@
 from spanshunt.platform.wire import decode_leaving
 from spanshunt.standins.worker import WorkerFault
 from spanshunt.standins.worker import WorkerStandin
+from spanshunt.systems.following_workers import FORMER_KEPT
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import list_digest
 from spanshunt.systems.following_workers import note_leaving
 from spanshunt.systems.following_workers import take_list
+from spanshunt.systems.resting import note_rest
+from spanshunt.systems.resting import rest_left_ms
+from spanshunt.systems.throttling import take_limit
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.notices import Leaving
+from spanshunt.tables.notices import RateLimit
 from spanshunt.worker_notices import take_leaving_news
 
 ME = BoxId("box-1")
@@ -177,3 +182,43 @@
     take_leaving_news(hearer, told_by(teller, told), None, ms(9))
     assert "a" in hearer.workers.leaving
     assert hearer.workers.rows["a"].leaving.source == ME
+
+
+# Guards against a lapsed entry that comes back and takes a worker's words with it.
+def test_words_outlast_an_entry_that_goes_and_comes_back_in_the_same_life():
+    fleet = fleet_with("a")
+    row = fleet.workers.rows["a"]
+    row.born = Millis(10)
+    note_leaving(fleet, row, Leaving(ms(1), ME))
+    take_limit(fleet, row, RateLimit(1.5, ms(1), ME), ms(1))
+    note_rest(row, Millis(60_000), ms(1))
+    take_list(fleet, [], Offset(4), ms(2))
+    assert "a" not in fleet.workers.rows
+    back = make_worker("a")
+    back.born = Millis(10)
+    take_list(fleet, [ListedWorker(back, False)], Offset(5), ms(3))
+    again = fleet.workers.rows["a"]
+    assert "a" in fleet.workers.leaving
+    assert again.limit is not None and again.grants is not None
+    assert rest_left_ms(again, ms(3)) > 0
+
+
+def test_words_of_a_former_life_end_with_it():
+    fleet = fleet_with("a")
+    row = fleet.workers.rows["a"]
+    row.born = Millis(10)
+    note_leaving(fleet, row, Leaving(ms(1), ME))
+    take_list(fleet, [], Offset(4), ms(2))
+    later = make_worker("a")
+    later.born = Millis(20)
+    take_list(fleet, [ListedWorker(later, False)], Offset(5), ms(3))
+    assert "a" not in fleet.workers.leaving
+    assert fleet.workers.rows["a"].leaving is None
+
+
+def test_words_of_workers_that_are_gone_are_kept_of_some_alone():
+    fleet = fleet_with(*(f"w-{number}" for number in range(400)))
+    for row in list(fleet.workers.rows.values()):
+        note_leaving(fleet, row, Leaving(ms(1), ME))
+    take_list(fleet, [], Offset(4), ms(2))
+    assert len(fleet.workers.former) == FORMER_KEPT
