Soak: an answer binds a box if it came; a worker of each service leaves

The box's log says of the one request that the worker had turned away until then "no answer within 616 ms": the worker's link was harmed, the 503 did not come, and the rule binds from the answer on. Said words count unless the worker's link was harmed when they left.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -177,7 +177,10 @@
         worker.fault = soak.rng.choice(list(WorkerFault))
     else:
         link.fault = soak.rng.choice(list(LinkFault))
+    since = soak.now()
     await asyncio.sleep(soak.rng.uniform(0.2, 2.0))
+    if link.fault is not LinkFault.NONE:
+        soak.harmed.append((name, since, soak.now()))
     worker.fault, link.fault = WorkerFault.NONE, LinkFault.NONE
 
 
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -162,7 +162,8 @@
     start, ``probed`` requests asked for them; ``refused_in_trouble`` are proper ones
     that boxes refused for good which something had struck. A ``quiet`` schedule
     strikes no single box. ``limits`` were named by workers; those
-    that are ``leaving`` say so in their answers alone.
+    that are ``leaving`` say so in their answers alone. ``harmed`` tells which worker's
+    link was, and from when until when.
     """
 
     rng: random.Random
@@ -203,6 +204,7 @@
     refused_in_trouble: list[str] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
     leaving: set[str] = field(default_factory=set)
+    harmed: list[tuple[str, float, float]] = field(default_factory=list)
 
     def now(self) -> float:
         """Return the time, in s."""
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from spanshunt.standins.worker import Said
 from spanshunt.standins.worker import WorkerFault
 
 from .soak_fleet import NamedLimit
@@ -61,18 +62,19 @@
 
 
 async def _leave(soak: Soak, rng: random.Random) -> None:
-    """Let a worker say in its answers that it leaves; its entry says nothing."""
+    """Let a worker of each service say that it leaves, in its answers alone."""
     await asyncio.sleep(rng.uniform(*LEAVES_AT_S))
-    name = rng.choice(_unspoken(soak))
-    await add_worker(soak, soak.services[name], soak.workers[name].version)
-    soak.workers[name].says["Server-Leaving"] = "1"
-    soak.leaving.add(name)
+    for service in ("web", "writer"):
+        name = rng.choice(_unspoken(soak, service))
+        await add_worker(soak, service, soak.workers[name].version)
+        soak.workers[name].says["Server-Leaving"] = "1"
+        soak.leaving.add(name)
 
 
 async def _rest(soak: Soak, rng: random.Random) -> None:
     """Let a worker turn requests away for a while, and ask for rest."""
     await asyncio.sleep(rng.uniform(*RESTS_AT_S))
-    name = rng.choice(_unspoken(soak))
+    name = rng.choice(_unspoken(soak, "writer"))
     worker = soak.workers[name]
     worker.asks["Retry-After"] = str(REST_S)
     worker.fault = WorkerFault.FULL
@@ -80,14 +82,15 @@
     worker.fault = WorkerFault.NONE
 
 
-def _unspoken(soak: Soak) -> list[str]:
-    """Return the workers that said nothing of themselves yet, and are to stay."""
+def _unspoken(soak: Soak, service: str) -> list[str]:
+    """Return a service's workers that said nothing yet; that are to stay, if any."""
     out = soak.draining.keys() | soak.bad
-    return sorted(
+    silent = sorted(
         name
         for name, worker in soak.workers.items()
-        if name not in out and not (worker.says or worker.asks)
+        if soak.services[name] == service and not (worker.says or worker.asks)
     )
+    return [name for name in silent if name not in out] or silent
 
 
 def check_words(soak: Soak) -> None:
@@ -119,6 +122,8 @@
         asked = soak.sent.get(said.request)
         if asked is None or "Retry-After" not in said.headers:
             continue
+        if not _may_have_come(soak, name, said):
+            continue
         since, until = said.at + RESTING_S, said.at + REST_S
         got = [
             seen.at
@@ -158,6 +163,16 @@
     told: dict[str, float] = {}
     for said in soak.workers[name].said:
         sent = soak.sent.get(said.request)
-        if sent is not None and word in said.headers:
+        if sent is None or word not in said.headers:
+            continue
+        if _may_have_come(soak, name, said):
             told.setdefault(sent.box.name, said.at)
     return told
+
+
+def _may_have_come(soak: Soak, name: str, said: Said) -> bool:
+    """Tell whether an answer came to its box: nothing harmed the worker's link then."""
+    return not any(
+        harmed == name and since <= said.at <= until
+        for harmed, since, until in soak.harmed
+    )
