--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -163,7 +163,7 @@
     that boxes refused for good which something had struck. A ``quiet`` schedule
     strikes no single box. ``limits`` were named by workers; those
     that are ``leaving`` say so in their answers alone. ``harmed`` tells which worker's
-    link was, and from when until when.
+    link was, and from when until when, ``lives`` when which worker began another.
     """
 
     rng: random.Random
@@ -205,6 +205,7 @@
     limits: list[NamedLimit] = field(default_factory=list)
     leaving: set[str] = field(default_factory=set)
     harmed: list[tuple[str, float, float]] = field(default_factory=list)
+    lives: list[tuple[str, float]] = field(default_factory=list)
 
     def now(self) -> float:
         """Return the time, in s."""
@@ -308,6 +309,7 @@
     await asyncio.sleep(soak.rng.uniform(*BACK_S))
     worker = soak.workers[name]
     worker.born = round(time.time() * 1_000)
+    soak.lives.append((name, soak.now()))
     await worker.start(worker.port)
     await list_worker(soak, name, "draining" if name in soak.draining else "ready")
 
