Tables and messages for speed of workers, waiting, shares and bytes held

Cause: the parts for hard load are built side by side and need the same rows. Nothing acts yet: no code calls them. Ruled out: one table for all of it; the parts would edit the same file. Conclusion: the parts can be built in modules of their own.

--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -17,6 +17,7 @@
 from ..ids import Fingerprint
 from ..ids import Incarnation
 from ..ids import ModelId
+from ..ids import OrgId
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..ids import WorkerId
@@ -251,6 +252,47 @@
     recorded: bool
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """A worker's newest load report that the sender knows.
+
+    Attributes
+    ----------
+    worker, born
+        The worker, and when this run of it began, in ms since the Unix epoch.
+    running, waiting, slots : int
+        The report.
+    slowdown_percent : int
+        Time that work takes there now, 100 for the worker's usual; 0 if not reported.
+    age_ms : int
+        Time since a box received the report from the worker, in ms.
+    """
+
+    worker: WorkerId
+    born: int
+    running: int
+    waiting: int
+    slots: int
+    slowdown_percent: int
+    age_ms: int
+
+
+class WorkerSpeedNews(msgspec.Struct, frozen=True, array_like=True):
+    """How fast a run of a worker usually is, as in `WorkerSpeed`."""
+
+    worker: WorkerId
+    born: int
+    usual_factor: float
+    answers: int
+
+
+class DemandNews(msgspec.Struct, frozen=True, array_like=True):
+    """Demand of an organisation for a service, as in `OrgDemand`."""
+
+    service: ServiceId
+    org: OrgId
+    per_s: float
+
+
 class EvacuationNews(msgspec.Struct, frozen=True, array_like=True):
     """An operator's newest order whether a failure domain is evacuated."""
 
@@ -333,6 +375,12 @@
     settings_refused, settings_waiting : bool
         Whether the sender refused its newest settings file, and whether fields of it
         take effect only at the next start.
+    loads : tuple of LoadNews
+        Recent load reports of workers.
+    worker_speeds : tuple of WorkerSpeedNews
+        Usual speeds of workers that differ from their service's.
+    demands : tuple of DemandNews
+        Demand of organisations for services that are short of room.
     """
 
     box: BoxId
@@ -370,6 +418,9 @@
     followers: tuple[BoxId, ...] = ()
     limits: tuple[LimitNews, ...] = ()
     leaving_notices: tuple[LeavingNews, ...] = ()
+    loads: tuple[LoadNews, ...] = ()
+    worker_speeds: tuple[WorkerSpeedNews, ...] = ()
+    demands: tuple[DemandNews, ...] = ()
 
 
 class FetchCatalogRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/platform/bounds.py
+++ b/src/spanshunt/platform/bounds.py
@@ -5,6 +5,7 @@
 from ..systems.repeats import RepeatBounds
 from ..tables.fleet import ColdBounds
 from ..tables.fleet import Fleet
+from ..tables.holdings import BoxLimits
 from ..tables.rollouts import ExposureBounds
 from .settings import NodeBounds
 from .settings import NodeSettings
@@ -15,6 +16,12 @@
     bounds = settings.bounds
     fleet.cold_bounds = ColdBounds(bounds.cold_over, bounds.cold_slack)
     fleet.rollouts.bounds = ExposureBounds(bounds.expose_share, bounds.expose_slack)
+    fleet.limits = BoxLimits(
+        settings.limits.cpu_share,
+        settings.limits.memory_mb,
+        settings.limits.link_mbps,
+        settings.limits.max_fds,
+    )
     fleet.regions = {
         DomainId(domain): RegionId(region)
         for domain, region in settings.regions.items()
--- a/src/spanshunt/platform/settings.py
+++ b/src/spanshunt/platform/settings.py
@@ -93,6 +93,27 @@
     repeat_window_s: t.Annotated[int, msgspec.Meta(ge=1, le=600)] = 10
 
 
+class NodeLimits(_Section, frozen=True, kw_only=True):
+    """Resources of the box; 0 for an unknown one.
+
+    Attributes
+    ----------
+    cpu_share : float
+        Processor time that the process may use, in cores.
+    memory_mb : int
+        Memory that the process may use, in MB.
+    link_mbps : float
+        Bandwidth of the box's link, in Mbit/s.
+    max_fds : int
+        Descriptors that the process may have open.
+    """
+
+    cpu_share: t.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: t.Annotated[int, msgspec.Meta(ge=0)] = 0
+    link_mbps: t.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_fds: t.Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class NodeSettings(_Section, frozen=True, kw_only=True):
     """All settings of a box on the platform.
 
@@ -100,7 +121,7 @@
     ----------
     box, domain : str
         Its name and its failure domain.
-    listen, store, bounds, logging
+    listen, store, bounds, limits, logging
         Sections, see there.
     regions : dict
         The region of each failure domain.
@@ -117,6 +138,7 @@
     regions: dict[str, str] = {}
     seeds: tuple[Address, ...] = ()
     bounds: NodeBounds = NodeBounds()
+    limits: NodeLimits = NodeLimits()
     logging: Logging = Logging(json=True)
     fingerprint_key: t.Annotated[str, msgspec.Meta(max_length=64)] = ""
 
@@ -127,7 +149,7 @@
 """Fields, or whole sections, that take effect at a start only: who the box is, where it
 listens, whose records it follows, and what its knowledge of contents is keyed with."""
 
-OWN_FIELDS = frozenset({"box", "domain", "listen", "seeds"})
+OWN_FIELDS = frozenset({"box", "domain", "listen", "seeds", "limits"})
 """What differs from box to box; the rest is the same on all of them."""
 
 DIGEST_SIGNS = 12
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -21,11 +21,16 @@
 
 
 class WorkerLoad(msgspec.Struct, frozen=True):
-    """Load that a worker reports: running and waiting requests, and its slots."""
+    """Load that a worker reports: running and waiting requests, and its slots.
+
+    ``slowdown`` is the time that work takes there now, as a multiple of what the worker
+    usually takes; None if it reports none.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 def record_load(row: WorkerRow, load: WorkerLoad, now: Millis) -> None:
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -20,6 +20,7 @@
 from ..ids import Millis
 from ..ids import ModelId
 from ..ids import Offset
+from ..ids import OrgId
 from ..ids import RegionId
 from ..ids import ServiceId
 from ..ids import WorkerId
@@ -27,12 +28,16 @@
 from .engines import DecodeSpeed
 from .engines import PrefillSpeed
 from .engines import RecentPrefill
+from .holdings import BoxLimits
+from .holdings import ByteAccount
 from .identity import Identity
 from .rollouts import Rollouts
 from .settings_state import PeerSettings
 from .settings_state import SettingsRow
 from .suspects import BrokenConnection
 from .suspects import SuspectRequest
+from .waiting import OrgDemand
+from .waiting import WaitList
 from .workers import Workers
 
 
@@ -346,6 +351,14 @@
         ms of estimated time to its first event without waiting, by service, in the
         catalog's price unit. The value added is the worth of a good answer times the
         rise of the likelihood of one, for which a minimum is assumed.
+    wait_list : WaitList
+        Requests that wait at this box for room at a worker.
+    org_demands : dict
+        Demand by service and organisation, averaged over all boxes.
+    byte_account : ByteAccount
+        Bytes that this box holds for requests in progress.
+    limits : BoxLimits
+        Resources of this box, from the settings.
     store : StoreHealth
         Health of the platform's store.
     wake_hold_until : int
@@ -392,6 +405,10 @@
     )
     lateness: dict[ServiceId, float] = {}
     gain_per_engine_ms: dict[ServiceId, float] = {}
+    wait_list: WaitList = msgspec.field(default_factory=WaitList)
+    org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
+    byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
+    limits: BoxLimits = BoxLimits()
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     wake_hold_until: Millis = Millis(0)
     stopping: bool = False
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -17,6 +17,7 @@
 from .notices import RateLimit
 from .notices import RateLimiter
 from .notices import RestPeriod
+from .speeds import WorkerSpeed
 
 
 class WorkerState(enum.Enum):
@@ -119,6 +120,8 @@
         Whether its entry in the list says that the worker leaves, another cause.
     invalid_notices : set of NoticeKind
         Kinds of invalid notices that were logged for the worker.
+    speed : WorkerSpeed
+        How fast this run of the worker is.
     """
 
     name: WorkerId
@@ -158,6 +161,7 @@
     rest: RestPeriod | None = None
     listed_leaving: bool = False
     invalid_notices: set[NoticeKind] = set()
+    speed: WorkerSpeed = msgspec.field(default_factory=WorkerSpeed)
 
     @property
     def has_notices(self) -> bool:
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -40,6 +40,7 @@
 from spanshunt.settings_file import Applied
 from spanshunt.settings_file import SettingsFile
 from spanshunt.systems.repeats import RepeatBounds
+from spanshunt.tables.holdings import BoxLimits
 from spanshunt.tables.settings_state import SettingsRow
 
 SOURCES = pathlib.Path(__file__).parent.parent / "src"
@@ -67,6 +68,10 @@
     "bounds.repeat_ratio": 0.4,
     "bounds.repeat_slack": 33.0,
     "bounds.repeat_window_s": 12,
+    "limits.cpu_share": 0.75,
+    "limits.memory_mb": 160,
+    "limits.link_mbps": 5.0,
+    "limits.max_fds": 1_638,
     "logging.level": "WARNING",
     "logging.json": False,
 }
@@ -260,6 +265,7 @@
             assert node.core.bounds == RepeatBounds(0.4, 33.0, 12)
             assert node.core.in_force_ms == 2_345
             assert node.fleet.regions == {"north": "far"}
+            assert node.fleet.limits == BoxLimits(0.75, 160, 5.0, 1_638)
             assert node.fleet.cold_bounds.rate_factor == 2.5
             assert node.fleet.cold_bounds.slack == 4.0
             assert node.fleet.rollouts.bounds.share == 0.07
