Order prompts at engines by priority, too, not by prefill time alone

Cause: the urgency that engines are told was the prefill time of a prompt alone, so the longest prompts of the most urgent route waited behind all others. Ruled out: priority alone (short prompts of a low priority would wait behind many long ones); time already spent as a part of the size (it makes the oldest the least urgent). Change: a priority counts as two levels, that is a prefill four times shorter; steps_below_highest is shared with the grants of rate-limited workers.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -39,6 +39,7 @@
 from .request_state import AttemptOutcome
 from .request_state import WorkerFailure
 from .systems.admitting import Admission
+from .systems.admitting import steps_below_highest
 from .systems.cascading import record_lateness
 from .systems.ending import record_worker_return
 from .systems.estimating import record_sent_prompt
@@ -180,13 +181,17 @@
     }
 
 
-def _urgency(state: CatalogRequest, attempt: CatalogAttempt) -> int:
+def _urgency(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> int:
     """Return the request's priority at its worker; resumed requests go first."""
     if attempt.prompt is None:
         return state.admitted.priority
     if state.last_event_id is not None:
         return 0
-    return urgency_of(attempt.expected, state.admitted.route.target_latency_ms)
+    return urgency_of(
+        attempt.expected,
+        state.admitted.route.target_latency_ms,
+        steps_below_highest(core.fleet, state.service, state.admitted.priority),
+    )
 
 
 def _record_prompt(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
@@ -213,7 +218,7 @@
         worker=worker,
         model=attempt.model,
         org=state.org,
-        urgency=_urgency(state, attempt),
+        urgency=_urgency(core, state, attempt),
         left_ms=state.limit - core.clock.now(),
         resume_after=state.last_event_id,
         new_connection=state.has_failed_attempt or not state.repeatable,
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -19,6 +19,7 @@
 from .keeping_back import quarantine_refusal
 from .refusals import Problem
 from .refusals import Refusal
+from .systems.admitting import steps_below_highest
 from .systems.cascading import EscalationProspect
 from .systems.cascading import plan_models
 from .systems.cascading import record_engine_gain
@@ -237,13 +238,13 @@
     grant at once, one in three of the next, and so on. An escalation to a larger model
     never may, as another caller could use the grant.
     """
-    fleet, catalog = core.fleet, core.fleet.catalog
-    if catalog is None or not has_limited_workers(fleet, state.service):
+    fleet = core.fleet
+    if fleet.catalog is None or not has_limited_workers(fleet, state.service):
         return True
     if state.escalated:
         return False
-    below = state.admitted.priority - catalog.highest_priority.get(state.service, 0)
-    return unit_hash("grant", state.request) * (1 + max(0, below)) < 1
+    below = steps_below_highest(fleet, state.service, state.admitted.priority)
+    return unit_hash("grant", state.request) * (1 + below) < 1
 
 
 def _describe_throttled(core: Core, request: PlacementRequest) -> tuple[str, ...]:
--- a/src/spanshunt/systems/admitting.py
+++ b/src/spanshunt/systems/admitting.py
@@ -11,12 +11,14 @@
 
 from ..ids import Millis
 from ..ids import RegionId
+from ..ids import ServiceId
 from ..refusals import Problem
 from ..refusals import Refusal
 from ..tables.catalog import Catalog
 from ..tables.catalog import OrgRow
 from ..tables.catalog import RouteRow
 from ..tables.catalog import find_route
+from ..tables.fleet import Fleet
 
 CATALOG_WAIT_FRACTION, MAX_CATALOG_WAIT_MS = 0.125, 1_000
 """How long a request waits at a box that knows no catalog yet: a fraction of the time
@@ -93,6 +95,13 @@
     return Ok(Admission(route, org, catalog.version))
 
 
+def steps_below_highest(fleet: Fleet, service: ServiceId, priority: int) -> int:
+    """Return how many priorities lie between a request and its service's highest."""
+    if fleet.catalog is None:
+        return 0
+    return max(0, priority - fleet.catalog.highest_priority.get(service, 0))
+
+
 def unproved_catalog_refusal(catalog: Catalog | None, left_ms: int) -> Refusal:
     """Return the refusal for a box that can't tell whether its catalog is the newest.
 
--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -75,6 +75,11 @@
 """Least urgent level that engines know, for prompts whose prefill takes the whole
 target latency."""
 
+LEVELS_PER_PRIORITY = 2
+"""Levels between two priorities of a service: a request of the next priority goes first
+only if its prefill takes less than a quarter of the time. Short prompts of a low
+priority therefore delay urgent ones little and are not starved by them."""
+
 MIN_REPORTED_PREFILL_MS = 100.0
 """Prompts whose shared parts take less prefill time than this, in ms, are not reported
 to peers: the report would cost more than it saves."""
@@ -197,15 +202,20 @@
     return make_estimator(fleet, prompt, now)(row, owner)
 
 
-def urgency_of(estimate: FirstEventEstimate, target_latency_ms: int) -> int:
+def urgency_of(
+    estimate: FirstEventEstimate, target_latency_ms: int, steps_below: int = 0
+) -> int:
     """Return the urgency of a request at an engine, from 0 (first) to `LOWEST_URGENCY`.
 
     Requests with a shorter prefill go first, because they delay the others less. Each
     doubling of the fraction of the target latency that prefill takes is one level.
+    `steps_below` is the number of priorities between the request and the most urgent
+    ones of its service.
     """
     fraction = max(estimate.read_ms, 1.0) / max(1, target_latency_ms)
-    steps = math.ceil(math.log2(fraction))
-    return min(LOWEST_URGENCY, max(0, LOWEST_URGENCY + steps))
+    doublings = math.ceil(math.log2(fraction))
+    level = LOWEST_URGENCY + doublings + LEVELS_PER_PRIORITY * steps_below
+    return min(LOWEST_URGENCY, max(0, level))
 
 
 def others_wait_ms(row: WorkerRow, now: Millis) -> float:
--- a/tests/test_estimating.py
+++ b/tests/test_estimating.py
@@ -213,6 +213,22 @@
     assert steps[-1] == LOWEST_URGENCY
 
 
+def test_urgent_prompt_goes_first_unless_it_is_much_longer():
+    """Long prompts of the highest priority were served worst of all kinds."""
+    urgent = urgency_of(FirstEventEstimate(read_ms=400), 3_000)
+    as_long = urgency_of(FirstEventEstimate(read_ms=400), 3_000, steps_below=1)
+    half = urgency_of(FirstEventEstimate(read_ms=200), 3_000, steps_below=2)
+    short = urgency_of(FirstEventEstimate(read_ms=10), 3_000, steps_below=2)
+    assert urgent < as_long
+    assert urgent < half
+    assert short < urgent
+
+
+def test_prompt_of_a_low_priority_has_a_level_that_engines_know():
+    longest = urgency_of(FirstEventEstimate(read_ms=9_000), 3_000, steps_below=9)
+    assert longest == LOWEST_URGENCY
+
+
 @pytest.mark.parametrize("boxes", [6, 91])
 def test_boxes_with_the_same_view_spread_over_engines(boxes):
     counts: dict[str, int] = {}
