A stream that has begun waits for a worker instead of being cut

A run whose worker ended also used up an attempt, so an escalation and two workers that end together cut the stream.

Change: such a stream pauses (0.1 s, doubled to 0.8) and goes on when a worker takes it, within its time, its attempts and the retry budget; a final refusal (quarantined content) ends it at once. A run whose worker is known to have ended counts no longer towards the attempts.

--- a/src/spanshunt/break_causes.py
+++ b/src/spanshunt/break_causes.py
@@ -31,6 +31,8 @@
         handle_worker_end(core, worker, "known before")
     elif await core.probe(worker) is Presence.GONE:
         handle_worker_end(core, worker, "connection refused")
+    if worker.ended_at >= attempt.sent:
+        state.ended_runs += 1
     if worker.ended_at >= 0:
         await core.load_quarantine()
 
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -35,6 +35,7 @@
 from .relaying import relay_stream
 from .relaying import should_escalate
 from .repeating import budget_allows
+from .repeating import may_resume
 from .repeating import may_retry
 from .request_state import AttemptOutcome
 from .request_state import WorkerFailure
@@ -87,6 +88,7 @@
         may_retry=partial(may_retry, core),
         retry_ms=lambda state: retry_after_ms(core, state.admitted.route),
         find_break_cause=partial(find_break_cause, core),
+        may_resume=partial(may_resume, core),
     )
 
 
@@ -258,7 +260,7 @@
     if not send_task.done() and has_sent_recently(attempt.worker, core.clock.now()):
         extended = limit * RECENTLY_SENT_FACTOR
         await asyncio.wait({send_task}, timeout=(extended - limit) / 1_000)
-    if not state.repeatable or state.runs >= state.max_attempts:
+    if not state.repeatable or state.counted_runs >= state.max_attempts:
         if not send_task.done() and not state.repeatable:
             record_silent_worker(core, state, attempt)
         await asyncio.wait({send_task})
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -15,6 +15,7 @@
 
 from .clock import Clock
 from .ids import Millis
+from .logs import log_event
 from .ports import Answer
 from .ports import BrokenAnswerError
 from .ports import Reply
@@ -34,6 +35,11 @@
 """Minimum time left for another attempt, in ms: a round trip within a failure domain
 already takes about a millisecond."""
 
+RESUME_PAUSE_S, MAX_RESUME_PAUSE_S = 0.1, 0.8
+"""First pause before the next attempt to resume an answer for which no worker was
+found, and the longest, in s; doubled each time, as each rejection uses retry budget.
+News of a version's success or of new workers take some tenths between boxes."""
+
 
 StateT = t.TypeVar("StateT", bound=RequestState)
 AttemptT = t.TypeVar("AttemptT", bound=Attempt)
@@ -43,6 +49,11 @@
     """Default for `Steps.find_break_cause`: no search for the cause."""
 
 
+def _never_resume(_state: t.Any) -> bool:
+    """Default for `Steps.may_resume`: an answer is not resumed after a pause."""
+    return False
+
+
 class Steps(msgspec.Struct, t.Generic[StateT, AttemptT], frozen=True):
     """Functions that one kind of requests uses at each step of forwarding.
 
@@ -74,6 +85,10 @@
         Returns the time after which a refused caller may retry, in ms.
     find_break_cause : callable
         Finds out why an attempt got no complete answer, before the next one is planned.
+    may_resume : callable
+        Returns whether an answer that has begun may be resumed by another worker after
+        a pause. Unlike `may_retry`, it does not limit the number of rejections: the
+        caller can't be told any more to retry later.
     """
 
     clock: Clock
@@ -93,6 +108,7 @@
     find_break_cause: t.Callable[[StateT, AttemptT], t.Awaitable[None]] = (
         _skip_break_cause
     )
+    may_resume: t.Callable[[StateT], bool] = _never_resume
 
 
 async def forward(steps: Steps[StateT, AttemptT], state: StateT, reply: Reply) -> None:
@@ -151,33 +167,69 @@
         return False
     if state.runs and not state.repeatable:
         return False
-    return state.runs < state.max_attempts
+    return state.counted_runs < state.max_attempts
 
 
 async def _run_attempts(
     steps: Steps[StateT, AttemptT], state: StateT, reply: Reply
 ) -> RequestResult:
     """Attempt the request until it is answered or no further attempt is allowed."""
-    refusal: Refusal | None = None
     while True:
+        refusal: Refusal | None = None
         planned = steps.plan(state)
         if isinstance(planned, Err):
             refusal = planned.err_value
-            break
-        outcome = await _run_attempt(steps, state, planned.ok_value, reply)
-        if outcome in (AttemptOutcome.FAILED, AttemptOutcome.INTERRUPTED):
-            await steps.find_break_cause(state, planned.ok_value)
-        if outcome is AttemptOutcome.DELIVERED:
-            return RequestResult("delivered")
-        if outcome is not AttemptOutcome.ESCALATED and not _may_retry(
-            steps, state, outcome
-        ):
+        else:
+            outcome = await _run_attempt(steps, state, planned.ok_value, reply)
+            if outcome in (AttemptOutcome.FAILED, AttemptOutcome.INTERRUPTED):
+                await steps.find_break_cause(state, planned.ok_value)
+            if outcome is AttemptOutcome.DELIVERED:
+                return RequestResult("delivered")
+            if outcome is AttemptOutcome.ESCALATED or _may_retry(steps, state, outcome):
+                continue
+        if not await _await_resumption(steps, state, reply, refusal):
             break
     return await send_failure_reply(
         state, reply, state.stop_refusal or refusal, steps.retry_ms(state)
     )
 
 
+async def _await_resumption(
+    steps: Steps[StateT, AttemptT],
+    state: StateT,
+    reply: Reply,
+    refusal: Refusal | None,
+) -> bool:
+    """Wait until an answer that has begun may be resumed; return whether it may.
+
+    A caller that has a part of its answer can't be refused any more, so the answer is
+    lost if it ends now. It waits as long as its time and its attempts last, unless the
+    refusal of the last plan is final.
+    """
+    if not (reply.begun and state.resumable):
+        return False
+    if refusal is not None and refusal.retry_ms is None:
+        return False
+    pause_s = min(MAX_RESUME_PAUSE_S, RESUME_PAUSE_S * 2**state.resume_waits)
+    while may_attempt_again(state, steps.clock.now()):
+        if not state.resume_waits:
+            _record_wait(steps, state, refusal)
+        state.resume_waits += 1
+        await asyncio.sleep(pause_s)
+        if steps.may_resume(state):
+            return True
+    return False
+
+
+def _record_wait(
+    steps: Steps[StateT, AttemptT], state: StateT, refusal: Refusal | None
+) -> None:
+    """Count and log that an answer waits for a worker that can resume it."""
+    steps.count("resumptions_waited")
+    reason = refusal.detail if refusal is not None else state.stopped_by
+    log_event("INFO", "resumption waits", request=state.request, reason=reason)
+
+
 def _may_retry(
     steps: Steps[StateT, AttemptT], state: StateT, outcome: AttemptOutcome
 ) -> bool:
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -121,7 +121,7 @@
 ) -> bytes:
     """Return the next bytes; raise on silence if another worker may resume."""
     route, worker = state.admitted.route, attempt.worker
-    if not route.resumable or state.runs >= route.max_attempts:
+    if not route.resumable or state.counted_runs >= route.max_attempts:
         return await answer.next_block()
     limit_ms = stall_timeout_ms(route)
     silent_ms = 0.0
--- a/src/spanshunt/repeating.py
+++ b/src/spanshunt/repeating.py
@@ -35,6 +35,14 @@
     return ""
 
 
+def may_resume(core: Core, state: CatalogRequest) -> bool:
+    """Return whether a stream that has begun may go on at another worker, if any.
+
+    Only its time, its attempts and the retry budget limit it, not the arrivals so far.
+    """
+    return may_attempt_again(state, core.clock.now()) and budget_allows(core, state)
+
+
 def budget_allows(
     core: Core, state: CatalogRequest, *, for_escalation: bool = False
 ) -> bool:
--- a/src/spanshunt/request_state.py
+++ b/src/spanshunt/request_state.py
@@ -94,6 +94,11 @@
         Why no further worker was tried, for the log; empty if no retry was denied.
     runs : int
         Number of attempts that may have run.
+    ended_runs : int
+        Number of those whose worker ended meanwhile. They don't count towards
+        `max_attempts`: such a run is not at work any more.
+    resume_waits : int
+        Number of pauses before an attempt to resume the answer.
     version : str
         The version that answers the request; empty until an answer begins.
     under_way : Attempt or None
@@ -130,6 +135,8 @@
     unreached: int = 0
     stopped_by: str = ""
     runs: int = 0
+    ended_runs: int = 0
+    resume_waits: int = 0
     version: VersionId = VersionId("")
     under_way: Attempt | None = None
     worker_failure: WorkerFailure | None = None
@@ -140,3 +147,8 @@
     events: int = 0
     timer: asyncio.Timeout | None = None
     stop_refusal: Refusal | None = None
+
+    @property
+    def counted_runs(self) -> int:
+        """Number of runs that count towards `max_attempts`."""
+        return self.runs - self.ended_runs
