Use load reports of four figures and keep the slowdown they report

Cause: the adapter wanted exactly three figures and dropped every report of a worker that also tells how long work takes on its machine now, so that choice and waits ran on a box's own counts alone. A worker that ended loses its speed. Ruled out: using the fourth figure of a report with surplus figures, which may be two reports in one header.

--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -314,6 +314,9 @@
 FLAW_SHOWN = 60
 """Characters of a header that can't be used which a log line shows at most."""
 
+MAX_SLOWDOWN = 100.0
+"""Longest time of work that a worker may report, as a multiple of its usual one."""
+
 WHOLE_DIGITS = 15
 """Digits that a whole number in a header may have: more than any time or size needs."""
 
@@ -340,6 +343,24 @@
     return Err(f"{RATE_LIMIT} is {found!r}; one decimal number is allowed")
 
 
+def decode_slowdown(texts: t.Sequence[str]) -> Result[float | None, str]:
+    """Decode the figures of a load report after its counts: none, or the slowdown.
+
+    The figure is a percentage of the time that work usually takes at the worker. The
+    result is that time as a multiple.
+    """
+    if not texts:
+        return Ok(None)
+    text = texts[0].strip()
+    if len(texts) == 1 and _DECIMAL.fullmatch(text):
+        slowdown = float(text) / 100
+        if 0.0 < slowdown <= MAX_SLOWDOWN:
+            return Ok(slowdown)
+    found = ",".join(texts)[:FLAW_SHOWN]
+    allowed = f"one number above 0 and up to {MAX_SLOWDOWN * 100:.0f} is allowed"
+    return Err(f"{LOAD} ends with {found!r}; {allowed}")
+
+
 def decode_leaving(texts: t.Sequence[str]) -> Result[bool, str]:
     """Decode whether an answer says that its worker leaves."""
     if not texts:
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -41,6 +41,9 @@
 before it has read all of one, and what follows must not be taken for the rest."""
 
 
+LOAD_COUNTS = 3
+"""Number of figures of a load report that count requests or slots."""
+
 TURNED_AWAY = 503
 """The status of a worker that has no room, and may ask for rest."""
 
@@ -79,7 +82,7 @@
         self.not_run = wire.NOT_RUN in resp.headers
         self.replaced = resp.status == 421
         self.confidence = _sureness(resp.headers.get(wire.SURENESS))
-        self.load = _load(resp.headers.get(wire.LOAD))
+        self.load = _load(resp)
         self.defect = _flaw(resp, request)
         self.notice = _notice(resp)
 
@@ -165,6 +168,7 @@
     headers = resp.headers
     per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
     leaving = wire.decode_leaving(headers.getall(wire.LEAVING, []))
+    slowdown = wire.decode_slowdown(_load_figures(resp)[LOAD_COUNTS:])
     rest_ms: Result[Millis | None, str] = Ok(None)
     if resp.status == TURNED_AWAY:
         asked = headers.getall(wire.RETRY_AFTER, [])
@@ -173,6 +177,7 @@
         (NoticeKind.LIMIT, per_s.err()),
         (NoticeKind.LEAVING, leaving.err()),
         (NoticeKind.REST, rest_ms.err()),
+        (NoticeKind.LOAD, slowdown.err()),
     )
     return Notice(
         per_s=per_s.unwrap_or(None),
@@ -189,11 +194,21 @@
         return None
 
 
-def _load(text: str | None) -> WorkerLoad | None:
-    """Decode ``running,waiting,slots``; anything else tells nothing."""
-    parts = [wire.whole_number(part) for part in (text or "").split(",")]
-    numbers = [part for part in parts if part is not None]
-    if len(parts) != 3 or len(numbers) != 3:
+def _load(resp: aiohttp.ClientResponse) -> WorkerLoad | None:
+    """Decode ``running,waiting,slots``, with or without the slowdown.
+
+    Fewer figures, or others than whole numbers, tell nothing. A slowdown that can't be
+    used is left out.
+    """
+    figures = _load_figures(resp)
+    numbers = [wire.whole_number(figure) for figure in figures[:LOAD_COUNTS]]
+    counts = [number for number in numbers if number is not None]
+    if len(counts) != LOAD_COUNTS:
         return None
-    running, waiting, slots = numbers
-    return WorkerLoad(running, waiting, slots)
+    running, waiting, slots = counts
+    slowdown = wire.decode_slowdown(figures[LOAD_COUNTS:]).unwrap_or(None)
+    return WorkerLoad(running, waiting, slots, slowdown)
+
+
+def _load_figures(resp: aiohttp.ClientResponse) -> list[str]:
+    return resp.headers.get(wire.LOAD, "").split(",")
--- a/src/spanshunt/systems/ending.py
+++ b/src/spanshunt/systems/ending.py
@@ -12,6 +12,7 @@
 from ..ids import Millis
 from ..tables.engines import PromptCache
 from ..tables.fleet import Fleet
+from ..tables.speeds import WorkerSpeed
 from ..tables.suspects import BrokenConnection
 from ..tables.workers import WorkerRow
 from .throttling import clear_limit
@@ -70,6 +71,7 @@
     worker.peer_prefill_ms.clear()
     worker.unreported_prefill_ms = 0.0
     worker.error_rate = 0.0
+    worker.speed = WorkerSpeed()
 
 
 def expire_broken_connections(fleet: Fleet, now: Millis) -> None:
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -4,6 +4,7 @@
 
 from ..ids import Millis
 from ..tables.workers import WorkerRow
+from .worker_speed import record_slowdown
 
 EJECTION_MS = 600
 """First ejection of a worker that can't be reached, in ms; doubled with each further
@@ -40,6 +41,8 @@
     row.own_inflight_at_report = row.inflight
     row.slots = max(1, load.slots)
     row.reported_at = now
+    if load.slowdown is not None:
+        record_slowdown(row, load.slowdown, now)
 
 
 def record_answer(row: WorkerRow, first_ms: float, *, good: bool, now: Millis) -> None:
--- a/src/spanshunt/tables/notices.py
+++ b/src/spanshunt/tables/notices.py
@@ -14,6 +14,7 @@
     LIMIT = "limit"
     LEAVING = "leaving"
     REST = "rest"
+    LOAD = "load"
 
 
 class InvalidNotice(msgspec.Struct, frozen=True):
