Weigh the speed of each worker in the choice of workers

Cause: a worker that says that it is slow now cost as little as any other. Change: time_factor multiplies an engine's prefill and base times in the estimator (so also what a box counts as waiting there and tells peers), the owner's cost, and the load of engines and plain workers, (1 + load) * factor - 1. Workers whose factor isn't 1 have a random part of a tenth of their time, as all boxes hear the same reports. Ruled out: noise for all workers; choices where no worker shows a speed would change.

--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -2,10 +2,11 @@
 
 The time is ``wait + prefill``: the prefill time of requests queued at the engine, plus
 the uncached tokens of the prompt times the prefill time per token, plus a base time.
-Both times are learned for each service and model. The waiting time is the sum of three
-parts: the prefill time of this box's own queued requests, of those that other boxes
-(peers) reported, and of those that they did not report, which is estimated from late
-answers.
+Both times are learned for each service and model, and scaled for an engine of another
+speed by its :func:`~spanshunt.systems.worker_speed.time_factor`. The waiting time is
+the sum of three parts: the prefill time of this box's own queued requests, of those
+that other boxes (peers) reported, and of those that they did not report, which is
+estimated from late answers.
 
 Processing a prompt token is also called reading it: in names, ``read`` is a number of
 tokens and ``read_ms`` a prefill time.
@@ -31,6 +32,7 @@
 from .keeping import cached_tokens
 from .keeping import part_key
 from .keeping import record_prefill
+from .worker_speed import time_factor
 
 UNREPORTED_HALF_LIFE_MS = 1_500
 """Half-life, in ms, of the estimate of unreported waiting time. The estimate decays
@@ -133,6 +135,9 @@
         Whether the engine is the cache owner and this box knows of no shared part that
         it has cached. `unread` then assumes that the parts are cached with the
         probability learned for owners.
+    time_factor : float
+        Time of work at the engine, against the service's usual, that `read_ms`
+        contains.
     """
 
     own_wait_ms: float = 0.0
@@ -141,6 +146,7 @@
     unread: float = 0.0
     unreported_ms: float = 0.0
     unseen: bool = False
+    time_factor: float = 1.0
 
     @property
     def wait_ms(self) -> float:
@@ -183,13 +189,15 @@
             _unreported_wait_ms(row, now) if row.unreported_prefill_ms else 0.0
         )
         reported_ms = _reported_wait_ms(row, now) if row.peer_prefill_ms else 0.0
+        factor = time_factor(row, now)
         return FirstEventEstimate(
             own_wait_ms=row.prefill_ms,
             others_wait_ms=reported_ms + unreported_ms,
-            read_ms=base_ms + uncached * read_ms,
+            read_ms=(base_ms + uncached * read_ms) * factor,
             unread=uncached,
             unreported_ms=unreported_ms,
             unseen=unseen,
+            time_factor=factor,
         )
 
     return estimate
@@ -347,7 +355,9 @@
     """
     speed = prefill_speed(fleet, prompt.service, prompt.model)
     uncached = prompt.read - 0.5 * prompt.shared_tokens
-    threshold_ms = expected.wait_ms + speed.base_ms + uncached * speed.read_ms
+    threshold_ms = expected.wait_ms + expected.time_factor * (
+        speed.base_ms + uncached * speed.read_ms
+    )
     before = unseen_cache_rate(fleet, prompt)
     hit = 1.0 if first_ms < threshold_ms else 0.0
     key = (prompt.service.name, prompt.model)
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -47,6 +47,7 @@
 from .throttling import grant_wait_ms
 from .throttling import is_limited
 from .warming import may_send_to
+from .worker_speed import time_factor
 
 CROSS_DOMAIN_BATCH_FRACTION = 0.35
 """Cost of another failure domain for a plain request, as a fraction of a batch. Traffic
@@ -83,6 +84,12 @@
 """Size of the random part for a plain request, as a fraction of a batch: about one
 request of a batch of 32."""
 
+SPEED_NOISE_FRACTION = 0.1
+"""Size of the random part for a worker of another speed than its service's usual, as a
+fraction of the time that its cost contains. All boxes hear the same reports and learn
+the same speeds, which are no more exact than this, and would all choose the same
+worker."""
+
 REPORT_HALF_LIFE_MS = 400
 """Half-life of the weight of other boxes' requests in a worker's report, in ms. It is
 about the duration of a short answer."""
@@ -201,16 +208,38 @@
 def _plain_cost(
     row: WorkerRow, request: PlacementRequest, now: Millis, rng: random.Random
 ) -> float:
-    """Return the cost of a plain request at a worker, in batches."""
+    """Return the cost of a plain request at a worker, in batches.
+
+    A batch there counts as many usual ones as the worker takes times the usual time.
+    """
+    factor = time_factor(row, now)
+    load = scaled_load(row, factor, now)
+    noise = NOISE_BATCH_FRACTION + _speed_noise(factor, 1.0 + load)
     return (
-        batch_load(row, now)
+        load
         + (CROSS_DOMAIN_BATCH_FRACTION if row.domain != request.domain else 0.0)
         + ERROR_BATCH_FRACTION * row.error_rate
         - (GRANT_BATCH_FRACTION if is_limited(row) else 0.0)
-        + NOISE_BATCH_FRACTION * rng.random()
+        + noise * rng.random()
     )
 
 
+def scaled_load(row: WorkerRow, factor: float, now: Millis) -> float:
+    """Return a worker's load in batches of the usual time.
+
+    `factor` is the worker's `time_factor`. The batch in which the request runs counts,
+    too: an empty worker that takes twice the usual time costs as much as a usual one
+    with a full batch.
+    """
+    load = batch_load(row, now)
+    return load if factor == 1.0 else (1.0 + load) * factor - 1.0
+
+
+def _speed_noise(factor: float, work: float) -> float:
+    """Return the size of the random part for `work` at a worker of some speed."""
+    return 0.0 if factor == 1.0 else SPEED_NOISE_FRACTION * work
+
+
 def _best_engine(
     fleet: Fleet,
     rows: list[WorkerRow],
@@ -238,20 +267,18 @@
     for row in rows:
         owns = row.name == owner
         estimate = estimate_at(row, owns)
+        factor = estimate.time_factor
         fraction = (
-            LOAD_LATENCY_FRACTION * batch_load(row, now)
+            LOAD_LATENCY_FRACTION * scaled_load(row, factor, now)
             + ERROR_LATENCY_FRACTION * row.error_rate
         )
         if row.domain != request.domain:
             fraction += CROSS_DOMAIN_LATENCY_FRACTION
         if is_limited(row):
             fraction -= GRANT_LATENCY_FRACTION
-        cost = (
-            estimate.wait_ms
-            + (unshared_prefill_ms if owns else estimate.read_ms)
-            + fraction * target_latency_ms
-        )
-        cost += noise * rng.random()
+        prefill_ms = unshared_prefill_ms * factor if owns else estimate.read_ms
+        cost = estimate.wait_ms + prefill_ms + fraction * target_latency_ms
+        cost += (noise + _speed_noise(factor, prefill_ms)) * rng.random()
         if cost < least:
             best, best_estimate, least = row, estimate, cost
     return best, best_estimate
