Learn the usual speed of each worker and share it between boxes

Cause: the speed of a service was known, that of a worker was not; a box heard of a slowdown only in answers to its own requests. Change: a usual factor is learned from an engine's first event without its expected wait against the service's speed, and from a plain worker's time to the first byte against the median of its route, both divided by the slowdown that the answer reports; long waits, cold and full workers are left out. An answer counts by a bounded difference of logarithms with the weight 1 / (answers + 1); the service's speed goes on learning from all workers. News.worker_speeds carries up to 16 workers drawn anew, merged by answers with at most one half; News.loads the 16 newest reports with a slowdown under 1 s of age, taken if newer, of the same run and of known age. Own requests in a relayed report are taken to be those in progress now, so that the load is the greater of both numbers. Conclusion: choices rest on usual speed and present slowdown of each worker.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -33,6 +33,7 @@
 from .systems.warming import mark_cold
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
+from .systems.worker_speed import learn_plain_factor
 from .tables.catalog import RequestKind
 from .tables.rollouts import Tally
 
@@ -126,6 +127,16 @@
     read = state.call.tokens.read
     if attempt.prompt is not None:
         _record_first_event(core, state, attempt, first_ms)
+    else:
+        learn_plain_factor(
+            fleet,
+            attempt.worker,
+            route,
+            attempt.model,
+            first_ms,
+            attempt.load,
+            core.clock.now(),
+        )
     _record_tally(core, state, attempt, BEGAN)
     if is_slow_first_byte(fleet, route, attempt.model, read, first_ms):
         _mark_slow(core, state, attempt)
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -25,6 +25,7 @@
 from .peers.news_rows import evacuations_news
 from .peers.news_rows import leaving_news
 from .peers.news_rows import limits_news
+from .peers.news_rows import loads_news
 from .peers.news_rows import merge_tally_group
 from .peers.news_rows import pending_prefills_news
 from .peers.news_rows import recent_prefills_news
@@ -35,6 +36,7 @@
 from .peers.news_rows import to_listed_worker
 from .peers.news_rows import to_recorded_suspicion
 from .peers.news_rows import to_suspect_request
+from .peers.news_rows import worker_speeds_news
 from .peers.news_rows import workers_news
 from .peers.partners import Partners
 from .peers.talks import PeerStreams
@@ -44,6 +46,8 @@
 from .rollout_lines import log_order
 from .rollout_lines import log_turned_bad
 from .rollout_lines import log_verdict
+from .speed_news import merge_load_news
+from .speed_news import merge_worker_speed_news
 from .systems.eras import record_era
 from .systems.evacuating import apply_evacuation
 from .systems.fleet_size import box_count
@@ -238,6 +242,8 @@
             else (),
             limits=limits_news(fleet, now),
             leaving_notices=leaving_news(fleet, now),
+            loads=loads_news(fleet, now),
+            worker_speeds=worker_speeds_news(fleet, self._rng),
             evacuations=evacuations_news(fleet),
             boxes=box_count(fleet),
             store_era=fleet.store.era,
@@ -307,6 +313,8 @@
         ):
             fleet.quarantine_known = True
         take_engine_news(fleet, news, now)
+        merge_load_news(fleet, news, sent_at)
+        merge_worker_speed_news(fleet, news)
         merge_limit_news(fleet, news, sent_at, now)
         merge_leaving_news(fleet, news, sent_at, now)
 
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -1,5 +1,7 @@
 """Conversion between rows of tables and the messages between boxes."""
 
+import random
+
 from ..ids import DomainId
 from ..ids import Incarnation
 from ..ids import Millis
@@ -10,6 +12,7 @@
 from ..systems.quarantining import suspects_to_send
 from ..systems.tallies import sum_tallies
 from ..systems.throttling import limits_to_send
+from ..systems.worker_speed import newest_slowdowns
 from ..tables.fleet import EvacuationRow
 from ..tables.fleet import Fleet
 from ..tables.rollouts import EPOCH_MS
@@ -26,6 +29,7 @@
 from .news import EvacuationNews
 from .news import LeavingNews
 from .news import LimitNews
+from .news import LoadNews
 from .news import PendingPrefillNews
 from .news import RecentPrefillNews
 from .news import RolloutNews
@@ -35,6 +39,7 @@
 from .news import TallyGroup
 from .news import TallyNews
 from .news import WorkerNews
+from .news import WorkerSpeedNews
 from .news import WorkerTallyNews
 
 NEWEST_EPOCHS_SENT = 3
@@ -47,6 +52,13 @@
 the newest epochs take."""
 
 
+MAX_LOADS_SENT, MAX_LOAD_AGE_MS = 16, 1_000
+"""Maximum number of load reports in one message, newest first, and the age from which
+they are not passed on, in ms: a slowdown has lost nearly all of its weight by then."""
+
+MAX_WORKER_SPEEDS_SENT = 16
+"""Maximum number of workers' usual speeds in one message."""
+
 MAX_LEAVING_NOTICES_SENT = 32
 """Maximum number of leaving notices in one message, newest first."""
 
@@ -271,6 +283,33 @@
     )
 
 
+def loads_news(fleet: Fleet, now: Millis) -> tuple[LoadNews, ...]:
+    """Return the newest load reports of workers that report a slowdown."""
+    return tuple(
+        LoadNews(
+            worker=row.name,
+            born=row.born,
+            running=row.reported - row.queued,
+            waiting=row.queued,
+            slots=row.slots,
+            slowdown_percent=round(100 * row.speed.slowdown),
+            age_ms=now - row.reported_at,
+        )
+        for row in newest_slowdowns(fleet, now, MAX_LOADS_SENT, MAX_LOAD_AGE_MS)
+    )
+
+
+def worker_speeds_news(fleet: Fleet, rng: random.Random) -> tuple[WorkerSpeedNews, ...]:
+    """Return the usual speeds of workers; if there are many, of some drawn anew."""
+    rows = [row for row in fleet.workers.rows.values() if row.speed.answers]
+    if len(rows) > MAX_WORKER_SPEEDS_SENT:
+        rows = rng.sample(rows, MAX_WORKER_SPEEDS_SENT)
+    return tuple(
+        WorkerSpeedNews(row.name, row.born, row.speed.usual_factor, row.speed.answers)
+        for row in rows
+    )
+
+
 def leaving_news(fleet: Fleet, now: Millis) -> tuple[LeavingNews, ...]:
     """Return the newest leaving notices of workers, the newest first."""
     notices = [
--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -32,6 +32,9 @@
 from .keeping import cached_tokens
 from .keeping import part_key
 from .keeping import record_prefill
+from .worker_speed import MIN_SERVICE_ANSWERS
+from .worker_speed import learn_usual_factor
+from .worker_speed import present_slowdown
 from .worker_speed import time_factor
 
 UNREPORTED_HALF_LIFE_MS = 1_500
@@ -304,19 +307,41 @@
 ) -> None:
     """Update the estimates from the measured time to a first event.
 
-    The speed is updated, or for an `unseen` estimate the unseen cache rate, as well as
-    the unreported waiting time.
+    The speeds of the service and of the engine are updated, or for an `unseen` estimate
+    the unseen cache rate, as well as the unreported waiting time.
     """
     if expected.unseen:
         _update_unseen_rate(fleet, prompt, expected, first_ms)
     else:
-        _update_speed(fleet, prompt, expected, first_ms)
+        _update_worker_speed(fleet, row, prompt, expected, first_ms, now)
+        _update_speed(fleet, prompt, expected, first_ms / present_slowdown(row, now))
     unreported = max(0.0, first_ms - expected.first_ms + expected.unreported_ms)
     before = _unreported_wait_ms(row, now)
     row.unreported_prefill_ms = before + UNREPORTED_SMOOTHING * (unreported - before)
     row.unreported_prefill_at = now
 
 
+def _update_worker_speed(
+    fleet: Fleet,
+    row: WorkerRow,
+    prompt: Prompt,
+    expected: FirstEventEstimate,
+    first_ms: float,
+    now: Millis,
+) -> None:
+    """Learn the engine's usual factor from an answer after a short wait."""
+    speed = fleet.prefill_speeds.get((prompt.service.name, prompt.model))
+    if speed is None or speed.answers < MIN_SERVICE_ANSWERS or _waited_long(expected):
+        return
+    usual_ms = speed.base_ms + speed.read_ms * expected.unread
+    learn_usual_factor(row, first_ms - expected.wait_ms, usual_ms, now)
+
+
+def _waited_long(expected: FirstEventEstimate) -> bool:
+    """Return whether the time to the first event tells more of the queue."""
+    return expected.wait_ms > MAX_WAIT_FRACTION * expected.first_ms
+
+
 def _update_speed(
     fleet: Fleet, prompt: Prompt, expected: FirstEventEstimate, first_ms: float
 ) -> None:
@@ -335,7 +360,7 @@
         fleet.prefill_speeds[key] = PrefillSpeed(read_ms, base_ms)
         return
     expected_ms = speed.base_ms + speed.read_ms * expected.unread
-    if expected.wait_ms > MAX_WAIT_FRACTION * expected.first_ms or expected_ms <= 0.0:
+    if _waited_long(expected) or expected_ms <= 0.0:
         return
     speed.answers += 1
     step = max(MIN_SPEED_STEP, MAX_SPEED_STEP / speed.answers)
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -45,6 +45,21 @@
         record_slowdown(row, load.slowdown, now)
 
 
+def record_relayed_load(row: WorkerRow, load: WorkerLoad, at: Millis) -> bool:
+    """Record a load report that another box got from a worker at `at`, if it is newer.
+
+    How many of the requests in it are this box's own is not known: some that are in
+    progress now began after it, some that it counts have ended. They are taken to be as
+    many as are in progress now, so that the load is never below these, and never above
+    the reported number and what this box sends from now on.
+    """
+    if at <= row.reported_at:
+        return False
+    record_load(row, load, at)
+    row.own_inflight_at_report = min(row.inflight, row.reported)
+    return True
+
+
 def record_answer(row: WorkerRow, first_ms: float, *, good: bool, now: Millis) -> None:
     """Record the outcome of an answer and its time to the first byte.
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -148,11 +148,15 @@
         proportionally longer time.
     answers : int
         Number of answers in the means.
+    median_ms : float
+        Median of the times of plain workers that had room, without the slowdown that
+        they reported, in ms; 0 if unknown.
     """
 
     first_ms: float = 0.0
     read: float = 0.0
     answers: int = 1
+    median_ms: float = 0.0
 
 
 class EvacuationRow(msgspec.Struct, frozen=True):
