Learn speeds only of workers that report a slowdown

Cause: the learned factor acted on every deployment, also where workers report three figures. Change: a worker's times are compared only if it reports a slowdown; a test says that nothing changes otherwise. Conclusion: deployments without the fourth figure are as before.

--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -102,11 +102,14 @@
     -----
     The factor is a mean in logarithms, in which an answer counts by at most
     `MAX_SURPRISE`, and begins at 1 with the weight of one answer. Cold workers are left
-    out, as they are slow for a while only.
+    out, as they are slow for a while only. So are workers that report no slowdown:
+    without it, a machine that is slow for a moment looks like a slow one.
     """
     if usual_ms <= 0.0 or measured_ms <= 0.0 or is_cold(row, now):
         return
     speed = row.speed
+    if speed.slowdown_at < 0:
+        return
     speed.answers += 1
     measured = measured_ms / (usual_ms * present_slowdown(row, now))
     surprise = math.log(measured / speed.usual_factor)
--- a/tests/test_learned_speeds.py
+++ b/tests/test_learned_speeds.py
@@ -121,6 +121,7 @@
         row = rows[number % 3]
         first_ms = (300 if row is rows[0] else 100) * (0.8 + 0.4 * noise.random())
         now = ms(number)
+        record_load(row, WorkerLoad(1, 0, 8, 1.0), now)
         learn_plain_factor(fleet, row, route, NO_MODEL, first_ms, 0.2, now)
         learn_first_byte_time(fleet, route, NO_MODEL, 0, first_ms)
     factors = [row.speed.usual_factor for row in rows]
@@ -133,12 +134,26 @@
     row, other, _ = fleet.workers.rows.values()
     for number in range(30):
         now = ms(number)
+        record_load(row, WorkerLoad(9, 1, 8, 1.0), now)
         learn_plain_factor(fleet, other, route, NO_MODEL, 100.0, 0.0, now)
         learn_first_byte_time(fleet, route, NO_MODEL, 0, 100.0)
         learn_plain_factor(fleet, row, route, NO_MODEL, 400.0, 1.2, now)
     assert row.speed.usual_factor == 1.0
 
 
+def test_speed_of_a_worker_that_reports_no_slowdown_is_not_learned():
+    """Deployments whose workers report three figures are served as before."""
+    fleet, route = make_box(), make_route()
+    row, engine, _ = fleet.workers.rows.values()
+    for number in range(30):
+        now = ms(number)
+        record_load(row, WorkerLoad(1, 0, 8), now)
+        learn_plain_factor(fleet, row, route, NO_MODEL, 300.0, 0.2, now)
+        learn_first_byte_time(fleet, route, NO_MODEL, 0, 100.0)
+        learn_usual_factor(engine, 300.0, 100.0, now)
+    assert time_factor(row, ms(99)) == time_factor(engine, ms(99)) == 1.0
+
+
 def test_new_run_of_a_worker_has_no_speed_yet():
     fleet = make_box(workers=1)
     row = fleet.workers.rows[WorkerId("w-0")]
@@ -169,6 +184,7 @@
     first, second = make_box("box-1", 1), make_box("box-2", 1)
     row, other = (box.workers.rows[WorkerId("w-0")] for box in (first, second))
     for number in range(20):
+        record_load(row, WorkerLoad(1, 0, 8, 1.0), ms(number))
         learn_usual_factor(row, 160.0, 100.0, ms(number))
         exchange_of(second).apply_news(exchange_of(first).build_news(None))
     assert abs(other.speed.usual_factor - row.speed.usual_factor) < 0.1
