A stream begun on the leaving version is resumed there while its order runs

Cause: a stream that the leaving version began was drawn anew when a worker broke it off; sessions had entered meanwhile, both attempts left went to the bad version, which failed them, and the answer was cut.

Change: while an order runs, an answer that the leaving version began goes on at its workers, if any of them is reached; one that began on the entering version is not resumed there with its last attempt if that version failed it.

Conclusion: the attempts left to a begun answer are spent on a proven version.

--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -155,6 +155,8 @@
         state.admitted.route.name,
         state.failed_versions,
         state.tried,
+        state.version if state.events else None,
+        last=state.counted_runs + 1 >= state.max_attempts,
     )
 
 
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -43,6 +43,7 @@
     HAS_VERDICT = "judged"
     TURNED_BAD = "turned bad after its success"
     FAILED_ON_ENTERING = "failed on the entering version"
+    BEGUN_ON_LEAVING = "begun on the leaving version"
     SESSIONS_NOT_YET = "sessions stay for now"
     SELECTED = "drawn"
     NOT_SELECTED = "not drawn"
@@ -85,6 +86,9 @@
     route: str = "",
     failed: t.Collection[VersionId] = (),
     tried: t.Collection[WorkerId] = (),
+    begun_on: VersionId | None = None,
+    *,
+    last: bool = False,
 ) -> VersionRule:
     """Return which versions may answer a request.
 
@@ -109,6 +113,13 @@
         the version: the session may be on it and must then stay.
     tried : collection of str
         Workers that were already tried for this request.
+    begun_on : str or None
+        The version of the events that the caller already has; None for no event. An
+        answer that the leaving version began stays on it while the order runs, as it is
+        lost if the entering version fails it.
+    last : bool
+        Whether no other attempt is left after this one. An answer that has begun then
+        is not resumed on an entering version that already failed it.
     """
     row = fleet.rollouts.rows.get(service)
     if row is None:
@@ -122,8 +133,15 @@
         return entering._replace(reason=Reason.HAS_VERDICT)
     if row.verdict is Verdict.ROLLED_BACK:
         return leaving._replace(reason=Reason.HAS_VERDICT)
+    if (
+        begun_on is not None
+        and not entering.admits({begun_on})
+        and _has_reachable_workers(fleet, service, leaving, now)
+    ):
+        return leaving._replace(reason=Reason.BEGUN_ON_LEAVING)
     if row.version in failed and not (
         session
+        and not (last and begun_on is not None)
         and not has_excess_faults(row, route)
         and _has_workers(fleet, service, row.version, tried)
     ):
@@ -259,3 +277,15 @@
         row.name not in fleet.workers.leaving and row.name not in tried
         for row in fleet.workers.find_capable(service, version)
     )
+
+
+def _has_reachable_workers(
+    fleet: Fleet, service: ServiceId, rule: VersionRule, now: Millis
+) -> bool:
+    """Return whether any worker that a rule admits stays and is not ejected."""
+    return any(
+        rule.admits(row.versions)
+        and row.name not in fleet.workers.leaving
+        and row.ejected_until <= now
+        for row in fleet.workers.find_capable(service, None)
+    )
--- a/tests/test_ramping.py
+++ b/tests/test_ramping.py
@@ -221,6 +221,46 @@
     assert result.never == {NEW}
 
 
+def test_answer_begun_on_the_leaving_version_stays_there_while_the_order_runs():
+    """A bad version failed both resumptions of a stream, which its caller lost."""
+    fleet = fleet_in_rollout()
+    for at in (13, 20, 23.9):
+        names = [f"s{n}" for n in range(200) if enters(fleet, f"s{n}", ms(at))]
+        assert names
+        for name in names:
+            result = version_rule_for(fleet, SERVICE, name, "r", ms(at), begun_on=OLD)
+            assert result.never == {NEW}
+
+
+def test_answer_begun_on_the_leaving_version_moves_if_no_worker_of_it_is_reached():
+    fleet = fleet_in_rollout()
+    for row in fleet.workers.rows.values():
+        if row.versions == {OLD}:
+            row.ejected_until = ms(30)
+    result = version_rule_for(fleet, SERVICE, "s", "r", ms(23.9), begun_on=OLD)
+    assert result.only == NEW
+
+
+def test_answer_begun_on_the_leaving_version_moves_after_the_success():
+    fleet = fleet_in_rollout()
+    apply_verdict(row_of(fleet), Verdict.SUCCEEDED, "", ms(24), recorded=True)
+    result = version_rule_for(fleet, SERVICE, "s", "r", ms(24), begun_on=OLD)
+    assert result.only == NEW
+
+
+def test_last_attempt_to_resume_an_answer_avoids_the_version_that_failed_it():
+    fleet = fleet_in_rollout()
+    name = next(f"s{n}" for n in range(200) if enters(fleet, f"s{n}", ms(13)))
+    rules = [
+        version_rule_for(
+            fleet, SERVICE, name, "r", ms(13), "", {NEW}, (), begun_on, last=last
+        )
+        for begun_on, last in ((NEW, True), (NEW, False), (None, True))
+    ]
+    assert [rule.only for rule in rules] == [None, NEW, NEW]
+    assert rules[0].never == {NEW}
+
+
 def test_good_version_that_is_slow_under_full_load_is_not_rolled_back():
     """Without any trouble, 23 of 243 answers were slow on engines with empty caches."""
     fleet = fleet_in_rollout()
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -90,6 +90,24 @@
             apply_verdict(rows[WRITER], Verdict.SUCCEEDED, "told", now, recorded=True)
 
 
+async def test_stream_of_the_leaving_version_is_not_resumed_on_a_bad_one() -> None:
+    """Guards against a stream that had two attempts left, both on the new version."""
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        for number in range(2):
+            new = await fleet.add_worker(f"n-{number}", version="v2")
+            new.fault, new.events = WorkerFault.ERROR, EVENTS
+        await _add_writers(fleet, 2)
+        body = {"Backend": "writer", "TargetVersion": "v2", "DurationS": 60.0}
+        await fleet.store.put("keyed.op", "rollout/writer", body)
+        rows = box.node.fleet.rollouts.rows
+        await until(lambda: WRITER in rows, "the order")
+        async with _stream_at_stopping_box(fleet, Session="s-1"):
+            # From now on, all that is new enters.
+            rows[WRITER].began = Millis(box.node.clock.now() - 57_500)
+            _running_at(fleet).break_off()
+
+
 async def test_stream_waits_while_all_workers_reject_it() -> None:
     async with running_fleet() as fleet:
         fleet.boxes[0].node.core.bounds = RepeatBounds(ratio=0.9, slack=200.0)
