Await slow workers longer, and judge versions without reported slowdowns

Cause: a worker on a slow machine was taken for silent as soon as any other, and its answers counted against the version it runs. Change: the first-byte time-out's multiple of the usual time and the stall time-out grow with the worker's factor, at least 1 and at most 3, so that no report keeps a request until its caller gives up; waits of silent workers, their ejection and repeats follow from these. The route's usual time is learned without the worker's factor. An answer's slowness is judged after division by the slowdown that the worker reports, if above 1. Ruled out: dividing by the usual factor, too; of an entering version it was learned from the answers that are judged, and excusing the leaving version's alone makes a good version on the same machines look slow. Estimates already carried the factor into the cascade.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -33,7 +33,9 @@
 from .systems.warming import mark_cold
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
+from .systems.worker_speed import excused_factor
 from .systems.worker_speed import learn_plain_factor
+from .systems.worker_speed import time_factor
 from .tables.catalog import RequestKind
 from .tables.rollouts import Tally
 
@@ -138,9 +140,12 @@
             core.clock.now(),
         )
     _record_tally(core, state, attempt, BEGAN)
-    if is_slow_first_byte(fleet, route, attempt.model, read, first_ms):
+    now = core.clock.now()
+    judged_ms = first_ms / excused_factor(attempt.worker, now)
+    if is_slow_first_byte(fleet, route, attempt.model, read, judged_ms):
         _mark_slow(core, state, attempt)
-    learn_first_byte_time(fleet, route, attempt.model, read, first_ms)
+    usual_ms = first_ms / time_factor(attempt.worker, now)
+    learn_first_byte_time(fleet, route, attempt.model, read, usual_ms)
 
 
 def record_relayed_events(
@@ -162,12 +167,13 @@
 
 def _is_decoding_slow(core: Core, attempt: CatalogAttempt, *, whole: bool) -> bool:
     """Return whether a stream is decoded several times slower than usual."""
-    elapsed = core.clock.now() - attempt.first_event_at
+    now = core.clock.now()
+    elapsed = now - attempt.first_event_at
     return attempt.first_event_at >= 0 and is_slow_decode(
         core.fleet,
         attempt.service,
         attempt.model,
-        elapsed,
+        elapsed / excused_factor(attempt.worker, now),
         attempt.gaps,
         whole=whole,
     )
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -255,7 +255,9 @@
     overloads the rest.
     """
     route, read = state.admitted.route, state.call.tokens.read
-    limit = first_byte_timeout_ms(core.fleet, route, attempt.model, read)
+    limit = first_byte_timeout_ms(
+        core.fleet, route, attempt.model, read, attempt.time_factor
+    )
     await asyncio.wait({send_task}, timeout=limit / 1_000)
     if not send_task.done() and has_sent_recently(attempt.worker, core.clock.now()):
         extended = limit * RECENTLY_SENT_FACTOR
@@ -290,7 +292,9 @@
     """Record that a worker sent nothing until the request timed out."""
     waited = core.clock.now() - attempt.sent
     route, read = state.admitted.route, state.call.tokens.read
-    limit = first_byte_timeout_ms(core.fleet, route, attempt.model, read)
+    limit = first_byte_timeout_ms(
+        core.fleet, route, attempt.model, read, attempt.time_factor
+    )
     if not attempt.answered and waited >= limit:
         detail = f"no answer within {waited} ms, when the request timed out"
         fault = SendFault(False, detail, silent=True)
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -58,6 +58,9 @@
         Whether the head of an answer arrived.
     repeat : bool
         Whether the attempt counts as an arrival beyond the first of its request.
+    time_factor : float
+        Time that work takes at the worker, against its service's usual, as it was known
+        when the worker was chosen.
     """
 
     service: ServiceId
@@ -73,6 +76,7 @@
     gaps: int = 0
     answered: bool = False
     repeat: bool = False
+    time_factor: float = 1.0
 
 
 class CatalogRequest(RequestState, kw_only=True):
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -82,6 +82,7 @@
             prompt=_build_prompt(state, service, model),
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
+            time_factor=placed.time_factor,
         )
     )
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -123,7 +123,7 @@
     route, worker = state.admitted.route, attempt.worker
     if not route.resumable or state.counted_runs >= route.max_attempts:
         return await answer.next_block()
-    limit_ms = stall_timeout_ms(route)
+    limit_ms = stall_timeout_ms(route, attempt.time_factor)
     silent_ms = 0.0
     while True:
         try:
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -156,6 +156,8 @@
         Age of the worker's last load report, in ms; -1 for none.
     expected : FirstEventEstimate or None
         Estimate for a prompt at the worker; None for plain requests.
+    time_factor : float
+        Time that work takes there, against the service's usual.
     """
 
     worker: WorkerRow
@@ -163,6 +165,7 @@
     candidates: int
     report_age_ms: int
     expected: FirstEventEstimate | None = None
+    time_factor: float = 1.0
 
 
 def choose_worker(
@@ -180,7 +183,8 @@
     else:
         best, estimate = _best_engine(fleet, rows, request, request.prompt, now, rng)
     age = now - best.reported_at if best.reported_at else -1
-    return Placement(best, batch_load(best, now), len(rows), age, estimate)
+    factor = time_factor(best, now)
+    return Placement(best, batch_load(best, now), len(rows), age, estimate, factor)
 
 
 def _isolated_worker(
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -41,6 +41,10 @@
 """Factor by which timeouts are longer for a worker that sent bytes recently. Asking
 elsewhere sooner adds to the load of engines that are merely busy."""
 
+MAX_PATIENCE = 3.0
+"""Greatest factor by which a slow worker is awaited longer than a usual one: what a
+worker says of itself must not keep a request until its caller gives up."""
+
 SLOW_FACTOR = 3.0
 """An answer counts as slow if its first byte took this many times the usual time."""
 
@@ -51,21 +55,34 @@
 
 
 def first_byte_timeout_ms(
-    fleet: Fleet, route: RouteRow, model: ModelId, read: int
+    fleet: Fleet, route: RouteRow, model: ModelId, read: int, time_factor: float = 1.0
 ) -> float:
-    """Return how long to wait for the first byte of a silent worker, in ms."""
+    """Return how long to wait for the first byte of a silent worker, in ms.
+
+    `time_factor` is the time that work takes there, against the service's usual.
+    """
     usual = usual_first_byte_ms(fleet, route, model, read)
     if usual <= 0.0:
         return UNKNOWN_USUAL_FACTOR * route.target_latency_ms
-    return max(MIN_TARGET_SHARE * route.target_latency_ms, FIRST_BYTE_FACTOR * usual)
+    expected = usual * _patience(time_factor)
+    return max(MIN_TARGET_SHARE * route.target_latency_ms, FIRST_BYTE_FACTOR * expected)
 
 
-def stall_timeout_ms(route: RouteRow) -> float:
-    """Return how long to wait for the next bytes of a silent worker's stream, in ms."""
-    return max(
+def stall_timeout_ms(route: RouteRow, time_factor: float = 1.0) -> float:
+    """Return how long to wait for the next bytes of a silent worker's stream, in ms.
+
+    `time_factor` is the time that work takes there, against the service's usual.
+    """
+    usual = max(
         MIN_STALL_MS,
         MIN_TARGET_SHARE * (route.target_gap_ms or route.target_latency_ms),
     )
+    return usual * _patience(time_factor)
+
+
+def _patience(time_factor: float) -> float:
+    """Return the factor by which a slow worker is awaited longer; at least 1."""
+    return min(MAX_PATIENCE, max(1.0, time_factor))
 
 
 def has_sent_recently(worker: WorkerRow, now: Millis) -> bool:
--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -175,3 +175,14 @@
         if row.speed.slowdown_at == row.reported_at > now - max_age_ms
     ]
     return sorted(rows, key=lambda row: -row.reported_at)[:count]
+
+
+def excused_factor(row: WorkerRow, now: Millis) -> float:
+    """Return how much longer a worker's machine takes now, for judging its version.
+
+    It is the slowdown that the worker reports, at least 1. The usual factor excuses
+    nothing: that of an entering version's worker was learned from the very answers that
+    are judged, and if only the leaving version's answers were excused by it, a good
+    version on the same mix of machines would look slow.
+    """
+    return max(1.0, present_slowdown(row, now))
