Show the speed of workers, test it by load, and describe it

Cause: nothing said why a request went to a slow worker or away from it, and the whole of a reported slowdown counted for work that outlasts it. Change: dispatch lines carry usual_factor and slowdown, a worker that turns out to be usually slow (1.5, and back below 1.3) is logged and counted, the fleet report and the metrics page show both figures. Half of a slowdown counts in the choice, as machines change before work is done.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -36,6 +36,7 @@
 from .systems.worker_speed import excused_factor
 from .systems.worker_speed import learn_plain_factor
 from .systems.worker_speed import time_factor
+from .systems.worker_speed import update_slow_mark
 from .tables.catalog import RequestKind
 from .tables.rollouts import Tally
 
@@ -139,6 +140,7 @@
             attempt.load,
             core.clock.now(),
         )
+    _log_worker_speed(core, state, attempt)
     _record_tally(core, state, attempt, BEGAN)
     now = core.clock.now()
     judged_ms = first_ms / excused_factor(attempt.worker, now)
@@ -148,6 +150,26 @@
     learn_first_byte_time(fleet, route, attempt.model, read, usual_ms)
 
 
+def _log_worker_speed(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt
+) -> None:
+    """Log that a worker turned out to be usually slow, or no longer is."""
+    worker = attempt.worker
+    if not update_slow_mark(worker):
+        return
+    core.count("workers_slow" if worker.speed.slow else "workers_no_longer_slow")
+    log_event(
+        "INFO",
+        "worker speed",
+        worker=worker.name,
+        service=worker.service,
+        slow=worker.speed.slow,
+        usual_factor=round(worker.speed.usual_factor, 2),
+        answers=worker.speed.answers,
+        request=state.request,
+    )
+
+
 def record_relayed_events(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt, number: int
 ) -> None:
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -59,6 +59,7 @@
 from .systems.warming import is_cold
 from .systems.warming import record_cold_send
 from .systems.worker_health import record_load
+from .systems.worker_speed import present_slowdown
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
 from .worker_notices import apply_notice
@@ -158,6 +159,8 @@
         sureness_needed=round(model_plan.needed, 2) if model_plan else None,
         load=round(attempt.load, 2),
         load_age_ms=attempt.report_age_ms,
+        usual_factor=round(attempt.worker.speed.usual_factor, 2),
+        slowdown=round(present_slowdown(attempt.worker, core.clock.now()), 2),
         candidates=attempt.candidates,
         passed_over=attempt.passed_over,
         cold=cold,
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -26,6 +26,7 @@
 from .systems.silence import is_silent
 from .systems.tallies import pooled_tallies
 from .systems.warming import is_cold
+from .systems.worker_speed import present_slowdown
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.rollouts import RolloutRow
@@ -39,7 +40,11 @@
 
 
 class WorkerView(msgspec.Struct, frozen=True):
-    """A backend server: its load in parts of its batch, and why it is out, if so."""
+    """A backend server: its load in parts of its batch, and why it is out, if so.
+
+    ``usual_factor`` is the time of its work against its service's usual; ``slowdown``
+    what it reports beside that, by its newest report.
+    """
 
     worker: WorkerId
     service: ServiceId
@@ -51,6 +56,8 @@
     error_rate: float
     waiting_ms: int
     out: str
+    usual_factor: float
+    slowdown: float
 
 
 class RolloutView(msgspec.Struct, frozen=True):
@@ -240,6 +247,18 @@
     )
 
 
+def worker_speed_lines(fleet: Fleet, now: Millis) -> str:
+    """Return for the metrics page the speeds of workers whose speed is known."""
+    return "".join(
+        f'spanshunt_worker_usual_factor{{worker="{row.name}"}} '
+        f"{row.speed.usual_factor:.2f}\n"
+        f'spanshunt_worker_slowdown{{worker="{row.name}"}} '
+        f"{present_slowdown(row, now):.2f}\n"
+        for row in fleet.workers.rows.values()
+        if row.speed.answers or row.speed.slowdown_at >= 0
+    )
+
+
 def _since(at: Millis, now: Millis) -> Millis:
     return Millis(now - at if at >= 0 else -1)
 
@@ -256,6 +275,8 @@
         error_rate=round(row.error_rate, 2),
         waiting_ms=round(row.prefill_ms + others_wait_ms(row, now)),
         out=_why_out(fleet, row, now),
+        usual_factor=round(row.speed.usual_factor, 2),
+        slowdown=round(present_slowdown(row, now), 2),
     )
 
 
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -21,6 +21,7 @@
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
 from ..fleet_report import settings_lines
+from ..fleet_report import worker_speed_lines
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -373,8 +374,10 @@
             )
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
+        now = self.clock.now()
         page = metrics_page(self.counters, self.histograms)
-        return web.Response(text=page + settings_lines(self.fleet, self.clock.now()))
+        page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
+        return web.Response(text=page)
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -20,6 +20,11 @@
 """Half-life of the weight of a reported slowdown, in ms: machines that are shared with
 others change several times a second."""
 
+LASTING_SHARE = 0.5
+"""Share of a slowdown that work which begins now is expected to meet: the machine
+changes before it is done. Avoided for the whole of a slowdown, the machine would stand
+idle while requests wait at others."""
+
 MIN_SLOWDOWN = 0.25
 """Shortest time of work that is believed of a report, as a multiple of the worker's
 usual one, so that a report that is wrong does not draw all requests."""
@@ -53,6 +58,10 @@
 MAX_PEER_ANSWERS = 50
 """Number of a peer's answers that counts at most, so that a box goes on learning."""
 
+SLOW_WORKER_FACTOR, NO_LONGER_SLOW_FACTOR = 1.5, 1.3
+"""Usual factors from which a worker counts as slow, and below which no longer; the
+difference keeps a worker in between from being logged again and again."""
+
 
 def time_factor(row: WorkerRow, now: Millis) -> float:
     """Return the time of work that a worker begins now, against the service's usual.
@@ -60,7 +69,8 @@
     It is a multiple: 2 for a worker that takes twice as long as its service usually
     does. It is exactly 1 for a worker of which nothing is known.
     """
-    return row.speed.usual_factor * present_slowdown(row, now)
+    lasting = LASTING_SHARE * (present_slowdown(row, now) - 1.0)
+    return row.speed.usual_factor * (1.0 + lasting)
 
 
 def present_slowdown(row: WorkerRow, now: Millis) -> float:
@@ -186,3 +196,13 @@
     version on the same mix of machines would look slow.
     """
     return max(1.0, present_slowdown(row, now))
+
+
+def update_slow_mark(row: WorkerRow) -> bool:
+    """Update whether a worker counts as usually slow; return whether that changed."""
+    speed = row.speed
+    if speed.answers < MIN_SERVICE_ANSWERS:
+        return False
+    bound = NO_LONGER_SLOW_FACTOR if speed.slow else SLOW_WORKER_FACTOR
+    was_slow, speed.slow = speed.slow, speed.usual_factor >= bound
+    return speed.slow is not was_slow
--- a/src/spanshunt/tables/speeds.py
+++ b/src/spanshunt/tables/speeds.py
@@ -20,9 +20,12 @@
         by its newest report; 1 if it reports none.
     slowdown_at : int
         When that report was made, in ms; -1 for never.
+    slow : bool
+        Whether the worker counts as usually slow, for logs.
     """
 
     usual_factor: float = 1.0
     answers: int = 0
     slowdown: float = 1.0
     slowdown_at: Millis = Millis(-1)
+    slow: bool = False
--- a/tests/test_fleet_report.py
+++ b/tests/test_fleet_report.py
@@ -13,6 +13,7 @@
 from fleet_builders import note_result
 from fleet_builders import running_fleet
 from spanshunt.fleet_report import fleet_view
+from spanshunt.fleet_report import worker_speed_lines
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
 from spanshunt.ids import Fingerprint
@@ -29,6 +30,7 @@
 from spanshunt.systems.repeats import count_repeat
 from spanshunt.systems.repeats import count_request
 from spanshunt.systems.worker_health import record_unreachable
+from spanshunt.systems.worker_speed import record_slowdown
 from spanshunt.tables.fleet import EvacuationRow
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
@@ -67,6 +69,20 @@
     assert "taken back" in view_of(fleet).workers[0].out
 
 
+def test_speed_of_each_worker():
+    fleet = with_workers("a", "b")
+    row = fleet.workers.rows["b"]
+    row.speed.usual_factor, row.speed.answers = 1.6, 9
+    record_slowdown(row, 2.5, ms(100))
+    usual, slow = view_of(fleet).workers
+    assert (usual.usual_factor, usual.slowdown) == (1.0, 1.0)
+    assert (slow.usual_factor, slow.slowdown) == (1.6, 2.5)
+    page = worker_speed_lines(fleet, ms(100))
+    assert 'spanshunt_worker_usual_factor{worker="b"} 1.60\n' in page
+    assert 'spanshunt_worker_slowdown{worker="b"} 2.50\n' in page
+    assert '"a"' not in page
+
+
 def test_rollout_with_its_evidence():
     fleet = with_workers("a")
     apply_order(fleet, WRITER, VersionId("v2"), Offset(1), ms(60), ms(0))
--- a/tests/test_learned_speeds.py
+++ b/tests/test_learned_speeds.py
@@ -44,6 +44,7 @@
 from spanshunt.systems.worker_speed import merge_usual_factor
 from spanshunt.systems.worker_speed import present_slowdown
 from spanshunt.systems.worker_speed import time_factor
+from spanshunt.systems.worker_speed import update_slow_mark
 from spanshunt.tables.catalog import RequestKind
 from spanshunt.tables.catalog import RouteRow
 from spanshunt.tables.fleet import Fleet
@@ -254,6 +255,16 @@
     assert batch_load(row, ms(1)) == (load + 2) / 8
 
 
+def test_worker_is_logged_once_as_slow_and_once_as_usual_again():
+    row = make_worker("w")
+    changes = []
+    for times in [2.5] * 30 + [1.0] * 60:
+        learn_usual_factor(row, 100.0 * times, 100.0, ms(1))
+        if update_slow_mark(row):
+            changes.append(row.speed.slow)
+    assert changes == [True, False]
+
+
 class LearnedSpeeds(RuleBasedStateMachine):
     """Boxes that learn and exchange speeds; messages may come late, twice or never."""
 
