Cold workers keep their bound where each box knows a third of the others

Change: a box plans an eighth, i.e. three eighths with three times as many boxes as it knows, the rest is for chance. Six boxes or fewer need no reserve for chance, as all of them send. Where the hash selects no box, the first one sends, so that few cold workers get nothing.

--- a/src/spanshunt/systems/warming.py
+++ b/src/spanshunt/systems/warming.py
@@ -15,10 +15,20 @@
 from .fleet_size import box_count
 from .fleet_size import is_discovery_finished
 
-PLANNED_SHARE = 1 / 3
-"""Part of the allowed rate of a cold worker that boxes plan to use. The rest covers two
-requests that one box sends a second apart but that arrive within one second, and random
-variation in the number of boxes that the hash selects."""
+UNKNOWN_BOXES_FACTOR = 3
+"""How many times as many boxes as a box knows may exist: after a partition, each part
+knows its own boxes only."""
+
+PLANNED_SHARE = 1 / 8
+"""Part of the allowed rate of a cold worker that the known boxes plan to use. With
+`UNKNOWN_BOXES_FACTOR` times as many, they use three eighths on average. The rest covers
+random variation in the number of boxes that the hash selects, 4.6 standard deviations
+at 20 requests, and two requests that one box sends a second apart but that arrive
+within one second."""
+
+FIRST_BOX_FACTOR = 2.0
+"""How far the hash of the only box that sends may exceed the share, as a multiple of
+the share. Boxes that don't know each other may each take themselves for that box."""
 
 SEND_INTERVAL_MS = 1_000
 """Time that a box waits between two requests to the same cold worker, in ms, if there
@@ -47,12 +57,26 @@
     boxes = box_count(fleet)
     if not is_discovery_finished(fleet, now):
         return False
-    if unit_hash("cold", row.name, fleet.identity.box) >= rate / boxes:
+    if not _is_selected(fleet, row, rate / boxes):
         return False
     interval_ms = SEND_INTERVAL_MS * min(1.0, boxes / rate)
     return row.cold_sent_at < 0 or now >= row.cold_sent_at + interval_ms
 
 
+def _is_selected(fleet: Fleet, row: WorkerRow, share: float) -> bool:
+    """Return whether the hash selects this box to send to a cold worker.
+
+    It selects a share of the boxes. If it selects none, as happens with one worker in
+    twelve, the box with the lowest hash sends, where a box knows them all.
+    """
+    own = unit_hash("cold", row.name, fleet.identity.box)
+    if own < share:
+        return True
+    if own >= FIRST_BOX_FACTOR * share or 1 + len(fleet.peers) < box_count(fleet):
+        return False
+    return all(unit_hash("cold", row.name, peer) > own for peer in fleet.peers)
+
+
 def record_cold_send(row: WorkerRow, now: Millis) -> None:
     """Record that this box sends a request to a worker."""
     if is_cold(row, now):
@@ -80,4 +104,7 @@
         return 0.0
     bounds = fleet.cold_bounds
     max_rate = service.cold_per_s * bounds.rate_factor + bounds.slack
-    return min(service.cold_per_s, PLANNED_SHARE * max_rate)
+    # So few boxes that all of them may send need no reserve for what a hash selects.
+    boxes = box_count(fleet)
+    unselected = boxes * (max_rate // (UNKNOWN_BOXES_FACTOR * boxes))
+    return min(service.cold_per_s, max(PLANNED_SHARE * max_rate, unselected))
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -98,6 +98,11 @@
     return sent
 
 
+def first_send(fleet: Fleet, row: WorkerRow) -> list[Millis]:
+    """Return the one time at which a box sends in a second, if it may at all."""
+    return [Millis(0)] if may_send_to(fleet, row, Millis(0)) else []
+
+
 def most_in_a_second(times: list[Millis]) -> int:
     return max(
         (sum(at <= one < at + 1_000 for one in times) for at in times), default=0
@@ -135,6 +140,31 @@
     assert most_in_a_second(times) <= BOUND
 
 
+@pytest.mark.parametrize("known", [1, 2, 3, 4, 5, 6, 7, 20, 60])
+def test_boxes_that_each_know_a_third_of_the_fleet_keep_the_bound(known: int):
+    """A share planned for the known boxes alone let 23 requests a second through."""
+    fleets = [cold_fleet(f"box-{n + 1}", known) for n in range(3 * known)]
+    for number in range(600 if known > 6 else 20):
+        times: list[Millis] = []
+        for fleet in fleets:
+            fleet.discovery_until = ms(0)
+            row = cold_worker(fleet, f"w-{number}")
+            times += (
+                send_times(fleet, row, 1.1) if known < 7 else first_send(fleet, row)
+            )
+        assert most_in_a_second(times) <= BOUND
+
+
+def test_nearly_each_cold_worker_gets_something_of_boxes_that_know_each_other():
+    fleets = [cold_fleet(f"box-{n + 1}", 61) for n in range(61)]
+    names = [f"w-{number}" for number in range(200)]
+    served = [
+        any(first_send(fleet, cold_worker(fleet, name)) for fleet in fleets)
+        for name in names
+    ]
+    assert sum(served) >= 0.98 * len(names)
+
+
 def test_box_that_just_started_without_peers_sends_to_no_cold_worker():
     fleet = cold_fleet(boxes=1)
     fleet.discovery_until = ms(3)
