The following machine exchanges news with call times, as boxes do

Cause: the machine was written before boxes dated each other's reads by the time of their own call; it applied answers without that time, so no box ever counted a read that a peer reported. A box that the store refused for 0.8 s took its own next read, 1.9 s after its last one, for the end of an outage, and used a worker that had left for the 2 s in which entries may come back.

Change: the machine passes the call's time as Exchange does.

The two tests added fail before.

Conclusion: the test was wrong, no box was: a box calls its domain's reader in each round, and the answer dates that reader's reads.

--- a/tests/test_following_machine.py
+++ b/tests/test_following_machine.py
@@ -197,7 +197,7 @@
         others = [other for other in self.boxes if other is not box and not other.cut]
         for other in self.rng.sample(others, min(2, len(others))):
             told = box.exchange.build_news(None)
-            box.exchange.apply_news(other.exchange.build_news(told))
+            box.exchange.apply_news(other.exchange.build_news(told), self.clock.now())
             other.exchange.apply_news(told)
 
     def _check(self, now: Millis) -> None:
@@ -231,3 +231,28 @@
     max_examples=60, stateful_step_count=20, deadline=None
 )
 TestFollowing = Following.TestCase
+
+
+def test_boxes_date_the_reads_that_their_peers_report():
+    """Guards against exchanges without call times, which no real box makes.
+
+    The answer to a call tells how far the peer's clock is ahead; without it, no read
+    that a peer reports counts, and a box that the store refused takes its own first
+    read for the end of an outage.
+    """
+    following = Following()
+    following.begin(1)
+    following.time_passes(10)
+    for box in following.boxes:
+        assert all(row.clock_ahead is not None for row in box.fleet.peers.values())
+
+
+def test_box_that_the_store_refused_waits_for_no_entry_of_a_worker_that_left():
+    """Guards against a worker used 2.1 s after it left, by the box that was refused."""
+    for seed in range(20):
+        following = Following()
+        following.begin(seed)
+        following.store_refuses_a_box(1, 8)
+        following.worker_leaves(False)
+        following.time_passes(16)
+        following.box_is_cut_off(0, 5)
