--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -55,8 +55,8 @@
 MUTATIONS = {
     "twice": Mutation(
         "forwarding.py",
-        "not state.repeatable:\n        return False\n    return state.runs < ",
-        "False:\n        return False\n    return state.runs < 2 + ",
+        "not state.repeatable:\n        return False\n    return state.counted_runs < ",
+        "False:\n        return False\n    return state.counted_runs < 2 + ",
     ),
     "not run": Mutation(
         "settling.py",
