A box that is not ready tells what it waits for; ports of test processes aren't given away

Cause: tests/test_processes.py drew its ports from the range that the system gives to connections, where another connection may take one before the box listens there; the box then ends at once, and the test waited 30 s for it and kept no output.

Change: ports as elsewhere in the tests; a box that isn't ready in time is told with its last answer, exit status and last lines, in the soak, too; a box on the platform logs every 2 s what it waits for ('not ready').

--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -384,16 +384,23 @@
 
 
 async def await_ready(box: BoxProcess, wait: float = 15.0) -> None:
-    """Wait until a box takes connections."""
+    """Wait until a box takes connections; if it doesn't, tell what it said last."""
     end = asyncio.get_running_loop().time() + wait
+    said = ""
     async with aiohttp.ClientSession() as http:
         while asyncio.get_running_loop().time() < end:
-            with contextlib.suppress(aiohttp.ClientError, OSError):
+            try:
                 async with http.get(f"http://{box.readiness}/ready") as resp:
                     if resp.status == 200:
                         return
+                    said = await resp.text()
+            except (aiohttp.ClientError, OSError) as exc:
+                said = str(exc)
             await asyncio.sleep(0.1)
-    raise RuntimeError(f"{box.name} was not ready within {wait} s")
+    status = box.process.returncode if box.process is not None else None
+    logged = box.settings.with_suffix(".log").read_text()[-2_000:]
+    detail = f"{said}; exit status {status}; its last lines: {logged}"
+    raise RuntimeError(f"{box.name} was not ready within {wait} s: {detail}")
 
 
 def send_signal(box: BoxProcess, number: int) -> None:
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -38,6 +38,7 @@
 from ..settings_file import SettingsFile
 from ..systems.eras import record_era
 from ..systems.forgetting import forget_old
+from ..systems.proving import newest_reported_version
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
 from ..tables.workers import WorkerRow
@@ -87,6 +88,9 @@
 requests, in ms, and how often it looks, in s: the store answers in 4 ms, a slow one in
 240."""
 
+UNREADY_LINE_MS = 2_000
+"""Period of logging what a box that is not ready waits for, in ms."""
+
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -249,6 +253,7 @@
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
         jobs.every(SWEEP_MS, self._sweep)
+        jobs.every(UNREADY_LINE_MS, self._log_unready)
         if self._path:
             jobs.every(SETTINGS_MS, self._settings_file.look)
 
@@ -345,6 +350,21 @@
     async def _look(self) -> None:
         self._wakes.look()
 
+    async def _log_unready(self) -> None:
+        reason = self.why_not_ready()
+        if not reason or self.fleet.stopping:
+            return
+        fleet, now = self.fleet, self.clock.now()
+        failing_since = fleet.store.failing_since
+        log_event(
+            "WARNING",
+            "not ready",
+            reason=reason,
+            store_fails_ms=now - failing_since if failing_since >= 0 else None,
+            peers_heard=sum(peer.heard >= 0 for peer in fleet.peers.values()),
+            newest_told=newest_reported_version(fleet),
+        )
+
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,6 @@
 """Daemons as processes of their own: killed, stopped and woken by signals."""
 
 import asyncio
-import contextlib
 import json
 import os
 import pathlib
@@ -26,16 +25,17 @@
 from spanshunt.backing.boxes import BoxList
 from spanshunt.backing.boxes import ListedBox
 from spanshunt.standins.engine import EngineModel
+from spanshunt.standins.ports import free_ports
 
-BIN = pathlib.Path(sys.executable).parent / "spanshuntd"
-
+GIVEN = [
+    int(port)
+    for port in pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    .read_text()
+    .split()
+]
+"""Lowest and highest port that the system gives to connections."""
 
-async def free_port() -> int:
-    server = await asyncio.start_server(lambda _r, _w: None, "127.0.0.1", 0)
-    port = int(server.sockets[0].getsockname()[1])
-    server.close()
-    await server.wait_closed()
-    return port
+BIN = pathlib.Path(sys.executable).parent / "spanshuntd"
 
 
 class Processes:
@@ -50,7 +50,7 @@
     async def start(self, count: int, model: EngineModel | None = None) -> None:
         await self.system.start(daemons=0, model=model)
         for index in range(count):
-            ports = [await free_port() for _ in range(3)]
+            ports = free_ports(3)
             names = ("callers", "operators", "peers")
             listen = {n: f"127.0.0.1:{p}" for n, p in zip(names, ports, strict=True)}
             self.listens.append(listen)
@@ -73,20 +73,35 @@
         )
         path = self.folder / f"box-{index}.json"
         path.write_text(json.dumps(raw))
-        quiet = subprocess.DEVNULL
         command = [str(BIN), "--settings", str(path)]
-        process = subprocess.Popen(command, stderr=quiet, env=dict(os.environ))
+        with self._output(index).open("ab") as output:
+            process = subprocess.Popen(
+                command, stdout=output, stderr=output, env=dict(os.environ)
+            )
         self.running.append(process)
 
+    def _output(self, index: int) -> pathlib.Path:
+        return self.folder / f"box-{index}.log"
+
     async def ready(self, index: int) -> None:
+        """Wait until a box is ready; if it is not in time, tell what it said."""
         url = f"http://{self.listens[index]['callers']}/readyz"
-        async with asyncio.timeout(30):
-            while True:
-                with contextlib.suppress(aiohttp.ClientError):
-                    async with self.system.http.get(url) as res:
-                        if res.status == 200:
-                            return
-                await asyncio.sleep(0.05)
+        said = ""
+        try:
+            async with asyncio.timeout(30):
+                while True:
+                    try:
+                        async with self.system.http.get(url) as res:
+                            if res.status == 200:
+                                return
+                            said = await res.text()
+                    except aiohttp.ClientError as exc:
+                        said = str(exc)
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            exits = [process.poll() for process in self.running]
+            output = self._output(index).read_text()[-2_000:]
+            pytest.fail(f"box-{index} not ready: {said}; exits {exits}; {output}")
 
     async def apply(self, *intents: dict[str, t.Any], index: int = 0) -> None:
         url = f"http://{self.listens[index]['operators']}/admin/v1"
@@ -122,6 +137,15 @@
         await made.stop()
 
 
+async def test_no_connection_is_given_a_port_before_a_box_listens_on_it(
+    processes: Processes,
+) -> None:
+    """Guards against boxes that end at their start, as a connection has their port."""
+    await processes.start(1)
+    ports = [int(one.rpartition(":")[2]) for one in processes.listens[0].values()]
+    assert all(not GIVEN[0] <= port <= GIVEN[1] for port in ports)
+
+
 async def test_box_killed_in_a_stream_gives_no_whole_answer(processes: Processes):
     slow = EngineModel(prefill_ms=1, token_ms=20, batch_ms=0)
     await processes.start(3, slow)
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -12,8 +12,11 @@
 import pathlib
 import signal
 import sys
+import typing as t
 
 import msgspec
+import pytest
+from loguru import logger
 
 from fleet_builders import TestFleet
 from fleet_builders import running_fleet
@@ -152,3 +155,25 @@
     await asyncio.sleep(0.1)
     go.touch()
     assert await process.wait() == 7
+
+
+async def test_box_that_is_not_ready_logs_what_it_waits_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("spanshunt.platform.node.UNREADY_LINE_MS", 50)
+    reasons: list[str] = []
+
+    def append_reason(message: t.Any) -> None:
+        record = message.record
+        if record["message"] == "not ready":
+            reasons.append(record["extra"]["data"]["reason"])
+
+    sink = logger.add(append_reason, level="INFO")
+    fleet = TestFleet()
+    try:
+        await fleet.add_box()
+        await until(lambda: bool(reasons), "the line")
+    finally:
+        logger.remove(sink)
+        await fleet.stop()
+    assert set(reasons) == {"no catalog is known"}
