Shares of organisations, their demand over all boxes, and return of the refused

Cause: a service that is short of room serves whoever comes first, and refused callers come back in the same moment.

--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -286,7 +286,11 @@
 
 
 class DemandNews(msgspec.Struct, frozen=True, array_like=True):
-    """Demand of an organisation for a service, as in `OrgDemand`."""
+    """Mean demand of an organisation for a service over all boxes, as in `OrgDemand`.
+
+    The answer to a call names the organisations that the call named, with their mean
+    after the call was taken in.
+    """
 
     service: ServiceId
     org: OrgId
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -37,6 +37,7 @@
 from .suspects import BrokenConnection
 from .suspects import SuspectRequest
 from .waiting import OrgDemand
+from .waiting import ServiceShares
 from .waiting import WaitList
 from .workers import Workers
 
@@ -355,6 +356,10 @@
         Requests that wait at this box for room at a worker.
     org_demands : dict
         Demand by service and organisation, averaged over all boxes.
+    service_shares : dict
+        Shares of services that were recently short of room.
+    returns_told : int
+        Number of refused callers that this box told when to return.
     byte_account : ByteAccount
         Bytes that this box holds for requests in progress.
     limits : BoxLimits
@@ -407,6 +412,8 @@
     gain_per_engine_ms: dict[ServiceId, float] = {}
     wait_list: WaitList = msgspec.field(default_factory=WaitList)
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
+    service_shares: dict[ServiceId, ServiceShares] = {}
+    returns_told: int = 0
     byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
     limits: BoxLimits = BoxLimits()
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
--- a/src/spanshunt/tables/waiting.py
+++ b/src/spanshunt/tables/waiting.py
@@ -54,15 +54,68 @@
 
 
 class OrgDemand(msgspec.Struct):
-    """Demand of one organisation for one service, averaged over all boxes.
+    """Demand of one organisation for one service.
+
+    Demand is the time of a worker's slot that its arriving requests need, in s a
+    second, whatever becomes of them. It is a moving average and decays as time passes.
 
     Attributes
     ----------
     per_s : float
-        Requests a second that arrive at a box, whatever becomes of them.
+        Mean of the demand over all boxes, as far as this box knows.
     at : int
-        When the average was last updated, in ms.
+        When the averages were last updated, in ms.
+    own_per_s : float
+        Demand that arrives at this box.
+    returns_until : float
+        Until when the room that this box may give the organisation is left for callers
+        that it refused and told to return, in ms.
     """
 
     per_s: float
     at: Millis
+    own_per_s: float = 0.0
+    returns_until: float = 0.0
+
+
+class OrgShare(msgspec.Struct):
+    """Share that an organisation has of a service, if it asks for more.
+
+    Demand, share and pace are in s of a worker's slot a second.
+
+    Attributes
+    ----------
+    demand_per_s, share_per_s : float
+        Demand and share of the organisation at all boxes together.
+    pace_per_s : float
+        Part of the share that this box gives out.
+    next_start_at : float
+        When the organisation may start its next request here, in ms; it is over its
+        share until then.
+    limited_at : int
+        When the organisation was last found to ask for more than its share, in ms.
+    limited : bool
+        Whether the share is in force.
+    """
+
+    demand_per_s: float
+    share_per_s: float
+    pace_per_s: float
+    next_start_at: float
+    limited_at: Millis
+    limited: bool = True
+
+
+class ServiceShares(msgspec.Struct):
+    """Shares of one service that is short of room.
+
+    Attributes
+    ----------
+    room_per_s : float
+        Room of the service's workers, in s of a worker's slot a second.
+    orgs : dict
+        Shares of the organisations that ask for more than theirs.
+    """
+
+    room_per_s: float
+    orgs: dict[OrgId, OrgShare] = {}
--- /dev/null
+++ b/tests/share_builders.py
@@ -0,0 +1,60 @@
+"""Builders for services that are short of room."""
+
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from spanshunt.ids import BoxId
+from spanshunt.ids import Millis
+from spanshunt.ids import OrgId
+from spanshunt.ids import RequestId
+from spanshunt.ids import ServiceId
+from spanshunt.systems.queueing import add_waiter
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.waiting import Waiter
+
+WEB = ServiceId("web")
+LARGE = OrgId("large")
+SMALL = OrgId("small")
+
+WORK_MS = 400
+"""Usual time of a request's work, in ms."""
+
+WORKERS, SLOTS = 6, 4
+ROOM = float(WORKERS * SLOTS)
+"""Room of all workers, in s of a worker's slot a second."""
+
+
+def make_boxes(count: int) -> list[Fleet]:
+    """Return the tables of boxes that know each other and the same workers."""
+    names = [BoxId(f"box-{number}") for number in range(count)]
+    boxes = [make_fleet(name) for name in names]
+    for fleet in boxes:
+        for number in range(WORKERS):
+            row = make_worker(f"w-{number}", service=WEB)
+            row.slots = SLOTS
+            add_worker(fleet, row)
+        for name in names:
+            if name != fleet.identity.box:
+                fleet.peers[name] = PeerRow(name, f"{name}:1")
+    return boxes
+
+
+def make_waiter(
+    name: str,
+    org: OrgId = SMALL,
+    *,
+    priority: int = 0,
+    since: int = 0,
+    start_by: int = 4_000,
+) -> Waiter:
+    """Return a request that waits."""
+    return Waiter(
+        RequestId(name), WEB, org, priority, Millis(since), Millis(start_by), 1_000
+    )
+
+
+def add_waiters(fleet: Fleet, *waiters: Waiter) -> None:
+    """Let requests wait at a box."""
+    for waiter in waiters:
+        add_waiter(fleet.wait_list, waiter)
