Exchange demands with peers, and show shares in logs, metrics and the fleet report

Cause: boxes decide alone and know only their own arrivals. Change: calls carry the greatest demands of services that are short of room, answers what they became; shares are computed every 100 ms, logged where they begin or end. Conclusion: nothing is sent or shared while there is room, as tests say.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -22,6 +22,9 @@
 from .peers.news import SilenceNews
 from .peers.news import SuspicionNews
 from .peers.news import news_streams
+from .peers.news_rows import answer_demands
+from .peers.news_rows import apply_demand_answer
+from .peers.news_rows import demands_news
 from .peers.news_rows import evacuations_news
 from .peers.news_rows import leaving_news
 from .peers.news_rows import limits_news
@@ -256,6 +259,9 @@
                 for row in fleet.rollouts.rows.values()
             ),
             peers=self._sample_peers(peer_news) if peer_news is not None else (),
+            demands=demands_news(fleet, now)
+            if peer_news is None
+            else answer_demands(fleet, peer_news.demands, now),
         )
 
     def _sample_peers(self, peer_news: News) -> tuple[PeerNews, ...]:
@@ -483,6 +489,7 @@
         if row is not None and row.failures:
             log_event("INFO", "peer regained", peer=row.box, failures=row.failures)
         self.apply_news(reply.ok_value, called_at)
+        apply_demand_answer(self._fleet, news, reply.ok_value, self._clock.now())
 
 
 def _merge_suspicion(row: RolloutRow, item: SuspicionNews) -> None:
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -8,6 +8,7 @@
 from .ids import Incarnation
 from .ids import Millis
 from .ids import ModelId
+from .ids import OrgId
 from .ids import ServiceId
 from .ids import VersionId
 from .ids import WorkerId
@@ -137,6 +138,23 @@
     settings_file: str = ""
 
 
+class ShareView(msgspec.Struct, frozen=True):
+    """Share of an organisation that asks for more than it, in slots of workers.
+
+    ``room`` is that of the whole service, ``pace`` this box's part of the share.
+    ``demand_age_ms`` is how long ago the demand was last above the share.
+    """
+
+    service: ServiceId
+    org: OrgId
+    room: float
+    share: float
+    demand: float
+    pace: float
+    in_force: bool
+    demand_age_ms: Millis
+
+
 class FleetView(msgspec.Struct, frozen=True):
     """All of it.
 
@@ -163,7 +181,7 @@
         Failure domains that operators emptied.
     settings : SettingsView
         What the box has in force.
-    workers, rollouts, budgets, models, peers, kept_back
+    workers, rollouts, budgets, models, peers, kept_back, shares
         Rows of each; peers whose settings differ from this box's come first.
     """
 
@@ -188,6 +206,7 @@
     models: tuple[ModelView, ...]
     peers: tuple[PeerView, ...]
     kept_back: tuple[KeptBackView, ...]
+    shares: tuple[ShareView, ...] = ()
 
 
 def fleet_view(
@@ -226,6 +245,7 @@
         ),
         peers=tuple(_peer(row, now) for row in _peers_in_order(fleet)),
         kept_back=tuple(_kept_back(row, now) for row in quarantined_contents(fleet)),
+        shares=_shares(fleet, now),
     )
 
 
@@ -338,6 +358,23 @@
     )
 
 
+def _shares(fleet: Fleet, now: Millis) -> tuple[ShareView, ...]:
+    return tuple(
+        ShareView(
+            service=service,
+            org=org,
+            room=round(shares.room_per_s, 2),
+            share=round(row.share_per_s, 2),
+            demand=round(row.demand_per_s, 2),
+            pace=round(row.pace_per_s, 2),
+            in_force=row.limited,
+            demand_age_ms=Millis(now - row.limited_at),
+        )
+        for service, shares in sorted(fleet.service_shares.items())
+        for org, row in sorted(shares.orgs.items())
+    )
+
+
 def _settings(row: SettingsRow, now: Millis) -> SettingsView:
     return SettingsView(
         digest=row.digest,
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -4,10 +4,15 @@
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import Offset
+from ..systems.demand import DemandRow
+from ..systems.demand import apply_answered_demands
+from ..systems.demand import apply_called_demands
+from ..systems.demand import demands_to_send
 from ..systems.estimating import reportable_prefills
 from ..systems.following_workers import ListedWorker
 from ..systems.following_workers import is_leaving_without_notice
 from ..systems.quarantining import suspects_to_send
+from ..systems.sharing import services_short_of_room
 from ..systems.tallies import sum_tallies
 from ..systems.throttling import limits_to_send
 from ..tables.fleet import EvacuationRow
@@ -23,9 +28,11 @@
 from ..tables.rollouts import WorkerTallyKey
 from ..tables.suspects import SuspectRequest
 from ..tables.workers import WorkerRow
+from .news import DemandNews
 from .news import EvacuationNews
 from .news import LeavingNews
 from .news import LimitNews
+from .news import News
 from .news import PendingPrefillNews
 from .news import RecentPrefillNews
 from .news import RolloutNews
@@ -329,3 +336,33 @@
         quarantined_by=item.quarantined_by,
         recorded=item.recorded,
     )
+
+
+def demands_news(fleet: Fleet, now: Millis) -> tuple[DemandNews, ...]:
+    """Return the demands to call a peer with, of services that are short of room."""
+    if not fleet.org_demands:
+        return ()
+    services = services_short_of_room(fleet, now)
+    return _to_demand_news(demands_to_send(fleet, services, now))
+
+
+def answer_demands(
+    fleet: Fleet, called: tuple[DemandNews, ...], now: Millis
+) -> tuple[DemandNews, ...]:
+    """Apply the demands in a peer's call; return those for the answer."""
+    return _to_demand_news(apply_called_demands(fleet, _to_demands(called), now))
+
+
+def apply_demand_answer(fleet: Fleet, called: News, answer: News, now: Millis) -> None:
+    """Apply the demands in a peer's answer to a call of this box."""
+    apply_answered_demands(
+        fleet, _to_demands(called.demands), _to_demands(answer.demands), now
+    )
+
+
+def _to_demand_news(rows: list[DemandRow]) -> tuple[DemandNews, ...]:
+    return tuple(DemandNews(row.service, row.org, row.per_s) for row in rows)
+
+
+def _to_demands(items: tuple[DemandNews, ...]) -> list[DemandRow]:
+    return [DemandRow(item.service, item.org, item.per_s) for item in items]
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -35,8 +35,11 @@
 from ..settings_file import LOOK_MS as SETTINGS_MS
 from ..settings_file import Applied
 from ..settings_file import SettingsFile
+from ..share_lines import log_share_events
+from ..share_lines import share_lines
 from ..systems.eras import record_era
 from ..systems.forgetting import forget_old
+from ..systems.sharing import update_shares
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
 from ..tables.workers import WorkerRow
@@ -86,6 +89,9 @@
 requests, in ms, and how often it looks, in s: the store answers in 4 ms, a slow one in
 240."""
 
+SHARES_MS = 100
+"""Period of computing the shares of organisations, in ms."""
+
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -247,6 +253,7 @@
         jobs.every(JUDGE_MS, self._recorder.tick)
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
+        jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
         if self._path:
             jobs.every(SETTINGS_MS, self._settings_file.look)
@@ -344,6 +351,10 @@
     async def _look(self) -> None:
         self._wakes.look()
 
+    async def _share(self) -> None:
+        events = update_shares(self.fleet, self.clock.now())
+        log_share_events(events, self.counters.add)
+
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
@@ -374,7 +385,8 @@
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
         page = metrics_page(self.counters, self.histograms)
-        return web.Response(text=page + settings_lines(self.fleet, self.clock.now()))
+        page += settings_lines(self.fleet, self.clock.now())
+        return web.Response(text=page + share_lines(self.fleet))
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -6,6 +6,7 @@
 
 from ..ids import Millis
 from ..tables.fleet import Fleet
+from .demand import expire_demands
 from .ending import expire_broken_connections
 from .estimating import expire_peer_prefill
 from .quarantining import expire_suspects
@@ -14,6 +15,7 @@
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
     """Drop expired reports and breaks, old suspect contents and old epochs."""
+    expire_demands(fleet, now)
     expire_peer_prefill(fleet, now)
     expire_broken_connections(fleet, now)
     expire_suspects(fleet, now)
