Let plain requests wait at the box, and refuse what no worker starts in time

Change: a plain request is sent while a worker has room (slots and what is begun within 100 ms; reports count for less with age), waits at the box while none has, and is refused as not run if none is expected to start it in time. Usual times of work are learned by route from answers without a queue.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -31,6 +31,7 @@
 from .systems.timing import is_slow_first_byte
 from .systems.timing import learn_first_byte_time
 from .systems.warming import mark_cold
+from .systems.work_times import learn_work_time
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
 from .tables.catalog import RequestKind
@@ -201,6 +202,7 @@
     now = core.clock.now()
     record_complete_answer(core.fleet, state.fingerprint, now)
     record_answer(attempt.worker, first_ms, good=True, now=now)
+    _record_work_time(core, state, attempt, first_ms)
     if _is_decoding_slow(core, attempt, whole=True):
         _mark_slow(core, state, attempt)
     elif not attempt.slow and _is_slowness_detectable(core, attempt):
@@ -212,6 +214,18 @@
     core.histograms.record(org, name, Measure.TOTAL, total * 1_000)
 
 
+def _record_work_time(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
+) -> None:
+    """Record the time of a plain answer that did not wait at its worker."""
+    route = state.admitted.route
+    if attempt.prompt is not None or route.kind is RequestKind.STREAM:
+        return
+    if attempt.worker_free and not attempt.worker.queued:
+        now = core.clock.now()
+        learn_work_time(core.fleet, route, attempt.worker, first_ms, now)
+
+
 def _is_slowness_detectable(core: Core, attempt: CatalogAttempt) -> bool:
     """Return whether a complete answer would have been found slow if it was.
 
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -58,13 +58,18 @@
 from .systems.warming import is_cold
 from .systems.warming import record_cold_send
 from .systems.worker_health import record_load
+from .systems.worker_room import record_full
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
+from .waiting_room import WaitingRoom
 from .worker_notices import apply_notice
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request did not run and will not."""
 
+FULL_STATUS = 503
+"""Status of a worker that turns a request away because it is full."""
+
 BUDGET_POLL_S = 0.2
 """Interval at which a request with a silent worker checks the retry budget, in s."""
 
@@ -73,6 +78,7 @@
 
 def catalog_steps(core: Core) -> CatalogSteps:
     """Return the forwarding steps of catalog requests."""
+    waiting_room = WaitingRoom(core)
     return Steps(
         clock=core.clock,
         count=core.count,
@@ -87,6 +93,8 @@
         may_retry=partial(may_retry, core),
         retry_ms=lambda state: retry_after_ms(core, state.admitted.route),
         find_break_cause=partial(find_break_cause, core),
+        await_room=waiting_room.await_room,
+        after_attempt=lambda _state, _attempt: waiting_room.look_soon(),
     )
 
 
@@ -279,6 +287,8 @@
     record_worker_return(core.fleet, attempt.worker, now)
     if answer.load is not None:
         record_load(attempt.worker, answer.load, now)
+    if answer.not_run and answer.status == FULL_STATUS and attempt.prompt is None:
+        record_full(attempt.worker, now)
     apply_notice(core, state, attempt, answer)
     if answer.replaced:
         mark_replaced(core.fleet, attempt.worker)
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -12,6 +12,7 @@
 from .ids import RequestId
 from .ids import ServiceId
 from .ids import VersionId
+from .ids import WorkerId
 from .ports import Call
 from .ports import Send
 from .request_state import Attempt
@@ -56,6 +57,8 @@
         Number of events relayed after these.
     answered : bool
         Whether the head of an answer arrived.
+    worker_free : bool
+        Whether the worker was believed to have a free slot when this was planned.
     repeat : bool
         Whether the attempt counts as an arrival beyond the first of its request.
     """
@@ -72,6 +75,7 @@
     first_event_at: Millis = Millis(-1)
     gaps: int = 0
     answered: bool = False
+    worker_free: bool = False
     repeat: bool = False
 
 
@@ -95,6 +99,8 @@
         Versions that failed the request.
     last_event_id : int or None
         Id of the last complete event that the caller received; None for no event.
+    full_workers : frozenset of str
+        Workers without room for the request when it was last admitted.
     """
 
     call: Call
@@ -105,6 +111,7 @@
     escalated: bool = False
     failed_versions: set[VersionId] = msgspec.field(default_factory=set)
     last_event_id: int | None = None
+    full_workers: frozenset[WorkerId] = frozenset()
 
 
 async def _do_nothing() -> None:
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -240,6 +240,14 @@
     )
 
 
+def waiting_lines(fleet: Fleet) -> str:
+    """Return for the metrics page how many requests wait, and their bytes."""
+    return (
+        f"spanshunt_waiters {fleet.wait_list.count}\n"
+        f"spanshunt_waiting_bytes {fleet.wait_list.bytes}\n"
+    )
+
+
 def _since(at: Millis, now: Millis) -> Millis:
     return Millis(now - at if at >= 0 else -1)
 
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -43,6 +43,14 @@
     """Default for `Steps.find_break_cause`: no search for the cause."""
 
 
+async def _admit_at_once(_state: t.Any) -> None:
+    """Default for `Steps.await_room`: no request waits or is refused."""
+
+
+def _end_silently(_state: t.Any, _attempt: t.Any) -> None:
+    """Default for `Steps.after_attempt`: nothing to do."""
+
+
 class Steps(msgspec.Struct, t.Generic[StateT, AttemptT], frozen=True):
     """Functions that one kind of requests uses at each step of forwarding.
 
@@ -74,6 +82,11 @@
         Returns the time after which a refused caller may retry, in ms.
     find_break_cause : callable
         Finds out why an attempt got no complete answer, before the next one is planned.
+    await_room : callable
+        Waits until a worker has room for the request; returns the refusal if none will
+        have any in time.
+    after_attempt : callable
+        Called when an attempt occupies its worker no longer.
     """
 
     clock: Clock
@@ -93,6 +106,8 @@
     find_break_cause: t.Callable[[StateT, AttemptT], t.Awaitable[None]] = (
         _skip_break_cause
     )
+    await_room: t.Callable[[StateT], t.Awaitable[Refusal | None]] = _admit_at_once
+    after_attempt: t.Callable[[StateT, AttemptT], None] = _end_silently
 
 
 async def forward(steps: Steps[StateT, AttemptT], state: StateT, reply: Reply) -> None:
@@ -160,6 +175,9 @@
     """Attempt the request until it is answered or no further attempt is allowed."""
     refusal: Refusal | None = None
     while True:
+        refusal = await steps.await_room(state)
+        if refusal is not None:
+            break
         planned = steps.plan(state)
         if isinstance(planned, Err):
             refusal = planned.err_value
@@ -214,6 +232,7 @@
         worker.inflight -= 1
         if answer is not None:
             answer.close()
+        steps.after_attempt(state, attempt)
     state.under_way = None
     state.has_failed_attempt |= outcome in (
         AttemptOutcome.FAILED,
--- a/src/spanshunt/histograms.py
+++ b/src/spanshunt/histograms.py
@@ -25,6 +25,7 @@
     BETWEEN = "between_tokens_us"
     TOTAL = "total_us"
     COST = "cost_micros"
+    WAIT = "wait_us"
 
 
 class SeriesKey(t.NamedTuple):
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -26,6 +26,7 @@
 from .systems.estimating import FirstEventEstimate
 from .systems.estimating import Prompt
 from .systems.placing import PlacementRequest
+from .systems.placing import candidate_workers
 from .systems.placing import choose_worker
 from .systems.placing import throttle_wait_ms
 from .systems.placing import throttled_workers
@@ -35,8 +36,10 @@
 from .systems.ramping import version_rule_for
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
+from .systems.worker_room import has_free_slot
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
+from .tables.workers import WorkerRow
 from .utils import unit_hash
 from .worker_notices import describe_notices
 
@@ -82,10 +85,26 @@
             prompt=_build_prompt(state, service, model),
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
+            worker_free=has_free_slot(placed.worker, core.clock.now()),
         )
     )
 
 
+def plain_candidates(core: Core, state: CatalogRequest) -> list[WorkerRow]:
+    """Return the workers that accept a plain request now; none for a prompt."""
+    call = state.call
+    if call.tokens.read or call.model or state.admitted.route.models:
+        return []
+    service = _draw_service(core, state)
+    if service is None:
+        return []
+    state.service = service.name
+    rule = _version_rule(core, state)
+    eager = _is_eager(core, state)
+    request = _placement_request(core, state, service, rule, ModelId(""), eager=eager)
+    return candidate_workers(core.fleet, request, core.clock.now())
+
+
 def retry_after_ms(core: Core, route: RouteRow) -> Millis:
     """Return the time after which to retry, in ms, with jitter to spread callers."""
     mean_ms = min(
@@ -227,6 +246,7 @@
         workers_with_suspects=_workers_with_suspects(core, state)
         if suspected
         else None,
+        full=state.full_workers,
     )
 
 
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -21,6 +21,7 @@
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
 from ..fleet_report import settings_lines
+from ..fleet_report import waiting_lines
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -374,7 +375,8 @@
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
         page = metrics_page(self.counters, self.histograms)
-        return web.Response(text=page + settings_lines(self.fleet, self.clock.now()))
+        page += settings_lines(self.fleet, self.clock.now())
+        return web.Response(text=page + waiting_lines(self.fleet))
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -10,6 +10,7 @@
 from .estimating import expire_peer_prefill
 from .quarantining import expire_suspects
 from .watching import drop_old_epochs
+from .work_times import forget_work_times
 
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
@@ -18,3 +19,4 @@
     expire_broken_connections(fleet, now)
     expire_suspects(fleet, now)
     drop_old_epochs(fleet, now)
+    forget_work_times(fleet)
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -119,6 +119,8 @@
     workers_with_suspects : collection of str or None
         Workers that are answering other suspect requests, if this request is suspect;
         None if it is not.
+    full : collection of str
+        Workers without room, which get the request only if there is no other.
     """
 
     service: ServiceId
@@ -132,6 +134,7 @@
     eager: bool = True
     regions: tuple[frozenset[RegionId], ...] = ()
     workers_with_suspects: t.Collection[WorkerId] | None = None
+    full: t.Collection[WorkerId] = ()
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -165,6 +168,8 @@
     rows = candidate_workers(fleet, request, now)
     if not rows:
         return None
+    if request.full:
+        rows = [row for row in rows if row.name not in request.full] or rows
     if request.workers_with_suspects is not None:
         rows = [_isolated_worker(rows, request.workers_with_suspects, now, rng)]
     estimate: FirstEventEstimate | None = None
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -5,12 +5,29 @@
 once. Only a request that was sent to no worker waits.
 """
 
+import collections
 import enum
 
 from ..ids import Millis
+from ..ids import OrgId
 from ..ids import RequestId
+from ..tables.fleet import Fleet
 from ..tables.waiting import Waiter
 from ..tables.waiting import WaitList
+from .worker_room import ServiceRoom
+
+MEMORY_FRACTION = 0.125
+"""Fraction of the box's memory that waiting requests may take."""
+
+DEFAULT_WAITING_BYTES = 64 * 1024 * 1024
+"""Bytes that they may take on a box whose memory is unknown."""
+
+WAITER_BYTES = 16 * 1024
+"""Bytes that a waiting request takes beside its body: its connection, its headers and
+its task."""
+
+ANSWER_MARGIN_MS = 20.0
+"""Time beside the work itself until the caller has its answer, in ms."""
 
 
 class Admission(enum.Enum):
@@ -47,3 +64,61 @@
         for waiter in rows.values()
         if now >= waiter.start_by
     ]
+
+
+def max_waiting_bytes(fleet: Fleet) -> int:
+    """Return how many bytes all waiting requests may take."""
+    memory_mb = fleet.limits.memory_mb
+    if not memory_mb:
+        return DEFAULT_WAITING_BYTES
+    return int(MEMORY_FRACTION * memory_mb * 1024 * 1024)
+
+
+def latest_start(room: ServiceRoom, limit: Millis) -> Millis:
+    """Return until when a request must be sent so that its answer comes by `limit`."""
+    return Millis(int(limit - room.work_ms - room.lead_ms - ANSWER_MARGIN_MS))
+
+
+def expected_wait_ms(fleet: Fleet, room: ServiceRoom, waiter: Waiter) -> float:
+    """Return how long a request will wait at this box, in ms; 0 if it is unknown."""
+    if room.starts_per_ms <= 0.0:
+        return 0.0
+    return requests_before(fleet.wait_list, waiter) / room.starts_per_ms
+
+
+def requests_before(waiting: WaitList, waiter: Waiter) -> int:
+    """Return how many waiting requests are sent before one that joins them.
+
+    They are those of a more urgent priority, those of its own organisation and priority
+    that must start sooner, and as many of each other organisation.
+    """
+    more_urgent = 0
+    by_org: collections.Counter[OrgId] = collections.Counter()
+    for row in waiting.waiters.get(waiter.service, {}).values():
+        if row.request == waiter.request:
+            continue
+        if row.priority < waiter.priority:
+            more_urgent += 1
+        elif row.priority == waiter.priority and row.start_by <= waiter.start_by:
+            by_org[row.org] += 1
+    own = by_org.pop(waiter.org, 0)
+    return more_urgent + own + sum(min(count, own + 1) for count in by_org.values())
+
+
+def admit(fleet: Fleet, room: ServiceRoom, waiter: Waiter, now: Millis) -> Admission:
+    """Decide on a request that is ready to be sent and does not wait yet.
+
+    It is refused only if no worker has room and no worker is expected to start it in
+    time, if this box has no memory for one more, or if the box stops. What is reckoned
+    with is the usual time of work at the fastest worker.
+    """
+    waiting = fleet.wait_list
+    if room.has_room and not waiting.waiters.get(waiter.service):
+        return Admission.SEND
+    if fleet.stopping or now >= waiter.start_by:
+        return Admission.SEND if room.has_room else Admission.REFUSE
+    if waiting.bytes + waiter.bytes > max_waiting_bytes(fleet):
+        return Admission.REFUSE
+    if now + expected_wait_ms(fleet, room, waiter) > waiter.start_by:
+        return Admission.REFUSE
+    return Admission.WAIT
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -38,6 +38,7 @@
 from .suspects import SuspectRequest
 from .waiting import OrgDemand
 from .waiting import WaitList
+from .waiting import WorkTime
 from .workers import Workers
 
 
@@ -353,6 +354,8 @@
         rise of the likelihood of one, for which a minimum is assumed.
     wait_list : WaitList
         Requests that wait at this box for room at a worker.
+    work_times : dict
+        Usual times of work without a queue, by route name, for plain requests.
     org_demands : dict
         Demand by service and organisation, averaged over all boxes.
     byte_account : ByteAccount
@@ -406,6 +409,7 @@
     lateness: dict[ServiceId, float] = {}
     gain_per_engine_ms: dict[ServiceId, float] = {}
     wait_list: WaitList = msgspec.field(default_factory=WaitList)
+    work_times: dict[str, WorkTime] = {}
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
     byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
     limits: BoxLimits = BoxLimits()
--- a/src/spanshunt/tables/waiting.py
+++ b/src/spanshunt/tables/waiting.py
@@ -53,6 +53,22 @@
     bytes: int = 0
 
 
+class WorkTime(msgspec.Struct):
+    """Usual time that a worker of usual speed takes for a request of one route.
+
+    Attributes
+    ----------
+    usual_ms : float
+        Median of the time from the sending of a request to a worker with a free slot to
+        the head of its answer, in ms.
+    answers : int
+        Number of answers that it is based on.
+    """
+
+    usual_ms: float
+    answers: int = 1
+
+
 class OrgDemand(msgspec.Struct):
     """Demand of one organisation for one service, averaged over all boxes.
 
