--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -21,6 +21,7 @@
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
 from ..fleet_report import settings_lines
+from ..fleet_report import waiting_lines
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -386,6 +387,7 @@
             return web.Response(body=body, content_type="application/json")
         page = metrics_page(self.counters, self.histograms)
         page += settings_lines(self.fleet, self.clock.now())
+        page += waiting_lines(self.fleet)
         return web.Response(text=page + share_lines(self.fleet))
 
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -39,6 +39,7 @@
 from .waiting import OrgDemand
 from .waiting import ServiceShares
 from .waiting import WaitList
+from .waiting import WorkTime
 from .workers import Workers
 
 
@@ -354,6 +355,8 @@
         rise of the likelihood of one, for which a minimum is assumed.
     wait_list : WaitList
         Requests that wait at this box for room at a worker.
+    work_times : dict
+        Usual times of work without a queue, by route name, for plain requests.
     org_demands : dict
         Demand by service and organisation, averaged over all boxes.
     service_shares : dict
@@ -411,6 +414,7 @@
     lateness: dict[ServiceId, float] = {}
     gain_per_engine_ms: dict[ServiceId, float] = {}
     wait_list: WaitList = msgspec.field(default_factory=WaitList)
+    work_times: dict[str, WorkTime] = {}
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
     service_shares: dict[ServiceId, ServiceShares] = {}
     returns_told: int = 0
