Share room and tell refused callers when to return, in the requests' path

Cause: the decisions stood but nothing called them. Change: arrivals count as demand, sends are charged to shares, admission reckons with the order of shares and with the pace of an organisation that has one, refusals say when to return. The wait expected under shares needs the time, hence one more argument in a call of test_queueing. Conclusion: test modules of nodes, stops, throttling, forwarding and exchange pass.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -25,6 +25,7 @@
 from .ids import OrgId
 from .logs import log_event
 from .planning import plan_attempt
+from .planning import record_demand
 from .planning import retry_after_ms
 from .ports import Answer
 from .ports import BrokenAnswerError
@@ -51,12 +52,14 @@
 from .systems.recognising import compute_fingerprint
 from .systems.repeats import count_repeat
 from .systems.repeats import count_request
+from .systems.sharing import charge_start
 from .systems.throttling import use_grant
 from .systems.timing import RECENTLY_SENT_FACTOR
 from .systems.timing import first_byte_timeout_ms
 from .systems.timing import has_sent_recently
 from .systems.warming import is_cold
 from .systems.warming import record_cold_send
+from .systems.work_times import usual_work_ms
 from .systems.worker_health import record_load
 from .systems.worker_room import record_full
 from .tables.catalog import RequestKind
@@ -91,7 +94,7 @@
         record_broken_answer=partial(record_broken_answer, core),
         record_timeout=partial(_record_timeout, core),
         may_retry=partial(may_retry, core),
-        retry_ms=lambda state: retry_after_ms(core, state.admitted.route),
+        retry_ms=partial(retry_after_ms, core),
         find_break_cause=partial(find_break_cause, core),
         await_room=waiting_room.await_room,
         after_attempt=lambda _state, _attempt: waiting_room.look_soon(),
@@ -109,6 +112,7 @@
         return
     state = _create_state(core, call, admitted.ok_value)
     core.running[call.request] = state
+    record_demand(core, state)
     try:
         await forward(steps, state, reply)
     finally:
@@ -143,6 +147,7 @@
     cold = is_cold(attempt.worker, core.clock.now())
     record_cold_send(attempt.worker, core.clock.now())
     use_grant(core.fleet, attempt.worker, core.clock.now())
+    _charge_share(core, state, attempt)
     attempt.repeat = state.sends > state.unreached
     if attempt.repeat:
         count_repeat(core.fleet, attempt.service, core.clock.now())
@@ -176,6 +181,13 @@
     )
 
 
+def _charge_share(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Charge a send to the organisation's share, if one is in force."""
+    fleet = core.fleet
+    work_ms = usual_work_ms(fleet, state.admitted.route)
+    charge_start(fleet, attempt.service, state.org, work_ms, core.clock.now())
+
+
 def _version_fields(core: Core, attempt: CatalogAttempt) -> dict[str, object]:
     """Return log fields on the choice of the version during a roll-out."""
     row = core.fleet.rollouts.rows.get(attempt.service)
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -23,6 +23,7 @@
 from .systems.cascading import EscalationProspect
 from .systems.cascading import plan_models
 from .systems.cascading import record_engine_gain
+from .systems.demand import record_arrival
 from .systems.estimating import FirstEventEstimate
 from .systems.estimating import Prompt
 from .systems.placing import PlacementRequest
@@ -34,8 +35,11 @@
 from .systems.quarantining import may_send_content
 from .systems.ramping import VersionRule
 from .systems.ramping import version_rule_for
+from .systems.returning import RefusedCall
+from .systems.returning import return_after_ms
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
+from .systems.work_times import usual_work_ms
 from .systems.worker_room import has_free_slot
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
@@ -105,8 +109,41 @@
     return candidate_workers(core.fleet, request, core.clock.now())
 
 
-def retry_after_ms(core: Core, route: RouteRow) -> Millis:
-    """Return the time after which to retry, in ms, with jitter to spread callers."""
+def record_demand(core: Core, state: CatalogRequest) -> None:
+    """Count a request that arrives as demand of its organisation.
+
+    Nothing is counted while the usual time of its work is unknown.
+    """
+    service = _draw_service(core, state)
+    work_ms = usual_work_ms(core.fleet, state.admitted.route)
+    if service is not None and work_ms > 0.0:
+        now = core.clock.now()
+        record_arrival(core.fleet, service.name, state.org, work_ms, now)
+
+
+def retry_after_ms(core: Core, state: CatalogRequest) -> Millis:
+    """Return the time after which to retry, in ms, spread over callers.
+
+    If work waits for room that the service lacks, the caller is told a time at which
+    room may have appeared.
+    """
+    route, now = state.admitted.route, core.clock.now()
+    work_ms = usual_work_ms(core.fleet, route)
+    refused = RefusedCall(
+        service=state.service,
+        org=state.org,
+        left_ms=state.call.deadline - now,
+        whole_ms=route.timeout_ms,
+    )
+    after_ms = return_after_ms(core.fleet, refused, work_ms, now)
+    if after_ms is None:
+        return _usual_retry_ms(core, route)
+    core.count("returns_spread")
+    return after_ms
+
+
+def _usual_retry_ms(core: Core, route: RouteRow) -> Millis:
+    """Return the time after which to retry while no work waits, in ms."""
     mean_ms = min(
         MAX_RETRY_MS,
         max(MIN_RETRY_MS, RETRY_LATENCY_FRACTION * route.target_latency_ms),
@@ -292,5 +329,5 @@
 def _no_worker_refusal(
     core: Core, state: CatalogRequest, detail: str, wait_ms: int = 0
 ) -> Refusal:
-    retry_ms = Millis(wait_ms + retry_after_ms(core, state.admitted.route))
+    retry_ms = Millis(wait_ms + retry_after_ms(core, state))
     return Refusal(Problem.NO_WORKER, detail, retry_ms=retry_ms)
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -14,6 +14,8 @@
 from ..tables.fleet import Fleet
 from ..tables.waiting import Waiter
 from ..tables.waiting import WaitList
+from .sharing import paced_wait_ms
+from .sharing import waiters_before
 from .worker_room import ServiceRoom
 
 MEMORY_FRACTION = 0.125
@@ -79,11 +81,20 @@
     return Millis(int(limit - room.work_ms - room.lead_ms - ANSWER_MARGIN_MS))
 
 
-def expected_wait_ms(fleet: Fleet, room: ServiceRoom, waiter: Waiter) -> float:
-    """Return how long a request will wait at this box, in ms; 0 if it is unknown."""
+def expected_wait_ms(
+    fleet: Fleet, room: ServiceRoom, waiter: Waiter, now: Millis
+) -> float:
+    """Return how long a request will wait at this box, in ms; 0 if it is unknown.
+
+    While shares are in force, the requests before it are those that their order puts
+    there, and an organisation with a share waits for its own requests at its pace.
+    """
     if room.starts_per_ms <= 0.0:
         return 0.0
-    return requests_before(fleet.wait_list, waiter) / room.starts_per_ms
+    if waiter.service not in fleet.service_shares:
+        return requests_before(fleet.wait_list, waiter) / room.starts_per_ms
+    all_ms = waiters_before(fleet, waiter, now) / room.starts_per_ms
+    return max(all_ms, paced_wait_ms(fleet, waiter, room.work_ms, now))
 
 
 def requests_before(waiting: WaitList, waiter: Waiter) -> int:
@@ -119,6 +130,6 @@
         return Admission.SEND if room.has_room else Admission.REFUSE
     if waiting.bytes + waiter.bytes > max_waiting_bytes(fleet):
         return Admission.REFUSE
-    if now + expected_wait_ms(fleet, room, waiter) > waiter.start_by:
+    if now + expected_wait_ms(fleet, room, waiter, now) > waiter.start_by:
         return Admission.REFUSE
     return Admission.WAIT
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -203,9 +203,30 @@
     return sorted(rows, key=lambda row: _turn(fleet, row, now))
 
 
-def goes_before(fleet: Fleet, waiter: Waiter, other: Waiter, now: Millis) -> bool:
-    """Return whether a request gets room at a service before another one."""
-    return _turn(fleet, waiter, now) < _turn(fleet, other, now)
+def waiters_before(fleet: Fleet, waiter: Waiter, now: Millis) -> int:
+    """Return how many waiting requests get room before one that may join them."""
+    turn = _turn(fleet, waiter, now)
+    rows = fleet.wait_list.waiters.get(waiter.service, {}).values()
+    return sum(_turn(fleet, row, now) < turn for row in rows)
+
+
+def paced_wait_ms(fleet: Fleet, waiter: Waiter, work_ms: float, now: Millis) -> float:
+    """Return how long a request waits for its organisation's own ones, in ms.
+
+    They start at the pace of its share; `work_ms` is the usual time of their work. It
+    is 0 if the organisation may have what it asks for.
+    """
+    share = org_share(fleet, waiter.service, waiter.org)
+    if share is None:
+        return 0.0
+    rows = fleet.wait_list.waiters.get(waiter.service, {}).values()
+    before = sum(
+        row.org == waiter.org
+        and row.request != waiter.request
+        and (row.priority, row.start_by) <= (waiter.priority, waiter.start_by)
+        for row in rows
+    )
+    return before * work_ms / max(_TOLERANCE, share.pace_per_s)
 
 
 def steps_behind(
@@ -217,6 +238,8 @@
     drawn by a hash of the request.
     """
     behind = steps_below_highest(fleet, service, rank)
+    if not behind:
+        return 0
     point = unit_hash("turn", request)
     while behind and point < 1.0 / PRIORITY_STEP:
         point *= PRIORITY_STEP
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -23,6 +23,7 @@
 from .refusals import Problem
 from .refusals import Refusal
 from .refusals import Run
+from .share_lines import share_fields
 from .systems.queueing import WAITER_BYTES
 from .systems.queueing import Admission
 from .systems.queueing import add_waiter
@@ -231,7 +232,7 @@
         detail = f"no worker of {state.service} can start the request in time"
         if core.fleet.stopping:
             detail = f"this box stops, and no worker of {state.service} has room"
-        retry_ms = retry_after_ms(core, state.admitted.route)
+        retry_ms = retry_after_ms(core, state)
         return Refusal(Problem.OVERLOADED, detail, Run.NO, retry_ms)
 
     def _log(
@@ -245,7 +246,7 @@
         core, now = self._core, self._core.clock.now()
         rows = plain_candidates(core, state)
         room = self._find_room(state)
-        expected_ms = expected_wait_ms(core.fleet, room, waiter) if room else 0.0
+        expected_ms = expected_wait_ms(core.fleet, room, waiter, now) if room else 0.0
         log_event(
             "INFO",
             "admission",
@@ -262,6 +263,7 @@
             waiters=core.fleet.wait_list.count,
             left_ms=state.limit - now,
             waited_ms=waited_ms,
+            **share_fields(core.fleet, state.service, state.org, now),
         )
 
     def _reason(self, admission: Admission) -> str:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -149,7 +149,7 @@
     start_by = latest_start(room, Millis(NOW + 100))
     assert start_by == NOW + 100 - ANSWER_MARGIN_MS
     waiter = make_waiter("r", start_by=start_by)
-    assert expected_wait_ms(fleet, room, waiter) == 0.0
+    assert expected_wait_ms(fleet, room, waiter, Millis(0)) == 0.0
     assert admit(fleet, room, waiter, NOW) is Admission.WAIT
 
 
