--- a/src/spanshunt/share_lines.py
+++ b/src/spanshunt/share_lines.py
@@ -5,6 +5,7 @@
 from .ids import ServiceId
 from .logs import log_event
 from .settling import Counter
+from .systems.sharing import ShareChange
 from .systems.sharing import ShareEvent
 from .systems.sharing import org_share
 from .tables.fleet import Fleet
@@ -13,6 +14,9 @@
 """Maximum number of shares logged each time that shares are computed."""
 
 
+_MESSAGES = {ShareChange.BEGAN: "share began", ShareChange.ENDED: "share ended"}
+
+
 def log_share_events(events: list[ShareEvent], count: Counter) -> None:
     """Count and log the shares that came into force or ended."""
     for event in events:
@@ -21,7 +25,7 @@
         share = event.share
         log_event(
             "INFO",
-            f"share {event.change.value}",
+            _MESSAGES[event.change],
             service=event.service,
             org=event.org,
             share_slots=round(share.share_per_s, 2),
--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -86,18 +86,20 @@
     The total is never below what arrives at this box alone.
     """
     boxes = box_count(fleet)
-    demands = {}
-    for (name, org), row in fleet.org_demands.items():
-        if name == service:
-            _decay(row, now)
-            total = max(row.own_per_s, boxes * row.per_s)
-            demands[org] = Demand(total, row.own_per_s)
-    return demands
+    return {
+        org: _demand(row, boxes, now)
+        for (name, org), row in fleet.org_demands.items()
+        if name == service
+    }
 
 
-def services_in_demand(fleet: Fleet) -> set[ServiceId]:
-    """Return the services for which any organisation has a row."""
-    return {service for service, _ in fleet.org_demands}
+def all_demands(fleet: Fleet, now: Millis) -> dict[ServiceId, dict[OrgId, Demand]]:
+    """Return the demand of each organisation for each service."""
+    boxes = box_count(fleet)
+    demands: dict[ServiceId, dict[OrgId, Demand]] = {}
+    for (service, org), row in fleet.org_demands.items():
+        demands.setdefault(service, {})[org] = _demand(row, boxes, now)
+    return demands
 
 
 def demands_to_send(
@@ -155,6 +157,11 @@
             del fleet.org_demands[key]
 
 
+def _demand(row: OrgDemand, boxes: int, now: Millis) -> Demand:
+    _decay(row, now)
+    return Demand(max(row.own_per_s, boxes * row.per_s), row.own_per_s)
+
+
 def _peer_row(fleet: Fleet, item: DemandRow, now: Millis) -> OrgDemand | None:
     """Return the row that a peer's demand is merged into, decayed; None for none."""
     if not 0.0 <= item.per_s <= MAX_DEMAND_PER_S:
--- a/src/spanshunt/systems/returning.py
+++ b/src/spanshunt/systems/returning.py
@@ -22,6 +22,7 @@
 from .demand import Demand
 from .demand import row_org
 from .demand import service_demands
+from .fleet_size import box_count
 from .fleet_size import stagger_fraction
 from .sharing import limited_shares
 from .sharing import service_room
@@ -113,7 +114,7 @@
     own = sum(demand.own_per_s for demand in demands.values())
     waiting = work_ms * len(fleet.wait_list.waiters.get(service, {}))
     if own > 0.0:
-        waiting *= total / own
+        waiting *= min(float(box_count(fleet)), total / own)
     return waiting / room if room > 0.0 else 0.0
 
 
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -25,8 +25,7 @@
 from .admitting import steps_below_highest
 from .demand import OTHER_ORGS
 from .demand import Demand
-from .demand import service_demands
-from .demand import services_in_demand
+from .demand import all_demands
 from .evacuating import is_evacuated
 from .fleet_size import box_count
 from .worker_speed import time_factor
@@ -137,16 +136,18 @@
     """
     return [
         service
-        for service in services_in_demand(fleet)
-        if service in fleet.wait_list.waiters or _is_room_short(fleet, service, now)
+        for service, demands in all_demands(fleet, now).items()
+        if service in fleet.wait_list.waiters
+        or _total(demands) > SHORT_PART * service_room(fleet, service, now)
     ]
 
 
 def update_shares(fleet: Fleet, now: Millis) -> list[ShareEvent]:
     """Compute all shares anew; return those that came into force or ended."""
     events: list[ShareEvent] = []
-    for service in services_in_demand(fleet) | set(fleet.service_shares):
-        events += _update_service(fleet, service, now)
+    demands = all_demands(fleet, now)
+    for service in demands.keys() | fleet.service_shares.keys():
+        events += _update_service(fleet, service, demands.get(service, {}), now)
     return events
 
 
@@ -271,18 +272,15 @@
     )
 
 
-def _is_room_short(fleet: Fleet, service: ServiceId, now: Millis) -> bool:
-    demands = service_demands(fleet, service, now)
-    total = sum(demand.total_per_s for demand in demands.values())
-    return total > SHORT_PART * service_room(fleet, service, now)
+def _total(demands: t.Mapping[OrgId, Demand]) -> float:
+    return sum(demand.total_per_s for demand in demands.values())
 
 
 def _update_service(
-    fleet: Fleet, service: ServiceId, now: Millis
+    fleet: Fleet, service: ServiceId, demands: t.Mapping[OrgId, Demand], now: Millis
 ) -> t.Iterator[ShareEvent]:
     """Compute the shares of one service anew."""
     room = service_room(fleet, service, now)
-    demands = service_demands(fleet, service, now)
     limited = limited_shares(room, demands)
     if not limited and service not in fleet.service_shares:
         return
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,12 +5,17 @@
 import typing as t
 
 import msgspec
+import pytest
 from grpclib.server import Server
 
 from fleet_builders import add_worker
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from share_builders import LARGE
+from share_builders import WEB
+from share_builders import WORK_MS
+from share_builders import make_boxes
 from spanshunt.clock import Clock
 from spanshunt.clock import ManualClock
 from spanshunt.exchange import MAX_PEERS_SENT
@@ -24,10 +29,12 @@
 from spanshunt.peers.news import News
 from spanshunt.peers.news import NewsService
 from spanshunt.peers.news import news_streams
+from spanshunt.peers.news_rows import apply_demand_answer
 from spanshunt.peers.news_rows import workers_news
 from spanshunt.peers.partners import MAX_PARTNERS
 from spanshunt.peers.partners import Partners
 from spanshunt.standins.ports import free_ports
+from spanshunt.systems.demand import record_arrival
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 
@@ -210,3 +217,27 @@
     )
     assert reply.is_err()
     assert not streams._streams
+
+
+async def test_demands_are_exchanged_while_a_service_is_short_of_room():
+    """The called box answers with what its mean became, and both meet in the middle."""
+    caller, called = make_boxes(2)
+    news = make_exchange(caller).build_news(None)
+    assert news.demands == ()
+    now = Clock().now()
+    for _ in range(200):
+        record_arrival(caller, WEB, LARGE, WORK_MS, now)
+    news = make_exchange(caller).build_news(None)
+    assert [(item.service, item.org) for item in news.demands] == [(WEB, LARGE)]
+    answer = await make_exchange(called).answer_news(news)
+    assert answer.demands[0].per_s == pytest.approx(news.demands[0].per_s / 4, rel=0.1)
+    apply_demand_answer(caller, news, answer, Clock().now())
+    means = [fleet.org_demands[WEB, LARGE].per_s for fleet in (caller, called)]
+    assert sum(means) == pytest.approx(news.demands[0].per_s, rel=0.1)
+
+
+async def test_news_of_an_older_version_hold_no_demands():
+    old = make_news("box-9")
+    assert old.demands == ()
+    (fleet,) = make_boxes(1)
+    assert (await make_exchange(fleet).answer_news(old)).demands == ()
--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -165,12 +165,14 @@
 
 
 def test_waiters_at_this_and_other_boxes_are_waited_for() -> None:
-    (fleet,) = make_boxes(1)
+    fleet = make_boxes(6)[0]
     add_waiters(fleet, *(make_waiter(f"r-{n}") for n in range(30)))
     drain_ms = waiting_drain_ms(fleet, WEB, {}, ROOM, WORK_MS)
     assert drain_ms == pytest.approx(30 * WORK_MS / ROOM)
     others = {SMALL: Demand(total_per_s=12.0, own_per_s=4.0)}
     assert waiting_drain_ms(fleet, WEB, others, ROOM, WORK_MS) == 3 * drain_ms
+    others[SMALL] = Demand(total_per_s=12.0, own_per_s=0.01)
+    assert waiting_drain_ms(fleet, WEB, others, ROOM, WORK_MS) == 6 * drain_ms
     assert drain_ms / 3 <= (refuse(fleet, SMALL, 0) or 0) <= drain_ms
 
 
