Play more work than room with real boxes; hold shares where reports are old

Cause: with reports that count for half after 1.5 s, six boxes held twice the room; a box without a learned time of work let requests wait too long; and waiters that were told late.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -217,13 +217,18 @@
 def _record_work_time(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
 ) -> None:
-    """Record the time of a plain answer that did not wait at its worker."""
+    """Record the time of a plain answer."""
     route = state.admitted.route
     if attempt.prompt is not None or route.kind is RequestKind.STREAM:
         return
-    if attempt.worker_free and not attempt.worker.queued:
-        now = core.clock.now()
-        learn_work_time(core.fleet, route, attempt.worker, first_ms, now)
+    learn_work_time(
+        core.fleet,
+        route,
+        attempt.worker,
+        first_ms,
+        core.clock.now(),
+        was_free=attempt.worker_free,
+    )
 
 
 def _is_slowness_detectable(core: Core, attempt: CatalogAttempt) -> bool:
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -8,10 +8,12 @@
 import enum
 import random
 import typing as t
+from functools import partial
 
 import msgspec
 
 from .resets import reset
+from .slots import WorkerSlots
 
 PAUSE_S = 1.6
 """How long a stream is silent that goes on by itself, in s."""
@@ -78,7 +80,8 @@
     failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
     headers that it puts into all its answers, ``asks`` those beside its word
-    that it has no room, ``said`` which answers had any.
+    that it has no room, ``said`` which answers had any. ``slots`` bounds what it runs
+    at once and how many requests wait; without them it has room for all.
 
     Parameters
     ----------
@@ -100,6 +103,7 @@
         self.ends_after_s = 0.02
         self.holds: t.Callable[[str], float] = lambda _request: 0.0
         self.on_end: t.Callable[[], None] = lambda: None
+        self.slots: WorkerSlots | None = None
         self.events = 4
         self.event_s = 0.0
         self.sureness: dict[str, int] = {}
@@ -198,12 +202,14 @@
             writer.write(self._head(421, seen.request, length=0, sealed=False))
             await writer.drain()
             return True
-        if fault is WorkerFault.FULL:
+        if fault is WorkerFault.FULL or (self.slots and self.slots.is_full):
             extra = {"Not-Executed": "1", **self.asks}
             head = self._head(503, seen.request, length=0, sealed=False, extra=extra)
             writer.write(head)
             await writer.drain()
             return True
+        if self.slots and not await self._work(self.slots, seen, reader):
+            return False
         self.ran.append(seen.request)
         if self.ends_on and seen.body == self.ends_on:
             if await self._closed_within(reader, self.ends_after_s):
@@ -225,6 +231,15 @@
             return await self._stream(seen, reader, writer, fault)
         return await self._whole(seen, writer, fault)
 
+    async def _work(
+        self, slots: WorkerSlots, seen: SeenRequest, reader: asyncio.StreamReader
+    ) -> bool:
+        """Work in a slot; tell whether the answer is still awaited."""
+        done = await slots.work(partial(self._closed_within, reader))
+        if not done:
+            self.cancelled.append(seen.request)
+        return done
+
     async def _whole(
         self, seen: SeenRequest, writer: asyncio.StreamWriter, fault: WorkerFault
     ) -> bool:
@@ -299,6 +314,9 @@
     ) -> bytes:
         """Return an answer's head, with what this worker says of itself."""
         headers = {**(extra or {}), **self.says}
+        if self.slots is not None:
+            row = self.slots
+            headers["Instance-Load"] = f"{row.running},{row.waiting},{row.slots}"
         if self.says or self.asks:
             at = asyncio.get_running_loop().time()
             self.said.append(Said(request, at, headers))
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import math
 
 from ..ids import Millis
 from ..ids import OrgId
@@ -26,6 +27,10 @@
 """Bytes that a waiting request takes beside its body: its connection, its headers and
 its task."""
 
+SPREAD = 2.0
+"""Standard deviations of the time of some starts that are allowed for, so that few
+requests wait in vain and are told late."""
+
 ANSWER_MARGIN_MS = 20.0
 """Time beside the work itself until the caller has its answer, in ms."""
 
@@ -80,10 +85,15 @@
 
 
 def expected_wait_ms(fleet: Fleet, room: ServiceRoom, waiter: Waiter) -> float:
-    """Return how long a request will wait at this box, in ms; 0 if it is unknown."""
+    """Return within which time a request is likely to be sent, in ms; 0 if unknown.
+
+    Places fall free at random times, so the time of several starts varies by the root
+    of their number.
+    """
     if room.starts_per_ms <= 0.0:
         return 0.0
-    return requests_before(fleet.wait_list, waiter) / room.starts_per_ms
+    starts = 1 + requests_before(fleet.wait_list, waiter)
+    return (starts + SPREAD * math.sqrt(starts)) / room.starts_per_ms
 
 
 def requests_before(waiting: WaitList, waiter: Waiter) -> int:
--- a/src/spanshunt/systems/work_times.py
+++ b/src/spanshunt/systems/work_times.py
@@ -18,16 +18,44 @@
 
 
 def learn_work_time(
-    fleet: Fleet, route: RouteRow, worker: WorkerRow, took_ms: float, now: Millis
+    fleet: Fleet,
+    route: RouteRow,
+    worker: WorkerRow,
+    took_ms: float,
+    now: Millis,
+    *,
+    was_free: bool,
 ) -> None:
     """Move a route's usual time towards the median of the times of its answers.
 
-    `took_ms` is the time of an answer of a worker that had a free slot.
+    While all known answers are of workers that had no free slot, the shortest time
+    counts.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    route : RouteRow
+        The route of the request.
+    worker : WorkerRow
+        The worker, with the report that came with the answer.
+    took_ms : float
+        Time from the sending of the request to the head of its answer, in ms.
+    now : int
+        The time, in ms.
+    was_free : bool
+        Whether the worker was believed to have a free slot for the request.
     """
-    took_ms /= time_factor(worker, now)
+    took_ms = max(1.0, took_ms / time_factor(worker, now))
     known = fleet.work_times.get(route.name)
-    if known is None:
-        fleet.work_times[route.name] = WorkTime(max(1.0, took_ms))
+    if not was_free or worker.queued:
+        if known is None:
+            known = fleet.work_times[route.name] = WorkTime(took_ms, answers=0)
+        if not known.answers:
+            known.usual_ms = min(known.usual_ms, took_ms)
+        return
+    if known is None or not known.answers:
+        fleet.work_times[route.name] = WorkTime(took_ms)
         return
     known.answers += 1
     step = max(MIN_STEP, MAX_STEP / known.answers) / 2
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -16,7 +16,7 @@
 from .fleet_size import box_count
 from .worker_speed import time_factor
 
-LEAD_MS = 100.0
+LEAD_MS = 50.0
 """A worker may hold as many requests beyond its slots as it begins within this time, in
 ms, so that it is never idle while reports travel."""
 
@@ -27,7 +27,7 @@
 """Half-life of the weight of other boxes' requests in a report while this box holds
 less than its even share of the room, in ms."""
 
-FULL_HALF_LIFE_MS = 1_500.0
+FULL_HALF_LIFE_MS = 5_000.0
 """The same once this box holds its share, in ms: about the time of a few answers, after
 which nothing is known of the worker."""
 
@@ -64,10 +64,14 @@
 
 
 def others_requests(row: WorkerRow, now: Millis, half_life_ms: float) -> float:
-    """Return the number of other boxes' requests at a worker, by its last report."""
-    others = max(0, row.reported - row.own_inflight_at_report)
-    if not others or not row.reported_at:
+    """Return the number of other boxes' requests at a worker, by its last report.
+
+    A report comes with an answer, and need not count the request that it answers, which
+    this box still counted then. The request is therefore taken to be another box's.
+    """
+    if not row.reported_at:
         return 0.0
+    others = max(0, row.reported - max(0, row.own_inflight_at_report - 1))
     weight: float = 0.5 ** (max(0, now - row.reported_at) / half_life_ms)
     return others * weight
 
@@ -75,7 +79,7 @@
 def has_free_slot(row: WorkerRow, now: Millis) -> bool:
     """Return whether a worker begins a request at once that is sent to it now."""
     held = row.inflight + others_requests(row, now, FULL_HALF_LIFE_MS)
-    return held + 1 <= row.slots
+    return held <= row.slots
 
 
 def request_bound(row: WorkerRow, work_ms: float) -> float:
@@ -139,7 +143,7 @@
         full=full,
         has_room=len(full) < len(rows),
         work_ms=fastest_ms,
-        lead_ms=min(LEAD_MS, MAX_LEAD_FRACTION * fastest_ms),
+        lead_ms=MAX_LEAD_FRACTION * fastest_ms,
         starts_per_ms=_starts_per_ms(fleet, rows, times, now) if work_ms else 0.0,
     )
 
--- a/src/spanshunt/tables/waiting.py
+++ b/src/spanshunt/tables/waiting.py
@@ -62,7 +62,8 @@
         Median of the time from the sending of a request to a worker with a free slot to
         the head of its answer, in ms.
     answers : int
-        Number of answers that it is based on.
+        Number of answers that it is based on; 0 if all of them may have waited at
+        their workers.
     """
 
     usual_ms: float
