--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import math
 
 from ..ids import Millis
 from ..ids import OrgId
@@ -14,7 +15,8 @@
 from ..tables.fleet import Fleet
 from ..tables.waiting import Waiter
 from ..tables.waiting import WaitList
-from .sharing import paced_wait_ms
+from .sharing import org_share
+from .sharing import own_waiters_before
 from .sharing import waiters_before
 from .worker_room import ServiceRoom
 
@@ -28,6 +30,10 @@
 """Bytes that a waiting request takes beside its body: its connection, its headers and
 its task."""
 
+SPREAD = 2.0
+"""Standard deviations of the time of some starts that are allowed for, so that few
+requests wait in vain and are told late."""
+
 ANSWER_MARGIN_MS = 20.0
 """Time beside the work itself until the caller has its answer, in ms."""
 
@@ -84,17 +90,32 @@
 def expected_wait_ms(
     fleet: Fleet, room: ServiceRoom, waiter: Waiter, now: Millis
 ) -> float:
-    """Return how long a request will wait at this box, in ms; 0 if it is unknown.
+    """Return within which time a request is likely to be sent, in ms; 0 if unknown.
 
     While shares are in force, the requests before it are those that their order puts
-    there, and an organisation with a share waits for its own requests at its pace.
+    there, and those of an organisation with a share start at its pace.
     """
     if room.starts_per_ms <= 0.0:
         return 0.0
     if waiter.service not in fleet.service_shares:
-        return requests_before(fleet.wait_list, waiter) / room.starts_per_ms
-    all_ms = waiters_before(fleet, waiter, now) / room.starts_per_ms
-    return max(all_ms, paced_wait_ms(fleet, waiter, room.work_ms, now))
+        starts = 1 + requests_before(fleet.wait_list, waiter)
+        return _likely_ms(starts, room.starts_per_ms)
+    starts = 1 + waiters_before(fleet, waiter, now)
+    likely_ms = _likely_ms(starts, room.starts_per_ms)
+    share = org_share(fleet, waiter.service, waiter.org)
+    if share is None or share.pace_per_s <= 0.0:
+        return likely_ms
+    own = own_waiters_before(fleet, waiter)
+    return max(likely_ms, _likely_ms(own, share.pace_per_s / room.work_ms))
+
+
+def _likely_ms(starts: int, per_ms: float) -> float:
+    """Return within which time so many requests are likely to start, in ms.
+
+    Places fall free at random times, so the time of several starts varies by the root
+    of their number.
+    """
+    return (starts + SPREAD * math.sqrt(starts)) / per_ms
 
 
 def requests_before(waiting: WaitList, waiter: Waiter) -> int:
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -211,23 +211,15 @@
     return sum(_turn(fleet, row, now) < turn for row in rows)
 
 
-def paced_wait_ms(fleet: Fleet, waiter: Waiter, work_ms: float, now: Millis) -> float:
-    """Return how long a request waits for its organisation's own ones, in ms.
-
-    They start at the pace of its share; `work_ms` is the usual time of their work. It
-    is 0 if the organisation may have what it asks for.
-    """
-    share = org_share(fleet, waiter.service, waiter.org)
-    if share is None:
-        return 0.0
-    rows = fleet.wait_list.waiters.get(waiter.service, {}).values()
-    before = sum(
+def own_waiters_before(fleet: Fleet, waiter: Waiter) -> int:
+    """Return how many of them are of the same organisation."""
+    order = (waiter.priority, waiter.start_by)
+    return sum(
         row.org == waiter.org
         and row.request != waiter.request
-        and (row.priority, row.start_by) <= (waiter.priority, waiter.start_by)
-        for row in rows
+        and (row.priority, row.start_by) <= order
+        for row in fleet.wait_list.waiters.get(waiter.service, {}).values()
     )
-    return before * work_ms / max(_TOLERANCE, share.pace_per_s)
 
 
 def steps_behind(
