Leave places at workers to organisations within their share; play competing ones

Change: a request of an organisation over its share needs a free slot, others also take the places in front of workers.

--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -72,7 +72,7 @@
 class _Standing(enum.IntEnum):
     """Where an organisation stands against its share, in the order of its turn."""
 
-    NOT_LIMITED = 0
+    BELOW_SHARE = 0
     WITHIN_SHARE = 1
     OVER_SHARE = 2
 
@@ -186,10 +186,10 @@
 def next_waiter(fleet: Fleet, service: ServiceId, now: Millis) -> Waiter | None:
     """Return the waiting request that gets the next room at a service, or None.
 
-    Organisations that ask for no more than their share go first, as what they ask for
-    is theirs whatever the others ask for. Those that have used up theirs go last. Else
-    the order is by priority, then by the time left, so that one that has waited longer
-    is not behind a newcomer.
+    Organisations that ask for no more than their share go first, and those that have
+    left some of theirs unused, as what they ask for is theirs whatever the others ask
+    for. Those that have used up theirs go last. Else the order is by priority, then by
+    the time left, so that one that has waited longer is not behind a newcomer.
     """
     rows = fleet.wait_list.waiters.get(service, {}).values()
     return min(rows, key=lambda row: _turn(fleet, row, now), default=None)
@@ -246,11 +246,11 @@
     """Return the key by which waiting requests are ordered."""
     service = waiter.service
     share = org_share(fleet, service, waiter.org)
-    standing, over_until = _Standing.NOT_LIMITED, 0.0
-    if share is not None and share.next_start_at <= now:
-        standing = _Standing.WITHIN_SHARE
-    elif share is not None:
+    standing, over_until = _Standing.BELOW_SHARE, 0.0
+    if share is not None and share.next_start_at > now:
         standing, over_until = _Standing.OVER_SHARE, share.next_start_at
+    elif share is not None and share.next_start_at > now - BURST_MS:
+        standing = _Standing.WITHIN_SHARE
     behind = steps_behind(fleet, service, waiter.request, waiter.priority)
     return standing, behind, over_until, waiter.start_by, waiter.request
 
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -105,7 +105,7 @@
     work_ms: float,
     now: Millis,
     *,
-    turned_away: bool,
+    free_slots_only: bool,
 ) -> ServiceRoom:
     """Return what is believed of the room of workers that accept a request.
 
@@ -119,14 +119,15 @@
         Usual time of the request's work, in ms; 0 if it is unknown.
     now : int
         The time, in ms.
-    turned_away : bool
-        Whether a worker turned the request away as full; then only a free slot counts
-        as room, because each arrival that is turned away uses up retry budget.
+    free_slots_only : bool
+        Whether only a free slot counts as room: for a request that a worker turned away
+        as full, because each arrival that is turned away uses up retry budget, and for
+        one of an organisation over its share, so that others find places at workers.
     """
     times = {row.name: work_ms * time_factor(row, now) for row in rows}
     bounds = {
         row.name: float(row.slots)
-        if turned_away
+        if free_slots_only
         else request_bound(row, times[row.name])
         for row in rows
     }
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -32,6 +32,7 @@
 from .systems.queueing import expired_waiters
 from .systems.queueing import latest_start
 from .systems.queueing import remove_waiter
+from .systems.sharing import is_over_share
 from .systems.sharing import next_waiter
 from .systems.work_times import usual_work_ms
 from .systems.worker_room import FULL_HALF_LIFE_MS
@@ -119,7 +120,8 @@
             rows,
             usual_work_ms(core.fleet, state.admitted.route),
             core.clock.now(),
-            turned_away=turned_away,
+            free_slots_only=turned_away
+            or is_over_share(core.fleet, state.service, state.org, core.clock.now()),
         )
 
     def _make_waiter(
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -84,7 +84,7 @@
 ) -> ServiceRoom:
     """Return the room of some workers now."""
     turned_away = changes.get("turned_away", False)
-    return find_room(fleet, rows, work_ms, NOW, turned_away=turned_away)
+    return find_room(fleet, rows, work_ms, NOW, free_slots_only=turned_away)
 
 
 def make_waiter(request: str, **changes: t.Any) -> Waiter:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
+from loguru import logger
 
 from share_builders import LARGE
 from share_builders import ROOM
@@ -21,11 +22,17 @@
 from share_builders import add_waiters
 from share_builders import make_boxes
 from share_builders import make_waiter
+from spanshunt.fleet_report import fleet_view
 from spanshunt.ids import DomainId
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import OrgId
+from spanshunt.ids import RequestId
 from spanshunt.ids import WorkerId
+from spanshunt.share_lines import MAX_LINES
+from spanshunt.share_lines import log_share_events
+from spanshunt.share_lines import share_fields
+from spanshunt.share_lines import share_lines
 from spanshunt.systems.demand import AVERAGING_MS
 from spanshunt.systems.demand import MAX_DEMANDS_SENT
 from spanshunt.systems.demand import MAX_ORG_ROWS
@@ -37,7 +44,9 @@
 from spanshunt.systems.demand import expire_demands
 from spanshunt.systems.demand import record_arrival
 from spanshunt.systems.demand import service_demands
+from spanshunt.systems.queueing import expected_wait_ms
 from spanshunt.systems.queueing import remove_waiter
+from spanshunt.systems.repeats import RepeatBounds
 from spanshunt.systems.sharing import LIMIT_PART
 from spanshunt.systems.sharing import MAX_BOX_PART
 from spanshunt.systems.sharing import MAX_DEBT_MS
@@ -48,10 +57,13 @@
 from spanshunt.systems.sharing import max_min_shares
 from spanshunt.systems.sharing import next_waiter
 from spanshunt.systems.sharing import org_share
+from spanshunt.systems.sharing import own_waiters_before
 from spanshunt.systems.sharing import service_room
 from spanshunt.systems.sharing import services_short_of_room
 from spanshunt.systems.sharing import update_shares
+from spanshunt.systems.sharing import waiters_before
 from spanshunt.systems.sharing import waiters_in_order
+from spanshunt.systems.worker_room import ServiceRoom
 from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.fleet import EvacuationRow
 from spanshunt.tables.fleet import Fleet
@@ -359,67 +371,163 @@
     assert next_waiter(fleet, WEB, Millis(3_000)) is returned
 
 
+PLACES = 3
+"""Requests that wait at all workers together."""
+
+
+class Kind(t.NamedTuple):
+    """A kind of requests of an organisation, by priority."""
+
+    org: OrgId
+    priority: int = 0
+
+
 class Played(t.NamedTuple):
-    """What became of requests of two organisations."""
+    """What became of the requests of each kind."""
 
-    asked: collections.Counter[OrgId]
-    served: collections.Counter[OrgId]
+    asked: collections.Counter[Kind]
+    served: collections.Counter[Kind]
     busy_ms: int
 
+    def part(self, kind: Kind) -> float:
+        return self.served[kind] / self.asked[kind]
+
 
-def play(boxes: list[Fleet], per_s: dict[OrgId, float], span_ms: int) -> Played:
+def play(boxes: list[Fleet], rooms: dict[Kind, float], span_ms: int) -> Played:
     """Serve waiters in the order of the shares for a while.
 
-    Each box begins requests in its turn as slots come free, and gives those up that
-    nobody can start in time.
+    `rooms` is what each kind asks for, as a part of the room. Each box begins requests
+    in its turn as slots come free, and gives those up that nobody can start in time.
+    Some wait at workers, but none of an organisation over its share.
     """
     rng = random.Random(2)
-    asked: collections.Counter[OrgId] = collections.Counter()
-    served: collections.Counter[OrgId] = collections.Counter()
+    played = Played(collections.Counter(), collections.Counter(), 0)
+    kinds: dict[RequestId, Kind] = {}
     running: list[int] = []
-    number = busy_ms = 0
+    busy_ms = 0
     for now in range(0, span_ms, 10):
         at = Millis(now)
-        for org, rate in per_s.items():
-            for _ in range(rng.random() < rate / 100 % 1 or 0):
-                number += 1
-                asked[org] += 1
+        for kind, part in rooms.items():
+            if rng.random() < part * ROOM * 10 / WORK_MS:
                 fleet = rng.choice(boxes)
-                record_arrival(fleet, WEB, org, WORK_MS, at)
-                waiter = make_waiter(f"r-{number}", org, since=now, start_by=now + 600)
+                record_arrival(fleet, WEB, kind.org, WORK_MS, at)
+                waiter = make_waiter(
+                    f"r-{len(kinds)}",
+                    kind.org,
+                    priority=kind.priority,
+                    since=now,
+                    start_by=now + 600,
+                )
                 add_waiters(fleet, waiter)
+                kinds[waiter.request] = kind
+                played.asked[kind] += 1
         if now % 100 == 0:
             for fleet in boxes:
                 update_shares(fleet, at)
         if now % 400 == 0:
             for fleet in boxes:
-                exchange(fleet, rng.choice([x for x in boxes if x is not fleet]), now)
+                others = [other for other in boxes if other is not fleet]
+                for called in rng.sample(others, 2):
+                    exchange(fleet, called, now)
         running = [end for end in running if end > now]
         for fleet in rng.sample(boxes, len(boxes)):
             for waiter in list(fleet.wait_list.waiters.get(WEB, {}).values()):
                 if waiter.start_by < now:
                     remove_waiter(fleet.wait_list, waiter)
-            while len(running) < ROOM:
-                started = next_waiter(fleet, WEB, at)
-                if started is None:
+            while started := next_waiter(fleet, WEB, at):
+                over = is_over_share(fleet, WEB, started.org, at)
+                if len(running) >= (ROOM if over else ROOM + PLACES):
                     break
                 remove_waiter(fleet.wait_list, started)
                 charge_start(fleet, WEB, started.org, WORK_MS, at)
-                served[started.org] += 1
-                running.append(now + WORK_MS)
-        busy_ms += 10 * len(running)
-    return Played(asked, served, busy_ms)
+                played.served[kinds[started.request]] += 1
+                free_at = sorted(running)[-int(ROOM)] if len(running) >= ROOM else now
+                running.append(max(now, free_at) + WORK_MS)
+        busy_ms += 10 * min(len(running), int(ROOM))
+    return played._replace(busy_ms=busy_ms)
 
 
 def test_small_organisation_beside_one_that_asks_for_eight_times_as_much() -> None:
     """1.8 of the room is asked for: the small one gets 0.95 of what it asks."""
-    room_per_s = ROOM * 1_000 / WORK_MS
-    asked = {SMALL: 0.2 * room_per_s, LARGE: 1.6 * room_per_s}
-    played = play(make_boxes(6), asked, 20_000)
-    assert played.served[SMALL] >= 0.95 * played.asked[SMALL]
+    small, large = Kind(SMALL), Kind(LARGE)
+    played = play(make_boxes(6), {small: 0.2, large: 1.6}, 20_000)
+    assert played.part(small) >= 0.95
     assert played.busy_ms >= 0.85 * ROOM * 20_000
 
 
+def test_organisation_at_seven_and_a_half_times_its_usual_hurts_no_other() -> None:
+    usual = 0.8 / 6
+    rooms = {Kind(org): usual for org in ORGS} | {Kind(ORGS[0]): 7.5 * usual}
+    played = play(make_boxes(6), rooms, 20_000)
+    others = [Kind(org) for org in ORGS[1:]]
+    served = sum(played.served[kind] for kind in others)
+    assert served >= 0.95 * sum(played.asked[kind] for kind in others)
+    assert min(played.part(kind) for kind in others) >= 0.9
+    assert played.busy_ms >= 0.85 * ROOM * 20_000
+
+
+@pytest.mark.parametrize("parts", [(0.5, 0.5, 0.5), (1.2, 0.3, 0.1), (0.1, 0.2, 1.5)])
+def test_more_urgent_kind_is_never_served_worse(
+    parts: tuple[float, float, float],
+) -> None:
+    """Beside its less urgent kinds, whatever each asks for; none of them is starved."""
+    boxes = make_boxes(6)
+    for fleet in boxes:
+        fleet.catalog = Catalog(1, (), {}, (), highest_priority={WEB: 0})
+    kinds = [Kind(LARGE, priority) for priority in range(3)]
+    played = play(boxes, dict(zip(kinds, parts, strict=True)), 20_000)
+    served = [played.part(kind) for kind in kinds]
+    assert served[0] >= served[1] - 0.03
+    assert served[1] >= served[2] - 0.03
+    assert served[2] > 0.0
+
+
+def test_shares_are_logged_and_counted_within_bounds() -> None:
+    (fleet,) = make_boxes(1)
+    for number in range(40):
+        arrive(fleet, OrgId(f"org-{number}"), 10.0, 5_000, 5_000)
+    events = update_shares(fleet, Millis(5_000))
+    assert len(events) == 40
+    lines: list[str] = []
+    counted: collections.Counter[str] = collections.Counter()
+    sink = logger.add(lambda message: lines.append(str(message)), format="{message}")
+    log_share_events(events, lambda name: counted.update([name]))
+    logger.remove(sink)
+    assert lines == ["share began\n"] * MAX_LINES
+    assert counted == {"shares.began": 40}
+
+
+def test_shares_are_shown_to_operators() -> None:
+    (fleet,) = make_boxes(1)
+    assert share_lines(fleet) == ""
+    overload(fleet)
+    record_arrival(fleet, WEB, SMALL, WORK_MS, Millis(5_000))
+    assert share_fields(fleet, WEB, SMALL, Millis(5_000)) == {}
+    shown = share_fields(fleet, WEB, LARGE, Millis(5_040))
+    assert shown["share_slots"] == ROOM
+    assert shown["demand_age_ms"] == 40
+    page = share_lines(fleet)
+    assert f'spanshunt_room_slots{{service="web"}} {ROOM:.2f}\n' in page
+    assert 'spanshunt_share_in_force{service="web",org="large"} 1\n' in page
+    view = fleet_view(fleet, RepeatBounds(), "", Millis(5_040)).shares
+    assert [(row.org, row.share, row.in_force) for row in view] == [(LARGE, ROOM, True)]
+
+
+def test_wait_of_an_organisation_with_a_share_is_that_for_its_own_requests() -> None:
+    (fleet,) = make_boxes(1)
+    overload(fleet)
+    add_waiters(fleet, *(make_waiter(f"r-{n}", LARGE) for n in range(30)))
+    newcomer = make_waiter("new", LARGE, start_by=5_000)
+    small = make_waiter("small", SMALL, start_by=5_000)
+    at = Millis(5_000)
+    room = ServiceRoom(frozenset(), False, WORK_MS, 0.0, ROOM / WORK_MS)
+    assert own_waiters_before(fleet, newcomer) == 30
+    assert expected_wait_ms(fleet, room, newcomer, at) >= 30 * WORK_MS / ROOM
+    assert expected_wait_ms(fleet, room, small, at) < 10 * WORK_MS / ROOM
+    assert waiters_before(fleet, newcomer, at) == 30
+    assert waiters_before(fleet, small, at) == 0
+
+
 class SharesOfBoxes(RuleBasedStateMachine):
     """Boxes that exchange demands or do not, while the room changes."""
 
