Give refused callers places from now on, not after what waits

Cause: a place behind all waiters was later than callers honour, so most callers were spread over the whole time and up to 30 came back in 200 ms. Change: places begin now, as a caller that comes back joins those that wait.

--- a/src/spanshunt/systems/returning.py
+++ b/src/spanshunt/systems/returning.py
@@ -133,11 +133,8 @@
     """
     if pace <= 0.0:
         return _spread(fleet, _honoured_ms(refused))
-    waiters = fleet.wait_list.waiters.get(refused.service, {}).values()
-    waiting = work_ms * sum(row.org == refused.org for row in waiters)
-    first_at = max(demand.returns_until, now + waiting / pace)
     pause_ms = work_ms / (RETURN_PART * pace)
-    until = first_at + pause_ms
+    until = max(demand.returns_until, float(now)) + pause_ms
     # Boxes begin at once, so their places must not coincide.
     early_ms = pause_ms * stagger_fraction(fleet, f"return {refused.service}")
     after_ms = shorten_ms(until - early_ms - now, refused)
