--- a/src/spanshunt/systems/ending.py
+++ b/src/spanshunt/systems/ending.py
@@ -67,6 +67,8 @@
     worker.kept = PromptCache()
     worker.reported = worker.own_inflight_at_report = worker.queued = 0
     worker.reported_at = Millis(0)
+    worker.others = 0
+    worker.others_at = Millis(-1)
     worker.peer_prefill_ms.clear()
     worker.unreported_prefill_ms = 0.0
     worker.error_rate = 0.0
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -16,6 +16,10 @@
 """Consecutive failed answers after which a worker is ejected, if it was reachable each
 time. One such failure may be the request's fault."""
 
+TOGETHER_MS = 20
+"""Reports of a worker within this time come together, in ms: answers of requests that
+were sent together pass the network and this box within it."""
+
 _ERROR_SMOOTHING = 0.15
 _TTFT_SMOOTHING = 0.2
 
@@ -40,6 +44,23 @@
     row.own_inflight_at_report = row.inflight
     row.slots = max(1, load.slots)
     row.reported_at = now
+    record_others(row, now)
+
+
+def record_others(row: WorkerRow, now: Millis) -> None:
+    """Record how many requests of other boxes a worker has, by its newest report.
+
+    A report comes with an answer, and need not count the request that it answers, which
+    this box still counts. The request is therefore taken to be another box's. Of
+    reports that come together the lowest counts, because they may come in any order,
+    and one of before a request ended is read after that end.
+    """
+    others = max(0, row.reported - max(0, row.own_inflight_at_report - 1))
+    if row.others_at >= 0 and now - row.others_at < TOGETHER_MS:
+        row.others = min(row.others, others)
+        return
+    row.others = others
+    row.others_at = now
 
 
 def record_answer(row: WorkerRow, first_ms: float, *, good: bool, now: Millis) -> None:
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -20,8 +20,9 @@
 """A worker may hold as many requests beyond its slots as it begins within this time, in
 ms, so that it is never idle while reports travel."""
 
-MAX_LEAD_FRACTION = 0.5
-"""Most of such requests, as a fraction of the slots: workers queue only a few."""
+MIN_LEAD_FRACTION, MAX_LEAD_FRACTION = 0.25, 0.5
+"""Least and most of such requests, as fractions of the slots. Boxes do not know of each
+other's requests at once, and workers queue only a few."""
 
 SHARE_HALF_LIFE_MS = 400.0
 """Half-life of the weight of other boxes' requests in a report while this box holds
@@ -64,16 +65,11 @@
 
 
 def others_requests(row: WorkerRow, now: Millis, half_life_ms: float) -> float:
-    """Return the number of other boxes' requests at a worker, by its last report.
-
-    A report comes with an answer, and need not count the request that it answers, which
-    this box still counted then. The request is therefore taken to be another box's.
-    """
-    if not row.reported_at:
+    """Return the number of other boxes' requests at a worker, by its last report."""
+    if not row.others:
         return 0.0
-    others = max(0, row.reported - max(0, row.own_inflight_at_report - 1))
-    weight: float = 0.5 ** (max(0, now - row.reported_at) / half_life_ms)
-    return others * weight
+    weight: float = 0.5 ** (max(0, now - row.others_at) / half_life_ms)
+    return row.others * weight
 
 
 def has_free_slot(row: WorkerRow, now: Millis) -> bool:
@@ -83,10 +79,9 @@
 
 
 def request_bound(row: WorkerRow, work_ms: float) -> float:
-    """Return how many requests a worker may hold while it has room for another."""
-    if work_ms <= 0.0:
-        return row.slots * (1.0 + MAX_LEAD_FRACTION)
-    return row.slots * (1.0 + min(MAX_LEAD_FRACTION, LEAD_MS / work_ms))
+    """Return how many requests a worker may hold with the next one."""
+    lead = LEAD_MS / work_ms if work_ms > 0.0 else MAX_LEAD_FRACTION
+    return row.slots * (1.0 + min(MAX_LEAD_FRACTION, max(MIN_LEAD_FRACTION, lead)))
 
 
 def record_full(row: WorkerRow, now: Millis) -> None:
@@ -94,9 +89,9 @@
 
     It is believed to hold more than its slots, whatever it reports.
     """
-    row.reported = max(row.reported, FULL_FACTOR * row.slots + row.inflight)
-    row.own_inflight_at_report = row.inflight
-    row.reported_at = now
+    held = max(row.reported, FULL_FACTOR * row.slots)
+    row.others = max(0, held - row.inflight)
+    row.others_at = now
 
 
 def find_room(
@@ -136,7 +131,7 @@
     full = frozenset(
         row.name
         for row in rows
-        if row.inflight + others_requests(row, now, half_life_ms) >= bounds[row.name]
+        if row.inflight + others_requests(row, now, half_life_ms) + 1 > bounds[row.name]
     )
     fastest_ms = min(times.values())
     return ServiceRoom(
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -60,6 +60,9 @@
         Number of answers that fit in the worker's batch.
     reported_at : int
         When the last report came, in ms.
+    others, others_at : int
+        Requests of other boxes in progress by the worker's reports, and when the report
+        came, in ms; see :func:`~spanshunt.systems.worker_health.record_others`.
     failures : int
         Consecutive failures since the last success.
     ejected_until : int
@@ -135,6 +138,8 @@
     own_inflight_at_report: int = 0
     slots: int = 16
     reported_at: Millis = Millis(0)
+    others: int = 0
+    others_at: Millis = Millis(-1)
     failures: int = 0
     ejected_until: Millis = Millis(0)
     ttft_ms: float = 0.0
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -82,20 +82,24 @@
         worker accepts for another reason than its load.
         """
         core, since = self._core, self._core.clock.now()
-        admission, waiter = Admission.SEND, None
+        admission, waiter, waited = Admission.SEND, None, False
         while admission is not Admission.REFUSE:
             room = self._find_room(state)
             if room is None:
                 break
             state.full_workers = room.full if room.has_room else frozenset()
-            if state.runs or (waiter is not None and room.has_room):
+            if state.runs or (waited and room.has_room):
                 break
             waiter = self._make_waiter(state, room, since)
             admission = admit(core.fleet, room, waiter, core.clock.now())
             if admission is not Admission.WAIT:
                 break
+            waited = True
             admission = await self._wait(state, waiter)
-        return self._conclude(state, waiter, admission, since)
+        if waiter is None:
+            return None
+        waited_ms = core.clock.now() - since if waited else None
+        return self._conclude(state, waiter, admission, waited_ms)
 
     def look_soon(self) -> None:
         """Look at the waiters once the running task is done."""
@@ -209,18 +213,18 @@
     def _conclude(
         self,
         state: CatalogRequest,
-        waiter: Waiter | None,
+        waiter: Waiter,
         admission: Admission,
-        since: Millis,
+        waited_ms: int | None,
     ) -> Refusal | None:
-        """Count and log what became of a request; return its refusal, if any."""
+        """Count and log what became of a request; return its refusal, if any.
+
+        `waited_ms` is None if it did not wait.
+        """
         core = self._core
-        if waiter is None:
-            return None
-        waited_ms = core.clock.now() - since
-        if waited_ms or admission is Admission.REFUSE:
-            self._log(state, waiter, admission, waited_ms)
-        if waited_ms:
+        if waited_ms is not None or admission is Admission.REFUSE:
+            self._log(state, waiter, admission, waited_ms or 0)
+        if waited_ms is not None:
             core.count("requests_waited")
             core.histograms.record(
                 state.org, state.request_class, Measure.WAIT, 1_000 * waited_ms
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -171,13 +171,24 @@
 
 def test_report_of_other_boxes_counts_for_less_with_its_age() -> None:
     fleet, rows = make_boxes(6), make_workers(1, 4)
-    record_load(rows[0], WorkerLoad(4, 2, 4), NOW)
-    assert not room_of(fleet, rows).has_room
     record_load(rows[0], WorkerLoad(4, 2, 4), Millis(NOW - 400))
     assert room_of(fleet, rows).has_room
+    record_load(rows[0], WorkerLoad(4, 2, 4), NOW)
+    assert not room_of(fleet, rows).has_room
     assert has_free_slot(rows[0], Millis(NOW + 5_000))
 
 
+def test_reports_that_come_together_may_come_in_any_order() -> None:
+    # Four requests end together; the report before the first end is read last.
+    fleet, rows = make_boxes(1), make_workers(1, 4)
+    for running, own in ((0, 4), (1, 3), (3, 1)):
+        rows[0].inflight = own
+        record_load(rows[0], WorkerLoad(running, 0, 4), NOW)
+    rows[0].inflight = 0
+    assert rows[0].others == 0
+    assert send_all(fleet, rows, 1_000, 4) == fleet.wait_list.count == 0
+
+
 def test_box_that_holds_its_share_trusts_old_reports_for_longer() -> None:
     fleet, rows = make_boxes(6), make_workers(1, 4)
     record_load(rows[0], WorkerLoad(4, 1, 4), Millis(NOW - 200))
@@ -191,7 +202,7 @@
     fleet, rows = make_boxes(1), make_workers(2, 4)
     record_load(rows[0], WorkerLoad(1, 0, 4), NOW)
     record_full(rows[0], NOW)
-    assert rows[0].reported == FULL_FACTOR * 4
+    assert rows[0].others == FULL_FACTOR * 4
     room = room_of(fleet, rows)
     assert room.full == {rows[0].name}
     assert room.has_room
