Look no further for room while all workers of a service have free slots

Change: a request is sent on at once while all workers have free slots by the last reports; the search itself is leaner. Conclusion: a box with room pays a pass over the service's rows.

--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -37,6 +37,7 @@
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
 from .systems.worker_room import has_free_slot
+from .tables.catalog import RequestKind
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
 from .tables.workers import WorkerRow
@@ -90,14 +91,18 @@
     )
 
 
-def plain_candidates(core: Core, state: CatalogRequest) -> list[WorkerRow]:
-    """Return the workers that accept a plain request now; none for a prompt."""
-    call = state.call
-    if call.tokens.read or call.model or state.admitted.route.models:
-        return []
-    service = _draw_service(core, state)
-    if service is None:
-        return []
+def plain_service(core: Core, state: CatalogRequest) -> ServiceRow | None:
+    """Return the service of a plain request; None for a prompt or without one."""
+    call, route = state.call, state.admitted.route
+    if call.tokens.read or call.model or route.kind is RequestKind.STREAM:
+        return None
+    return _draw_service(core, state)
+
+
+def plain_candidates(
+    core: Core, state: CatalogRequest, service: ServiceRow
+) -> list[WorkerRow]:
+    """Return the workers of a service that accept a plain request now."""
     state.service = service.name
     rule = _version_rule(core, state)
     eager = _is_eager(core, state)
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..ids import Millis
+from ..ids import ServiceId
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
@@ -54,7 +55,8 @@
     lead_ms : float
         Longest time that it waits at a worker that has room, in ms.
     starts_per_ms : float
-        Requests that workers begin for this box in a ms; 0 if it is unknown.
+        Requests that workers begin for this box in a ms; 0 if it is unknown or not
+        needed, as there is room and nothing waits.
     """
 
     full: frozenset[WorkerId]
@@ -118,33 +120,43 @@
         Whether a worker turned the request away as full; then only a free slot counts
         as room, because each arrival that is turned away uses up retry budget.
     """
-    times = {row.name: work_ms * time_factor(row, now) for row in rows}
-    bounds = {
-        row.name: float(row.slots)
-        if turned_away
-        else request_bound(row, times[row.name])
-        for row in rows
-    }
-    share = sum(bounds.values()) / box_count(fleet)
+    times = [work_ms * time_factor(row, now) for row in rows]
+    if turned_away:
+        bounds = [float(row.slots) for row in rows]
+    else:
+        bounds = [
+            request_bound(row, took) for row, took in zip(rows, times, strict=True)
+        ]
+    share = sum(bounds) / box_count(fleet)
     own = sum(row.inflight for row in rows)
     half_life_ms = SHARE_HALF_LIFE_MS if own < share else FULL_HALF_LIFE_MS
     full = frozenset(
         row.name
-        for row in rows
-        if row.inflight + others_requests(row, now, half_life_ms) + 1 > bounds[row.name]
+        for row, bound in zip(rows, bounds, strict=True)
+        if row.inflight + others_requests(row, now, half_life_ms) + 1 > bound
     )
-    fastest_ms = min(times.values())
+    has_room = len(full) < len(rows)
+    scarce = work_ms > 0.0 and (not has_room or fleet.wait_list.count > 0)
+    fastest_ms = min(times)
     return ServiceRoom(
         full=full,
-        has_room=len(full) < len(rows),
+        has_room=has_room,
         work_ms=fastest_ms,
         lead_ms=MAX_LEAD_FRACTION * fastest_ms,
-        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if work_ms else 0.0,
+        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if scarce else 0.0,
+    )
+
+
+def has_free_slots_everywhere(fleet: Fleet, service: ServiceId) -> bool:
+    """Return whether all workers of a service are believed to have a free slot."""
+    return all(
+        row.inflight + row.others < row.slots
+        for row in fleet.workers.find_capable(service, None)
     )
 
 
 def _starts_per_ms(
-    fleet: Fleet, rows: list[WorkerRow], times: dict[WorkerId, float], now: Millis
+    fleet: Fleet, rows: list[WorkerRow], times: list[float], now: Millis
 ) -> float:
     """Return the rate at which workers begin requests of this box, in 1/ms.
 
@@ -152,7 +164,7 @@
     even share.
     """
     boxes, rate = box_count(fleet), 0.0
-    for row in rows:
+    for row, took in zip(rows, times, strict=True):
         left = row.slots - others_requests(row, now, FULL_HALF_LIFE_MS)
-        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, times[row.name])
+        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, took)
     return rate
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -19,6 +19,7 @@
 from .ids import ServiceId
 from .logs import log_event
 from .planning import plain_candidates
+from .planning import plain_service
 from .planning import retry_after_ms
 from .refusals import Problem
 from .refusals import Refusal
@@ -36,6 +37,7 @@
 from .systems.worker_room import FULL_HALF_LIFE_MS
 from .systems.worker_room import ServiceRoom
 from .systems.worker_room import find_room
+from .systems.worker_room import has_free_slots_everywhere
 from .systems.worker_room import others_requests
 from .tables.waiting import Waiter
 from .tables.workers import WorkerRow
@@ -82,6 +84,14 @@
         worker accepts for another reason than its load.
         """
         core, since = self._core, self._core.clock.now()
+        service = plain_service(core, state)
+        if service is None:
+            return None
+        if not core.fleet.wait_list.count and has_free_slots_everywhere(
+            core.fleet, service.name
+        ):
+            state.full_workers = frozenset()
+            return None
         admission, waiter, waited = Admission.SEND, None, False
         while admission is not Admission.REFUSE:
             room = self._find_room(state)
@@ -111,10 +121,10 @@
         """Return the room for a request; None if no worker accepts it at all."""
         core = self._core
         turned_away = state.sends > state.unreached
-        rows = plain_candidates(core, state)
+        rows = self._candidates(state)
         if not rows and turned_away and not state.runs:
             state.tried.clear()
-            rows = plain_candidates(core, state)
+            rows = self._candidates(state)
         if not rows:
             return None
         return find_room(
@@ -125,6 +135,12 @@
             turned_away=turned_away,
         )
 
+    def _candidates(self, state: CatalogRequest) -> list[WorkerRow]:
+        service = plain_service(self._core, state)
+        if service is None:
+            return []
+        return plain_candidates(self._core, state, service)
+
     def _make_waiter(
         self, state: CatalogRequest, room: ServiceRoom, since: Millis
     ) -> Waiter:
@@ -247,7 +263,7 @@
     ) -> None:
         """Log what a request waited for or why it is refused, and what was believed."""
         core, now = self._core, self._core.clock.now()
-        rows = plain_candidates(core, state)
+        rows = self._candidates(state)
         room = self._find_room(state)
         expected_ms = expected_wait_ms(core.fleet, room, waiter) if room else 0.0
         log_event(
