--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..ids import Millis
+from ..ids import ServiceId
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
@@ -20,8 +21,9 @@
 """A worker may hold as many requests beyond its slots as it begins within this time, in
 ms, so that it is never idle while reports travel."""
 
-MAX_LEAD_FRACTION = 0.5
-"""Most of such requests, as a fraction of the slots: workers queue only a few."""
+MIN_LEAD_FRACTION, MAX_LEAD_FRACTION = 0.25, 0.5
+"""Least and most of such requests, as fractions of the slots. Boxes do not know of each
+other's requests at once, and workers queue only a few."""
 
 SHARE_HALF_LIFE_MS = 400.0
 """Half-life of the weight of other boxes' requests in a report while this box holds
@@ -53,7 +55,8 @@
     lead_ms : float
         Longest time that it waits at a worker that has room, in ms.
     starts_per_ms : float
-        Requests that workers begin for this box in a ms; 0 if it is unknown.
+        Requests that workers begin for this box in a ms; 0 if it is unknown or not
+        needed, as there is room and nothing waits.
     """
 
     full: frozenset[WorkerId]
@@ -64,16 +67,11 @@
 
 
 def others_requests(row: WorkerRow, now: Millis, half_life_ms: float) -> float:
-    """Return the number of other boxes' requests at a worker, by its last report.
-
-    A report comes with an answer, and need not count the request that it answers, which
-    this box still counted then. The request is therefore taken to be another box's.
-    """
-    if not row.reported_at:
+    """Return the number of other boxes' requests at a worker, by its last report."""
+    if not row.others:
         return 0.0
-    others = max(0, row.reported - max(0, row.own_inflight_at_report - 1))
-    weight: float = 0.5 ** (max(0, now - row.reported_at) / half_life_ms)
-    return others * weight
+    weight: float = 0.5 ** (max(0, now - row.others_at) / half_life_ms)
+    return row.others * weight
 
 
 def has_free_slot(row: WorkerRow, now: Millis) -> bool:
@@ -83,10 +81,9 @@
 
 
 def request_bound(row: WorkerRow, work_ms: float) -> float:
-    """Return how many requests a worker may hold while it has room for another."""
-    if work_ms <= 0.0:
-        return row.slots * (1.0 + MAX_LEAD_FRACTION)
-    return row.slots * (1.0 + min(MAX_LEAD_FRACTION, LEAD_MS / work_ms))
+    """Return how many requests a worker may hold with the next one."""
+    lead = LEAD_MS / work_ms if work_ms > 0.0 else MAX_LEAD_FRACTION
+    return row.slots * (1.0 + min(MAX_LEAD_FRACTION, max(MIN_LEAD_FRACTION, lead)))
 
 
 def record_full(row: WorkerRow, now: Millis) -> None:
@@ -94,9 +91,9 @@
 
     It is believed to hold more than its slots, whatever it reports.
     """
-    row.reported = max(row.reported, FULL_FACTOR * row.slots + row.inflight)
-    row.own_inflight_at_report = row.inflight
-    row.reported_at = now
+    held = max(row.reported, FULL_FACTOR * row.slots)
+    row.others = max(0, held - row.inflight)
+    row.others_at = now
 
 
 def find_room(
@@ -124,33 +121,43 @@
         as full, because each arrival that is turned away uses up retry budget, and for
         one of an organisation over its share, so that others find places at workers.
     """
-    times = {row.name: work_ms * time_factor(row, now) for row in rows}
-    bounds = {
-        row.name: float(row.slots)
-        if free_slots_only
-        else request_bound(row, times[row.name])
-        for row in rows
-    }
-    share = sum(bounds.values()) / box_count(fleet)
+    times = [work_ms * time_factor(row, now) for row in rows]
+    if free_slots_only:
+        bounds = [float(row.slots) for row in rows]
+    else:
+        bounds = [
+            request_bound(row, took) for row, took in zip(rows, times, strict=True)
+        ]
+    share = sum(bounds) / box_count(fleet)
     own = sum(row.inflight for row in rows)
     half_life_ms = SHARE_HALF_LIFE_MS if own < share else FULL_HALF_LIFE_MS
     full = frozenset(
         row.name
-        for row in rows
-        if row.inflight + others_requests(row, now, half_life_ms) >= bounds[row.name]
+        for row, bound in zip(rows, bounds, strict=True)
+        if row.inflight + others_requests(row, now, half_life_ms) + 1 > bound
     )
-    fastest_ms = min(times.values())
+    has_room = len(full) < len(rows)
+    scarce = work_ms > 0.0 and (not has_room or fleet.wait_list.count > 0)
+    fastest_ms = min(times)
     return ServiceRoom(
         full=full,
-        has_room=len(full) < len(rows),
+        has_room=has_room,
         work_ms=fastest_ms,
         lead_ms=MAX_LEAD_FRACTION * fastest_ms,
-        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if work_ms else 0.0,
+        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if scarce else 0.0,
+    )
+
+
+def has_free_slots_everywhere(fleet: Fleet, service: ServiceId) -> bool:
+    """Return whether all workers of a service are believed to have a free slot."""
+    return all(
+        row.inflight + row.others < row.slots
+        for row in fleet.workers.find_capable(service, None)
     )
 
 
 def _starts_per_ms(
-    fleet: Fleet, rows: list[WorkerRow], times: dict[WorkerId, float], now: Millis
+    fleet: Fleet, rows: list[WorkerRow], times: list[float], now: Millis
 ) -> float:
     """Return the rate at which workers begin requests of this box, in 1/ms.
 
@@ -158,7 +165,7 @@
     even share.
     """
     boxes, rate = box_count(fleet), 0.0
-    for row in rows:
+    for row, took in zip(rows, times, strict=True):
         left = row.slots - others_requests(row, now, FULL_HALF_LIFE_MS)
-        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, times[row.name])
+        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, took)
     return rate
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -19,6 +19,7 @@
 from .ids import ServiceId
 from .logs import log_event
 from .planning import plain_candidates
+from .planning import plain_service
 from .planning import retry_after_ms
 from .refusals import Problem
 from .refusals import Refusal
@@ -38,6 +39,7 @@
 from .systems.worker_room import FULL_HALF_LIFE_MS
 from .systems.worker_room import ServiceRoom
 from .systems.worker_room import find_room
+from .systems.worker_room import has_free_slots_everywhere
 from .systems.worker_room import others_requests
 from .tables.waiting import Waiter
 from .tables.workers import WorkerRow
@@ -84,20 +86,32 @@
         worker accepts for another reason than its load.
         """
         core, since = self._core, self._core.clock.now()
-        admission, waiter = Admission.SEND, None
+        service = plain_service(core, state)
+        if service is None:
+            return None
+        if not core.fleet.wait_list.count and has_free_slots_everywhere(
+            core.fleet, service.name
+        ):
+            state.full_workers = frozenset()
+            return None
+        admission, waiter, waited = Admission.SEND, None, False
         while admission is not Admission.REFUSE:
             room = self._find_room(state)
             if room is None:
                 break
             state.full_workers = room.full if room.has_room else frozenset()
-            if state.runs or (waiter is not None and room.has_room):
+            if state.runs or (waited and room.has_room):
                 break
             waiter = self._make_waiter(state, room, since)
             admission = admit(core.fleet, room, waiter, core.clock.now())
             if admission is not Admission.WAIT:
                 break
+            waited = True
             admission = await self._wait(state, waiter)
-        return self._conclude(state, waiter, admission, since)
+        if waiter is None:
+            return None
+        waited_ms = core.clock.now() - since if waited else None
+        return self._conclude(state, waiter, admission, waited_ms)
 
     def look_soon(self) -> None:
         """Look at the waiters once the running task is done."""
@@ -109,10 +123,10 @@
         """Return the room for a request; None if no worker accepts it at all."""
         core = self._core
         turned_away = state.sends > state.unreached
-        rows = plain_candidates(core, state)
+        rows = self._candidates(state)
         if not rows and turned_away and not state.runs:
             state.tried.clear()
-            rows = plain_candidates(core, state)
+            rows = self._candidates(state)
         if not rows:
             return None
         return find_room(
@@ -124,6 +138,12 @@
             or is_over_share(core.fleet, state.service, state.org, core.clock.now()),
         )
 
+    def _candidates(self, state: CatalogRequest) -> list[WorkerRow]:
+        service = plain_service(self._core, state)
+        if service is None:
+            return []
+        return plain_candidates(self._core, state, service)
+
     def _make_waiter(
         self, state: CatalogRequest, room: ServiceRoom, since: Millis
     ) -> Waiter:
@@ -212,18 +232,18 @@
     def _conclude(
         self,
         state: CatalogRequest,
-        waiter: Waiter | None,
+        waiter: Waiter,
         admission: Admission,
-        since: Millis,
+        waited_ms: int | None,
     ) -> Refusal | None:
-        """Count and log what became of a request; return its refusal, if any."""
+        """Count and log what became of a request; return its refusal, if any.
+
+        `waited_ms` is None if it did not wait.
+        """
         core = self._core
-        if waiter is None:
-            return None
-        waited_ms = core.clock.now() - since
-        if waited_ms or admission is Admission.REFUSE:
-            self._log(state, waiter, admission, waited_ms)
-        if waited_ms:
+        if waited_ms is not None or admission is Admission.REFUSE:
+            self._log(state, waiter, admission, waited_ms or 0)
+        if waited_ms is not None:
             core.count("requests_waited")
             core.histograms.record(
                 state.org, state.request_class, Measure.WAIT, 1_000 * waited_ms
@@ -246,7 +266,7 @@
     ) -> None:
         """Log what a request waited for or why it is refused, and what was believed."""
         core, now = self._core, self._core.clock.now()
-        rows = plain_candidates(core, state)
+        rows = self._candidates(state)
         room = self._find_room(state)
         expected_ms = expected_wait_ms(core.fleet, room, waiter, now) if room else 0.0
         log_event(
