Don't refuse early whoever asks for no more than its share

Cause: with deadlines of 1 s the estimate of the wait refused requests of the small organisation, though others leave their places to it. Change: while shares are in force its wait is reckoned without an allowance for spread.

--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -101,9 +101,12 @@
         starts = 1 + requests_before(fleet.wait_list, waiter)
         return _likely_ms(starts, room.starts_per_ms)
     starts = 1 + waiters_before(fleet, waiter, now)
-    likely_ms = _likely_ms(starts, room.starts_per_ms)
     share = org_share(fleet, waiter.service, waiter.org)
-    if share is None or share.pace_per_s <= 0.0:
+    if share is None:
+        # Others leave their places to it at all boxes, so it is not refused early.
+        return starts / room.starts_per_ms
+    likely_ms = _likely_ms(starts, room.starts_per_ms)
+    if share.pace_per_s <= 0.0:
         return likely_ms
     own = own_waiters_before(fleet, waiter)
     return max(likely_ms, _likely_ms(own, share.pace_per_s / room.work_ms))
