--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -32,6 +32,7 @@
 from .systems.queueing import expired_waiters
 from .systems.queueing import latest_start
 from .systems.queueing import remove_waiter
+from .systems.queueing import sort_waiters
 from .systems.sharing import next_waiter
 from .systems.work_times import usual_work_ms
 from .systems.worker_room import FULL_HALF_LIFE_MS
@@ -45,7 +46,7 @@
 LOOK_S = 0.02
 """Interval at which waiters are looked at while nothing happens, in s."""
 
-MAX_PASSED_OVER = 4
+MAX_PASSED_OVER = 16
 """Waiters without room that are passed over for one behind them at a time: other
 versions or regions may be open to it."""
 
@@ -210,6 +211,7 @@
         The one after it is looked at when this one is on its way, and counts.
         """
         fleet = self._core.fleet
+        order = list(fleet.wait_list.waiters[service])
         passed: list[Waiter] = []
         while len(passed) <= MAX_PASSED_OVER:
             waiter = next_waiter(fleet, service, now)
@@ -225,6 +227,8 @@
             remove_waiter(fleet.wait_list, waiter)
         for waiter in passed:
             add_waiter(fleet.wait_list, waiter)
+        if passed:
+            sort_waiters(fleet.wait_list, service, order)
 
     def _conclude(
         self,
--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -12,12 +12,14 @@
 from fleet_builders import TestFleet
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
 from spanshunt.standins.slots import WorkerSlots
 from spanshunt.standins.store import EndpointFault
 from spanshunt.tables.waiting import WaitList
 from spanshunt.tables.waiting import WorkTime
 
+WEB = ServiceId("web")
 WORK_S = 0.3
 SHORT_MS = 400
 
@@ -222,3 +224,16 @@
         for reply in await asyncio.gather(*late, *first):
             assert reply.status == 200
         assert waiting(box) == WaitList()
+
+
+async def test_waiters_that_are_passed_over_keep_their_order():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        first = await fill(fleet, 2)
+        late = [ask(fleet, f"late-{i}", deadline_ms=1_400 - i) for i in range(4)]
+        await until(lambda: waiting(box).count == 4, "requests wait")
+        order = list(waiting(box).waiters[WEB])
+        await asyncio.sleep(0.1)
+        assert list(waiting(box).waiters[WEB]) == order
+        for reply in await asyncio.gather(*first, *late):
+            assert reply.status == 200
