--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -61,6 +61,9 @@
         Whether the worker was believed to have a free slot when this was planned.
     repeat : bool
         Whether the attempt counts as an arrival beyond the first of its request.
+    time_factor : float
+        Time that work takes at the worker, against its service's usual, as it was known
+        when the worker was chosen.
     """
 
     service: ServiceId
@@ -77,6 +80,7 @@
     answered: bool = False
     worker_free: bool = False
     repeat: bool = False
+    time_factor: float = 1.0
 
 
 class CatalogRequest(RequestState, kw_only=True):
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -87,6 +87,7 @@
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
             worker_free=has_free_slot(placed.worker, core.clock.now()),
+            time_factor=placed.time_factor,
         )
     )
 
@@ -179,6 +180,8 @@
         state.admitted.route.name,
         state.failed_versions,
         state.tried,
+        state.version if state.events else None,
+        last=state.counted_runs + 1 >= state.max_attempts,
     )
 
 
