--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -34,6 +34,10 @@
 from .systems.work_times import learn_work_time
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
+from .systems.worker_speed import excused_factor
+from .systems.worker_speed import learn_plain_factor
+from .systems.worker_speed import time_factor
+from .systems.worker_speed import update_slow_mark
 from .tables.catalog import RequestKind
 from .tables.rollouts import Tally
 
@@ -127,10 +131,44 @@
     read = state.call.tokens.read
     if attempt.prompt is not None:
         _record_first_event(core, state, attempt, first_ms)
+    else:
+        learn_plain_factor(
+            fleet,
+            attempt.worker,
+            route,
+            attempt.model,
+            first_ms,
+            attempt.load,
+            core.clock.now(),
+        )
+    _log_worker_speed(core, state, attempt)
     _record_tally(core, state, attempt, BEGAN)
-    if is_slow_first_byte(fleet, route, attempt.model, read, first_ms):
+    now = core.clock.now()
+    judged_ms = first_ms / excused_factor(attempt.worker, now)
+    if is_slow_first_byte(fleet, route, attempt.model, read, judged_ms):
         _mark_slow(core, state, attempt)
-    learn_first_byte_time(fleet, route, attempt.model, read, first_ms)
+    usual_ms = first_ms / time_factor(attempt.worker, now)
+    learn_first_byte_time(fleet, route, attempt.model, read, usual_ms)
+
+
+def _log_worker_speed(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt
+) -> None:
+    """Log that a worker turned out to be usually slow, or no longer is."""
+    worker = attempt.worker
+    if not update_slow_mark(worker):
+        return
+    core.count("workers_slow" if worker.speed.slow else "workers_no_longer_slow")
+    log_event(
+        "INFO",
+        "worker speed",
+        worker=worker.name,
+        service=worker.service,
+        slow=worker.speed.slow,
+        usual_factor=round(worker.speed.usual_factor, 2),
+        answers=worker.speed.answers,
+        request=state.request,
+    )
 
 
 def record_relayed_events(
@@ -152,12 +190,13 @@
 
 def _is_decoding_slow(core: Core, attempt: CatalogAttempt, *, whole: bool) -> bool:
     """Return whether a stream is decoded several times slower than usual."""
-    elapsed = core.clock.now() - attempt.first_event_at
+    now = core.clock.now()
+    elapsed = now - attempt.first_event_at
     return attempt.first_event_at >= 0 and is_slow_decode(
         core.fleet,
         attempt.service,
         attempt.model,
-        elapsed,
+        elapsed / excused_factor(attempt.worker, now),
         attempt.gaps,
         whole=whole,
     )
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -36,6 +36,7 @@
 from .relaying import relay_stream
 from .relaying import should_escalate
 from .repeating import budget_allows
+from .repeating import may_resume
 from .repeating import may_retry
 from .request_state import AttemptOutcome
 from .request_state import WorkerFailure
@@ -62,6 +63,7 @@
 from .systems.work_times import usual_work_ms
 from .systems.worker_health import record_load
 from .systems.worker_room import record_full
+from .systems.worker_speed import present_slowdown
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
 from .waiting_room import WaitingRoom
@@ -98,6 +100,7 @@
         find_break_cause=partial(find_break_cause, core),
         await_room=waiting_room.await_room,
         after_attempt=lambda _state, _attempt: waiting_room.look_soon(),
+        may_resume=partial(may_resume, core),
     )
 
 
@@ -169,6 +172,8 @@
         sureness_needed=round(model_plan.needed, 2) if model_plan else None,
         load=round(attempt.load, 2),
         load_age_ms=attempt.report_age_ms,
+        usual_factor=round(attempt.worker.speed.usual_factor, 2),
+        slowdown=round(present_slowdown(attempt.worker, core.clock.now()), 2),
         candidates=attempt.candidates,
         passed_over=attempt.passed_over,
         cold=cold,
@@ -273,12 +278,14 @@
     overloads the rest.
     """
     route, read = state.admitted.route, state.call.tokens.read
-    limit = first_byte_timeout_ms(core.fleet, route, attempt.model, read)
+    limit = first_byte_timeout_ms(
+        core.fleet, route, attempt.model, read, attempt.time_factor
+    )
     await asyncio.wait({send_task}, timeout=limit / 1_000)
     if not send_task.done() and has_sent_recently(attempt.worker, core.clock.now()):
         extended = limit * RECENTLY_SENT_FACTOR
         await asyncio.wait({send_task}, timeout=(extended - limit) / 1_000)
-    if not state.repeatable or state.runs >= state.max_attempts:
+    if not state.repeatable or state.counted_runs >= state.max_attempts:
         if not send_task.done() and not state.repeatable:
             record_silent_worker(core, state, attempt)
         await asyncio.wait({send_task})
@@ -310,7 +317,9 @@
     """Record that a worker sent nothing until the request timed out."""
     waited = core.clock.now() - attempt.sent
     route, read = state.admitted.route, state.call.tokens.read
-    limit = first_byte_timeout_ms(core.fleet, route, attempt.model, read)
+    limit = first_byte_timeout_ms(
+        core.fleet, route, attempt.model, read, attempt.time_factor
+    )
     if not attempt.answered and waited >= limit:
         detail = f"no answer within {waited} ms, when the request timed out"
         fault = SendFault(False, detail, silent=True)
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -22,6 +22,7 @@
 from ..fleet_report import fleet_view
 from ..fleet_report import settings_lines
 from ..fleet_report import waiting_lines
+from ..fleet_report import worker_speed_lines
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -40,6 +41,7 @@
 from ..share_lines import share_lines
 from ..systems.eras import record_era
 from ..systems.forgetting import forget_old
+from ..systems.proving import newest_reported_version
 from ..systems.sharing import update_shares
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
@@ -93,6 +95,9 @@
 SHARES_MS = 100
 """Period of computing the shares of organisations, in ms."""
 
+UNREADY_LINE_MS = 2_000
+"""Period of logging what a box that is not ready waits for, in ms."""
+
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -256,6 +261,7 @@
         jobs.every(WAKES_MS, self._look)
         jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
+        jobs.every(UNREADY_LINE_MS, self._log_unready)
         if self._path:
             jobs.every(SETTINGS_MS, self._settings_file.look)
 
@@ -356,6 +362,21 @@
         events = update_shares(self.fleet, self.clock.now())
         log_share_events(events, self.counters.add)
 
+    async def _log_unready(self) -> None:
+        reason = self.why_not_ready()
+        if not reason or self.fleet.stopping:
+            return
+        fleet, now = self.fleet, self.clock.now()
+        failing_since = fleet.store.failing_since
+        log_event(
+            "WARNING",
+            "not ready",
+            reason=reason,
+            store_fails_ms=now - failing_since if failing_since >= 0 else None,
+            peers_heard=sum(peer.heard >= 0 for peer in fleet.peers.values()),
+            newest_told=newest_reported_version(fleet),
+        )
+
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
@@ -385,8 +406,9 @@
             )
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
+        now = self.clock.now()
         page = metrics_page(self.counters, self.histograms)
-        page += settings_lines(self.fleet, self.clock.now())
+        page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
         page += waiting_lines(self.fleet)
         return web.Response(text=page + share_lines(self.fleet))
 
--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -2,10 +2,11 @@
 
 The time is ``wait + prefill``: the prefill time of requests queued at the engine, plus
 the uncached tokens of the prompt times the prefill time per token, plus a base time.
-Both times are learned for each service and model. The waiting time is the sum of three
-parts: the prefill time of this box's own queued requests, of those that other boxes
-(peers) reported, and of those that they did not report, which is estimated from late
-answers.
+Both times are learned for each service and model, and scaled for an engine of another
+speed by its :func:`~spanshunt.systems.worker_speed.time_factor`. The waiting time is
+the sum of three parts: the prefill time of this box's own queued requests, of those
+that other boxes (peers) reported, and of those that they did not report, which is
+estimated from late answers.
 
 Processing a prompt token is also called reading it: in names, ``read`` is a number of
 tokens and ``read_ms`` a prefill time.
@@ -31,6 +32,10 @@
 from .keeping import cached_tokens
 from .keeping import part_key
 from .keeping import record_prefill
+from .worker_speed import MIN_SERVICE_ANSWERS
+from .worker_speed import learn_usual_factor
+from .worker_speed import present_slowdown
+from .worker_speed import time_factor
 
 UNREPORTED_HALF_LIFE_MS = 1_500
 """Half-life, in ms, of the estimate of unreported waiting time. The estimate decays
@@ -133,6 +138,9 @@
         Whether the engine is the cache owner and this box knows of no shared part that
         it has cached. `unread` then assumes that the parts are cached with the
         probability learned for owners.
+    time_factor : float
+        Time of work at the engine, against the service's usual, that `read_ms`
+        contains.
     """
 
     own_wait_ms: float = 0.0
@@ -141,6 +149,7 @@
     unread: float = 0.0
     unreported_ms: float = 0.0
     unseen: bool = False
+    time_factor: float = 1.0
 
     @property
     def wait_ms(self) -> float:
@@ -183,13 +192,15 @@
             _unreported_wait_ms(row, now) if row.unreported_prefill_ms else 0.0
         )
         reported_ms = _reported_wait_ms(row, now) if row.peer_prefill_ms else 0.0
+        factor = time_factor(row, now)
         return FirstEventEstimate(
             own_wait_ms=row.prefill_ms,
             others_wait_ms=reported_ms + unreported_ms,
-            read_ms=base_ms + uncached * read_ms,
+            read_ms=(base_ms + uncached * read_ms) * factor,
             unread=uncached,
             unreported_ms=unreported_ms,
             unseen=unseen,
+            time_factor=factor,
         )
 
     return estimate
@@ -296,19 +307,41 @@
 ) -> None:
     """Update the estimates from the measured time to a first event.
 
-    The speed is updated, or for an `unseen` estimate the unseen cache rate, as well as
-    the unreported waiting time.
+    The speeds of the service and of the engine are updated, or for an `unseen` estimate
+    the unseen cache rate, as well as the unreported waiting time.
     """
     if expected.unseen:
         _update_unseen_rate(fleet, prompt, expected, first_ms)
     else:
-        _update_speed(fleet, prompt, expected, first_ms)
+        _update_worker_speed(fleet, row, prompt, expected, first_ms, now)
+        _update_speed(fleet, prompt, expected, first_ms / present_slowdown(row, now))
     unreported = max(0.0, first_ms - expected.first_ms + expected.unreported_ms)
     before = _unreported_wait_ms(row, now)
     row.unreported_prefill_ms = before + UNREPORTED_SMOOTHING * (unreported - before)
     row.unreported_prefill_at = now
 
 
+def _update_worker_speed(
+    fleet: Fleet,
+    row: WorkerRow,
+    prompt: Prompt,
+    expected: FirstEventEstimate,
+    first_ms: float,
+    now: Millis,
+) -> None:
+    """Learn the engine's usual factor from an answer after a short wait."""
+    speed = fleet.prefill_speeds.get((prompt.service.name, prompt.model))
+    if speed is None or speed.answers < MIN_SERVICE_ANSWERS or _waited_long(expected):
+        return
+    usual_ms = speed.base_ms + speed.read_ms * expected.unread
+    learn_usual_factor(row, first_ms - expected.wait_ms, usual_ms, now)
+
+
+def _waited_long(expected: FirstEventEstimate) -> bool:
+    """Return whether the time to the first event tells more of the queue."""
+    return expected.wait_ms > MAX_WAIT_FRACTION * expected.first_ms
+
+
 def _update_speed(
     fleet: Fleet, prompt: Prompt, expected: FirstEventEstimate, first_ms: float
 ) -> None:
@@ -327,7 +360,7 @@
         fleet.prefill_speeds[key] = PrefillSpeed(read_ms, base_ms)
         return
     expected_ms = speed.base_ms + speed.read_ms * expected.unread
-    if expected.wait_ms > MAX_WAIT_FRACTION * expected.first_ms or expected_ms <= 0.0:
+    if _waited_long(expected) or expected_ms <= 0.0:
         return
     speed.answers += 1
     step = max(MIN_SPEED_STEP, MAX_SPEED_STEP / speed.answers)
@@ -347,7 +380,9 @@
     """
     speed = prefill_speed(fleet, prompt.service, prompt.model)
     uncached = prompt.read - 0.5 * prompt.shared_tokens
-    threshold_ms = expected.wait_ms + speed.base_ms + uncached * speed.read_ms
+    threshold_ms = expected.wait_ms + expected.time_factor * (
+        speed.base_ms + uncached * speed.read_ms
+    )
     before = unseen_cache_rate(fleet, prompt)
     hit = 1.0 if first_ms < threshold_ms else 0.0
     key = (prompt.service.name, prompt.model)
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -4,6 +4,7 @@
 
 from ..ids import Millis
 from ..tables.workers import WorkerRow
+from .worker_speed import record_slowdown
 
 EJECTION_MS = 600
 """First ejection of a worker that can't be reached, in ms; doubled with each further
@@ -44,18 +45,36 @@
     row.own_inflight_at_report = row.inflight
     row.slots = max(1, load.slots)
     row.reported_at = now
-    record_others(row, now)
+    record_others(row, max(0, row.own_inflight_at_report - 1), now)
+    if load.slowdown is not None:
+        record_slowdown(row, load.slowdown, now)
 
 
-def record_others(row: WorkerRow, now: Millis) -> None:
+def record_relayed_load(row: WorkerRow, load: WorkerLoad, at: Millis) -> bool:
+    """Record a load report that another box got from a worker at `at`, if it is newer.
+
+    How many of the requests in it are this box's own is not known: some that are in
+    progress now began after it, some that it counts have ended. They are taken to be as
+    many as are in progress now, so that the load is never below these, and never above
+    the reported number and what this box sends from now on.
+    """
+    if at <= row.reported_at:
+        return False
+    record_load(row, load, at)
+    row.own_inflight_at_report = min(row.inflight, row.reported)
+    record_others(row, row.own_inflight_at_report, at)
+    return True
+
+
+def record_others(row: WorkerRow, own: int, now: Millis) -> None:
     """Record how many requests of other boxes a worker has, by its newest report.
 
-    A report comes with an answer, and need not count the request that it answers, which
-    this box still counts. The request is therefore taken to be another box's. Of
-    reports that come together the lowest counts, because they may come in any order,
-    and one of before a request ended is read after that end.
+    `own` of the reported requests are this box's. A report that comes with an answer
+    need not count the request that it answers, which this box still counts, so that one
+    is left out of them. Of reports that come together the lowest counts, because they
+    may come in any order, and one of before a request ended is read after that end.
     """
-    others = max(0, row.reported - max(0, row.own_inflight_at_report - 1))
+    others = max(0, row.reported - own)
     if row.others_at >= 0 and now - row.others_at < TOGETHER_MS:
         row.others = min(row.others, others)
         return
