--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -49,6 +49,14 @@
     """Default for `Steps.find_break_cause`: no search for the cause."""
 
 
+async def _admit_at_once(_state: t.Any) -> None:
+    """Default for `Steps.await_room`: no request waits or is refused."""
+
+
+def _end_silently(_state: t.Any, _attempt: t.Any) -> None:
+    """Default for `Steps.after_attempt`: nothing to do."""
+
+
 def _never_resume(_state: t.Any) -> bool:
     """Default for `Steps.may_resume`: an answer is not resumed after a pause."""
     return False
@@ -85,6 +93,11 @@
         Returns the time after which a refused caller may retry, in ms.
     find_break_cause : callable
         Finds out why an attempt got no complete answer, before the next one is planned.
+    await_room : callable
+        Waits until a worker has room for the request; returns the refusal if none will
+        have any in time.
+    after_attempt : callable
+        Called when an attempt occupies its worker no longer.
     may_resume : callable
         Returns whether an answer that has begun may be resumed by another worker after
         a pause. Unlike `may_retry`, it does not limit the number of rejections: the
@@ -108,6 +121,8 @@
     find_break_cause: t.Callable[[StateT, AttemptT], t.Awaitable[None]] = (
         _skip_break_cause
     )
+    await_room: t.Callable[[StateT], t.Awaitable[Refusal | None]] = _admit_at_once
+    after_attempt: t.Callable[[StateT, AttemptT], None] = _end_silently
     may_resume: t.Callable[[StateT], bool] = _never_resume
 
 
@@ -175,7 +190,9 @@
 ) -> RequestResult:
     """Attempt the request until it is answered or no further attempt is allowed."""
     while True:
-        refusal: Refusal | None = None
+        refusal = await steps.await_room(state)
+        if refusal is not None:
+            break
         planned = steps.plan(state)
         if isinstance(planned, Err):
             refusal = planned.err_value
@@ -266,6 +283,7 @@
         worker.inflight -= 1
         if answer is not None:
             answer.close()
+        steps.after_attempt(state, attempt)
     state.under_way = None
     state.has_failed_attempt |= outcome in (
         AttemptOutcome.FAILED,
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -21,6 +21,7 @@
 from ..fleet_report import FLEET_PATH
 from ..fleet_report import fleet_view
 from ..fleet_report import settings_lines
+from ..fleet_report import waiting_lines
 from ..fleet_report import worker_speed_lines
 from ..histograms import Histograms
 from ..ids import BoxId
@@ -36,9 +37,12 @@
 from ..settings_file import LOOK_MS as SETTINGS_MS
 from ..settings_file import Applied
 from ..settings_file import SettingsFile
+from ..share_lines import log_share_events
+from ..share_lines import share_lines
 from ..systems.eras import record_era
 from ..systems.forgetting import forget_old
 from ..systems.proving import newest_reported_version
+from ..systems.sharing import update_shares
 from ..tables.fleet import Fleet
 from ..tables.identity import Identity
 from ..tables.workers import WorkerRow
@@ -88,6 +92,9 @@
 requests, in ms, and how often it looks, in s: the store answers in 4 ms, a slow one in
 240."""
 
+SHARES_MS = 100
+"""Period of computing the shares of organisations, in ms."""
+
 UNREADY_LINE_MS = 2_000
 """Period of logging what a box that is not ready waits for, in ms."""
 
@@ -252,6 +259,7 @@
         jobs.every(JUDGE_MS, self._recorder.tick)
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
+        jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
         jobs.every(UNREADY_LINE_MS, self._log_unready)
         if self._path:
@@ -350,6 +358,10 @@
     async def _look(self) -> None:
         self._wakes.look()
 
+    async def _share(self) -> None:
+        events = update_shares(self.fleet, self.clock.now())
+        log_share_events(events, self.counters.add)
+
     async def _log_unready(self) -> None:
         reason = self.why_not_ready()
         if not reason or self.fleet.stopping:
@@ -397,7 +409,8 @@
         now = self.clock.now()
         page = metrics_page(self.counters, self.histograms)
         page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
-        return web.Response(text=page)
+        page += waiting_lines(self.fleet)
+        return web.Response(text=page + share_lines(self.fleet))
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -6,15 +6,19 @@
 
 from ..ids import Millis
 from ..tables.fleet import Fleet
+from .demand import expire_demands
 from .ending import expire_broken_connections
 from .estimating import expire_peer_prefill
 from .quarantining import expire_suspects
 from .watching import drop_old_epochs
+from .work_times import forget_work_times
 
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
     """Drop expired reports and breaks, old suspect contents and old epochs."""
+    expire_demands(fleet, now)
     expire_peer_prefill(fleet, now)
     expire_broken_connections(fleet, now)
     expire_suspects(fleet, now)
     drop_old_epochs(fleet, now)
+    forget_work_times(fleet)
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -17,6 +17,10 @@
 """Consecutive failed answers after which a worker is ejected, if it was reachable each
 time. One such failure may be the request's fault."""
 
+TOGETHER_MS = 20
+"""Reports of a worker within this time come together, in ms: answers of requests that
+were sent together pass the network and this box within it."""
+
 _ERROR_SMOOTHING = 0.15
 _TTFT_SMOOTHING = 0.2
 
@@ -41,6 +45,7 @@
     row.own_inflight_at_report = row.inflight
     row.slots = max(1, load.slots)
     row.reported_at = now
+    record_others(row, max(0, row.own_inflight_at_report - 1), now)
     if load.slowdown is not None:
         record_slowdown(row, load.slowdown, now)
 
@@ -57,9 +62,26 @@
         return False
     record_load(row, load, at)
     row.own_inflight_at_report = min(row.inflight, row.reported)
+    record_others(row, row.own_inflight_at_report, at)
     return True
 
 
+def record_others(row: WorkerRow, own: int, now: Millis) -> None:
+    """Record how many requests of other boxes a worker has, by its newest report.
+
+    `own` of the reported requests are this box's. A report that comes with an answer
+    need not count the request that it answers, which this box still counts, so that one
+    is left out of them. Of reports that come together the lowest counts, because they
+    may come in any order, and one of before a request ended is read after that end.
+    """
+    others = max(0, row.reported - own)
+    if row.others_at >= 0 and now - row.others_at < TOGETHER_MS:
+        row.others = min(row.others, others)
+        return
+    row.others = others
+    row.others_at = now
+
+
 def record_answer(row: WorkerRow, first_ms: float, *, good: bool, now: Millis) -> None:
     """Record the outcome of an answer and its time to the first byte.
 
--- /dev/null
+++ b/src/spanshunt/systems/worker_room.py
@@ -0,0 +1,171 @@
+"""Room of workers for plain requests, by their reports and this box's own requests.
+
+A worker has room while it holds fewer requests than it can begin within a short time.
+The requests of this box there are counted exactly. Those of other boxes are known from
+the worker's last report, which counts for less the older it is. It counts for longer
+where this box already holds its even share of the room, so that boxes with old reports
+do not all fill the same workers.
+"""
+
+import msgspec
+
+from ..ids import Millis
+from ..ids import ServiceId
+from ..ids import WorkerId
+from ..tables.fleet import Fleet
+from ..tables.workers import WorkerRow
+from .fleet_size import box_count
+from .worker_speed import time_factor
+
+LEAD_MS = 50.0
+"""A worker may hold as many requests beyond its slots as it begins within this time, in
+ms, so that it is never idle while reports travel."""
+
+MIN_LEAD_FRACTION, MAX_LEAD_FRACTION = 0.25, 0.5
+"""Least and most of such requests, as fractions of the slots. Boxes do not know of each
+other's requests at once, and workers queue only a few."""
+
+SHARE_HALF_LIFE_MS = 400.0
+"""Half-life of the weight of other boxes' requests in a report while this box holds
+less than its even share of the room, in ms."""
+
+FULL_HALF_LIFE_MS = 5_000.0
+"""The same once this box holds its share, in ms: about the time of a few answers, after
+which nothing is known of the worker."""
+
+FULL_FACTOR = 2
+"""Requests that a worker that turns one away as full is believed to hold at least, as a
+multiple of its slots."""
+
+MIN_WORK_MS = 1.0
+"""Shortest time of work that is reckoned with, in ms."""
+
+
+class ServiceRoom(msgspec.Struct, frozen=True):
+    """What is believed of the room of the workers that may take a request.
+
+    Attributes
+    ----------
+    full : frozenset of str
+        Workers without room.
+    has_room : bool
+        Whether any of the workers has room.
+    work_ms : float
+        Usual time of the request's work at these workers, in ms; 0 if it is unknown.
+    lead_ms : float
+        Longest time that it waits at a worker that has room, in ms.
+    starts_per_ms : float
+        Requests that workers begin for this box in a ms; 0 if it is unknown or not
+        needed, as there is room and nothing waits.
+    """
+
+    full: frozenset[WorkerId]
+    has_room: bool
+    work_ms: float
+    lead_ms: float
+    starts_per_ms: float
+
+
+def others_requests(row: WorkerRow, now: Millis, half_life_ms: float) -> float:
+    """Return the number of other boxes' requests at a worker, by its last report."""
+    if not row.others:
+        return 0.0
+    weight: float = 0.5 ** (max(0, now - row.others_at) / half_life_ms)
+    return row.others * weight
+
+
+def has_free_slot(row: WorkerRow, now: Millis) -> bool:
+    """Return whether a worker begins a request at once that is sent to it now."""
+    held = row.inflight + others_requests(row, now, FULL_HALF_LIFE_MS)
+    return held <= row.slots
+
+
+def request_bound(row: WorkerRow, work_ms: float) -> float:
+    """Return how many requests a worker may hold with the next one."""
+    lead = LEAD_MS / work_ms if work_ms > 0.0 else MAX_LEAD_FRACTION
+    return row.slots * (1.0 + min(MAX_LEAD_FRACTION, max(MIN_LEAD_FRACTION, lead)))
+
+
+def record_full(row: WorkerRow, now: Millis) -> None:
+    """Record that a worker turned a request away as full.
+
+    It is believed to hold more than its slots, whatever it reports.
+    """
+    held = max(row.reported, FULL_FACTOR * row.slots)
+    row.others = max(0, held - row.inflight)
+    row.others_at = now
+
+
+def find_room(
+    fleet: Fleet,
+    rows: list[WorkerRow],
+    work_ms: float,
+    now: Millis,
+    *,
+    free_slots_only: bool,
+) -> ServiceRoom:
+    """Return what is believed of the room of workers that accept a request.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    rows : list of WorkerRow
+        The workers; at least one.
+    work_ms : float
+        Usual time of the request's work, in ms; 0 if it is unknown.
+    now : int
+        The time, in ms.
+    free_slots_only : bool
+        Whether only a free slot counts as room: for a request that a worker turned away
+        as full, because each arrival that is turned away uses up retry budget, and for
+        one of an organisation over its share, so that others find places at workers.
+    """
+    times = [work_ms * time_factor(row, now) for row in rows]
+    if free_slots_only:
+        bounds = [float(row.slots) for row in rows]
+    else:
+        bounds = [
+            request_bound(row, took) for row, took in zip(rows, times, strict=True)
+        ]
+    share = sum(bounds) / box_count(fleet)
+    own = sum(row.inflight for row in rows)
+    half_life_ms = SHARE_HALF_LIFE_MS if own < share else FULL_HALF_LIFE_MS
+    full = frozenset(
+        row.name
+        for row, bound in zip(rows, bounds, strict=True)
+        if row.inflight + others_requests(row, now, half_life_ms) + 1 > bound
+    )
+    has_room = len(full) < len(rows)
+    scarce = work_ms > 0.0 and (not has_room or fleet.wait_list.count > 0)
+    fastest_ms = min(times)
+    return ServiceRoom(
+        full=full,
+        has_room=has_room,
+        work_ms=fastest_ms,
+        lead_ms=MAX_LEAD_FRACTION * fastest_ms,
+        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if scarce else 0.0,
+    )
+
+
+def has_free_slots_everywhere(fleet: Fleet, service: ServiceId) -> bool:
+    """Return whether all workers of a service are believed to have a free slot."""
+    return all(
+        row.inflight + row.others < row.slots
+        for row in fleet.workers.find_capable(service, None)
+    )
+
+
+def _starts_per_ms(
+    fleet: Fleet, rows: list[WorkerRow], times: list[float], now: Millis
+) -> float:
+    """Return the rate at which workers begin requests of this box, in 1/ms.
+
+    It is the room that other boxes leave by the last reports, and at least this box's
+    even share.
+    """
+    boxes, rate = box_count(fleet), 0.0
+    for row, took in zip(rows, times, strict=True):
+        left = row.slots - others_requests(row, now, FULL_HALF_LIFE_MS)
+        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, took)
+    return rate
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -37,7 +37,9 @@
 from .suspects import BrokenConnection
 from .suspects import SuspectRequest
 from .waiting import OrgDemand
+from .waiting import ServiceShares
 from .waiting import WaitList
+from .waiting import WorkTime
 from .workers import Workers
 
 
@@ -357,8 +359,14 @@
         rise of the likelihood of one, for which a minimum is assumed.
     wait_list : WaitList
         Requests that wait at this box for room at a worker.
+    work_times : dict
+        Usual times of work without a queue, by route name, for plain requests.
     org_demands : dict
         Demand by service and organisation, averaged over all boxes.
+    service_shares : dict
+        Shares of services that were recently short of room.
+    returns_told : int
+        Number of refused callers that this box told when to return.
     byte_account : ByteAccount
         Bytes that this box holds for requests in progress.
     limits : BoxLimits
@@ -410,7 +418,10 @@
     lateness: dict[ServiceId, float] = {}
     gain_per_engine_ms: dict[ServiceId, float] = {}
     wait_list: WaitList = msgspec.field(default_factory=WaitList)
+    work_times: dict[str, WorkTime] = {}
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
+    service_shares: dict[ServiceId, ServiceShares] = {}
+    returns_told: int = 0
     byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
     limits: BoxLimits = BoxLimits()
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
