Refuse prompts whose first event no engine can send in time

Cause: prompts were sent whose callers leave before the first event at any engine. Change: a plan whose best engine is too late even at half of the estimated time is refused as not run if all engines are, on reported waits alone; not if the speed is unknown, and no escalation or retry after a run. Conclusion: test_queueing and test_waiting_room pass; prompts do not wait at the box yet.

--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -17,21 +17,27 @@
 from .ids import ServiceId
 from .ids import WorkerId
 from .keeping_back import quarantine_refusal
+from .logs import log_event
 from .refusals import Problem
 from .refusals import Refusal
+from .refusals import Run
 from .systems.admitting import steps_below_highest
 from .systems.cascading import EscalationProspect
 from .systems.cascading import plan_models
 from .systems.cascading import record_engine_gain
 from .systems.estimating import FirstEventEstimate
 from .systems.estimating import Prompt
+from .systems.estimating import prefill_speed
+from .systems.placing import Placement
 from .systems.placing import PlacementRequest
 from .systems.placing import candidate_workers
 from .systems.placing import choose_worker
+from .systems.placing import earliest_first_event_ms
 from .systems.placing import throttle_wait_ms
 from .systems.placing import throttled_workers
 from .systems.quarantining import is_suspect
 from .systems.quarantining import may_send_content
+from .systems.queueing import may_begin_in_time
 from .systems.ramping import VersionRule
 from .systems.ramping import version_rule_for
 from .systems.silence import silent_workers
@@ -74,6 +80,9 @@
     placed = choose_worker(core.fleet, request, core.clock.now(), core.rng)
     if placed is None:
         return Err(_unplaced_refusal(core, state, request))
+    refusal = _late_prompt_refusal(core, state, request, placed)
+    if refusal is not None:
+        return Err(refusal)
     return Ok(
         CatalogAttempt(
             worker=placed.worker,
@@ -120,6 +129,49 @@
     return Millis(int(mean_ms * (0.5 + core.rng.random())))
 
 
+def _late_prompt_refusal(
+    core: Core, state: CatalogRequest, request: PlacementRequest, placed: Placement
+) -> Refusal | None:
+    """Return a refusal if no engine can send a prompt's first event in time.
+
+    A prompt that an engine may have run, and one that is asked of a larger model, are
+    sent in any case. So is one whose model's speed is not known from answers, because
+    answers are what makes it known.
+    """
+    expected, prompt = placed.expected, request.prompt
+    if expected is None or prompt is None or state.runs or state.escalated:
+        return None
+    now = core.clock.now()
+    left_ms = state.limit - now
+    if may_begin_in_time(expected.first_ms, left_ms):
+        return None
+    if not prefill_speed(core.fleet, prompt.service, prompt.model).answers:
+        return None
+    earliest_ms = earliest_first_event_ms(core.fleet, request, prompt, now)
+    if may_begin_in_time(earliest_ms, left_ms):
+        return None
+    core.count("refused_too_late")
+    log_event(
+        "INFO",
+        "admission",
+        request=state.request,
+        route=state.request_class,
+        org=state.org,
+        service=state.service,
+        admission="refuse",
+        why="no engine can begin its answer in time",
+        workers=[placed.worker.name],
+        report_age_ms=placed.report_age_ms,
+        model=prompt.model,
+        expected_ms=round(earliest_ms),
+        left_ms=left_ms,
+        waited_ms=0,
+    )
+    detail = f"no engine of {state.service} can begin the answer in time"
+    retry_ms = retry_after_ms(core, state.admitted.route)
+    return Refusal(Problem.OVERLOADED, detail, Run.NO, retry_ms)
+
+
 def _draw_service(core: Core, state: CatalogRequest) -> ServiceRow | None:
     """Draw the service by the route's shares, always the same one for a session."""
     shares = state.admitted.route.shares
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -293,6 +293,23 @@
     return best, best_estimate
 
 
+def earliest_first_event_ms(
+    fleet: Fleet, request: PlacementRequest, prompt: Prompt, now: Millis
+) -> float:
+    """Return the shortest estimated time to a prompt's first event at any engine that
+    accepts it, in ms, without waits that no box reported; infinite without an engine.
+    """
+    estimate_at = make_estimator(fleet, prompt, now)
+    estimates = [
+        estimate_at(row, owns)
+        for row in candidate_workers(fleet, request, now)
+        for owns in (False, True)
+    ]
+    return min(
+        (row.first_ms - row.unreported_ms for row in estimates), default=math.inf
+    )
+
+
 def candidate_workers(
     fleet: Fleet, request: PlacementRequest, now: Millis
 ) -> list[WorkerRow]:
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -32,6 +32,10 @@
 """Standard deviations of the time of some starts that are allowed for, so that few
 requests wait in vain and are told late."""
 
+FIRST_EVENT_OPTIMISM = 0.5
+"""Fraction of the estimated time to a first event in which it may come at best: the
+estimate follows a median, and engines keep parts of which this box does not know."""
+
 ANSWER_MARGIN_MS = 20.0
 """Time beside the work itself until the caller has its answer, in ms."""
 
@@ -139,3 +143,16 @@
     if now + expected_wait_ms(fleet, room, waiter) > waiter.start_by:
         return Admission.REFUSE
     return Admission.WAIT
+
+
+def may_begin_in_time(first_event_ms: float, left_ms: float) -> bool:
+    """Return whether a prompt's first event may come while its caller waits.
+
+    Parameters
+    ----------
+    first_event_ms : float
+        Estimated time to the first event, in ms; 0 if it is unknown.
+    left_ms : float
+        Time for which the caller still waits, in ms.
+    """
+    return FIRST_EVENT_OPTIMISM * first_event_ms <= left_ms
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -10,13 +10,18 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from fleet_builders import add_worker
+from fleet_builders import learn_speed
 from fleet_builders import make_fleet
+from fleet_builders import make_prompt
 from fleet_builders import make_worker
 from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
 from spanshunt.ids import OrgId
 from spanshunt.ids import RequestId
 from spanshunt.ids import ServiceId
+from spanshunt.systems.placing import PlacementRequest
+from spanshunt.systems.placing import earliest_first_event_ms
 from spanshunt.systems.queueing import ANSWER_MARGIN_MS
 from spanshunt.systems.queueing import DEFAULT_WAITING_BYTES
 from spanshunt.systems.queueing import MEMORY_FRACTION
@@ -27,8 +32,10 @@
 from spanshunt.systems.queueing import expired_waiters
 from spanshunt.systems.queueing import latest_start
 from spanshunt.systems.queueing import max_waiting_bytes
+from spanshunt.systems.queueing import may_begin_in_time
 from spanshunt.systems.queueing import remove_waiter
 from spanshunt.systems.queueing import requests_before
+from spanshunt.systems.ramping import VersionRule
 from spanshunt.systems.work_times import forget_work_times
 from spanshunt.systems.work_times import learn_work_time
 from spanshunt.systems.work_times import usual_work_ms
@@ -292,6 +299,35 @@
     assert admit(fleet, room_of(fleet, rows), waiter, NOW) is Admission.REFUSE
 
 
+def test_prompt_is_hopeless_only_if_half_of_its_time_is_too_long() -> None:
+    assert may_begin_in_time(0.0, 1.0)
+    assert may_begin_in_time(1_999.0, 1_000.0)
+    assert not may_begin_in_time(2_001.0, 1_000.0)
+
+
+def test_earliest_first_event_leaves_out_waits_that_no_box_reported() -> None:
+    fleet = make_boxes(1)
+    rows = [add_worker(fleet, make_worker(name)) for name in ("w-1", "w-2")]
+    prompt = make_prompt(read=1_000, shared=0)
+    learn_speed(fleet, "large", read_ms=0.5)
+    request = PlacementRequest(
+        service=rows[0].service,
+        rule=VersionRule(),
+        domain=rows[0].domain,
+        prompt=prompt,
+    )
+    idle_ms = earliest_first_event_ms(fleet, request, prompt, NOW)
+    assert idle_ms > 0.0
+    for row in rows:
+        row.unreported_prefill_ms, row.unreported_prefill_at = 5_000.0, NOW
+    assert earliest_first_event_ms(fleet, request, prompt, NOW) == idle_ms
+    for row in rows:
+        row.prefill_ms = 3_000.0
+    assert earliest_first_event_ms(fleet, request, prompt, NOW) == idle_ms + 3_000.0
+    rows[1].prefill_ms = 0.0
+    assert earliest_first_event_ms(fleet, request, prompt, NOW) == idle_ms
+
+
 class WaitListMachine(RuleBasedStateMachine):
     """Any order of arrivals, ends and expiries leaves exact sums within the bound."""
 
--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -10,6 +10,7 @@
 from fleet_builders import Box
 from fleet_builders import Reply
 from fleet_builders import TestFleet
+from fleet_builders import learn_speed
 from fleet_builders import running_fleet
 from fleet_builders import until
 from spanshunt.ids import ServiceId
@@ -237,3 +238,18 @@
         assert list(waiting(box).waiters[WEB]) == order
         for reply in await asyncio.gather(*first, *late):
             assert reply.status == 200
+
+
+async def test_prompt_that_no_engine_can_begin_in_time_is_refused_unsent():
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        for model in ("small", "middle", "large"):
+            learn_speed(box.node.fleet, model, read_ms=0.01)
+        engines = [box.node.fleet.workers.rows[WorkerId(n)] for n in ("w-1", "w-2")]
+        for row in engines:
+            row.prefill_ms = 9_000.0
+        late = await ask(fleet, "late", path="/long/", deadline_ms=4_000)
+        assert (late.status, arrivals(fleet, "late")) == (503, 0)
+        assert box.node.counters.value("refused_too_late") == 1
+        engines[0].prefill_ms = 7_000.0
+        assert (await ask(fleet, "next", "/long/", deadline_ms=4_000)).status == 200
