Let the answers of all boxes add up to a worker's usual speed

Cause: boxes averaged their factors, at most one half at a time, and took over the number of answers; boxes without an answer of their own held the mean near 1. Change: the factor that rests on more answers replaces the other, equal ones are averaged, so each box adds its answers to the newest. Ruled out: factors of each box kept by box; few boxes talk with all others directly.

--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -51,12 +51,8 @@
 MAX_MEDIAN_STEP, MIN_MEDIAN_STEP = 0.3, 0.03
 """Relative steps by which the median time of a route changes, at first and later."""
 
-MAX_PEER_WEIGHT = 0.5
-"""Greatest weight of a peer's usual factor against this box's own, so that no box that
-is wrong, or repeats old news, replaces what this box learned."""
-
-MAX_PEER_ANSWERS = 50
-"""Number of a peer's answers that counts at most, so that a box goes on learning."""
+MAX_PEER_ANSWERS = 1_000_000
+"""Number of a peer's answers that is believed at most."""
 
 SLOW_WORKER_FACTOR, NO_LONGER_SLOW_FACTOR = 1.5, 1.3
 """Usual factors from which a worker counts as slow, and below which no longer; the
@@ -86,6 +82,11 @@
     return 1.0 + (speed.slowdown - 1.0) * weight
 
 
+def measured_factor(row: WorkerRow, now: Millis) -> float:
+    """Return the time of work that a worker has just done, against the usual."""
+    return row.speed.usual_factor * present_slowdown(row, now)
+
+
 def record_slowdown(row: WorkerRow, slowdown: float, now: Millis) -> None:
     """Record the slowdown that a worker reports."""
     row.speed.slowdown = max(MIN_SLOWDOWN, slowdown)
@@ -160,15 +161,20 @@
 
 
 def merge_usual_factor(row: WorkerRow, factor: float, answers: int) -> None:
-    """Merge the usual factor that a peer knows, weighted by its number of answers."""
-    if not (answers > 0 and 0.0 < factor < math.inf):
-        return
+    """Merge the usual factor that a peer knows.
+
+    The one that rests on more answers replaces the other, and equal ones are averaged.
+    Each box adds its answers to the newest factor, so that they add up over all boxes.
+    An average of boxes would hardly move by one answer if there are many.
+    """
     speed = row.speed
     known = min(answers, MAX_PEER_ANSWERS)
-    weight = min(MAX_PEER_WEIGHT, known / (known + speed.answers))
-    surprise = math.log(_bounded(factor) / speed.usual_factor)
-    speed.usual_factor = _bounded(speed.usual_factor * math.exp(weight * surprise))
-    speed.answers = max(speed.answers, known)
+    if known < max(1, speed.answers) or not 0.0 < factor < math.inf:
+        return
+    factor = _bounded(factor)
+    if known == speed.answers:
+        factor = math.sqrt(factor * speed.usual_factor)
+    speed.usual_factor, speed.answers = factor, known
 
 
 def _bounded(factor: float) -> float:
