Merge usual speeds by own answers only

Change: factors are averaged again, the peer with one half at most, by numbers of own answers; merged ones no longer count as own, so that a box's next answer keeps its weight. One answer weighs at least 0.1.

--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -36,9 +36,9 @@
 """Largest difference between the logarithms of a measured and the known factor that
 counts. Times are seldom too short and often too long, by any amount."""
 
-MIN_ANSWER_WEIGHT = 0.03
+MIN_ANSWER_WEIGHT = 0.1
 """Least weight of one answer in a usual factor, so that it follows a machine that
-changes for good within about fifty answers."""
+changes for good within about twenty answers."""
 
 MIN_SERVICE_ANSWERS = 8
 """Number of answers after which the usual time of a service is known well enough to
@@ -51,8 +51,12 @@
 MAX_MEDIAN_STEP, MIN_MEDIAN_STEP = 0.3, 0.03
 """Relative steps by which the median time of a route changes, at first and later."""
 
-MAX_PEER_ANSWERS = 1_000_000
-"""Number of a peer's answers that is believed at most."""
+MAX_PEER_WEIGHT = 0.5
+"""Greatest weight of a peer's usual factor against this box's own, so that no box that
+is wrong replaces what this box learned."""
+
+MIN_SLOW_ANSWERS = 3
+"""Number of own answers of a worker from which it may be logged as slow."""
 
 SLOW_WORKER_FACTOR, NO_LONGER_SLOW_FACTOR = 1.5, 1.3
 """Usual factors from which a worker counts as slow, and below which no longer; the
@@ -161,20 +165,18 @@
 
 
 def merge_usual_factor(row: WorkerRow, factor: float, answers: int) -> None:
-    """Merge the usual factor that a peer knows.
+    """Merge the usual factor that a peer knows, weighted by its own answers.
 
-    The one that rests on more answers replaces the other, and equal ones are averaged.
-    Each box adds its answers to the newest factor, so that they add up over all boxes.
-    An average of boxes would hardly move by one answer if there are many.
+    Only own answers are counted, here and there: if what was merged counted as well,
+    answers would soon weigh nothing, and if the greatest number prevailed, answers of
+    boxes that get many at once would, which are the quick ones.
     """
-    speed = row.speed
-    known = min(answers, MAX_PEER_ANSWERS)
-    if known < max(1, speed.answers) or not 0.0 < factor < math.inf:
+    if not (answers > 0 and 0.0 < factor < math.inf):
         return
-    factor = _bounded(factor)
-    if known == speed.answers:
-        factor = math.sqrt(factor * speed.usual_factor)
-    speed.usual_factor, speed.answers = factor, known
+    speed = row.speed
+    weight = min(MAX_PEER_WEIGHT, answers / (answers + speed.answers))
+    surprise = math.log(_bounded(factor) / speed.usual_factor)
+    speed.usual_factor = _bounded(speed.usual_factor * math.exp(weight * surprise))
 
 
 def _bounded(factor: float) -> float:
@@ -207,7 +209,7 @@
 def update_slow_mark(row: WorkerRow) -> bool:
     """Update whether a worker counts as usually slow; return whether that changed."""
     speed = row.speed
-    if speed.answers < MIN_SERVICE_ANSWERS:
+    if speed.answers < MIN_SLOW_ANSWERS:
         return False
     bound = NO_LONGER_SLOW_FACTOR if speed.slow else SLOW_WORKER_FACTOR
     was_slow, speed.slow = speed.slow, speed.usual_factor >= bound
