Boxes call their seeds until each has answered

Cause: a box called its seeds only until it heard any peer. Four boxes that start together under load heard each other in pairs before the other seeds were up; each pair took itself for the whole fleet, as the list of boxes is not read by a box that knows all of which its peers told. Each box then took two boxes for four, and the pairs together sent a limited worker twice its rate. It also halves what else boxes share by their number, and no news pass between pairs.

Change: while a peer is heard, a seed that has not answered is called once a second in the background.

The test added fails before.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -111,6 +111,9 @@
 about 3 KB. The peer then need not read the list of boxes, and sends cold workers no
 more than its share from its first second on."""
 
+SEED_RETRY_MS = 1_000
+"""Pause between calls to seeds that have not answered, in ms, once a peer was heard."""
+
 BACK_OFF_MS = 1_000
 """Back-off after a failed call to a peer, for each failure in a row, in ms."""
 
@@ -132,7 +135,7 @@
     on_newer_catalog : callable
         Called when a peer knows a newer catalog than this box.
     seeds : tuple of str
-        Addresses to call until a peer was heard.
+        Addresses to call until each has answered once.
     streams : PeerStreams or None
         Client of the exchanges; None for a new one.
     on_quarantined : callable
@@ -164,14 +167,17 @@
         self._other_domain_partners = Partners(rng)
         self._on_quarantined = on_quarantined
         self._on_ended = on_ended
+        self._answered_seeds: set[str] = set()
+        self._next_seed_call_at = Millis(0)
         self._push_tasks: set[asyncio.Task[None]] = set()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Set the addresses to call until a peer was heard."""
+        """Set the addresses to call until each has answered once."""
         self._seeds = seeds
+        self._answered_seeds &= set(seeds)
 
     def stop(self) -> None:
-        """Cancel the calls of `tell_now` and close all streams."""
+        """Cancel the calls in the background and close all streams."""
         for task in self._push_tasks:
             task.cancel()
         self._streams.stop()
@@ -179,14 +185,35 @@
     async def run_round(self) -> None:
         """Exchange news with a few peers concurrently."""
         addresses = self._choose_addresses()
+        self._call_seed()
         await asyncio.gather(*(self._call_peer(address) for address in addresses))
 
     def tell_now(self) -> None:
         """Send news to some peers now, in the background; they pass them on."""
-        task = asyncio.get_running_loop().create_task(self._push_news())
+        self._run_in_background(self._push_news())
+
+    def _run_in_background(self, calls: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(calls)
         self._push_tasks.add(task)
         task.add_done_callback(self._push_tasks.discard)
 
+    def _call_seed(self) -> None:
+        """Call a seed that has not answered yet, now and then, in the background.
+
+        Boxes that start at the same time may hear each other in pairs before the other
+        seeds are up. Without further calls, the pairs would never learn of each other,
+        and each would take itself for the whole fleet.
+        """
+        now = self._clock.now()
+        heard = {peer.address for peer in self._fleet.peers.values() if peer.heard >= 0}
+        if not heard or now < self._next_seed_call_at:
+            return
+        known = heard | self._answered_seeds | {self._fleet.identity.address}
+        pending = [seed for seed in self._seeds if seed not in known]
+        if pending:
+            self._next_seed_call_at = Millis(now + SEED_RETRY_MS)
+            self._run_in_background(self._call_peer(self._rng.choice(pending)))
+
     async def _push_news(self) -> None:
         now = self._clock.now()
         ready = [peer for peer in self._fleet.peers.values() if _is_due(peer, now)]
@@ -496,6 +523,8 @@
             return
         if row is not None and row.failures:
             log_event("INFO", "peer regained", peer=row.box, failures=row.failures)
+        if address in self._seeds:
+            self._answered_seeds.add(address)
         self.apply_news(reply.ok_value, called_at)
         apply_demand_answer(self._fleet, news, reply.ok_value, self._clock.now())
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -241,3 +241,28 @@
     assert old.demands == ()
     (fleet,) = make_boxes(1)
     assert (await make_exchange(fleet).answer_news(old)).demands == ()
+
+
+async def test_seed_that_was_not_up_is_called_until_it_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against boxes that split at their start, in pairs that hear each other.
+
+    Four boxes took themselves for two each and sent a limited worker twice its rate.
+    """
+    monkeypatch.setattr("spanshunt.exchange.SEED_RETRY_MS", 20)
+    up, late = Peer(), Peer()
+    seeds = (await up.start(), f"127.0.0.1:{late.port}")
+    fleet = make_fleet()
+    exchange = Exchange(fleet, Clock(), random.Random(1), lambda: None, seeds)
+    await exchange.run_round()
+    assert up.exchanges == 1
+    await late.start()
+    for _ in range(10):
+        await exchange.run_round()
+        await asyncio.sleep(0.03)
+    # It may have another address than its seed: once it has answered, it is known.
+    assert late.exchanges == 1
+    exchange.stop()
+    await up.stop()
+    await late.stop()
