Count the bytes held for callers, read on for slow ones, cut stalled answers

Cause: nothing counted the bytes that a box holds; a slow caller stopped the reading from its worker, which cuts an answer that stays unread. Change: an account by request of body bytes and unread answer bytes, with marks from the memory in the settings. With marks, the box reads on into the connection's buffer up to a bound for each answer; over the high mark it pauses as long as workers bear it; at the bound it cuts the answer without progress for longest, and refuses large bodies as not run. Without a known memory the account counts and nothing acts.

--- /dev/null
+++ b/src/spanshunt/byte_keeper.py
@@ -0,0 +1,214 @@
+"""Keeping the account of bytes held for the requests of callers."""
+
+import asyncio
+import itertools
+import typing as t
+
+from .clock import Clock
+from .ids import Millis
+from .ids import RequestId
+from .logs import log_event
+from .settling import Counter
+from .systems.holding import add_body
+from .systems.holding import add_unread
+from .systems.holding import byte_marks
+from .systems.holding import choose_cut
+from .systems.holding import close_row
+from .systems.holding import may_read_on
+from .systems.holding import may_take_body
+from .systems.holding import open_row
+from .systems.holding import set_unread
+from .tables.fleet import Fleet
+from .tables.holdings import ByteMarks
+
+PAUSE_STEP_S = 0.1
+"""How often a paused answer looks whether it may be read on, in s."""
+
+
+LOOK_MS = 25
+"""Shortest time between two looks for an answer to cut, in ms: each look at all answers
+may cut one."""
+
+
+class ByteKeeper:
+    """Keeps the byte account of a box, and cuts answers when it is full.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    count : callable
+        Increments a counter.
+    """
+
+    def __init__(self, fleet: Fleet, clock: Clock, count: Counter) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.count = count
+        self._open: dict[RequestId, HeldRequest] = {}
+        self._serial = itertools.count(1)
+        self._look_at = Millis(0)
+        self._limits = fleet.limits
+        self._marks = byte_marks(fleet.limits)
+
+    @property
+    def marks(self) -> ByteMarks | None:
+        """The marks in force; None if nothing is to be bounded."""
+        if self._limits is not self.fleet.limits:
+            self._limits = self.fleet.limits
+            self._marks = byte_marks(self._limits)
+        return self._marks
+
+    def open(self, request: RequestId) -> "HeldRequest":
+        """Open the account of a request; to be closed when it has ended.
+
+        Callers choose the ids, so one may be in use already.
+        """
+        key = request
+        while key in self._open:
+            key = RequestId(f"{request}#{next(self._serial)}")
+        held = self._open[key] = HeldRequest(self, key, request)
+        return held
+
+    def close(self, held: "HeldRequest") -> None:
+        """Close the account of a request."""
+        close_row(self.fleet.byte_account, held.key)
+        del self._open[held.key]
+
+    def make_room(self) -> None:
+        """Cut the answer without progress for longest if the account is full."""
+        marks = self.marks
+        account, now = self.fleet.byte_account, self.clock.now()
+        if marks is None or account.total < marks.bound or now < self._look_at:
+            return
+        self._look_at = Millis(now + LOOK_MS)
+        for held in self._open.values():
+            held.refresh()
+        chosen = choose_cut(account, marks, now)
+        if chosen is None:
+            return
+        held = self._open[chosen]
+        held.row.cut = True
+        self.count("bytes.cut")
+        log_event(
+            "WARNING",
+            "answer cut",
+            request=held.request,
+            held=held.row.unread_bytes,
+            account=account.total,
+            bound=marks.bound,
+            stalled_ms=now - held.row.progress_at,
+        )
+        held.cut()
+
+
+class HeldRequest:
+    """The bytes held for one request.
+
+    Attributes
+    ----------
+    key : str
+        Key of the request in the account.
+    request : str
+        Request id.
+    row : HeldAnswer
+        Its row in the account.
+    cut : callable
+        Ends the answer as incomplete and drops its unread bytes.
+
+    Parameters
+    ----------
+    keeper : ByteKeeper
+        Keeps the account.
+    key, request
+        See above.
+    """
+
+    def __init__(self, keeper: ByteKeeper, key: RequestId, request: RequestId) -> None:
+        self.key = key
+        self.request = request
+        self.row = open_row(keeper.fleet.byte_account, key, keeper.clock.now())
+        self.cut: t.Callable[[], None] = lambda: None
+        self._keeper = keeper
+        self._transport: asyncio.WriteTransport | None = None
+
+    @property
+    def marks(self) -> ByteMarks | None:
+        """The marks in force; None if nothing is to be bounded."""
+        return self._keeper.marks
+
+    def may_take_body(self, size: int) -> bool:
+        """Return whether a body of a known size may be read."""
+        marks = self.marks
+        return marks is None or may_take_body(
+            self._keeper.fleet.byte_account, marks, size
+        )
+
+    def has_room(self) -> bool:
+        """Return whether the account is below its bound, after a cut if needed."""
+        marks = self.marks
+        if marks is None or self._keeper.fleet.byte_account.total < marks.bound:
+            return True
+        self._keeper.make_room()
+        return False
+
+    def add_body(self, size: int) -> None:
+        """Count further bytes of the body."""
+        add_body(self._keeper.fleet.byte_account, self.row, size)
+
+    def log_refused_body(self, size: int) -> None:
+        """Log and count that the body is refused."""
+        keeper, marks = self._keeper, self.marks
+        keeper.count("bytes.body_refused")
+        log_event(
+            "WARNING",
+            "body refused",
+            request=self.request,
+            size=size,
+            account=keeper.fleet.byte_account.total,
+            bound=marks.bound if marks is not None else 0,
+        )
+
+    def offer(self, transport: asyncio.WriteTransport) -> None:
+        """Begin to send the answer to the caller over a connection."""
+        self._transport = transport
+        self.row.offered = True
+
+    def add_unread(self, size: int) -> None:
+        """Count bytes of the answer that are about to be written or are collected."""
+        keeper = self._keeper
+        add_unread(keeper.fleet.byte_account, self.row, size, keeper.clock.now())
+
+    def drop_collected(self) -> None:
+        """Count nothing more of an answer that was collected and not sent."""
+        keeper = self._keeper
+        set_unread(keeper.fleet.byte_account, self.row, 0, keeper.clock.now())
+
+    def refresh(self) -> None:
+        """Look again how much of the answer is unread, once it is being sent."""
+        if self._transport is not None and self.row.unread_bytes:
+            unread = self._transport.get_write_buffer_size()
+            keeper = self._keeper
+            set_unread(keeper.fleet.byte_account, self.row, unread, keeper.clock.now())
+
+    async def pace(self) -> None:
+        """Return when the next block of the answer may be read from its worker."""
+        keeper, marks = self._keeper, self.marks
+        if marks is None or may_read_on(keeper.fleet.byte_account, marks, self.row, 0):
+            return
+        began = keeper.clock.now()
+        keeper.count("bytes.paused")
+        while True:
+            keeper.make_room()
+            await asyncio.sleep(PAUSE_STEP_S)
+            self.refresh()
+            paused_ms = keeper.clock.now() - began
+            account = keeper.fleet.byte_account
+            if may_read_on(account, marks, self.row, paused_ms):
+                return
+
+    def close(self) -> None:
+        """Close the account of the request."""
+        self._keeper.close(self)
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -304,7 +304,7 @@
 ) -> AttemptOutcome:
     """Relay an answer, keep an error response, or escalate to a larger model."""
     if answer.status >= 300:
-        return await _handle_error_status(core, state, attempt, answer)
+        return await _handle_error_status(core, state, attempt, answer, reply)
     now = core.clock.now()
     first_ms = now - attempt.sent
     record_first_byte(core, state, attempt, first_ms)
@@ -317,17 +317,21 @@
     if state.admitted.route.kind is RequestKind.STREAM:
         await relay_stream(core, state, attempt, answer, reply)
     else:
-        body = await answer.read()
+        body = await answer.read(reply.collector())
         await reply.send_whole(answer.status, answer.headers, body)
     record_relayed_answer(core, state, attempt, first_ms)
     return AttemptOutcome.DELIVERED
 
 
 async def _handle_error_status(
-    core: Core, state: CatalogRequest, attempt: CatalogAttempt, answer: Answer
+    core: Core,
+    state: CatalogRequest,
+    attempt: CatalogAttempt,
+    answer: Answer,
+    reply: Reply,
 ) -> AttemptOutcome:
     """Keep a worker's error response, to be sent if no other attempt succeeds."""
-    body = await answer.read()
+    body = await answer.read(reply.collector())
     record_complete_answer(core.fleet, state.fingerprint, core.clock.now())
     if answer.status >= 500:
         record_broken_answer(
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -13,8 +13,10 @@
 
 from .ports import Answer
 from .ports import BrokenAnswerError
+from .ports import Collect
 from .ports import SendFault
 from .ports import TruncatedAnswerError
+from .ports import do_not_collect
 from .systems.worker_health import WorkerLoad
 from .tables.notices import Notice
 
@@ -103,7 +105,7 @@
         self.load: WorkerLoad | None = None
         self.notice = Notice()
 
-    async def read(self) -> bytes:
+    async def read(self, collect: Collect = do_not_collect) -> bytes:
         """Return the complete body, or raise ``BrokenAnswerError``."""
         blocks = []
         size = 0
@@ -112,6 +114,7 @@
             if size > MAX_READ_BYTES:
                 raise BrokenAnswerError(f"body: over {MAX_READ_BYTES} bytes")
             blocks.append(block)
+            await collect(len(block))
         return b"".join(blocks)
 
     async def next_block(self) -> bytes:
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -1,6 +1,8 @@
 """Callers' requests on the platform's wire, and the way back to them."""
 
+import contextlib
 import typing as t
+from functools import partial
 
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
@@ -12,18 +14,24 @@
 from result import Ok
 from result import Result
 
+from ..byte_keeper import ByteKeeper
+from ..byte_keeper import HeldRequest
 from ..catalog_calls import answer_request
 from ..catalog_calls import catalog_steps
 from ..catalog_state import Core
 from ..exceptions import InvariantError
+from ..forwarding import stop_request
 from ..http_replies import HttpReply
 from ..http_sends import drop_headers
+from ..ids import Millis
 from ..ids import ModelId
 from ..ids import RequestId
 from ..ports import Call
 from ..refusals import Problem
 from ..refusals import Refusal
+from ..refusals import Run
 from ..systems.cascading import RequestTokens
+from ..systems.holding import FREE_BYTES
 from ..tables.catalog import CallerLimits
 from ..tables.engines import PromptPart
 from . import wire
@@ -31,6 +39,10 @@
 DEADLINE_MS = 60_000
 """How long a request may take whose caller names no deadline, in ms."""
 
+BODY_RETRY_MS = Millis(1_000)
+"""Time after which a caller may send a refused body again, in ms: stalled answers are
+cut within seconds."""
+
 HEADER_BYTES = 65_536
 """Longest header line, in bytes; the catalog's limit is checked against the whole."""
 
@@ -59,6 +71,18 @@
         """End the connection without the mark that completes a stream."""
         self.abort()
 
+    def cut(self, call: Call | None) -> None:
+        """Cut the answer off, and drop what the caller has not taken of it."""
+        state = self._core.running.get(call.request) if call is not None else None
+        timer = state.timer if state is not None and state.call is call else None
+        if state is None or timer is None or timer.expired():
+            self.abort()
+            return
+        detail = "no progress while the box was full"
+        state.stopped_by = "bytes held"
+        state.last_error = detail
+        stop_request(state, Refusal(Problem.OVERLOADED, detail, Run.UNKNOWN))
+
     def _prepare_head(self, response: web.StreamResponse) -> None:
         if self._core.fleet.stopping:
             response.force_close()
@@ -80,6 +104,7 @@
     ) -> None:
         self._core = core
         self._steps = catalog_steps(core)
+        self.keeper = ByteKeeper(core.fleet, core.clock, core.count)
         self._on_broken = on_broken
         self.server = self._make_server()
 
@@ -132,6 +157,17 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         reply = CallerReply(req, self._core)
+        held = self.keeper.open(RequestId(req.headers.get(wire.REQUEST_ID, "")))
+        reply.held = held
+        held.cut = partial(reply.cut, None)
+        try:
+            return await self._answer_held(req, reply)
+        finally:
+            held.close()
+
+    async def _answer_held(
+        self, req: web.BaseRequest, reply: CallerReply
+    ) -> web.StreamResponse:
         await self._answer(req, reply)
         if reply.response is None:
             # The connection is closing; the library drops what it is given for it.
@@ -139,14 +175,19 @@
         if self._core.fleet.stopping:
             # The head may have left before the stop began.
             reply.response.force_close()
+        # The library ends the connection of a caller that is gone.
+        with contextlib.suppress(ConnectionError):
+            await reply.drain()
         return reply.response
 
     async def _answer(self, req: web.BaseRequest, reply: CallerReply) -> None:
         began = self._core.clock.now()
-        read = await _read_call(req, began)
+        assert reply.held is not None
+        read = await _read_call(req, began, reply.held)
         if isinstance(read, Err):
             await reply.refuse(read.err_value)
         else:
+            reply.held.cut = partial(reply.cut, read.ok_value)
             await self._answer_call(read.ok_value, reply)
 
     async def _answer_call(self, call: Call, reply: CallerReply) -> None:
@@ -158,7 +199,39 @@
             self._on_broken(exc)
 
 
-async def _read_call(req: web.BaseRequest, began: int) -> Result[Call, Refusal]:
+async def _read_body(req: web.BaseRequest, held: HeldRequest) -> Result[bytes, Refusal]:
+    """Read a body as far as the account of bytes held allows it."""
+    declared = req.content_length
+    size = declared if declared is not None else 0
+    small = declared is not None and declared <= FREE_BYTES
+    if not held.may_take_body(size):
+        return _full(held, size)
+    if held.marks is None:
+        body = await req.read()
+        held.add_body(len(body))
+        return Ok(body)
+    blocks = []
+    size = 0
+    while block := await req.content.readany():
+        size += len(block)
+        if 0 < req._client_max_size < size:
+            raise web.HTTPRequestEntityTooLarge(req._client_max_size, size)
+        held.add_body(len(block))
+        blocks.append(block)
+        if not held.has_room() and not small:
+            return _full(held, size)
+    return Ok(b"".join(blocks))
+
+
+def _full(held: HeldRequest, size: int) -> Err[Refusal]:
+    held.log_refused_body(size)
+    detail = "body: the box holds too many bytes now"
+    return Err(Refusal(Problem.OVERLOADED, detail, Run.NO, BODY_RETRY_MS))
+
+
+async def _read_call(
+    req: web.BaseRequest, began: int, held: HeldRequest
+) -> Result[Call, Refusal]:
     headers = req.headers
     request = headers.get(wire.REQUEST_ID, "")
     if not request:
@@ -168,10 +241,12 @@
     if deadline is None:
         return _bad(f"header {wire.DEADLINE}: {told!r}; whole ms are allowed")
     try:
-        body = await req.read()
+        read = await _read_body(req, held)
     except web.HTTPRequestEntityTooLarge:
         detail = "body: longer than the catalog allows"
         return Err(Refusal(Problem.TOO_LARGE, detail))
+    if isinstance(read, Err):
+        return read
     target = req.raw_path
     host = headers.get("Host", "").lower().partition(":")[0]
     model = headers.get(wire.MODEL, "")
@@ -184,7 +259,7 @@
             host=host,
             path=target.partition("?")[0],
             headers=_end_to_end(headers, keep_model=model not in ("", wire.ANY_MODEL)),
-            body=body,
+            body=read.ok_value,
             credential=headers.get(wire.CREDENTIAL, ""),
             began=began,
             deadline=began + deadline,
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -146,6 +146,15 @@
     refused: bool = False
 
 
+Collect = t.Callable[[int], t.Awaitable[None]]
+"""Takes the size of a block of an answer that is collected, and returns when the next
+one may be read."""
+
+
+async def do_not_collect(_size: int) -> None:
+    """Keep no account of an answer that is collected."""
+
+
 class Answer(t.Protocol):
     """The head of a worker's answer, and access to its body.
 
@@ -178,8 +187,11 @@
     load: WorkerLoad | None
     notice: Notice
 
-    async def read(self) -> bytes:
-        """Return the complete body, or raise ``BrokenAnswerError``."""
+    async def read(self, collect: Collect = do_not_collect) -> bytes:
+        """Return the complete body, or raise ``BrokenAnswerError``.
+
+        `collect` is called with the size of each block before the next one is read.
+        """
 
     async def next_block(self) -> bytes:
         """Return the next bytes (empty at the end) or raise ``BrokenAnswerError``."""
@@ -213,6 +225,9 @@
     async def write(self, block: bytes) -> None:
         """Send the next bytes of a stream."""
 
+    def collector(self) -> Collect:
+        """Return a function that counts the blocks of a new whole answer."""
+
     async def end(self) -> None:
         """End a stream as complete."""
 
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -78,7 +78,8 @@
     failures of its own, in the loop's time. A request whose body is ``ends_on`` ends it
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
     headers that it puts into all its answers, ``asks`` those beside its word
-    that it has no room, ``said`` which answers had any.
+    that it has no room, ``said`` which answers had any. ``event_bytes`` is the least
+    length of an event's data.
 
     Parameters
     ----------
@@ -102,6 +103,7 @@
         self.on_end: t.Callable[[], None] = lambda: None
         self.events = 4
         self.event_s = 0.0
+        self.event_bytes = 0
         self.sureness: dict[str, int] = {}
         self.says: dict[str, str] = {}
         self.said: list[Said] = []
@@ -266,7 +268,8 @@
         writer.write(self._head(status, seen.request, None, sealed=sealed, extra=extra))
         begin = int(seen.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(begin, self.events + 1)):
-            event = f"id: {number}\ndata: {seen.request}/{number}\n\n".encode()
+            text = f"{seen.request}/{number}".ljust(self.event_bytes, ".")
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             if sent == CUT_AFTER and fault is WorkerFault.CUT:
                 await asyncio.sleep(0.03)
                 writer.write(_chunk(event[:9]))
--- a/src/spanshunt/tables/holdings.py
+++ b/src/spanshunt/tables/holdings.py
@@ -4,7 +4,6 @@
 
 from ..ids import Millis
 from ..ids import RequestId
-from ..ids import WorkerId
 
 
 class BoxLimits(msgspec.Struct, frozen=True):
@@ -33,20 +32,45 @@
 
     Attributes
     ----------
-    worker : str
-        The worker that answers it; empty before the request was sent.
     body_bytes : int
         Bytes of the request's body.
     unread_bytes : int
         Bytes of the answer that the caller has not taken yet.
     progress_at : int
         When the caller last took bytes, or when the answer began, in ms.
+    offered : bool
+        Whether the caller is being sent the answer; False while the box still collects
+        it.
+    cut : bool
+        Whether the answer is being cut off to free its bytes.
     """
 
-    worker: WorkerId = WorkerId("")
     body_bytes: int = 0
     unread_bytes: int = 0
     progress_at: Millis = Millis(0)
+    offered: bool = False
+    cut: bool = False
+
+
+class ByteMarks(msgspec.Struct, frozen=True):
+    """Marks of the account of bytes, in bytes.
+
+    Attributes
+    ----------
+    low : int
+        Below it, no body is refused.
+    high : int
+        From it on, reading from workers is paused for callers who are behind.
+    bound : int
+        From it on, bodies are refused and answers without progress are cut.
+    answer : int
+        Most unread bytes of one answer.
+    """
+
+    low: int
+    high: int
+    bound: int
+    answer: int
 
 
 class ByteAccount(msgspec.Struct):
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,203 @@
+"""Callers who read or send slowly, against the bytes that a box holds for them."""
+
+import asyncio
+import contextlib
+import socket
+import typing as t
+
+import pytest
+
+from fleet_builders import CONFIG
+from fleet_builders import KEY
+from fleet_builders import Box
+from fleet_builders import TestFleet
+from fleet_builders import config
+from fleet_builders import running_fleet
+from fleet_builders import until
+from spanshunt.systems import holding
+from spanshunt.tables.holdings import BoxLimits
+from spanshunt.tables.holdings import ByteMarks
+
+SMALL = BoxLimits(memory_mb=80)
+EVENT = 16_384
+EVENTS = 1_000
+"""A stream of 16 MB: more than the buffers of the connections on its way."""
+
+WINDOW = 32_768
+CALLERS = 24
+"""More callers than answers that fit into the account."""
+
+END = b"\r\n0\r\n\r\n"
+BLOCK = 262_144
+"""Most that the box reads at once from a worker, with a margin, in bytes."""
+
+
+def marks() -> ByteMarks:
+    """Return the marks of a small box."""
+    found = holding.byte_marks(SMALL)
+    assert found is not None
+    return found
+
+
+def head(fleet: TestFleet, path: str, body: int = 0, **more: str) -> bytes:
+    """Return the head of a request as a caller sends it."""
+    headers = fleet.headers(path, KEY, {"Deadline-Ms": "30000", **more})
+    headers["Content-Length"] = str(body)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode()
+
+
+async def connect(box: Box) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect as a caller with a small window that reads only when told to."""
+    host, _, port = box.base.removeprefix("http://").rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return await asyncio.open_connection(sock=sock, limit=WINDOW)
+
+
+@contextlib.asynccontextmanager
+async def fleet_of_long_streams(
+    limits: BoxLimits,
+) -> t.AsyncIterator[tuple[TestFleet, Box]]:
+    """Run one box before workers that send long streams as fast as they can."""
+    async with running_fleet() as fleet:
+        routes = [{**route, "TimeoutMs": 30_000} for route in CONFIG["Routes"]]
+        await fleet.configure(config(8, Routes=routes))
+        box = fleet.boxes[0]
+        await until(
+            lambda: (
+                (catalog := box.node.fleet.catalog) is not None and catalog.version == 8
+            ),
+            "new catalog",
+        )
+        box.node.fleet.limits = limits
+        for worker in fleet.workers.values():
+            worker.events = EVENTS
+            worker.event_bytes = EVENT
+        yield fleet, box
+
+
+async def read_all(reader: asyncio.StreamReader) -> bytes:
+    """Read an answer up to its end, or that of the connection."""
+    body = bytearray()
+    with contextlib.suppress(ConnectionError):
+        while block := await reader.read(1 << 20):
+            body += block
+            if body.endswith(END):
+                break
+    return bytes(body)
+
+
+def total(box: Box) -> int:
+    """Return the bytes in the account."""
+    return box.node.fleet.byte_account.total
+
+
+async def test_without_known_memory_nothing_is_bounded_refused_or_cut() -> None:
+    async with fleet_of_long_streams(BoxLimits()) as (fleet, box):
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/long/a"))
+        await until(lambda: total(box) > 0, "bytes are unread")
+        await asyncio.sleep(0.3)
+        assert total(box) < 2 * BLOCK
+        body = await read_all(reader)
+        assert body.endswith(END)
+        assert len(body) > EVENTS * EVENT
+        counters = box.node.counters
+        for name in ("bytes.paused", "bytes.cut", "bytes.body_refused"):
+            assert counters.value(name) == 0
+        writer.close()
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+
+
+async def test_the_box_reads_on_for_a_slow_caller_up_to_the_bound_of_an_answer() -> (
+    None
+):
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/long/a"))
+        await until(lambda: total(box) >= marks().answer, "buffer is full")
+        await asyncio.sleep(0.3)
+        assert total(box) < marks().answer + 2 * BLOCK
+        body = await read_all(reader)
+        assert body.endswith(END)
+        assert len(body) > EVENTS * EVENT
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+        writer.close()
+
+
+async def test_callers_who_all_stop_reading_are_cut_and_the_one_who_reads_is_not(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(holding, "STALLED_MS", 600)
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        stopped = [await connect(box) for _ in range(CALLERS)]
+        most = 0
+        for _, writer in stopped:
+            writer.write(head(fleet, "/long/a"))
+        for _ in range(1_000):
+            most = max(most, total(box))
+            await asyncio.sleep(0.01)
+            if box.node.counters.value("bytes.cut") > 2:
+                break
+        assert box.node.counters.value("bytes.cut") > 2
+        assert marks().bound <= most <= marks().bound + CALLERS * BLOCK
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/long/a"))
+        body = await read_all(reader)
+        assert body.endswith(END)
+        assert len(body) > EVENTS * EVENT
+        writer.close()
+        cut = 0
+        for reader, writer in stopped:
+            cut += not (await read_all(reader)).endswith(END)
+            writer.close()
+        assert cut == box.node.counters.value("bytes.cut")
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+
+
+async def test_a_large_body_is_refused_unread_when_the_account_is_full() -> None:
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        account = box.node.fleet.byte_account
+        holding.add_body(account, holding.open_row(account, "x", 0), marks().high)
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/view/a", 1_000_000, Attempt_Id="large"))
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry" in answer.lower()
+        writer.close()
+        small = await fleet.ask(box, "/view/a", body=b"small")
+        assert small.status == 200
+        seen = [seen for worker in fleet.workers.values() for seen in worker.seen]
+        assert len(seen) == 1
+        assert box.node.counters.value("bytes.body_refused") == 1
+
+
+async def test_slow_uploads_count_as_they_arrive_and_end_at_the_bound() -> None:
+    """200 callers send bodies of 1 MB slowly."""
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        callers = [await connect(box) for _ in range(200)]
+        for _, writer in callers:
+            writer.write(head(fleet, "/view/a", 1_000_000))
+        await until(
+            lambda: len(box.node.fleet.byte_account.held) == 200, "heads are read"
+        )
+        assert total(box) == 0
+        most = 0
+        for _ in range(20):
+            for _, writer in callers:
+                if not writer.is_closing():
+                    writer.write(bytes(10_000))
+            await asyncio.sleep(0.02)
+            most = max(most, total(box))
+        assert marks().high < most <= marks().bound + BLOCK
+        assert box.node.counters.value("bytes.body_refused") > 0
+        for _, writer in callers:
+            writer.close()
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
