Bound bodies on the way to a worker; pages and gauges of the bytes held

Cause: nothing limited what a box leaves at a worker that reads slowly. Change: the bytes of bodies whose answer has not begun are counted by worker; with a known memory a body goes to another worker, or is refused as not run, where it would lift them over a quarter of the box's bound. Gauges, and pages.

--- a/src/spanshunt/byte_keeper.py
+++ b/src/spanshunt/byte_keeper.py
@@ -91,7 +91,7 @@
             return
         held = self._open[chosen]
         held.row.cut = True
-        self.count("bytes.cut")
+        self.count("answers_cut")
         log_event(
             "WARNING",
             "answer cut",
@@ -104,6 +104,17 @@
         held.cut()
 
 
+def held_lines(fleet: Fleet) -> str:
+    """Return the gauges of the bytes held, one a line."""
+    account, marks = fleet.byte_account, byte_marks(fleet.limits)
+    bound = marks.bound if marks is not None else 0
+    return (
+        f"spanshunt_bytes_held {account.total}\n"
+        f"spanshunt_bytes_bound {bound}\n"
+        f"spanshunt_requests_held {len(account.held)}\n"
+    )
+
+
 class HeldRequest:
     """The bytes held for one request.
 
@@ -161,7 +172,7 @@
     def log_refused_body(self, size: int) -> None:
         """Log and count that the body is refused."""
         keeper, marks = self._keeper, self.marks
-        keeper.count("bytes.body_refused")
+        keeper.count("bodies_refused")
         log_event(
             "WARNING",
             "body refused",
@@ -199,7 +210,7 @@
         if marks is None or may_read_on(keeper.fleet.byte_account, marks, self.row, 0):
             return
         began = keeper.clock.now()
-        keeper.count("bytes.paused")
+        keeper.count("answers_paused")
         while True:
             keeper.make_room()
             await asyncio.sleep(PAUSE_STEP_S)
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -224,6 +224,7 @@
         new_connection=state.has_failed_attempt or not state.repeatable,
     )
     worker.prefill_ms += prefill_ms
+    worker.upload_bytes += len(state.call.body)
     send_task = asyncio.ensure_future(core.send(dispatch))
     try:
         waited = await _await_head(core, state, attempt, send_task)
@@ -233,6 +234,7 @@
         result = send_task.result()
     finally:
         worker.prefill_ms -= prefill_ms
+        worker.upload_bytes -= len(state.call.body)
         if not send_task.done():
             send_task.cancel()
     return result.err_value if isinstance(result, Err) else result.ok_value
--- a/src/spanshunt/http_replies.py
+++ b/src/spanshunt/http_replies.py
@@ -100,10 +100,11 @@
         await response.prepare(self._req)
         await response.write_eof()
         held.refresh()
-        if held.row.unread_bytes:
+        if held.row.unread_bytes and not transport.is_closing():
             transport.set_write_buffer_limits(0)
             await self._req.writer.drain()
-        transport.set_write_buffer_limits()
+        if not transport.is_closing():
+            transport.set_write_buffer_limits()
 
     def abort(self) -> None:
         """Close the connection without any further message to the caller.
@@ -126,6 +127,8 @@
         held, transport = self.held, self._transport()
         if held is None or transport is None or held.row.offered:
             return
+        if transport.is_closing():
+            return
         held.offer(transport)
         marks = held.marks
         if marks is not None:
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -27,6 +27,7 @@
 from .systems.estimating import Prompt
 from .systems.placing import PlacementRequest
 from .systems.placing import choose_worker
+from .systems.placing import full_uploads
 from .systems.placing import throttle_wait_ms
 from .systems.placing import throttled_workers
 from .systems.quarantining import is_suspect
@@ -227,6 +228,7 @@
         workers_with_suspects=_workers_with_suspects(core, state)
         if suspected
         else None,
+        body_bytes=len(state.call.body),
     )
 
 
@@ -259,6 +261,10 @@
     """Return the refusal of a request for which no worker was chosen."""
     fleet, now = core.fleet, core.clock.now()
     rows = throttled_workers(fleet, request, now)
+    if not rows and full_uploads(fleet, request, now):
+        core.count("uploads_refused")
+        detail = f"bodies on the way fill the workers of {request.service} now"
+        return _no_worker_refusal(core, state, detail)
     if not rows:
         detail = f"no worker of {request.service} accepts requests now"
         return _no_worker_refusal(core, state, detail)
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -11,6 +11,7 @@
 
 from ..background import Background
 from ..break_causes import handle_worker_end
+from ..byte_keeper import held_lines
 from ..catalog_fetcher import CatalogFetcher
 from ..catalog_state import Core
 from ..clock import Clock
@@ -374,7 +375,8 @@
             body = msgspec.json.encode(view)
             return web.Response(body=body, content_type="application/json")
         page = metrics_page(self.counters, self.histograms)
-        return web.Response(text=page + settings_lines(self.fleet, self.clock.now()))
+        gauges = settings_lines(self.fleet, self.clock.now()) + held_lines(self.fleet)
+        return web.Response(text=page + gauges)
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -79,7 +79,7 @@
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
     headers that it puts into all its answers, ``asks`` those beside its word
     that it has no room, ``said`` which answers had any. ``event_bytes`` is the least
-    length of an event's data.
+    length of an event's data, ``whole_bytes`` that of a plain answer.
 
     Parameters
     ----------
@@ -104,6 +104,7 @@
         self.events = 4
         self.event_s = 0.0
         self.event_bytes = 0
+        self.whole_bytes = 0
         self.sureness: dict[str, int] = {}
         self.says: dict[str, str] = {}
         self.said: list[Said] = []
@@ -230,7 +231,8 @@
     async def _whole(
         self, seen: SeenRequest, writer: asyncio.StreamWriter, fault: WorkerFault
     ) -> bool:
-        body = f"answer to {seen.request} by {self.name}".encode()
+        text = f"answer to {seen.request} by {self.name}"
+        body = text.ljust(self.whole_bytes, ".").encode()
         status = 500 if fault is WorkerFault.ERROR else 200
         request = "someone-else" if fault is WorkerFault.OTHER else seen.request
         sealed = fault is not WorkerFault.UNSEALED
--- a/src/spanshunt/systems/holding.py
+++ b/src/spanshunt/systems/holding.py
@@ -12,6 +12,7 @@
 from ..tables.holdings import ByteAccount
 from ..tables.holdings import ByteMarks
 from ..tables.holdings import HeldAnswer
+from ..tables.workers import WorkerRow
 
 BASE_BYTES = 64 * 1_048_576
 """Memory allowed for what the process uses without load, in bytes."""
@@ -26,6 +27,10 @@
 ANSWERS_WITHIN_BOUND = 16
 """Number of answers that may reach their own bound before the account is full."""
 
+WORKER_SHARE = 0.25
+"""Part of the bound that bodies on the way to one worker may take: one that reads
+slowly leaves most of it to the others."""
+
 FREE_BYTES = 65_536
 """Size of bodies that are never refused, and of unread rests that are not paused below
 the bound, in bytes: what a connection buffers by default."""
@@ -50,6 +55,7 @@
         high=int(bound * HIGH_SHARE),
         bound=bound,
         answer=bound // ANSWERS_WITHIN_BOUND,
+        worker=int(bound * WORKER_SHARE),
     )
 
 
@@ -98,6 +104,13 @@
     return account.total + size <= marks.high
 
 
+def may_upload(marks: ByteMarks | None, worker: WorkerRow, size: int) -> bool:
+    """Return whether a body may be sent to a worker beside those on the way to it."""
+    if marks is None or not worker.upload_bytes:
+        return True
+    return worker.upload_bytes + size <= marks.worker
+
+
 def may_read_on(
     account: ByteAccount, marks: ByteMarks, row: HeldAnswer, paused_ms: int
 ) -> bool:
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -40,6 +40,8 @@
 from .estimating import prefill_speed
 from .estimating import shared_prefill_ms
 from .evacuating import evacuated_domains
+from .holding import byte_marks
+from .holding import may_upload
 from .keeping import part_key
 from .outages import has_outage
 from .ramping import VersionRule
@@ -119,6 +121,8 @@
     workers_with_suspects : collection of str or None
         Workers that are answering other suspect requests, if this request is suspect;
         None if it is not.
+    body_bytes : int
+        Length of the request's body.
     """
 
     service: ServiceId
@@ -132,6 +136,7 @@
     eager: bool = True
     regions: tuple[frozenset[RegionId], ...] = ()
     workers_with_suspects: t.Collection[WorkerId] | None = None
+    body_bytes: int = 0
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -265,12 +270,14 @@
     Ejected, silent and unreachable workers are returned only if there is no other.
     """
     takes_work = _availability_filter(fleet, request, now)
+    marks = byte_marks(fleet.limits) if request.body_bytes else None
     able = [
         row
         for row in fleet.workers.find_capable(request.service, request.rule.only)
         if request.rule.admits(row.versions)
         and takes_work(row)
         and throttle_wait_ms(fleet, row, request, now) <= 0
+        and may_upload(marks, row, request.body_bytes)
     ]
     rows = [row for row in able if row.name not in request.tried]
     if not rows and request.allow_tried:
@@ -303,6 +310,12 @@
     ]
 
 
+def full_uploads(fleet: Fleet, request: PlacementRequest, now: Millis) -> bool:
+    """Return whether only bodies on the way keep all workers from the request."""
+    without_body = msgspec.structs.replace(request, body_bytes=0)
+    return bool(candidate_workers(fleet, without_body, now))
+
+
 def throttle_wait_ms(
     fleet: Fleet, row: WorkerRow, request: PlacementRequest, now: Millis
 ) -> Millis:
--- a/src/spanshunt/tables/holdings.py
+++ b/src/spanshunt/tables/holdings.py
@@ -65,12 +65,15 @@
         From it on, bodies are refused and answers without progress are cut.
     answer : int
         Most unread bytes of one answer.
+    worker : int
+        Most bytes of bodies on the way to one worker, unless it is a single body.
     """
 
     low: int
     high: int
     bound: int
     answer: int
+    worker: int
 
 
 class ByteAccount(msgspec.Struct):
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -122,6 +122,9 @@
         Kinds of invalid notices that were logged for the worker.
     speed : WorkerSpeed
         How fast this run of the worker is.
+    upload_bytes : int
+        Bytes of the bodies that this box is sending to the worker: those of requests
+        whose answer has not begun.
     """
 
     name: WorkerId
@@ -162,6 +165,7 @@
     listed_leaving: bool = False
     invalid_notices: set[NoticeKind] = set()
     speed: WorkerSpeed = msgspec.field(default_factory=WorkerSpeed)
+    upload_bytes: int = 0
 
     @property
     def has_notices(self) -> bool:
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -1,11 +1,15 @@
 """Decisions on the bytes that a box holds, without a network."""
 
 import hypothesis.strategies as st
+import msgspec
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
 from spanshunt.ids import Millis
 from spanshunt.ids import RequestId
 from spanshunt.systems.holding import BASE_BYTES
@@ -19,15 +23,20 @@
 from spanshunt.systems.holding import close_row
 from spanshunt.systems.holding import may_read_on
 from spanshunt.systems.holding import may_take_body
+from spanshunt.systems.holding import may_upload
 from spanshunt.systems.holding import open_row
 from spanshunt.systems.holding import set_unread
+from spanshunt.systems.placing import PlacementRequest
+from spanshunt.systems.placing import candidate_workers
+from spanshunt.systems.placing import full_uploads
+from spanshunt.systems.ramping import VersionRule
 from spanshunt.tables.holdings import BoxLimits
 from spanshunt.tables.holdings import ByteAccount
 from spanshunt.tables.holdings import ByteMarks
 from spanshunt.tables.holdings import HeldAnswer
 
 MB = 1_048_576
-MARKS = ByteMarks(low=4 * MB, high=6 * MB, bound=8 * MB, answer=MB // 2)
+MARKS = ByteMarks(low=4 * MB, high=6 * MB, bound=8 * MB, answer=MB // 2, worker=2 * MB)
 BLOCK = 131_072
 
 
@@ -112,6 +121,37 @@
     assert may_take_body(account, MARKS, FREE_BYTES)
 
 
+def test_bodies_on_the_way_to_a_slow_worker_are_bounded() -> None:
+    """Uploads of 1 MB to a worker that reads slowly."""
+    worker = make_worker("slow")
+    assert may_upload(MARKS, worker, 3 * MB)
+    worker.upload_bytes = MB
+    assert may_upload(MARKS, worker, MB)
+    assert not may_upload(MARKS, worker, MB + 1)
+    assert may_upload(None, worker, 100 * MB)
+
+
+def test_a_body_goes_to_a_worker_without_bodies_on_the_way_or_is_refused() -> None:
+    fleet = make_fleet()
+    slow = add_worker(fleet, make_worker("slow"))
+    other = add_worker(fleet, make_worker("other"))
+    request = PlacementRequest(slow.service, VersionRule(), slow.domain, body_bytes=MB)
+    marks = byte_marks(BoxLimits(memory_mb=80))
+    assert marks is not None
+    slow.upload_bytes = marks.worker
+    now = Millis(100_000)
+    assert slow in candidate_workers(fleet, request, now)
+    fleet.limits = BoxLimits(memory_mb=80)
+    assert candidate_workers(fleet, request, now) == [other]
+    other.upload_bytes = marks.worker
+    assert candidate_workers(fleet, request, now) == []
+    assert full_uploads(fleet, request, now)
+    without_body = PlacementRequest(slow.service, VersionRule(), slow.domain)
+    assert len(candidate_workers(fleet, without_body, now)) == 2
+    tried = msgspec.structs.replace(request, tried={slow.name, other.name})
+    assert not full_uploads(fleet, tried, now)
+
+
 class AccountMachine(RuleBasedStateMachine):
     """Requests with bodies and answers, some of whose callers read."""
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -14,6 +14,8 @@
 from fleet_builders import config
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import WorkerId
+from spanshunt.standins.worker import WorkerFault
 from spanshunt.systems import holding
 from spanshunt.tables.holdings import BoxLimits
 from spanshunt.tables.holdings import ByteMarks
@@ -106,7 +108,7 @@
         assert body.endswith(END)
         assert len(body) > EVENTS * EVENT
         counters = box.node.counters
-        for name in ("bytes.paused", "bytes.cut", "bytes.body_refused"):
+        for name in ("answers_paused", "answers_cut", "bodies_refused"):
             assert counters.value(name) == 0
         writer.close()
         await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
@@ -142,9 +144,9 @@
         for _ in range(1_000):
             most = max(most, total(box))
             await asyncio.sleep(0.01)
-            if box.node.counters.value("bytes.cut") > 2:
+            if box.node.counters.value("answers_cut") > 2:
                 break
-        assert box.node.counters.value("bytes.cut") > 2
+        assert box.node.counters.value("answers_cut") > 2
         assert marks().bound <= most <= marks().bound + CALLERS * BLOCK
         reader, writer = await connect(box)
         writer.write(head(fleet, "/long/a"))
@@ -156,7 +158,7 @@
         for reader, writer in stopped:
             cut += not (await read_all(reader)).endswith(END)
             writer.close()
-        assert cut == box.node.counters.value("bytes.cut")
+        assert cut == box.node.counters.value("answers_cut")
         await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
         assert total(box) == 0
 
@@ -175,7 +177,7 @@
         assert small.status == 200
         seen = [seen for worker in fleet.workers.values() for seen in worker.seen]
         assert len(seen) == 1
-        assert box.node.counters.value("bytes.body_refused") == 1
+        assert box.node.counters.value("bodies_refused") == 1
 
 
 async def test_slow_uploads_count_as_they_arrive_and_end_at_the_bound() -> None:
@@ -196,8 +198,144 @@
             await asyncio.sleep(0.02)
             most = max(most, total(box))
         assert marks().high < most <= marks().bound + BLOCK
-        assert box.node.counters.value("bytes.body_refused") > 0
+        assert box.node.counters.value("bodies_refused") > 0
         for _, writer in callers:
             writer.close()
         await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
         assert total(box) == 0
+
+
+async def test_a_body_is_counted_once_while_it_is_repeated_and_on_the_way() -> None:
+    size = 700_000
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        fleet.workers["p-1"].fault = WorkerFault.FULL
+        fleet.workers["p-2"].holds = lambda _request: 0.5
+        rows = box.node.fleet.workers.rows
+        asked = [
+            asyncio.ensure_future(fleet.ask(box, "/view/a", body=bytes(size)))
+            for _ in range(2)
+        ]
+        p_2 = fleet.workers["p-2"]
+        await until(lambda: len(p_2.ran) == 2, "both run")
+        assert total(box) == 2 * size
+        assert rows[WorkerId("p-2")].upload_bytes == 2 * size
+        assert rows[WorkerId("p-1")].upload_bytes == 0
+        refused = await fleet.ask(box, "/view/a", body=bytes(size + 100_000))
+        assert refused.status == 503
+        assert [reply.status for reply in await asyncio.gather(*asked)] == [200, 200]
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+        assert rows[WorkerId("p-2")].upload_bytes == 0
+
+
+async def test_a_worker_that_falls_over_with_uploads_leaves_no_bytes_counted() -> None:
+    """A worker ends with 100 requests of this box."""
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        for name in ("p-1", "p-2"):
+            fleet.workers[name].holds = lambda _request: 5.0
+        asked = [
+            asyncio.ensure_future(fleet.ask(box, "/view/a", body=bytes(10_000)))
+            for _ in range(100)
+        ]
+        workers = [fleet.workers["p-1"], fleet.workers["p-2"]]
+        await until(lambda: sum(len(w.ran) for w in workers) == 100, "all run")
+        assert total(box) == 1_000_000
+        for worker in workers:
+            worker.end()
+        replies = await asyncio.gather(*asked)
+        assert {reply.status for reply in replies} == {502}
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+        rows = box.node.fleet.workers.rows.values()
+        assert all(row.upload_bytes == 0 for row in rows)
+
+
+async def test_a_caller_who_reads_a_byte_a_second_holds_no_more_than_its_bound() -> (
+    None
+):
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/long/a"))
+        for _ in range(3):
+            assert await reader.readexactly(1)
+            await asyncio.sleep(1.0)
+            assert total(box) < marks().answer + 2 * BLOCK
+        assert box.node.counters.value("answers_cut") == 0
+        writer.close()
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+
+
+WHOLE = 14_000_000
+"""Length of a plain answer: more than the buffers of a connection."""
+
+
+async def test_a_plain_answer_is_counted_until_its_caller_has_taken_it() -> None:
+    async with fleet_of_long_streams(BoxLimits(memory_mb=160)) as (fleet, box):
+        for worker in fleet.workers.values():
+            worker.whole_bytes = WHOLE
+        reader, writer = await connect(box)
+        writer.write(head(fleet, "/view/a"))
+        await until(lambda: bool(reader._buffer), "answer begins")
+        rows = box.node.fleet.workers.rows.values()
+        assert not any(row.inflight for row in rows)
+        assert 0 < total(box) <= WHOLE + BLOCK
+        answer_head = await reader.readuntil(b"\r\n\r\n")
+        assert answer_head.startswith(b"HTTP/1.1 200")
+        body = await reader.readexactly(WHOLE)
+        assert body.startswith(b"answer to")
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+        writer.write(head(fleet, "/view/a"))
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+
+async def test_a_plain_answer_that_is_cut_is_shorter_than_its_length(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(holding, "STALLED_MS", 300)
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        for worker in fleet.workers.values():
+            worker.whole_bytes = WHOLE // 2
+        callers = [await connect(box) for _ in range(4)]
+        for _, writer in callers:
+            writer.write(head(fleet, "/view/a"))
+        cut = box.node.counters
+        await until(lambda: cut.value("answers_cut") > 0, "an answer is cut")
+        whole = failed = short = 0
+        for reader, writer in callers:
+            answer_head = await reader.readuntil(b"\r\n\r\n")
+            length = int(
+                answer_head.lower().partition(b"content-length: ")[2].split()[0]
+            )
+            try:
+                await reader.readexactly(length)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                short += 1
+            else:
+                whole += answer_head.startswith(b"HTTP/1.1 200")
+                failed += answer_head.startswith(b"HTTP/1.1 502")
+            writer.close()
+        assert whole + failed + short == 4
+        assert failed + short == cut.value("answers_cut")
+        await until(lambda: not box.node.fleet.byte_account.held, "account is empty")
+        assert total(box) == 0
+
+
+async def test_two_requests_under_one_id_are_counted_apart() -> None:
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        callers = [await connect(box) for _ in range(2)]
+        for _, writer in callers:
+            writer.write(head(fleet, "/view/a", 1_000, **{"Attempt-Id": "same"}))
+            writer.write(bytes(500))
+        held = box.node.fleet.byte_account.held
+        await until(lambda: total(box) == 1_000, "half of both bodies is read")
+        assert len(held) == 2
+        callers[0][1].close()
+        await until(lambda: len(held) == 1, "one is gone")
+        assert total(box) == 500
+        callers[1][1].write(bytes(500))
+        answer = await callers[1][0].readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 200")
+        callers[1][1].close()
