Look into the kernel's queues before an answer is cut

Cause: the kernel takes megabytes of an answer at once, so a caller who reads slowly seemed to make no progress for seconds and was cut for callers who do not read. Change: while the account is full, progress is what the caller has acknowledged.

--- a/src/spanshunt/byte_keeper.py
+++ b/src/spanshunt/byte_keeper.py
@@ -1,7 +1,10 @@
 """Keeping the account of bytes held for the requests of callers."""
 
 import asyncio
+import fcntl
 import itertools
+import struct
+import termios
 import typing as t
 
 from .clock import Clock
@@ -25,6 +28,8 @@
 """How often a paused answer looks whether it may be read on, in s."""
 
 
+_INT = struct.Struct("i")
+
 LOOK_MS = 25
 """Shortest time between two looks for an answer to cut, in ms: each look at all answers
 may cut one."""
@@ -85,7 +90,7 @@
             return
         self._look_at = Millis(now + LOOK_MS)
         for held in self._open.values():
-            held.refresh()
+            held.look()
         chosen = choose_cut(account, marks, now)
         if chosen is None:
             return
@@ -144,6 +149,8 @@
         self.cut: t.Callable[[], None] = lambda: None
         self._keeper = keeper
         self._transport: asyncio.WriteTransport | None = None
+        self._written = 0
+        self._taken: int | None = None
 
     @property
     def marks(self) -> ByteMarks | None:
@@ -190,6 +197,7 @@
     def add_unread(self, size: int) -> None:
         """Count bytes of the answer that are about to be written or are collected."""
         keeper = self._keeper
+        self._written += size
         add_unread(keeper.fleet.byte_account, self.row, size, keeper.clock.now())
 
     def drop_collected(self) -> None:
@@ -204,6 +212,21 @@
             keeper = self._keeper
             set_unread(keeper.fleet.byte_account, self.row, unread, keeper.clock.now())
 
+    def look(self) -> None:
+        """Look for progress of the caller, also in the buffers of the kernel.
+
+        These take megabytes at once, so the transport alone shows no progress of a slow
+        caller for many seconds. The first look only notes what the caller has.
+        """
+        self.refresh()
+        if self._transport is None or not self.row.unread_bytes:
+            return
+        left = self.row.unread_bytes + _unacknowledged_bytes(self._transport)
+        taken = self._written - left
+        if self._taken is None or taken > self._taken:
+            self.row.progress_at = self._keeper.clock.now()
+        self._taken = taken
+
     async def pace(self) -> None:
         """Return when the next block of the answer may be read from its worker."""
         keeper, marks = self._keeper, self.marks
@@ -223,3 +246,18 @@
     def close(self) -> None:
         """Close the account of the request."""
         self._keeper.close(self)
+
+
+def _unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
+    """Return how many bytes the kernel holds that the peer has not acknowledged.
+
+    It is 0 where the system does not tell, so only the transport shows progress.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
+    except (OSError, ValueError):
+        return 0
+    return int(_INT.unpack(raw)[0])
--- a/src/spanshunt/systems/holding.py
+++ b/src/spanshunt/systems/holding.py
@@ -133,16 +133,17 @@
 def choose_cut(account: ByteAccount, marks: ByteMarks, now: Millis) -> RequestId | None:
     """Return the answer to cut, or None.
 
-    It is the one without progress for longest. While another one is being cut, its
-    bytes are about to be freed, and none is chosen.
+    It is the one without progress for longest: its caller takes nothing of it, or its
+    worker sends nothing more of one that is still collected. While another one is being
+    cut, its bytes are about to be freed, and none is chosen.
     """
     if account.total < marks.bound:
         return None
-    if any(row.cut for row in account.held.values()):
+    if any(row.cut and row.unread_bytes for row in account.held.values()):
         return None
     stalled = [
         (row.progress_at, request)
         for request, row in account.held.items()
-        if row.unread_bytes and now - row.progress_at >= STALLED_MS
+        if row.unread_bytes and not row.cut and now - row.progress_at >= STALLED_MS
     ]
     return min(stalled)[1] if stalled else None
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -163,6 +163,35 @@
         assert total(box) == 0
 
 
+async def read_slowly(reader: asyncio.StreamReader) -> None:
+    """Read a little at a time."""
+    while await reader.read(8_192):
+        await asyncio.sleep(0.02)
+
+
+async def test_callers_who_read_slowly_are_not_cut_for_those_who_do_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The buffers of the kernel hide for seconds that a caller reads."""
+    monkeypatch.setattr(holding, "STALLED_MS", 600)
+    async with fleet_of_long_streams(SMALL) as (fleet, box):
+        names = [f"slow-{number}" for number in range(6)]
+        names += [f"stopped-{number}" for number in range(CALLERS - 6)]
+        callers = [await connect(box) for _ in names]
+        for name, (_, writer) in zip(names, callers, strict=True):
+            writer.write(head(fleet, "/long/a", **{"Attempt-Id": name}))
+        slow = [asyncio.ensure_future(read_slowly(callers[i][0])) for i in range(6)]
+        counters = box.node.counters
+        await until(lambda: counters.value("answers_cut") >= 4, "answers are cut")
+        await asyncio.sleep(1.0)
+        held = box.node.fleet.byte_account.held
+        assert set(names[:6]) <= set(held)
+        for task in slow:
+            task.cancel()
+        for _, writer in callers:
+            writer.close()
+
+
 async def test_a_large_body_is_refused_unread_when_the_account_is_full() -> None:
     async with fleet_of_long_streams(SMALL) as (fleet, box):
         account = box.node.fleet.byte_account
