--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -34,6 +34,7 @@
 from .systems.placing import candidate_workers
 from .systems.placing import choose_worker
 from .systems.placing import earliest_first_event_ms
+from .systems.placing import full_uploads
 from .systems.placing import throttle_wait_ms
 from .systems.placing import throttled_workers
 from .systems.quarantining import is_suspect
@@ -205,7 +206,7 @@
         waited_ms=0,
     )
     detail = f"no engine of {state.service} can begin the answer in time"
-    retry_ms = retry_after_ms(core, state.admitted.route)
+    retry_ms = retry_after_ms(core, state)
     return Refusal(Problem.OVERLOADED, detail, Run.NO, retry_ms)
 
 
@@ -344,6 +345,7 @@
         if suspected
         else None,
         full=state.full_workers,
+        body_bytes=len(state.call.body),
     )
 
 
@@ -376,6 +378,10 @@
     """Return the refusal of a request for which no worker was chosen."""
     fleet, now = core.fleet, core.clock.now()
     rows = throttled_workers(fleet, request, now)
+    if not rows and full_uploads(fleet, request, now):
+        core.count("uploads_refused")
+        detail = f"bodies on the way fill the workers of {request.service} now"
+        return _no_worker_refusal(core, state, detail)
     if not rows:
         detail = f"no worker of {request.service} accepts requests now"
         return _no_worker_refusal(core, state, detail)
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -11,6 +11,7 @@
 
 from ..background import Background
 from ..break_causes import handle_worker_end
+from ..byte_keeper import held_lines
 from ..catalog_fetcher import CatalogFetcher
 from ..catalog_state import Core
 from ..clock import Clock
@@ -409,8 +410,8 @@
         now = self.clock.now()
         page = metrics_page(self.counters, self.histograms)
         page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
-        page += waiting_lines(self.fleet)
-        return web.Response(text=page + share_lines(self.fleet))
+        page += waiting_lines(self.fleet) + share_lines(self.fleet)
+        return web.Response(text=page + held_lines(self.fleet))
 
 
 def _new_fleet(settings: NodeSettings, clock: Clock) -> Fleet:
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -82,6 +82,8 @@
     headers that it puts into all its answers, ``asks`` those beside its word
     that it has no room, ``said`` which answers had any. ``slots`` bounds what it runs
     at once and how many requests wait; without them it has room for all.
+    ``event_bytes`` is the least length of an event's data, ``whole_bytes`` that of a
+    plain answer.
 
     Parameters
     ----------
@@ -106,6 +108,8 @@
         self.slots: WorkerSlots | None = None
         self.events = 4
         self.event_s = 0.0
+        self.event_bytes = 0
+        self.whole_bytes = 0
         self.sureness: dict[str, int] = {}
         self.says: dict[str, str] = {}
         self.said: list[Said] = []
@@ -243,7 +247,8 @@
     async def _whole(
         self, seen: SeenRequest, writer: asyncio.StreamWriter, fault: WorkerFault
     ) -> bool:
-        body = f"answer to {seen.request} by {self.name}".encode()
+        text = f"answer to {seen.request} by {self.name}"
+        body = text.ljust(self.whole_bytes, ".").encode()
         status = 500 if fault is WorkerFault.ERROR else 200
         request = "someone-else" if fault is WorkerFault.OTHER else seen.request
         sealed = fault is not WorkerFault.UNSEALED
@@ -281,7 +286,8 @@
         writer.write(self._head(status, seen.request, None, sealed=sealed, extra=extra))
         begin = int(seen.headers.get("last-event-id", "0")) + 1
         for sent, number in enumerate(range(begin, self.events + 1)):
-            event = f"id: {number}\ndata: {seen.request}/{number}\n\n".encode()
+            text = f"{seen.request}/{number}".ljust(self.event_bytes, ".")
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             if sent == CUT_AFTER and fault is WorkerFault.CUT:
                 await asyncio.sleep(0.03)
                 writer.write(_chunk(event[:9]))
