--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -109,6 +109,10 @@
 STOP_MARGIN_MS = 900
 """What is left of the grace when the last requests are given up, in ms."""
 
+STOP_WAITS_MS = 1_500
+"""What is left of the grace when a stopping box refuses the requests that still wait,
+in ms: those that it sent just before must be answered before the last are given up."""
+
 STOP_STEP_S = 0.05
 """How often a stopping box looks whether requests are under way, in s."""
 
@@ -279,9 +283,11 @@
     async def stop(self) -> None:
         """Stop as planned: not ready first, then finish what is under way."""
         begun = self.clock.now()
+        grace_ms = int(self.settings.bounds.grace_s * 1_000)
+        self.fleet.waits_end = Millis(begun + max(0, grace_ms - STOP_WAITS_MS))
         self.fleet.stopping = True
         log_event("INFO", "stopping", running=len(self.core.running))
-        last = begun + self.settings.bounds.grace_s * 1_000 - STOP_MARGIN_MS
+        last = begun + grace_ms - STOP_MARGIN_MS
         if not self.broken:
             await asyncio.sleep(LINGER_MS / 1_000)
             await self._until_idle(last)
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -85,6 +85,11 @@
     ]
 
 
+def must_end_waits(fleet: Fleet, now: Millis) -> bool:
+    """Return whether this box stops and may let no request wait any more."""
+    return fleet.stopping and now >= fleet.waits_end
+
+
 def max_waiting_bytes(fleet: Fleet) -> int:
     """Return how many bytes all waiting requests may take."""
     memory_mb = fleet.limits.memory_mb
@@ -155,13 +160,13 @@
     """Decide on a request that is ready to be sent and does not wait yet.
 
     It is refused only if no worker has room and no worker is expected to start it in
-    time, if this box has no memory for one more, or if the box stops. What is reckoned
-    with is the usual time of work at the fastest worker.
+    time, if this box has no memory for one more, or if the box is about to end. What is
+    reckoned with is the usual time of work at the fastest worker.
     """
     waiting = fleet.wait_list
     if room.has_room and not waiting.waiters.get(waiter.service):
         return Admission.SEND
-    if fleet.stopping or now >= waiter.start_by:
+    if now >= waiter.start_by or must_end_waits(fleet, now):
         return Admission.SEND if room.has_room else Admission.REFUSE
     if waiting.bytes + waiter.bytes > max_waiting_bytes(fleet):
         return Admission.REFUSE
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -378,6 +378,8 @@
         or the store is heard first, in ms.
     stopping : bool
         Whether a planned stop is in progress.
+    waits_end : int
+        When a stopping box refuses the requests that still wait, in ms.
     """
 
     identity: Identity
@@ -427,6 +429,7 @@
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     wake_hold_until: Millis = Millis(0)
     stopping: bool = False
+    waits_end: Millis = Millis(0)
 
     @property
     def catalog_version(self) -> int:
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -32,6 +32,7 @@
 from .systems.queueing import expected_wait_ms
 from .systems.queueing import expired_waiters
 from .systems.queueing import latest_start
+from .systems.queueing import must_end_waits
 from .systems.queueing import remove_waiter
 from .systems.queueing import sort_waiters
 from .systems.sharing import is_over_share
@@ -199,7 +200,7 @@
         """End the waits that are over: for room, for time, or as the box stops."""
         self._look_due = False
         fleet, now = self._core.fleet, self._core.clock.now()
-        if fleet.stopping:
+        if must_end_waits(fleet, now):
             ended = list(self._entries)
         else:
             ended = expired_waiters(fleet.wait_list, now)
@@ -256,7 +257,7 @@
             return None
         core.count("refused_too_late")
         detail = f"no worker of {state.service} can start the request in time"
-        if core.fleet.stopping:
+        if must_end_waits(core.fleet, core.clock.now()):
             detail = f"this box stops, and no worker of {state.service} has room"
         retry_ms = retry_after_ms(core, state)
         return Refusal(Problem.OVERLOADED, detail, Run.NO, retry_ms)
@@ -295,7 +296,7 @@
     def _reason(self, admission: Admission) -> str:
         if admission is Admission.SEND:
             return "a worker has room"
-        if self._core.fleet.stopping:
+        if must_end_waits(self._core.fleet, self._core.clock.now()):
             return "the box stops"
         return "no worker can start it in time"
 
