--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -36,7 +36,7 @@
 from .systems.worker_health import record_unreachable
 from .systems.worker_speed import excused_factor
 from .systems.worker_speed import learn_plain_factor
-from .systems.worker_speed import measured_factor
+from .systems.worker_speed import time_factor
 from .systems.worker_speed import update_slow_mark
 from .tables.catalog import RequestKind
 from .tables.rollouts import Tally
@@ -147,7 +147,7 @@
     judged_ms = first_ms / excused_factor(attempt.worker, now)
     if is_slow_first_byte(fleet, route, attempt.model, read, judged_ms):
         _mark_slow(core, state, attempt)
-    usual_ms = first_ms / measured_factor(attempt.worker, now)
+    usual_ms = first_ms / time_factor(attempt.worker, now)
     learn_first_byte_time(fleet, route, attempt.model, read, usual_ms)
 
 
--- a/src/spanshunt/systems/worker_speed.py
+++ b/src/spanshunt/systems/worker_speed.py
@@ -36,9 +36,9 @@
 """Largest difference between the logarithms of a measured and the known factor that
 counts. Times are seldom too short and often too long, by any amount."""
 
-MIN_ANSWER_WEIGHT = 0.1
+MIN_ANSWER_WEIGHT = 0.03
 """Least weight of one answer in a usual factor, so that it follows a machine that
-changes for good within about twenty answers."""
+changes for good within about fifty answers."""
 
 MIN_SERVICE_ANSWERS = 8
 """Number of answers after which the usual time of a service is known well enough to
@@ -53,10 +53,10 @@
 
 MAX_PEER_WEIGHT = 0.5
 """Greatest weight of a peer's usual factor against this box's own, so that no box that
-is wrong replaces what this box learned."""
+is wrong, or repeats old news, replaces what this box learned."""
 
-MIN_SLOW_ANSWERS = 3
-"""Number of own answers of a worker from which it may be logged as slow."""
+MAX_PEER_ANSWERS = 50
+"""Number of a peer's answers that counts at most, so that a box goes on learning."""
 
 SLOW_WORKER_FACTOR, NO_LONGER_SLOW_FACTOR = 1.5, 1.3
 """Usual factors from which a worker counts as slow, and below which no longer; the
@@ -86,11 +86,6 @@
     return 1.0 + (speed.slowdown - 1.0) * weight
 
 
-def measured_factor(row: WorkerRow, now: Millis) -> float:
-    """Return the time of work that a worker has just done, against the usual."""
-    return row.speed.usual_factor * present_slowdown(row, now)
-
-
 def record_slowdown(row: WorkerRow, slowdown: float, now: Millis) -> None:
     """Record the slowdown that a worker reports."""
     row.speed.slowdown = max(MIN_SLOWDOWN, slowdown)
@@ -165,18 +160,15 @@
 
 
 def merge_usual_factor(row: WorkerRow, factor: float, answers: int) -> None:
-    """Merge the usual factor that a peer knows, weighted by its own answers.
-
-    Only own answers are counted, here and there: if what was merged counted as well,
-    answers would soon weigh nothing, and if the greatest number prevailed, answers of
-    boxes that get many at once would, which are the quick ones.
-    """
+    """Merge the usual factor that a peer knows, weighted by its number of answers."""
     if not (answers > 0 and 0.0 < factor < math.inf):
         return
     speed = row.speed
-    weight = min(MAX_PEER_WEIGHT, answers / (answers + speed.answers))
+    known = min(answers, MAX_PEER_ANSWERS)
+    weight = min(MAX_PEER_WEIGHT, known / (known + speed.answers))
     surprise = math.log(_bounded(factor) / speed.usual_factor)
     speed.usual_factor = _bounded(speed.usual_factor * math.exp(weight * surprise))
+    speed.answers = max(speed.answers, known)
 
 
 def _bounded(factor: float) -> float:
@@ -209,7 +201,7 @@
 def update_slow_mark(row: WorkerRow) -> bool:
     """Update whether a worker counts as usually slow; return whether that changed."""
     speed = row.speed
-    if speed.answers < MIN_SLOW_ANSWERS:
+    if speed.answers < MIN_SERVICE_ANSWERS:
         return False
     bound = NO_LONGER_SLOW_FACTOR if speed.slow else SLOW_WORKER_FACTOR
     was_slow, speed.slow = speed.slow, speed.usual_factor >= bound
--- a/src/spanshunt/tables/speeds.py
+++ b/src/spanshunt/tables/speeds.py
@@ -14,7 +14,7 @@
         Time that the worker usually takes, as a multiple of what its service usually
         takes; above 1 for a slow worker. 1 while nothing is known.
     answers : int
-        Number of answers to this box that the factor contains.
+        Number of answers that this factor is based on.
     slowdown : float
         Time that work takes there now, as a multiple of what the worker usually takes,
         by its newest report; 1 if it reports none.
