--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -195,15 +195,6 @@
     return min(rows, key=lambda row: _turn(fleet, row, now), default=None)
 
 
-def waiters_in_order(fleet: Fleet, service: ServiceId, now: Millis) -> list[Waiter]:
-    """Return the waiting requests of a service in the order in which they start.
-
-    The last one is the first to be given up if too many wait.
-    """
-    rows = fleet.wait_list.waiters.get(service, {}).values()
-    return sorted(rows, key=lambda row: _turn(fleet, row, now))
-
-
 def waiters_before(fleet: Fleet, waiter: Waiter, now: Millis) -> int:
     """Return how many waiting requests get room before one that may join them."""
     turn = _turn(fleet, waiter, now)
@@ -212,7 +203,7 @@
 
 
 def own_waiters_before(fleet: Fleet, waiter: Waiter) -> int:
-    """Return how many of them are of the same organisation."""
+    """Return how many waiting requests of its organisation go before a request."""
     order = (waiter.priority, waiter.start_by)
     return sum(
         row.org == waiter.org
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -62,11 +62,11 @@
 from spanshunt.systems.sharing import services_short_of_room
 from spanshunt.systems.sharing import update_shares
 from spanshunt.systems.sharing import waiters_before
-from spanshunt.systems.sharing import waiters_in_order
 from spanshunt.systems.worker_room import ServiceRoom
 from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.fleet import EvacuationRow
 from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.waiting import Waiter
 
 ORGS = tuple(OrgId(f"org-{number}") for number in range(6))
 
@@ -95,6 +95,15 @@
             exchange(fleet, rng.choice([x for x in boxes if x is not fleet]), now)
 
 
+def starts_in_order(fleet: Fleet, now: int) -> list[Waiter]:
+    """Return all waiters in the order in which they get room, and remove them."""
+    started = []
+    while waiter := next_waiter(fleet, WEB, Millis(now)):
+        remove_waiter(fleet.wait_list, waiter)
+        started.append(waiter)
+    return started
+
+
 def overload(fleet: Fleet, now: int = 5_000) -> None:
     """Let one organisation ask for twice the room of all workers."""
     arrive(fleet, LARGE, 2 * ROOM * 1_000 / WORK_MS, now, 5_000)
@@ -214,7 +223,7 @@
         make_waiter("sooner", LARGE, start_by=2_000),
         make_waiter("other", SMALL, start_by=2_500),
     )
-    order = [row.request for row in waiters_in_order(boxes[0], WEB, Millis(0))]
+    order = [row.request for row in starts_in_order(boxes[0], 0)]
     assert order == ["sooner", "other", "later"]
 
 
@@ -356,7 +365,7 @@
         normal = make_waiter(f"normal-{number}", priority=1, start_by=start_by)
         late = make_waiter(f"late-{number}", priority=2, start_by=start_by)
         add_waiters(fleet, urgent, normal, late)
-    order = waiters_in_order(fleet, WEB, Millis(0))
+    order = starts_in_order(fleet, 0)
     served = collections.Counter(row.priority for row in order[:300])
     assert served[0] >= served[1] >= served[2] > 0
     assert served[1] >= 200 / 8
