Infer queues of workers that report no load; learn work times with room only

Cause: without load reports, requests beside unknown queues made the usual time of work creep from 400 to 800 ms, and six boxes filled all places. Change: an answer's or a time-out's time beyond the usual tells of a queue, for plain workers that never reported a load; times of work are learned only while all workers of the service are believed to have free slots.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -31,6 +31,7 @@
 from .systems.timing import is_slow_first_byte
 from .systems.timing import learn_first_byte_time
 from .systems.warming import mark_cold
+from .systems.work_times import infer_others
 from .systems.work_times import learn_work_time
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
@@ -260,6 +261,7 @@
     route = state.admitted.route
     if attempt.prompt is not None or route.kind is RequestKind.STREAM:
         return
+    infer_others(core.fleet, route, attempt.worker, first_ms, core.clock.now())
     learn_work_time(
         core.fleet,
         route,
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -58,6 +58,7 @@
 from .systems.timing import has_sent_recently
 from .systems.warming import is_cold
 from .systems.warming import record_cold_send
+from .systems.work_times import infer_others
 from .systems.worker_health import record_load
 from .systems.worker_room import record_full
 from .systems.worker_speed import present_slowdown
@@ -308,6 +309,8 @@
     limit = first_byte_timeout_ms(
         core.fleet, route, attempt.model, read, attempt.time_factor
     )
+    if attempt.prompt is None and not attempt.answered:
+        infer_others(core.fleet, route, attempt.worker, waited, core.clock.now())
     if not attempt.answered and waited >= limit:
         detail = f"no answer within {waited} ms, when the request timed out"
         fault = SendFault(False, detail, silent=True)
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -58,7 +58,8 @@
     answered : bool
         Whether the head of an answer arrived.
     worker_free : bool
-        Whether the worker was believed to have a free slot when this was planned.
+        Whether all workers of the service were believed to have a free slot when this
+        was planned.
     repeat : bool
         Whether the attempt counts as an arrival beyond the first of its request.
     time_factor : float
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -42,7 +42,7 @@
 from .systems.ramping import version_rule_for
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
-from .systems.worker_room import has_free_slot
+from .systems.worker_room import has_free_slots_everywhere
 from .tables.catalog import RequestKind
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
@@ -95,7 +95,7 @@
             prompt=_build_prompt(state, service, model),
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
-            worker_free=has_free_slot(placed.worker, core.clock.now()),
+            worker_free=has_free_slots_everywhere(core.fleet, service.name),
             time_factor=placed.time_factor,
         )
     )
--- a/src/spanshunt/systems/work_times.py
+++ b/src/spanshunt/systems/work_times.py
@@ -10,6 +10,10 @@
 MAX_STEP, MIN_STEP = 0.6, 0.06
 """Relative steps by which a learned time changes, at first and later."""
 
+MIN_INFERRED_WAIT = 0.25
+"""Time beyond the usual, as a fraction of it, from which an answer is taken to have
+waited behind others: work varies by itself."""
+
 
 def usual_work_ms(fleet: Fleet, route: RouteRow) -> float:
     """Return the usual time of work of a route's requests, in ms; 0 if unknown."""
@@ -62,6 +66,26 @@
     known.usual_ms *= 1.0 + (step if took_ms > known.usual_ms else -step)
 
 
+def infer_others(
+    fleet: Fleet, route: RouteRow, worker: WorkerRow, took_ms: float, now: Millis
+) -> None:
+    """Infer from an answer's time how many requests a worker has that reports no load.
+
+    Time beyond the route's usual is taken to be the wait behind a full batch, and the
+    worker to have as many requests now as it had then.
+    """
+    usual_ms = usual_work_ms(fleet, route) * time_factor(worker, now)
+    if worker.reported_at or usual_ms <= 0.0:
+        return
+    waited = took_ms / usual_ms - 1.0
+    if waited < MIN_INFERRED_WAIT:
+        worker.others = 0
+        return
+    held = round(worker.slots * (1.0 + waited))
+    worker.others = max(0, held - worker.inflight)
+    worker.others_at = now
+
+
 def forget_work_times(fleet: Fleet) -> None:
     """Remove the times of routes that the catalog no longer has."""
     if fleet.catalog is None:
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -74,12 +74,6 @@
     return row.others * weight
 
 
-def has_free_slot(row: WorkerRow, now: Millis) -> bool:
-    """Return whether a worker begins a request at once that is sent to it now."""
-    held = row.inflight + others_requests(row, now, FULL_HALF_LIFE_MS)
-    return held <= row.slots
-
-
 def request_bound(row: WorkerRow, work_ms: float) -> float:
     """Return how many requests a worker may hold with the next one."""
     lead = LEAD_MS / work_ms if work_ms > 0.0 else MAX_LEAD_FRACTION
