--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -17,8 +17,10 @@
 from .ids import ServiceId
 from .ids import WorkerId
 from .keeping_back import quarantine_refusal
+from .logs import log_event
 from .refusals import Problem
 from .refusals import Refusal
+from .refusals import Run
 from .systems.admitting import steps_below_highest
 from .systems.cascading import EscalationProspect
 from .systems.cascading import plan_models
@@ -26,13 +28,17 @@
 from .systems.demand import record_arrival
 from .systems.estimating import FirstEventEstimate
 from .systems.estimating import Prompt
+from .systems.estimating import prefill_speed
+from .systems.placing import Placement
 from .systems.placing import PlacementRequest
 from .systems.placing import candidate_workers
 from .systems.placing import choose_worker
+from .systems.placing import earliest_first_event_ms
 from .systems.placing import throttle_wait_ms
 from .systems.placing import throttled_workers
 from .systems.quarantining import is_suspect
 from .systems.quarantining import may_send_content
+from .systems.queueing import may_begin_in_time
 from .systems.ramping import VersionRule
 from .systems.ramping import version_rule_for
 from .systems.returning import RefusedCall
@@ -40,7 +46,7 @@
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
 from .systems.work_times import usual_work_ms
-from .systems.worker_room import has_free_slot
+from .systems.worker_room import has_free_slots_everywhere
 from .tables.catalog import RequestKind
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
@@ -78,6 +84,9 @@
     placed = choose_worker(core.fleet, request, core.clock.now(), core.rng)
     if placed is None:
         return Err(_unplaced_refusal(core, state, request))
+    refusal = _late_prompt_refusal(core, state, request, placed)
+    if refusal is not None:
+        return Err(refusal)
     return Ok(
         CatalogAttempt(
             worker=placed.worker,
@@ -90,7 +99,7 @@
             prompt=_build_prompt(state, service, model),
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
-            worker_free=has_free_slot(placed.worker, core.clock.now()),
+            worker_free=has_free_slots_everywhere(core.fleet, service.name),
             time_factor=placed.time_factor,
         )
     )
@@ -157,6 +166,49 @@
     return Millis(int(mean_ms * (0.5 + core.rng.random())))
 
 
+def _late_prompt_refusal(
+    core: Core, state: CatalogRequest, request: PlacementRequest, placed: Placement
+) -> Refusal | None:
+    """Return a refusal if no engine can send a prompt's first event in time.
+
+    A prompt that an engine may have run, and one that is asked of a larger model, are
+    sent in any case. So is one whose model's speed is not known from answers, because
+    answers are what makes it known.
+    """
+    expected, prompt = placed.expected, request.prompt
+    if expected is None or prompt is None or state.runs or state.escalated:
+        return None
+    now = core.clock.now()
+    left_ms = state.limit - now
+    if may_begin_in_time(expected.first_ms, left_ms):
+        return None
+    if not prefill_speed(core.fleet, prompt.service, prompt.model).answers:
+        return None
+    earliest_ms = earliest_first_event_ms(core.fleet, request, prompt, now)
+    if may_begin_in_time(earliest_ms, left_ms):
+        return None
+    core.count("refused_too_late")
+    log_event(
+        "INFO",
+        "admission",
+        request=state.request,
+        route=state.request_class,
+        org=state.org,
+        service=state.service,
+        admission="refuse",
+        why="no engine can begin its answer in time",
+        workers=[placed.worker.name],
+        report_age_ms=placed.report_age_ms,
+        model=prompt.model,
+        expected_ms=round(earliest_ms),
+        left_ms=left_ms,
+        waited_ms=0,
+    )
+    detail = f"no engine of {state.service} can begin the answer in time"
+    retry_ms = retry_after_ms(core, state)
+    return Refusal(Problem.OVERLOADED, detail, Run.NO, retry_ms)
+
+
 def _draw_service(core: Core, state: CatalogRequest) -> ServiceRow | None:
     """Draw the service by the route's shares, always the same one for a session."""
     shares = state.admitted.route.shares
