--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -47,7 +47,7 @@
 from .systems.silence import silent_workers
 from .systems.throttling import has_limited_workers
 from .systems.work_times import usual_work_ms
-from .systems.worker_room import has_free_slot
+from .systems.worker_room import has_free_slots_everywhere
 from .tables.catalog import RequestKind
 from .tables.catalog import RouteRow
 from .tables.catalog import ServiceRow
@@ -100,7 +100,7 @@
             prompt=_build_prompt(state, service, model),
             expected=placed.expected or FirstEventEstimate(),
             passed_over=_describe_throttled(core, request),
-            worker_free=has_free_slot(placed.worker, core.clock.now()),
+            worker_free=has_free_slots_everywhere(core.fleet, service.name),
             time_factor=placed.time_factor,
         )
     )
