The soak leaves alone the workers that its checks of words need

Cause: an action of the schedule struck the very worker on which the plant could show: a harmed worker lost the fault with which it turned requests away, and so asked for no rest; both workers that named a limit were drained, or began another life, before a window could be checked.

Change: the web worker that names a limit, and the one that rests while it does, are left alone by the actions. The writer that names a limit stays subject to all of them.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -170,8 +170,14 @@
     box.peers_link.fault = LinkFault.NONE
 
 
+def disturbable(soak: Soak) -> list[str]:
+    """Return the workers that actions may strike."""
+    out = soak.bad | soak.undisturbed
+    return [name for name in soak.workers if name not in out]
+
+
 async def _harm_worker(soak: Soak) -> None:
-    name = soak.rng.choice([name for name in soak.workers if name not in soak.bad])
+    name = soak.rng.choice(disturbable(soak))
     worker, link = soak.workers[name], soak.links[name]
     if soak.rng.random() < 0.6:
         worker.fault = soak.rng.choice(list(WorkerFault))
@@ -186,15 +192,14 @@
 
 async def _end_worker(soak: Soak) -> None:
     """End a worker at once; it is back under its id, with nothing of before."""
-    name = soak.rng.choice([name for name in soak.workers if name not in soak.bad])
+    name = soak.rng.choice(disturbable(soak))
     if soak.workers[name].listening:
         soak.workers[name].end()
         await come_back(soak, name)
 
 
 async def _drain_worker(soak: Soak) -> None:
-    out = soak.draining.keys() | soak.bad
-    ready = [name for name in soak.workers if name not in out]
+    ready = [name for name in disturbable(soak) if name not in soak.draining]
     name = soak.rng.choice(ready)
     await add_worker(soak, soak.services[name], soak.workers[name].version)
     await list_worker(soak, name, "draining")
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -164,6 +164,7 @@
     strikes no single box. ``limits`` were named by workers; those
     that are ``leaving`` say so in their answers alone. ``harmed`` tells which worker's
     link was, and from when until when, ``lives`` when which worker began another.
+    ``undisturbed`` workers are left alone, so that a check has something to see.
     """
 
     rng: random.Random
@@ -206,6 +207,7 @@
     leaving: set[str] = field(default_factory=set)
     harmed: list[tuple[str, float, float]] = field(default_factory=list)
     lives: list[tuple[str, float]] = field(default_factory=list)
+    undisturbed: set[str] = field(default_factory=set)
 
     def now(self) -> float:
         """Return the time, in s."""
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -64,11 +64,21 @@
 
 
 async def _name_limits(soak: Soak, rng: random.Random) -> None:
-    """Let a worker of each service name a limit until the end."""
+    """Let a worker of each service name a limit until the end.
+
+    The web worker is near and left alone, so that calm boxes could always send it too
+    much; anything may happen to the writer.
+    """
     await asyncio.sleep(rng.uniform(*NAMED_AT_S))
     for service in ("web", "writer"):
         known = sorted(name for name, of in soak.services.items() if of == service)
+        if service == "web":
+            known = [
+                name for name in known if name not in soak.draining.keys() | soak.far
+            ]
         name, per_s = rng.choice(known), round(rng.uniform(*LIMITS_PER_S), 1)
+        if service == "web":
+            soak.undisturbed.add(name)
         soak.workers[name].says["Server-Limit"] = str(per_s)
         soak.limits.append(NamedLimit(name, per_s, soak.now()))
 
@@ -84,14 +94,22 @@
 
 
 async def _rest(soak: Soak, rng: random.Random) -> None:
-    """Let a worker turn requests away for a while, and ask for rest."""
+    """Let a worker turn requests away for a while, and ask for rest.
+
+    It is left alone meanwhile: another fault would take its place, and where the worker
+    ends or leaves, no box could be seen to let it rest.
+    """
     await asyncio.sleep(rng.uniform(*RESTS_AT_S))
-    name = rng.choice(_unspoken(soak, "writer"))
+    able = _unspoken(soak, "writer")
+    name = rng.choice([one for one in able if soak.workers[one].listening] or able)
+    soak.undisturbed.add(name)
     worker = soak.workers[name]
     worker.asks["Retry-After"] = str(REST_S)
     worker.fault = WorkerFault.FULL
     await asyncio.sleep(TURNS_AWAY_S)
     worker.fault = WorkerFault.NONE
+    await asyncio.sleep(REST_S)
+    soak.undisturbed.discard(name)
 
 
 def _unspoken(soak: Soak, service: str) -> list[str]:
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -1,11 +1,18 @@
 """A short seeded run of the process soak, and every seed that ever failed."""
 
+import pathlib
+import random
+
 import pytest
+from bench.soak_faults import disturbable
+from bench.soak_fleet import Soak
 from bench.soak_processes import MUTATIONS
 from bench.soak_processes import REGRESSIONS
 from bench.soak_processes import ROOT
 from bench.soak_processes import run_seed
 
+from spanshunt.standins.worker import WorkerStandin
+
 SHORT_S = 8.0
 
 LONGER_S = 14.0
@@ -44,3 +51,15 @@
         text = (ROOT / "src" / "spanshunt" / mutation.file).read_text()
         assert text.count(mutation.old) >= 1
         mutation = mutation.also
+
+
+def test_actions_leave_the_workers_alone_that_a_check_needs():
+    """Guards against planted bugs that no check could see: of limits, and of rests.
+
+    An action took the fault away from the worker that was to rest, or drained both
+    workers that named a limit.
+    """
+    soak = Soak(random.Random(1), pathlib.Path(), ROOT / "src")
+    soak.workers = {name: WorkerStandin(name) for name in ("w-1", "w-2", "w-3")}
+    soak.bad, soak.undisturbed = {"w-1"}, {"w-2"}
+    assert disturbable(soak) == ["w-3"]
