Let the boxes of the waiting tests know that a busy worker is not silent

Cause: a test of the waiting room failed once, beside other processes: a worker with a queue counted as silent after 360 ms, and requests were sent twice. Change: small_fleet sets the usual time to the first byte; checks are the same.

--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -14,10 +14,12 @@
 from fleet_builders import learn_speed
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import ModelId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
 from spanshunt.standins.slots import WorkerSlots
 from spanshunt.standins.store import EndpointFault
+from spanshunt.tables.fleet import FirstByteTimes
 from spanshunt.tables.waiting import WaitList
 from spanshunt.tables.waiting import WorkTime
 
@@ -38,6 +40,9 @@
             row.slots = slots
         times = fleet.boxes[0].node.fleet.work_times
         times["r-look"] = times["r-view"] = WorkTime(1_000 * work_s, 50)
+        # A busy worker is not silent.
+        usual = FirstByteTimes(1_000 * work_s, answers=50)
+        fleet.boxes[0].node.fleet.first_byte_times[("r-look", ModelId(""))] = usual
         yield fleet
 
 
