Plays' answers and replies keep no account of bytes

Cause: whole answers are collected through the caller's account; the fakes of bench plays had neither, so tests of bad versions failed with an AttributeError, and pytest itself with an error of the interpreter while it showed that. Change: both fakes take the function and use none.

--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -15,9 +15,11 @@
 from result import Result
 
 from spanshunt.ports import Answer
+from spanshunt.ports import Collect
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
 from spanshunt.ports import TruncatedAnswerError
+from spanshunt.ports import do_not_collect
 from spanshunt.systems.worker_health import WorkerLoad
 from spanshunt.tables.notices import Notice
 
@@ -189,7 +191,7 @@
         self.headers: CIMultiDict[str] = CIMultiDict()
         self.notice = notice
 
-    async def read(self) -> bytes:
+    async def read(self, collect: Collect = do_not_collect) -> bytes:
         """Return its body."""
         return b"failed"
 
@@ -226,7 +228,7 @@
         self._begun = False
         self._open = True
 
-    async def read(self) -> bytes:
+    async def read(self, collect: Collect = do_not_collect) -> bytes:
         """Return the whole body."""
         blocks = []
         while block := await self.next_block():
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -50,8 +50,10 @@
 from spanshunt.platform.worker_list import WorkerList
 from spanshunt.ports import Answer
 from spanshunt.ports import Call
+from spanshunt.ports import Collect
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
+from spanshunt.ports import do_not_collect
 from spanshunt.refusals import Refusal
 from spanshunt.standins.store import StoreStandin
 from spanshunt.systems.cascading import RequestTokens
@@ -114,6 +116,10 @@
     async def write(self, block: bytes) -> None:
         """Take more of a stream."""
 
+    def collector(self) -> Collect:
+        """Return a function that keeps no account."""
+        return do_not_collect
+
     async def end(self) -> None:
         """Take the end of a stream."""
         self.ended = True
