Waiters of a full region keep none from idle workers of another

Cause: 17 waiters without room ended a look at the wait list, whoever stood behind them. Where organisations or routes are bound to regions, a crowd that waits for a full region kept requests for another from its idle workers until the crowd's time was over. Each of the 17 was also found by an own pass over all waiters, though the order does not change within a look.

Change: the bound counts by the regions that a request may go to, and the order is computed once a look. sort_waiters is needed no more.

Test: test_waiters_of_a_full_region_keep_none_from_the_workers_of_another failed before (504 for the request whose worker was idle) and passes; test_queueing, test_sharing, test_waiting_room, test_returning pass.

next_waiter is replaced by waiters_in_order in the sources; the tests of the order take its first through a builder, their assertions are unchanged.

--- a/bench/load_slopes.py
+++ b/bench/load_slopes.py
@@ -27,8 +27,8 @@
 from spanshunt.systems.holding import open_row
 from spanshunt.systems.holding import set_unread
 from spanshunt.systems.queueing import add_waiter
-from spanshunt.systems.sharing import next_waiter
 from spanshunt.systems.sharing import update_shares
+from spanshunt.systems.sharing import waiters_in_order
 from spanshunt.systems.worker_health import WorkerLoad
 from spanshunt.systems.worker_health import record_load
 from spanshunt.tables.fleet import Fleet
@@ -51,7 +51,7 @@
 
 def main() -> None:
     """Measure and print."""
-    show("the next of all waiters", "us", [_next_waiter(size) for size in SIZES])
+    show("the order of all waiters", "us", [_waiters_in_order(size) for size in SIZES])
     show("memory of waiters", "bytes", [_waiters_memory(size) for size in SIZES])
     show("shares by organisations", "us", [_shares(size) for size in SIZES])
     show("message, demands by organisations", "bytes", [_demands(n) for n in SIZES])
@@ -87,10 +87,10 @@
         add_waiter(fleet.wait_list, waiter)
 
 
-def _next_waiter(size: int) -> Point:
+def _waiters_in_order(size: int) -> Point:
     fleet = _fleet()
     _add_waiters(fleet, size)
-    return Point(size, timed(lambda: next_waiter(fleet, SERVICE, NOW), 50))
+    return Point(size, timed(lambda: waiters_in_order(fleet, SERVICE, NOW), 50))
 
 
 def _waiters_memory(size: int) -> Point:
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -12,7 +12,6 @@
 from ..ids import Millis
 from ..ids import OrgId
 from ..ids import RequestId
-from ..ids import ServiceId
 from ..tables.fleet import Fleet
 from ..tables.waiting import Waiter
 from ..tables.waiting import WaitList
@@ -69,12 +68,6 @@
         del waiting.waiters[waiter.service]
 
 
-def sort_waiters(waiting: WaitList, service: ServiceId, order: list[RequestId]) -> None:
-    """Bring the requests that wait for a service into an order that contains them."""
-    rows = waiting.waiters[service]
-    waiting.waiters[service] = {name: rows[name] for name in order if name in rows}
-
-
 def expired_waiters(waiting: WaitList, now: Millis) -> list[RequestId]:
     """Return the requests that no worker can start in time any more."""
     return [
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -183,8 +183,8 @@
     share.next_start_at = min(since + pause_ms, float(now + MAX_DEBT_MS))
 
 
-def next_waiter(fleet: Fleet, service: ServiceId, now: Millis) -> Waiter | None:
-    """Return the waiting request that gets the next room at a service, or None.
+def waiters_in_order(fleet: Fleet, service: ServiceId, now: Millis) -> list[Waiter]:
+    """Return the waiting requests of a service in the order in which they get room.
 
     Organisations that ask for no more than their share go first, and those that have
     left some of theirs unused, as what they ask for is theirs whatever the others ask
@@ -192,7 +192,7 @@
     the time left, so that one that has waited longer is not behind a newcomer.
     """
     rows = fleet.wait_list.waiters.get(service, {}).values()
-    return min(rows, key=lambda row: _turn(fleet, row, now), default=None)
+    return sorted(rows, key=lambda row: _turn(fleet, row, now))
 
 
 def waiters_before(fleet: Fleet, waiter: Waiter, now: Millis) -> int:
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 
 import msgspec
@@ -15,6 +16,7 @@
 from .catalog_state import Core
 from .histograms import Measure
 from .ids import Millis
+from .ids import RegionId
 from .ids import RequestId
 from .ids import ServiceId
 from .logs import log_event
@@ -34,9 +36,8 @@
 from .systems.queueing import latest_start
 from .systems.queueing import must_end_waits
 from .systems.queueing import remove_waiter
-from .systems.queueing import sort_waiters
 from .systems.sharing import is_over_share
-from .systems.sharing import next_waiter
+from .systems.sharing import waiters_in_order
 from .systems.work_times import usual_work_ms
 from .systems.worker_room import FULL_HALF_LIFE_MS
 from .systems.worker_room import ServiceRoom
@@ -50,8 +51,8 @@
 """Interval at which waiters are looked at while nothing happens, in s."""
 
 MAX_PASSED_OVER = 16
-"""Waiters without room that are passed over for one behind them at a time: other
-versions or regions may be open to it."""
+"""Waiters of the same regions without room that are passed over for one behind them at
+a time: other versions may be open to it."""
 
 MAX_WORKERS_LOGGED = 6
 """Workers whose believed load is logged for a request."""
@@ -214,25 +215,19 @@
 
         The one after it is looked at when this one is on its way, and counts.
         """
-        fleet = self._core.fleet
-        order = list(fleet.wait_list.waiters[service])
-        passed: list[Waiter] = []
-        while len(passed) <= MAX_PASSED_OVER:
-            waiter = next_waiter(fleet, service, now)
-            if waiter is None:
-                break
+        passed: collections.Counter[tuple[frozenset[RegionId], ...]]
+        passed = collections.Counter()
+        for waiter in waiters_in_order(self._core.fleet, service, now):
             entry = self._entries[waiter.request]
+            regions = entry.state.admitted.regions
+            if passed[regions] > MAX_PASSED_OVER:
+                continue
             room = self._find_room(entry.state)
             if room is None or room.has_room:
                 self._end(entry, Admission.SEND)
                 self.look_soon()
-                break
-            passed.append(waiter)
-            remove_waiter(fleet.wait_list, waiter)
-        for waiter in passed:
-            add_waiter(fleet.wait_list, waiter)
-        if passed:
-            sort_waiters(fleet.wait_list, service, order)
+                return
+            passed[regions] += 1
 
     def _conclude(
         self,
--- a/tests/share_builders.py
+++ b/tests/share_builders.py
@@ -9,6 +9,7 @@
 from spanshunt.ids import RequestId
 from spanshunt.ids import ServiceId
 from spanshunt.systems.queueing import add_waiter
+from spanshunt.systems.sharing import waiters_in_order
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.waiting import Waiter
@@ -54,6 +55,11 @@
     )
 
 
+def next_waiter(fleet: Fleet, service: ServiceId, now: Millis) -> Waiter | None:
+    """Return the waiting request that gets the next room at a service, or None."""
+    return next(iter(waiters_in_order(fleet, service, now)), None)
+
+
 def add_waiters(fleet: Fleet, *waiters: Waiter) -> None:
     """Let requests wait at a box."""
     for waiter in waiters:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -22,6 +22,7 @@
 from share_builders import add_waiters
 from share_builders import make_boxes
 from share_builders import make_waiter
+from share_builders import next_waiter
 from spanshunt.fleet_report import fleet_view
 from spanshunt.ids import DomainId
 from spanshunt.ids import Millis
@@ -55,7 +56,6 @@
 from spanshunt.systems.sharing import charge_start
 from spanshunt.systems.sharing import is_over_share
 from spanshunt.systems.sharing import max_min_shares
-from spanshunt.systems.sharing import next_waiter
 from spanshunt.systems.sharing import org_share
 from spanshunt.systems.sharing import own_waiters_before
 from spanshunt.systems.sharing import service_room
--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -14,7 +14,9 @@
 from fleet_builders import learn_speed
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import DomainId
 from spanshunt.ids import ModelId
+from spanshunt.ids import RegionId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
 from spanshunt.standins.slots import WorkerSlots
@@ -225,7 +227,9 @@
         box.endpoint.fault = EndpointFault.SILENT
         first = await fill(fleet, 2)
         late = ask(fleet, "late")
+        began = time.monotonic()
         assert (await late).status == 200
+        print(time.monotonic() - began)
         await asyncio.gather(*first)
 
 
@@ -277,6 +281,45 @@
             assert reply.status == 200
 
 
+def restrict(fleet: TestFleet, prefix: str, domain: str) -> None:
+    """Let a route's requests only go to workers of one failure domain."""
+    tables = fleet.boxes[0].node.fleet
+    tables.regions[DomainId(domain)] = RegionId(domain)
+    assert tables.catalog is not None
+    (routes,) = tables.catalog.by_host.values()
+    for index, route in enumerate(routes):
+        if route.prefix == prefix:
+            regions = frozenset({RegionId(domain)})
+            routes[index] = msgspec.structs.replace(route, regions=regions)
+
+
+# Guards against many waiters of a full region that keep those behind them from the
+# idle workers of another one.
+async def test_waiters_of_a_full_region_keep_none_from_the_workers_of_another():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        tables = box.node.fleet
+        rows = tables.workers.rows
+        await fleet.list_worker("p-2", service="web", domain="south")
+        await until(lambda: rows[WorkerId("p-2")].domain == "south", "p-2 moves")
+        rows[WorkerId("p-2")].slots = 1
+        restrict(fleet, "/look/", "south")
+        restrict(fleet, "/view/", "north")
+        # Little work is expected, so that many wait.
+        tables.work_times["r-look"] = tables.work_times["r-view"] = WorkTime(1.0, 50)
+        first = [ask(fleet, "look"), ask(fleet, "view", path="/view/")]
+        await until(
+            lambda: sum(row.inflight for row in rows.values()) == 2, "workers are full"
+        )
+        many = [ask(fleet, f"look-{i}", deadline_ms=1_100) for i in range(24)]
+        late = ask(fleet, "late", path="/view/")
+        await until(lambda: waiting(box).count == 25, "requests wait")
+        began = time.monotonic()
+        assert (await late).status == 200
+        assert time.monotonic() - began < 0.9
+        await asyncio.gather(*first, *many)
+
+
 async def test_prompt_that_no_engine_can_begin_in_time_is_refused_unsent():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
