A request with room in its region is sent beside waiters of another

Cause: while anything waited for a service, a newcomer was reckoned behind all of its waiters, also those bound to other regions, and refused for their wait though a worker of its own region stood idle.

Change: it is sent if no waiter may go to a region that it may go to. Requests without bounds on regions are treated as before.

Test: test_request_with_room_in_its_region_is_sent_beside_waiters_of_another failed before (503) and passes; test_waiting_room, test_regions, test_queueing, test_sharing, test_placing, test_forwarding pass.

--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -416,6 +416,14 @@
     return all(region in allowed for allowed in bounds)
 
 
+def may_share_region(
+    first: t.Iterable[frozenset[RegionId]], second: t.Iterable[frozenset[RegionId]]
+) -> bool:
+    """Return whether requests with these sets of allowed regions may go to the same."""
+    bounds = [allowed for allowed in (*first, *second) if allowed]
+    return not bounds or bool(frozenset.intersection(*bounds))
+
+
 def batch_load(row: WorkerRow, now: Millis) -> float:
     """Return a worker's load as a fraction of its batch.
 
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -27,6 +27,7 @@
 from .refusals import Refusal
 from .refusals import Run
 from .share_lines import share_fields
+from .systems.placing import may_share_region
 from .systems.queueing import WAITER_BYTES
 from .systems.queueing import Admission
 from .systems.queueing import add_waiter
@@ -105,6 +106,8 @@
             state.full_workers = room.full if room.has_room else frozenset()
             if state.runs or (waited and room.has_room):
                 break
+            if room.has_room and not self._has_rivals(state):
+                break
             waiter = self._make_waiter(state, room, since)
             admission = admit(core.fleet, room, waiter, core.clock.now())
             if admission is not Admission.WAIT:
@@ -122,6 +125,15 @@
             self._look_due = True
             asyncio.get_running_loop().call_soon(self._look)
 
+    def _has_rivals(self, state: CatalogRequest) -> bool:
+        """Return whether a waiting request may go to a region that this one may."""
+        regions = state.admitted.regions
+        return any(
+            entry.waiter.service == state.service
+            and may_share_region(regions, entry.state.admitted.regions)
+            for entry in self._entries.values()
+        )
+
     def _find_room(self, state: CatalogRequest) -> ServiceRoom | None:
         """Return the room for a request; None if no worker accepts it at all."""
         core = self._core
--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -293,6 +293,16 @@
             routes[index] = msgspec.structs.replace(route, regions=regions)
 
 
+async def split_regions(fleet: TestFleet) -> None:
+    """Leave p-1 to one route and p-2 to the other, by their regions."""
+    rows = fleet.boxes[0].node.fleet.workers.rows
+    await fleet.list_worker("p-2", service="web", domain="south")
+    await until(lambda: rows[WorkerId("p-2")].domain == "south", "p-2 moves")
+    rows[WorkerId("p-2")].slots = 1
+    restrict(fleet, "/look/", "south")
+    restrict(fleet, "/view/", "north")
+
+
 # Guards against many waiters of a full region that keep those behind them from the
 # idle workers of another one.
 async def test_waiters_of_a_full_region_keep_none_from_the_workers_of_another():
@@ -300,11 +310,7 @@
         box = fleet.boxes[0]
         tables = box.node.fleet
         rows = tables.workers.rows
-        await fleet.list_worker("p-2", service="web", domain="south")
-        await until(lambda: rows[WorkerId("p-2")].domain == "south", "p-2 moves")
-        rows[WorkerId("p-2")].slots = 1
-        restrict(fleet, "/look/", "south")
-        restrict(fleet, "/view/", "north")
+        await split_regions(fleet)
         # Little work is expected, so that many wait.
         tables.work_times["r-look"] = tables.work_times["r-view"] = WorkTime(1.0, 50)
         first = [ask(fleet, "look"), ask(fleet, "view", path="/view/")]
@@ -320,6 +326,24 @@
         await asyncio.gather(*first, *many)
 
 
+# Guards against a refusal for a wait behind requests that need other workers.
+async def test_request_with_room_in_its_region_is_sent_beside_waiters_of_another():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        rows = box.node.fleet.workers.rows
+        await split_regions(fleet)
+        first = ask(fleet, "look")
+        await until(lambda: rows[WorkerId("p-2")].inflight == 1, "p-2 is full")
+        # Little work is expected, so that these wait, and one behind them would not.
+        times = box.node.fleet.work_times
+        times["r-look"] = times["r-view"] = WorkTime(100.0, 50)
+        late = [ask(fleet, f"look-{i}", deadline_ms=1_000) for i in range(4)]
+        await until(lambda: waiting(box).count == 4, "requests wait")
+        reply = await ask(fleet, "view", path="/view/", deadline_ms=1_050)
+        assert reply.status == 200
+        await asyncio.gather(first, *late)
+
+
 async def test_prompt_that_no_engine_can_begin_in_time_is_refused_unsent():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
