--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -14,7 +14,9 @@
 from fleet_builders import learn_speed
 from fleet_builders import running_fleet
 from fleet_builders import until
+from spanshunt.ids import DomainId
 from spanshunt.ids import ModelId
+from spanshunt.ids import RegionId
 from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
 from spanshunt.standins.slots import WorkerSlots
@@ -118,6 +120,21 @@
     assert len(line["workers"]) == 2
 
 
+# Guards against a second place in the queue of returns for one refusal.
+async def test_refused_caller_gets_one_place_among_those_that_return():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        first = await fill(fleet, 2)
+        late = ask(fleet, "late")
+        await until(lambda: waiting(box).count == 1, "request waits")
+        assert (await ask(fleet, "hopeless", deadline_ms=320)).status == 503
+        assert box.node.counters.value("returns_spread") == 1
+        assert box.node.fleet.returns_told == 1
+        for reply in await asyncio.gather(*first, late):
+            assert reply.status == 200
+        assert box.node.counters.value("returns_spread") == 1
+
+
 async def test_deadline_that_passes_in_a_wait_is_answered_before_and_nothing_is_sent():
     async with small_fleet(work_s=1.0) as fleet:
         box = fleet.boxes[0]
@@ -210,7 +227,9 @@
         box.endpoint.fault = EndpointFault.SILENT
         first = await fill(fleet, 2)
         late = ask(fleet, "late")
+        began = time.monotonic()
         assert (await late).status == 200
+        print(time.monotonic() - began)
         await asyncio.gather(*first)
 
 
@@ -262,6 +281,69 @@
             assert reply.status == 200
 
 
+def restrict(fleet: TestFleet, prefix: str, domain: str) -> None:
+    """Let a route's requests only go to workers of one failure domain."""
+    tables = fleet.boxes[0].node.fleet
+    tables.regions[DomainId(domain)] = RegionId(domain)
+    assert tables.catalog is not None
+    (routes,) = tables.catalog.by_host.values()
+    for index, route in enumerate(routes):
+        if route.prefix == prefix:
+            regions = frozenset({RegionId(domain)})
+            routes[index] = msgspec.structs.replace(route, regions=regions)
+
+
+async def split_regions(fleet: TestFleet) -> None:
+    """Leave p-1 to one route and p-2 to the other, by their regions."""
+    rows = fleet.boxes[0].node.fleet.workers.rows
+    await fleet.list_worker("p-2", service="web", domain="south")
+    await until(lambda: rows[WorkerId("p-2")].domain == "south", "p-2 moves")
+    rows[WorkerId("p-2")].slots = 1
+    restrict(fleet, "/look/", "south")
+    restrict(fleet, "/view/", "north")
+
+
+# Guards against many waiters of a full region that keep those behind them from the
+# idle workers of another one.
+async def test_waiters_of_a_full_region_keep_none_from_the_workers_of_another():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        tables = box.node.fleet
+        rows = tables.workers.rows
+        await split_regions(fleet)
+        # Little work is expected, so that many wait.
+        tables.work_times["r-look"] = tables.work_times["r-view"] = WorkTime(1.0, 50)
+        first = [ask(fleet, "look"), ask(fleet, "view", path="/view/")]
+        await until(
+            lambda: sum(row.inflight for row in rows.values()) == 2, "workers are full"
+        )
+        many = [ask(fleet, f"look-{i}", deadline_ms=1_100) for i in range(24)]
+        late = ask(fleet, "late", path="/view/")
+        await until(lambda: waiting(box).count == 25, "requests wait")
+        began = time.monotonic()
+        assert (await late).status == 200
+        assert time.monotonic() - began < 0.9
+        await asyncio.gather(*first, *many)
+
+
+# Guards against a refusal for a wait behind requests that need other workers.
+async def test_request_with_room_in_its_region_is_sent_beside_waiters_of_another():
+    async with small_fleet() as fleet:
+        box = fleet.boxes[0]
+        rows = box.node.fleet.workers.rows
+        await split_regions(fleet)
+        first = ask(fleet, "look")
+        await until(lambda: rows[WorkerId("p-2")].inflight == 1, "p-2 is full")
+        # Little work is expected, so that these wait, and one behind them would not.
+        times = box.node.fleet.work_times
+        times["r-look"] = times["r-view"] = WorkTime(100.0, 50)
+        late = [ask(fleet, f"look-{i}", deadline_ms=1_000) for i in range(4)]
+        await until(lambda: waiting(box).count == 4, "requests wait")
+        reply = await ask(fleet, "view", path="/view/", deadline_ms=1_050)
+        assert reply.status == 200
+        await asyncio.gather(first, *late)
+
+
 async def test_prompt_that_no_engine_can_begin_in_time_is_refused_unsent():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
