--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -51,7 +51,7 @@
 LOOK_S = 0.02
 """Interval at which waiters are looked at while nothing happens, in s."""
 
-MAX_PASSED_OVER = 16
+MAX_PASSED_OVER = 4
 """Waiters of the same regions without room that are passed over for one behind them at
 a time: other versions may be open to it."""
 
