State the steps of learned work times as they are applied

Cause: the constants said relative steps of 0.6 and 0.06, and the code halved them. Change: the constants hold the halves, the code halves nothing, and docstrings say what counts as an answer without a queue. Multiples of two are exact in floats, so no learned time changes. Conclusion: constants, docstring and code agree.

--- a/src/spanshunt/systems/work_times.py
+++ b/src/spanshunt/systems/work_times.py
@@ -7,8 +7,9 @@
 from ..tables.workers import WorkerRow
 from .worker_speed import time_factor
 
-MAX_STEP, MIN_STEP = 0.6, 0.06
-"""Relative steps by which a learned time changes, at first and later."""
+MAX_STEP, MIN_STEP = 0.3, 0.03
+"""Relative steps by which a learned time changes: `MAX_STEP` divided by the number of
+answers, but at least `MIN_STEP`."""
 
 MIN_INFERRED_WAIT = 0.25
 """Time beyond the usual, as a fraction of it, from which an answer is taken to have
@@ -32,8 +33,7 @@
 ) -> None:
     """Move a route's usual time towards the median of the times of its answers.
 
-    While all known answers are of workers that had no free slot, the shortest time
-    counts.
+    As long as no answer came without a possible queue, the shortest time counts.
 
     Parameters
     ----------
@@ -48,7 +48,8 @@
     now : int
         The time, in ms.
     was_free : bool
-        Whether the worker was believed to have a free slot for the request.
+        Whether all workers of the service were believed to have a free slot, so that
+        the request hardly waited.
     """
     took_ms = max(1.0, took_ms / time_factor(worker, now))
     known = fleet.work_times.get(route.name)
@@ -62,14 +63,14 @@
         fleet.work_times[route.name] = WorkTime(took_ms)
         return
     known.answers += 1
-    step = max(MIN_STEP, MAX_STEP / known.answers) / 2
+    step = max(MIN_STEP, MAX_STEP / known.answers)
     known.usual_ms *= 1.0 + (step if took_ms > known.usual_ms else -step)
 
 
 def infer_others(
     fleet: Fleet, route: RouteRow, worker: WorkerRow, took_ms: float, now: Millis
 ) -> None:
-    """Infer from an answer's time how many requests a worker has that reports no load.
+    """Infer the load of a worker that reports none from the time of its answer.
 
     Time beyond the route's usual is taken to be the wait behind a full batch, and the
     worker to have as many requests now as it had then.
