Benches: one word for calls to boxes, no wrapper of a mean

Cause: `sends` was calls to boxes in bench.shares and sends to workers in bench.overload. Change: callers of bench.shares count `calls`; bench.scores takes the mean directly. Conclusion: what is printed stays as it was.

--- a/bench/scores.py
+++ b/bench/scores.py
@@ -60,11 +60,9 @@
     falls: dict[str, list[float]] = {}
     for key in before.keys() & after.keys():
         falls.setdefault(key.site, []).append(before[key].worth - after[key].worth)
-    return sorted(site for site, rows in falls.items() if _mean(rows) > MAX_FALL)
-
-
-def _mean(rows: list[float]) -> float:
-    return statistics.fmean(rows)
+    return sorted(
+        site for site, rows in falls.items() if statistics.fmean(rows) > MAX_FALL
+    )
 
 
 @cappa.command(name="scores")
--- a/bench/shares.py
+++ b/bench/shares.py
@@ -52,7 +52,7 @@
     comes_back: bool = False
     asked: int = 0
     served: int = 0
-    sends: int = 0
+    calls: int = 0
     unanswered: int = 0
     returns: list[float] = field(default_factory=list)
 
@@ -61,7 +61,7 @@
         return (
             f"{self.org}: asked {self.asked}, "
             f"served {self.served / max(1, self.asked):.3f}, "
-            f"calls a request {self.sends / max(1, self.asked):.2f}, "
+            f"calls a request {self.calls / max(1, self.asked):.2f}, "
             f"without an answer in time {self.unanswered}, "
             f"most back in 200 ms {_most_in_window(self.returns)}"
         )
@@ -128,7 +128,7 @@
     end = loop.time() + callers.deadline_s
     callers.asked += 1
     while (left_s := end - loop.time()) > MIN_LEFT_S:
-        callers.sends += 1
+        callers.calls += 1
         try:
             status, after_s = await _call(http, rng.choice(site.bases), callers, left_s)
         except (TimeoutError, aiohttp.ClientError):
