Let docstrings and comments of the parts for hard load say what the code does

Cause: some disagreed with the code (when waiters are looked at, what returns_told counts, which shares the metrics page shows, when an answer that is collected makes progress, which box sends to a cold worker), others needed a second reading. Change: docstrings, comments, and private names of forwarding. No behaviour changes. Conclusion: where the code itself looks wrong, its docstring states what it does now.

--- a/src/spanshunt/byte_keeper.py
+++ b/src/spanshunt/byte_keeper.py
@@ -27,12 +27,12 @@
 PAUSE_STEP_S = 0.1
 """How often a paused answer looks whether it may be read on, in s."""
 
+LOOK_MS = 25
+"""Shortest time between two looks for an answer to cut, in ms. Each look goes over all
+answers and cuts one at most."""
 
 _INT = struct.Struct("i")
-
-LOOK_MS = 25
-"""Shortest time between two looks for an answer to cut, in ms: each look at all answers
-may cut one."""
+"""The integer that the kernel fills in for the size of a queue."""
 
 
 class ByteKeeper:
@@ -165,7 +165,7 @@
         )
 
     def has_room(self) -> bool:
-        """Return whether the account is below its bound, after a cut if needed."""
+        """Return whether the account is below its bound; if not, look for a cut."""
         marks = self.marks
         if marks is None or self._keeper.fleet.byte_account.total < marks.bound:
             return True
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -146,9 +146,10 @@
 
 
 class ShareView(msgspec.Struct, frozen=True):
-    """Share of an organisation that asks for more than it, in slots of workers.
+    """Share of an organisation that asks for more than its share, in slots.
 
-    ``room`` is that of the whole service, ``pace`` this box's part of the share.
+    ``room`` is that of the whole service, ``pace`` the part of the share that this box
+    gives out.
     ``demand_age_ms`` is how long ago the demand was last above the share.
     """
 
--- a/src/spanshunt/forwarding.py
+++ b/src/spanshunt/forwarding.py
@@ -37,9 +37,9 @@
 already takes about a millisecond."""
 
 RESUME_PAUSE_S, MAX_RESUME_PAUSE_S = 0.1, 0.8
-"""First pause before the next attempt to resume an answer for which no worker was
-found, and the longest, in s; doubled each time, as each rejection uses retry budget.
-News of a version's success or of new workers take some tenths between boxes."""
+"""First and longest pause before the next attempt to resume an answer for which no
+worker was found, in s. The pause doubles each time, as each rejection uses retry
+budget. News between boxes, of a verdict or of new workers, take some tenths."""
 
 
 StateT = t.TypeVar("StateT", bound=RequestState)
@@ -54,7 +54,7 @@
     """Default for `Steps.await_room`: no request waits or is refused."""
 
 
-def _end_silently(_state: t.Any, _attempt: t.Any) -> None:
+def _ignore_end(_state: t.Any, _attempt: t.Any) -> None:
     """Default for `Steps.after_attempt`: nothing to do."""
 
 
@@ -123,7 +123,7 @@
         _skip_break_cause
     )
     await_room: t.Callable[[StateT], t.Awaitable[Refusal | None]] = _admit_at_once
-    after_attempt: t.Callable[[StateT, AttemptT], None] = _end_silently
+    after_attempt: t.Callable[[StateT, AttemptT], None] = _ignore_end
     may_resume: t.Callable[[StateT], bool] = _never_resume
 
 
@@ -231,7 +231,7 @@
     pause_s = min(MAX_RESUME_PAUSE_S, RESUME_PAUSE_S * 2**state.resume_waits)
     while may_attempt_again(state, steps.clock.now()):
         if not state.resume_waits:
-            _record_wait(steps, state, refusal)
+            _record_resumption_wait(steps, state, refusal)
         state.resume_waits += 1
         await asyncio.sleep(pause_s)
         if steps.may_resume(state):
@@ -239,7 +239,7 @@
     return False
 
 
-def _record_wait(
+def _record_resumption_wait(
     steps: Steps[StateT, AttemptT], state: StateT, refusal: Refusal | None
 ) -> None:
     """Count and log that an answer waits for a worker that can resume it."""
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -107,7 +107,7 @@
 
 
 def plain_service(core: Core, state: CatalogRequest) -> ServiceRow | None:
-    """Return the service of a plain request; None for a prompt or without one."""
+    """Return the service of a plain request; None for a prompt or if none is drawn."""
     call, route = state.call, state.admitted.route
     if call.tokens.read or call.model or route.kind is RequestKind.STREAM:
         return None
@@ -117,7 +117,10 @@
 def plain_candidates(
     core: Core, state: CatalogRequest, service: ServiceRow
 ) -> list[WorkerRow]:
-    """Return the workers of a service that accept a plain request now."""
+    """Return the workers of a service that accept a plain request now.
+
+    The request is bound to the service from then on.
+    """
     state.service = service.name
     rule = _version_rule(core, state)
     eager = _is_eager(core, state)
--- a/src/spanshunt/share_lines.py
+++ b/src/spanshunt/share_lines.py
@@ -13,7 +13,6 @@
 MAX_LINES = 16
 """Maximum number of shares logged each time that shares are computed."""
 
-
 _MESSAGES = {ShareChange.BEGAN: "share began", ShareChange.ENDED: "share ended"}
 
 
@@ -40,8 +39,8 @@
 ) -> dict[str, object]:
     """Return log fields on the share of a request's organisation, if it has one.
 
-    They tell whose share it is, the demand that is believed, the age of that, and for
-    how long the organisation is over its share.
+    They tell the share, the demand that is believed, the age of that belief, and for
+    how long the organisation is still over its share.
     """
     share = org_share(fleet, service, org)
     if share is None:
@@ -55,7 +54,7 @@
 
 
 def share_lines(fleet: Fleet) -> str:
-    """Return the shares in force for the metrics page, one figure a line."""
+    """Return all shares for the metrics page, in force or lifted, a figure a line."""
     lines = []
     for service, shares in sorted(fleet.service_shares.items()):
         lines.append(
--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -38,7 +38,7 @@
 
 EXCHANGE_STEP = 0.25
 """Part of the difference by which each side of an exchange moves. A box may have four
-calls under way, and gives away no more than it has."""
+calls under way, which together take no more than all of its demand."""
 
 
 class DemandRow(msgspec.Struct, frozen=True):
--- a/src/spanshunt/systems/estimating.py
+++ b/src/spanshunt/systems/estimating.py
@@ -338,7 +338,7 @@
 
 
 def _waited_long(expected: FirstEventEstimate) -> bool:
-    """Return whether the time to the first event tells more of the queue."""
+    """Return whether the wait hides how fast the engine works."""
     return expected.wait_ms > MAX_WAIT_FRACTION * expected.first_ms
 
 
--- a/src/spanshunt/systems/holding.py
+++ b/src/spanshunt/systems/holding.py
@@ -32,8 +32,8 @@
 slowly leaves most of it to the others."""
 
 FREE_BYTES = 65_536
-"""Size of bodies that are never refused, and of unread rests that are not paused below
-the bound, in bytes: what a connection buffers by default."""
+"""Largest body that is never refused, and most unread bytes of an answer that is not
+paused below the bound, in bytes: what a connection buffers by default."""
 
 STALLED_MS = 3_000
 """Time without progress after which an answer may be cut, in ms. A caller that reads at
@@ -133,9 +133,9 @@
 def choose_cut(account: ByteAccount, marks: ByteMarks, now: Millis) -> RequestId | None:
     """Return the answer to cut, or None.
 
-    It is the one without progress for longest: its caller takes nothing of it, or its
-    worker sends nothing more of one that is still collected. While another one is being
-    cut, its bytes are about to be freed, and none is chosen.
+    It is the one without progress for longest. An answer that is still collected counts
+    as without progress since its first block. While another one is being cut, its bytes
+    are about to be freed, and none is chosen.
     """
     if account.total < marks.bound:
         return None
--- a/src/spanshunt/systems/queueing.py
+++ b/src/spanshunt/systems/queueing.py
@@ -31,12 +31,12 @@
 its task."""
 
 SPREAD = 2.0
-"""Standard deviations of the time of some starts that are allowed for, so that few
-requests wait in vain and are told late."""
+"""Standard deviations that are added to the mean time of several starts, so that few
+requests wait in vain."""
 
 FIRST_EVENT_OPTIMISM = 0.5
-"""Fraction of the estimated time to a first event in which it may come at best: the
-estimate follows a median, and engines keep parts of which this box does not know."""
+"""Earliest possible first event, as a fraction of the estimated time: the estimate
+follows a median, and engines keep parts of which this box does not know."""
 
 ANSWER_MARGIN_MS = 20.0
 """Time beside the work itself until the caller has its answer, in ms."""
@@ -92,14 +92,14 @@
 
 
 def latest_start(room: ServiceRoom, limit: Millis) -> Millis:
-    """Return until when a request must be sent so that its answer comes by `limit`."""
+    """Return when a request must be sent at the latest to be answered by `limit`."""
     return Millis(int(limit - room.work_ms - room.lead_ms - ANSWER_MARGIN_MS))
 
 
 def expected_wait_ms(
     fleet: Fleet, room: ServiceRoom, waiter: Waiter, now: Millis
 ) -> float:
-    """Return within which time a request is likely to be sent, in ms; 0 if unknown.
+    """Return the time within which a request is likely sent, in ms; 0 if unknown.
 
     While shares are in force, the requests before it are those that their order puts
     there, and those of an organisation with a share start at its pace.
@@ -122,7 +122,7 @@
 
 
 def _likely_ms(starts: int, per_ms: float) -> float:
-    """Return within which time so many requests are likely to start, in ms.
+    """Return the time within which some requests are likely to start, in ms.
 
     Places fall free at random times, so the time of several starts varies by the root
     of their number.
@@ -153,8 +153,8 @@
     """Decide on a request that is ready to be sent and does not wait yet.
 
     It is refused only if no worker has room and no worker is expected to start it in
-    time, if this box has no memory for one more, or if the box is about to end. What is
-    reckoned with is the usual time of work at the fastest worker.
+    time, if this box has no memory for one more, or if the box is about to end. Its
+    work is expected to take the usual time at the fastest worker.
     """
     waiting = fleet.wait_list
     if room.has_room and not waiting.waiters.get(waiter.service):
--- a/src/spanshunt/systems/returning.py
+++ b/src/spanshunt/systems/returning.py
@@ -34,16 +34,17 @@
 """Part of the time left for which a caller is willing to stay away."""
 
 MIN_RETURN_MS = 20
-"""Earliest return, in ms: the room that there was is used up for about as long."""
+"""Earliest return, in ms; a caller that comes back sooner finds the workers as full."""
 
 FIRST_FRACTION = 1 / 3
-"""Part of a span before which no caller returns that is spread over the span."""
+"""First part of a span in which none of the callers spread over it returns."""
 
 MIN_LEFT_FRACTION = 0.25
-"""Least part of the time told to newcomers that is told to a caller with less time
+"""Least factor by which the time to return is shortened for a caller with little time
 left."""
 
 _GOLDEN = (math.sqrt(5.0) - 1.0) / 2.0
+"""The golden ratio; its multiples, taken modulo 1, are evenly spread."""
 
 
 class RefusedCall(msgspec.Struct, frozen=True):
@@ -56,7 +57,7 @@
     left_ms : int
         How long its caller still waits, in ms.
     whole_ms : int
-        How long a caller of its route waits in all, in ms.
+        Time limit of its route, in ms.
     """
 
     service: ServiceId
@@ -135,7 +136,7 @@
         return _spread(fleet, _honoured_ms(refused))
     pause_ms = work_ms / (RETURN_PART * pace)
     until = max(demand.returns_until, float(now)) + pause_ms
-    # Boxes begin at once, so their places must not coincide.
+    # All boxes begin at the same moment, so their places are staggered.
     early_ms = pause_ms * stagger_fraction(fleet, f"return {refused.service}")
     after_ms = shorten_ms(until - early_ms - now, refused)
     if after_ms >= _honoured_ms(refused):
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -56,10 +56,11 @@
 
 PRIORITY_STEP = 4
 """Of the requests of a priority, one in this many is ordered as if its priority were
-the next more urgent one, so that none is starved. A kind is thus never served worse
-than a less urgent one."""
+the next more urgent one, so that none is starved, and none is served worse than a less
+urgent one."""
 
 _TOLERANCE = 1e-9
+"""Relative rounding error, and the least divisor."""
 
 
 class ShareChange(enum.Enum):
@@ -131,9 +132,7 @@
 
 
 def services_short_of_room(fleet: Fleet, now: Millis) -> list[ServiceId]:
-    """Return the services whose demand nearly exceeds their room or that are waited
-    for.
-    """
+    """Return services with waiters, or whose demand nearly exceeds their room."""
     return [
         service
         for service, demands in all_demands(fleet, now).items()
@@ -186,10 +185,10 @@
 def waiters_in_order(fleet: Fleet, service: ServiceId, now: Millis) -> list[Waiter]:
     """Return the waiting requests of a service in the order in which they get room.
 
-    Organisations that ask for no more than their share go first, and those that have
-    left some of theirs unused, as what they ask for is theirs whatever the others ask
-    for. Those that have used up theirs go last. Else the order is by priority, then by
-    the time left, so that one that has waited longer is not behind a newcomer.
+    Organisations that ask for no more than their share, or have left some of it unused,
+    go first. Those that have used up theirs go last, of one priority the one first that
+    gets more of its share sooner. Else the order is by priority, then by the time left,
+    so that a request that has waited longer is not behind a newcomer.
     """
     rows = fleet.wait_list.waiters.get(service, {}).values()
     return sorted(rows, key=lambda row: _turn(fleet, row, now))
@@ -214,14 +213,14 @@
 
 
 def steps_behind(
-    fleet: Fleet, service: ServiceId, request: RequestId, rank: int
+    fleet: Fleet, service: ServiceId, request: RequestId, priority: int
 ) -> int:
     """Return how many priorities a request is ordered behind the most urgent one.
 
-    `rank` is its priority. A stated part of the requests is ordered further in front,
-    drawn by a hash of the request.
+    One in `PRIORITY_STEP` requests, drawn by a hash, is ordered a priority further in
+    front, one in `PRIORITY_STEP` of these another one, and so on.
     """
-    behind = steps_below_highest(fleet, service, rank)
+    behind = steps_below_highest(fleet, service, priority)
     if not behind:
         return 0
     point = unit_hash("turn", request)
--- a/src/spanshunt/systems/warming.py
+++ b/src/spanshunt/systems/warming.py
@@ -66,8 +66,9 @@
 def _is_selected(fleet: Fleet, row: WorkerRow, share: float) -> bool:
     """Return whether the hash selects this box to send to a cold worker.
 
-    It selects a share of the boxes. If it selects none, as happens with one worker in
-    twelve, the box with the lowest hash sends, where a box knows them all.
+    It selects a share of the boxes. If it selects none, the box with the lowest hash
+    sends, as long as it knows all boxes and its hash is within `FIRST_BOX_FACTOR` times
+    the share.
     """
     own = unit_hash("cold", row.name, fleet.identity.box)
     if own < share:
@@ -104,7 +105,7 @@
         return 0.0
     bounds = fleet.cold_bounds
     max_rate = service.cold_per_s * bounds.rate_factor + bounds.slack
-    # So few boxes that all of them may send need no reserve for what a hash selects.
+    # Boxes that may all send need no reserve for the variation of a hash.
     boxes = box_count(fleet)
     unselected = boxes * (max_rate // (UNKNOWN_BOXES_FACTOR * boxes))
     return min(service.cold_per_s, max(PLANNED_SHARE * max_rate, unselected))
--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -70,9 +70,9 @@
     """Record how many requests of other boxes a worker has, by its newest report.
 
     `own` of the reported requests are this box's. A report that comes with an answer
-    need not count the request that it answers, which this box still counts, so that one
-    is left out of them. Of reports that come together the lowest counts, because they
-    may come in any order, and one of before a request ended is read after that end.
+    need not count the answered request, which this box still has in progress; callers
+    leave that one out of `own`. Of reports that come together the lowest counts,
+    because they may arrive in another order than the worker made them.
     """
     others = max(0, row.reported - own)
     if row.others_at >= 0 and now - row.others_at < TOGETHER_MS:
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -30,15 +30,15 @@
 less than its even share of the room, in ms."""
 
 FULL_HALF_LIFE_MS = 5_000.0
-"""The same once this box holds its share, in ms: about the time of a few answers, after
-which nothing is known of the worker."""
+"""Half-life of that weight once this box holds its share, in ms: about the time of a
+few answers, after which nothing is known of the worker."""
 
 FULL_FACTOR = 2
-"""Requests that a worker that turns one away as full is believed to hold at least, as a
-multiple of its slots."""
+"""Least number of requests that a worker is believed to hold once it turned one away as
+full, as a multiple of its slots."""
 
 MIN_WORK_MS = 1.0
-"""Shortest time of work that is reckoned with, in ms."""
+"""Shortest time of work that a rate of starts is computed from, in ms."""
 
 
 class ServiceRoom(msgspec.Struct, frozen=True):
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -366,7 +366,8 @@
     service_shares : dict
         Shares of services that were recently short of room.
     returns_told : int
-        Number of refused callers that this box told when to return.
+        Number of refused callers whose return this box spread over a span, without
+        those that got a place of their own.
     byte_account : ByteAccount
         Bytes that this box holds for requests in progress.
     limits : BoxLimits
--- a/src/spanshunt/tables/holdings.py
+++ b/src/spanshunt/tables/holdings.py
@@ -37,7 +37,7 @@
     unread_bytes : int
         Bytes of the answer that the caller has not taken yet.
     progress_at : int
-        When the caller last took bytes, or when the answer began, in ms.
+        When the caller last took bytes, or when the first unread ones came, in ms.
     offered : bool
         Whether the caller is being sent the answer; False while the box still collects
         it.
@@ -58,11 +58,12 @@
     Attributes
     ----------
     low : int
-        Below it, no body is refused.
+        Below it, no body is refused before it is read.
     high : int
         From it on, reading from workers is paused for callers who are behind.
     bound : int
-        From it on, bodies are refused and answers without progress are cut.
+        From it on, large bodies are refused, answers with unread bytes are paused, and
+        those without progress are cut, one at a time.
     answer : int
         Most unread bytes of one answer.
     worker : int
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -1,9 +1,9 @@
 """Requests that wait at this box for room at a worker: one future for each.
 
 What becomes of a request is decided in ``systems.queueing``, and which waiter is next
-in ``systems.sharing``. Waiters are looked at when a request of this box ends, when a
-worker reports its load, and at a short interval. A request is planned only after its
-wait, so that a worker that leaves or a verdict meanwhile is respected.
+in ``systems.sharing``. Waiters are looked at when one joins, when a request of this box
+ends, and at a short interval. A request is planned only after its wait, so that the
+plan knows of workers that left and of verdicts meanwhile.
 """
 
 import asyncio
@@ -52,8 +52,9 @@
 """Interval at which waiters are looked at while nothing happens, in s."""
 
 MAX_PASSED_OVER = 16
-"""Waiters of the same regions without room that are passed over for one behind them at
-a time: other versions may be open to it."""
+"""Waiters of the same regions for which a look may find no room before it skips the
+others of these regions. A few are passed over, as the versions that are open to the
+next one may differ."""
 
 MAX_WORKERS_LOGGED = 6
 """Workers whose believed load is logged for a request."""
@@ -135,7 +136,10 @@
         )
 
     def _find_room(self, state: CatalogRequest) -> ServiceRoom | None:
-        """Return the room for a request; None if no worker accepts it at all."""
+        """Return the room for a request; None if no worker accepts it at all.
+
+        One that all workers turned away may go back to them.
+        """
         core = self._core
         turned_away = state.sends > state.unreached
         rows = self._candidates(state)
@@ -225,7 +229,7 @@
     def _start_next(self, service: ServiceId, now: Millis) -> None:
         """Let the next waiter of a service be sent if there is room for it.
 
-        The one after it is looked at when this one is on its way, and counts.
+        The next look, for the one after it, is due once this one counts at its worker.
         """
         passed: collections.Counter[tuple[frozenset[RegionId], ...]]
         passed = collections.Counter()
