A caller's first look counts as progress; the docstring says so

Cause: the docstring of HeldRequest.look said that the first look only notes what the caller has, but it also renews the time of progress. Change: the docstring alone. Conclusion: an answer can be cut only STALLED_MS after its first look.

--- a/src/spanshunt/byte_keeper.py
+++ b/src/spanshunt/byte_keeper.py
@@ -216,7 +216,8 @@
         """Look for progress of the caller, also in the buffers of the kernel.
 
         These take megabytes at once, so the transport alone shows no progress of a slow
-        caller for many seconds. The first look only notes what the caller has.
+        caller for many seconds. The first look counts as progress, as there is nothing
+        to compare it with.
         """
         self.refresh()
         if self._transport is None or not self.row.unread_bytes:
