--- a/tests/test_following_machine.py
+++ b/tests/test_following_machine.py
@@ -256,3 +256,30 @@
         following.worker_leaves(False)
         following.time_passes(16)
         following.box_is_cut_off(0, 5)
+
+
+def test_worker_that_left_is_not_used_after_outages_in_series():
+    """Guards against a worker used 6.4 s after it left, by a box that was refused."""
+    following = Following()
+    following.begin(158)
+    following.living_workers_are_used_in_calm_times()
+    outages = (
+        (following.store_goes_away, {"expire": True, "ticks": 46}),
+        (following.worker_leaves, {"draining": False}),
+        (following.store_refuses_a_box, {"number": 1, "ticks": 34}),
+        (following.store_refuses_a_box, {"number": 3, "ticks": 41}),
+        (following.store_goes_away, {"expire": True, "ticks": 52}),
+        (following.store_goes_away, {"expire": False, "ticks": 40}),
+        (following.store_refuses_a_box, {"number": 3, "ticks": 48}),
+        (following.store_refuses_a_box, {"number": 0, "ticks": 8}),
+        (following.store_goes_away, {"expire": False, "ticks": 24}),
+        (following.store_goes_away, {"expire": False, "ticks": 44}),
+        (following.store_refuses_a_box, {"number": 1, "ticks": 7}),
+        (following.store_goes_away, {"expire": True, "ticks": 23}),
+        (following.store_goes_away, {"expire": False, "ticks": 27}),
+        (following.store_goes_away, {"expire": True, "ticks": 27}),
+        (following.store_refuses_a_box, {"number": 1, "ticks": 41}),
+    )
+    for outage, arguments in outages:
+        outage(**arguments)
+        following.living_workers_are_used_in_calm_times()
