Reasons of two constants in plain words

Cause: a newcomer can't check the reasons given. Change: texts of PLANNED_SHARE and LIMIT_PART, one word of returning; no code. Conclusion: none beyond the texts.

--- a/src/spanshunt/systems/returning.py
+++ b/src/spanshunt/systems/returning.py
@@ -109,7 +109,7 @@
 ) -> float:
     """Return the time in which the work drains that waits at all boxes, in ms.
 
-    Other boxes are reckoned to hold as much for their demand as this one for its own.
+    Other boxes are assumed to hold as much for their demand as this one for its own.
     """
     total = sum(demand.total_per_s for demand in demands.values())
     own = sum(demand.own_per_s for demand in demands.values())
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -35,9 +35,8 @@
 exchange demands, so that shares are known when the room is used up."""
 
 LIMIT_PART = 1.05
-"""Multiple of the room that demand must exceed before shares are in force. A moving
-average over a second varies by more than that only where requests come in clumps, which
-a short wait evens out."""
+"""Multiple of the room that demand must exceed before shares are in force, so that they
+don't come and go while demand just fills the room."""
 
 SHARE_HELD_MS = 1_000
 """How long a share is kept after the last time that its organisation asked for more, in
--- a/src/spanshunt/systems/warming.py
+++ b/src/spanshunt/systems/warming.py
@@ -22,9 +22,8 @@
 PLANNED_SHARE = 1 / 8
 """Part of the allowed rate of a cold worker that the known boxes plan to use. With
 `UNKNOWN_BOXES_FACTOR` times as many, they use three eighths on average. The rest covers
-random variation in the number of boxes that the hash selects, 4.6 standard deviations
-at 20 requests, and two requests that one box sends a second apart but that arrive
-within one second."""
+random variation in the number of boxes that the hash selects, and two requests that one
+box sends a second apart but that arrive within one second."""
 
 FIRST_BOX_FACTOR = 2.0
 """How far the hash of the only box that sends may exceed the share, as a multiple of
