A slow version of a plain service is not excused by cold prompt caches

Cause: in the full phase of an order a share of slow answers up to 0.6 is taken for good, as engines then prefill prompts of which they have nothing cached. The same excuse was given to services without prompts. Where boxes hear each other late, most answers of the entering version come in that phase: 8 slow of 14 stood against a ceiling of 0.6, the evidence fell from 3.4 to 1.9 as more came, and the version succeeded.

Change: the excuse holds for services whose catalog entry names models; a plain service has a ceiling of 0.1 for slow answers throughout, as for failed ones.

Evidence: the new test of a version that is slow in six of ten answers failed before and passes now, the one of engines stays.

--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -119,7 +119,9 @@
 
 
 def strongest_suspicion(
-    tallies: Tallies, full_ms: int, recorded: RecordedSuspicion | None = None
+    tallies: Tallies,
+    uncached_from_ms: int | None,
+    recorded: RecordedSuspicion | None = None,
 ) -> Suspicion:
     """Return the strongest suspicion against the entering version, on any route.
 
@@ -127,8 +129,9 @@
     ----------
     tallies : Tallies
         The known answers.
-    full_ms : int
-        Age of the order from which on all requests may enter, in ms.
+    uncached_from_ms : int or None
+        Age of the order from which on the version's workers get prompts of which they
+        have nothing cached, in ms; None for a service without prompts.
     recorded : RecordedSuspicion or None
         The recorded suspicion. It counts only if the answers that it rests on are not
         known here, as after a restart of all boxes.
@@ -138,13 +141,13 @@
         recorded = None
     if recorded is not None:
         routes.add(recorded.route)
-    full_epoch = full_ms // EPOCH_MS
+    uncached_from = None if uncached_from_ms is None else uncached_from_ms // EPOCH_MS
     found = [
         _suspicion(
             tallies,
             route,
             finding,
-            full_epoch,
+            uncached_from,
             _recorded_log_evidence(recorded, route, finding),
         )
         for route in sorted(routes)
@@ -170,10 +173,21 @@
 def current_suspicion(fleet: Fleet, row: RolloutRow) -> Suspicion:
     """Return the strongest suspicion against the version of an order."""
     return strongest_suspicion(
-        pooled_tallies(row), full_phase_start_ms(fleet, row), row.recorded_suspicion
+        pooled_tallies(row), _uncached_from_ms(fleet, row), row.recorded_suspicion
     )
 
 
+def _uncached_from_ms(fleet: Fleet, row: RolloutRow) -> int | None:
+    """Return from which age of an order on its workers get uncached prompts, in ms.
+
+    Before the full phase they get few of those; plain services have no prompts.
+    """
+    service = fleet.catalog.services.get(row.service) if fleet.catalog else None
+    if service is not None and not service.costs:
+        return None
+    return full_phase_start_ms(fleet, row)
+
+
 def summarise_evidence(fleet: Fleet, row: RolloutRow, now: Millis) -> EvidenceSummary:
     """Return what a judgement of an order rests on at this time."""
     tallies = pooled_tallies(row)
@@ -196,10 +210,14 @@
 
 
 def _suspicion(
-    tallies: Tallies, route: str, finding: Finding, full_epoch: int, start: float
+    tallies: Tallies,
+    route: str,
+    finding: Finding,
+    uncached_from: int | None,
+    start: float,
 ) -> Suspicion:
     """Return the suspicion against the entering version on a route ("" for all)."""
-    reference = build_reference(tallies, route, finding, full_epoch)
+    reference = build_reference(tallies, route, finding, uncached_from)
     epochs = trials_by_epoch(tallies, route, finding, entering=True)
     faulty = sum(faults for _, faults in epochs.values())
     log_evidence = start
--- a/src/spanshunt/systems/references.py
+++ b/src/spanshunt/systems/references.py
@@ -36,13 +36,21 @@
 leaving version gets hardly any answers; its last ones still show the effect of the
 load."""
 
-FULL_PHASE_MIN_CEILINGS = {
+UNCACHED_MIN_CEILINGS = {
     Finding.FAILED: MIN_CEILINGS[Finding.FAILED],
     Finding.SLOW: 0.6,
 }
-"""`MIN_CEILINGS` in the full phase. The workers of the entering version then prefill
-prompts of which they have nothing cached and generate output in between, so a good
-version may be slow as well."""
+"""`MIN_CEILINGS` in the full phase of a service with prompts. The workers of the
+entering version then prefill prompts of which they have nothing cached and generate
+output in between, so a good version may be slow as well. Workers of plain services have
+no such reason."""
+
+PLAIN_MIN_CEILINGS = {
+    Finding.FAILED: MIN_CEILINGS[Finding.FAILED],
+    Finding.SLOW: 0.1,
+}
+"""`MIN_CEILINGS` of a service without prompts: its workers have no caches to fill, so
+few answers of a good version are slow, as few fail."""
 
 PRIOR_ANSWERS = 10
 """Weight of the share over the order's whole time, in answers, when it is averaged with
@@ -67,15 +75,16 @@
         upper estimate by the healthiest worker.
     epochs : dict
         Answers and faulty answers by epoch.
-    full_epoch : int
-        Epoch from which on all requests may enter.
+    uncached_from : int or None
+        Epoch from which on the version's workers get prompts of which they have nothing
+        cached; None for a service without prompts.
     """
 
     finding: Finding
     usual: float
     common_part: float
     epochs: dict[int, tuple[int, int]]
-    full_epoch: int
+    uncached_from: int | None
 
     def usual_at(self, epoch: int) -> float:
         """Return the share of faults in an epoch that the leaving version excuses.
@@ -96,16 +105,19 @@
 
     def ceiling_at(self, epoch: int) -> float:
         """Return the greatest share of faults that is still good in an epoch."""
-        min_ceilings = (
-            FULL_PHASE_MIN_CEILINGS if epoch >= self.full_epoch else MIN_CEILINGS
-        )
         usual = self.usual_at(epoch)
-        ceiling = max(min_ceilings[self.finding], usual + min(usual, CEILING_MARGIN))
+        least = self._min_ceilings(epoch)[self.finding]
+        ceiling = max(least, usual + min(usual, CEILING_MARGIN))
         return min(MAX_CEILINGS[self.finding], ceiling)
 
+    def _min_ceilings(self, epoch: int) -> dict[Finding, float]:
+        if self.uncached_from is None:
+            return PLAIN_MIN_CEILINGS
+        return UNCACHED_MIN_CEILINGS if epoch >= self.uncached_from else MIN_CEILINGS
+
 
 def build_reference(
-    tallies: Tallies, route: str, finding: Finding, full_epoch: int
+    tallies: Tallies, route: str, finding: Finding, uncached_from: int | None
 ) -> Reference:
     """Return what the leaving version shows of a fault on a route ("" for all)."""
     epochs = trials_by_epoch(tallies, route, finding, entering=False)
@@ -113,7 +125,7 @@
     faulty = sum(faults for _, faults in epochs.values())
     usual = faulty / answers if answers else 0.0
     common_part = _common_part(tallies, finding)
-    return Reference(finding, usual, common_part, epochs, full_epoch)
+    return Reference(finding, usual, common_part, epochs, uncached_from)
 
 
 def _common_part(tallies: Tallies, finding: Finding) -> float:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -18,6 +18,7 @@
 from spanshunt.ids import DomainId
 from spanshunt.ids import Incarnation
 from spanshunt.ids import Millis
+from spanshunt.ids import ModelId
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
@@ -25,7 +26,10 @@
 from spanshunt.peers.news_rows import merge_tally_group
 from spanshunt.peers.news_rows import rollout_news
 from spanshunt.systems.blaming import EVIDENCE_THRESHOLD
+from spanshunt.systems.blaming import Suspicion
+from spanshunt.systems.blaming import current_suspicion
 from spanshunt.systems.blaming import strongest_suspicion
+from spanshunt.systems.exposing import full_phase_start_ms
 from spanshunt.systems.ramping import apply_order
 from spanshunt.systems.references import MAX_CEILINGS
 from spanshunt.systems.references import build_reference
@@ -36,6 +40,8 @@
 from spanshunt.systems.tallies import SLOW
 from spanshunt.systems.tallies import pooled_tallies
 from spanshunt.systems.tallies import record_observation
+from spanshunt.tables.catalog import Catalog
+from spanshunt.tables.catalog import ServiceRow
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.rollouts import Finding
@@ -149,6 +155,32 @@
         assert (found.finding, found.answers, found.faulty) == (Finding.SLOW, 40, 16)
 
 
+class TestSlownessInTheFullPhase:
+    """Workers without cached prompts may be slow; plain services have no prompts."""
+
+    @staticmethod
+    def suspicion(costs: dict[ModelId, float]) -> Suspicion:
+        """Return the suspicion against a version slow in six of ten answers."""
+        fleet = fleet_in_rollout(workers=3)
+        fleet.catalog = Catalog(1, (), {SERVICE: ServiceRow(SERVICE, costs)}, ())
+        for step in range(100):
+            observe(fleet, f"old-{step % 3}", 2 + step / 10, BEGAN)
+            observe(fleet, f"old-{step % 3}", 2 + step / 10, IN_TIME)
+        full_s = full_phase_start_ms(fleet, row_of(fleet)) / 1_000
+        for step in range(30):
+            slow = SLOW if step % 10 < 6 else IN_TIME
+            observe(fleet, f"new-{step % 3}", full_s + step / 20, BEGAN)
+            observe(fleet, f"new-{step % 3}", full_s + step / 20, slow)
+        return current_suspicion(fleet, row_of(fleet))
+
+    def test_slow_version_of_a_plain_service_is_found_in_the_full_phase(self):
+        """Guards against a slow version of a plain service that passes as good."""
+        assert self.suspicion({}).is_proven
+
+    def test_engines_without_cached_prompts_are_not_suspected(self):
+        assert not self.suspicion({ModelId("large"): 0.2}).is_strong
+
+
 class TestExchange:
     """Evidence reaches every box, late or after a restart, and is counted once."""
 
