Short plain work that takes several times as long counts as slow

Cause: an answer counted as slow from 400 ms on, whatever its usual time. Half of the work of these services takes 70 ms; eight times that is mostly under the floor for the shorter half of it. Of 63 answers of the version 5 counted as slow; of 33 of one route 10 took over three times the usual median.

Ruled out: the learned speed of a worker (1.0 in all 447 sends), the machine's slowdown (none was reported), the share of answers that are timed (all of them).

Change: an answer of a plain worker that had room when it was sent is compared with the median of such times and with half of the route's target latency. Times that may hold a wait keep the old rule, so that load speaks against no version.

Evidence: the new test failed before (the function is new; the old rule says no to the same 250 ms).

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -29,12 +29,14 @@
 from .systems.tallies import SLOW
 from .systems.tallies import record_observation
 from .systems.timing import is_slow_first_byte
+from .systems.timing import is_slow_plain_work
 from .systems.timing import learn_first_byte_time
 from .systems.warming import mark_cold
 from .systems.work_times import infer_others
 from .systems.work_times import learn_work_time
 from .systems.worker_health import record_answer
 from .systems.worker_health import record_unreachable
+from .systems.worker_speed import MAX_LEARNING_LOAD
 from .systems.worker_speed import excused_factor
 from .systems.worker_speed import learn_plain_factor
 from .systems.worker_speed import time_factor
@@ -146,7 +148,10 @@
     _record_tally(core, state, attempt, BEGAN)
     now = core.clock.now()
     judged_ms = first_ms / excused_factor(attempt.worker, now)
-    if is_slow_first_byte(fleet, route, attempt.model, read, judged_ms):
+    had_room = attempt.prompt is None and attempt.load < MAX_LEARNING_LOAD
+    if is_slow_first_byte(fleet, route, attempt.model, read, judged_ms) or (
+        had_room and is_slow_plain_work(fleet, route, attempt.model, judged_ms)
+    ):
         _mark_slow(core, state, attempt)
     usual_ms = first_ms / time_factor(attempt.worker, now)
     learn_first_byte_time(fleet, route, attempt.model, read, usual_ms)
--- a/src/spanshunt/systems/timing.py
+++ b/src/spanshunt/systems/timing.py
@@ -49,7 +49,15 @@
 """An answer counts as slow if its first byte took this many times the usual time."""
 
 MIN_SLOW_MS = 400.0
-"""Answers faster than this never count as slow, in ms."""
+"""Answers faster than this never count as slow, in ms, unless a plain worker had room.
+"""
+
+MIN_KNOWN_ANSWERS = 8
+"""Number of answers after which the usual time of plain work is known well enough."""
+
+MIN_SLOW_TARGET_SHARE = 0.5
+"""A plain answer of a worker that had room never counts as slow if it took less than
+this part of the route's target latency: it harms nobody."""
 
 _SMOOTHING = 0.05
 
@@ -108,6 +116,21 @@
     return usual > 0.0 and first_ms > max(MIN_SLOW_MS, SLOW_FACTOR * usual)
 
 
+def is_slow_plain_work(
+    fleet: Fleet, route: RouteRow, model: ModelId, first_ms: float
+) -> bool:
+    """Return whether a plain worker that had room took much longer than usual.
+
+    Its time holds no wait, so it is compared with the median of such times, and work
+    that is several times slower shows also where it is short.
+    """
+    usual = fleet.first_byte_times.get((route.name, model))
+    if usual is None or usual.answers < MIN_KNOWN_ANSWERS or not usual.median_ms:
+        return False
+    least = MIN_SLOW_TARGET_SHARE * route.target_latency_ms
+    return first_ms > max(least, SLOW_FACTOR * usual.median_ms)
+
+
 def learn_first_byte_time(
     fleet: Fleet, route: RouteRow, model: ModelId, read: int, first_ms: float
 ) -> None:
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -40,8 +40,13 @@
 from spanshunt.systems.tallies import SLOW
 from spanshunt.systems.tallies import pooled_tallies
 from spanshunt.systems.tallies import record_observation
+from spanshunt.systems.timing import is_slow_first_byte
+from spanshunt.systems.timing import is_slow_plain_work
 from spanshunt.tables.catalog import Catalog
+from spanshunt.tables.catalog import RequestKind
+from spanshunt.tables.catalog import RouteRow
 from spanshunt.tables.catalog import ServiceRow
+from spanshunt.tables.fleet import FirstByteTimes
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.rollouts import Finding
@@ -49,6 +54,7 @@
 from spanshunt.tables.rollouts import Tally
 
 SERVICE = ServiceId("writer")
+NO_MODEL = ModelId("")
 OLD, NEW = VersionId("v1"), VersionId("v2")
 DURATION = ms(24)
 FULL_MS = 22_340
@@ -330,3 +336,37 @@
 
 Pool.TestCase.settings = settings(max_examples=60, deadline=None)
 TestPool = Pool.TestCase
+
+
+class TestSlowPlainWork:
+    """Short work that takes several times as long as usual counts as slow, too."""
+
+    ROUTE = RouteRow(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RequestKind.ONCE,
+        shares=(),
+        timeout_ms=Millis(1_500),
+        target_latency_ms=Millis(400),
+    )
+
+    def fleet(self, answers: int = 50) -> Fleet:
+        fleet = make_fleet()
+        usual = FirstByteTimes(first_ms=80.0, answers=answers, median_ms=50.0)
+        fleet.first_byte_times[("r", NO_MODEL)] = usual
+        return fleet
+
+    def test_short_work_several_times_slower_is_slow(self):
+        """Guards against a slow version whose answers are mostly short."""
+        fleet = self.fleet()
+        assert is_slow_plain_work(fleet, self.ROUTE, NO_MODEL, 250.0)
+        assert not is_slow_first_byte(fleet, self.ROUTE, NO_MODEL, 0, 250.0)
+
+    def test_work_within_half_of_the_target_is_not_slow(self):
+        assert not is_slow_plain_work(self.fleet(), self.ROUTE, NO_MODEL, 190.0)
+
+    def test_nothing_is_slow_while_the_usual_time_is_unknown(self):
+        fleet = self.fleet(answers=7)
+        assert not is_slow_plain_work(fleet, self.ROUTE, NO_MODEL, 2_000.0)
+        assert not is_slow_plain_work(make_fleet(), self.ROUTE, NO_MODEL, 2_000.0)
