Deadlines of waiters differ by more than their arrivals in a test

Cause: the four waiters' deadlines differed by 1 ms each, as much as their arrivals. The order is by deadline: where a request arrives over 1 ms after the one before it, it is the last of the order, and by then too late to wait, so it is refused, truly.

Change: deadlines 20 ms apart, so that the order is the one that the test means. The check is the same.

--- a/tests/test_waiting_room.py
+++ b/tests/test_waiting_room.py
@@ -270,7 +270,7 @@
     async with small_fleet() as fleet:
         box = fleet.boxes[0]
         first = await fill(fleet, 2)
-        late = [ask(fleet, f"late-{i}", deadline_ms=1_400 - i) for i in range(4)]
+        late = [ask(fleet, f"late-{i}", deadline_ms=1_400 - 20 * i) for i in range(4)]
         await until(lambda: waiting(box).count == 4, "requests wait")
         order = list(waiting(box).waiters[WEB])
         await asyncio.sleep(0.1)
