A box that reaches no worker sends through peers that do

Cause: a box plans over the workers that it reaches itself. Each connection that hangs or is refused was taken for a fault of its worker: ejected, marked cold, taken for ended. Once all were cold and limited, the box refused at once and stayed ready. Class: a box's own condition taken for that of what it looks at.

Ruled out: store or peers out of reach (the boxes stayed in touch); queues or retry budget (first tries were refused before any send, "no worker accepts requests now").

Change: a connection that fails while none came up since makes the box probe workers of other domains; if none is there, the box is partitioned. What it made of its failures is taken back and nothing that it sees counts against workers or versions. Each request is offered to a peer with room (drawn by the room that peers tell, own domain first), which sends it by its own connections and passes the answer on, block by block: one hop, one plan, one count, one bill at the box that was asked. An offer that is not accepted has not run; a gateway that is lost after that leaves the request in doubt. Probes every 250 ms end it.

--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -184,6 +184,7 @@
     not_run = False
     replaced = False
     defect = ""
+    indirect = False
     confidence: float | None = None
     load: WorkerLoad | None = None
 
@@ -210,6 +211,7 @@
     not_run = False
     replaced = False
     defect = ""
+    indirect = False
 
     def __init__(
         self, engine: Engine, dispatch: Dispatch, slow_x: float, *, bad: bool
--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -9,6 +9,7 @@
 from .ids import VersionId
 from .logs import log_event
 from .ports import BrokenAnswerError
+from .ports import GatewayLostError
 from .ports import SendFault
 from .ports import SilentWorkerError
 from .ports import TruncatedAnswerError
@@ -18,6 +19,7 @@
 from .systems.pacing import has_enough_gaps
 from .systems.pacing import is_slow_decode
 from .systems.pacing import learn_decode_speed
+from .systems.partitions import is_partitioned
 from .systems.quarantining import record_complete_answer
 from .systems.repeats import uncount_repeat
 from .systems.silence import SilenceReport
@@ -50,6 +52,9 @@
 ) -> None:
     """Record that a send got no answer."""
     now = core.clock.now()
+    if fault.blameless or (fault.silent and is_partitioned(core.fleet)):
+        _record_blameless_fault(core, state, attempt, fault)
+        return
     attempt.connection_broke = not (fault.unreached or fault.silent)
     if fault.refused:
         handle_worker_end(core, attempt.worker, "connection refused")
@@ -77,16 +82,51 @@
     if fault.unreached:
         return
     state.failed_versions |= attempt.worker.versions
-    if not fault.stale:
-        # A silent worker may just be busy, so its version did not fail.
+    if fault.stale:
+        return
+    # A silent worker may just be busy, so its version did not fail.
+    if attempt.connection_broke:
+        attempt.break_tally = SILENT
+    else:
         _record_tally(core, state, attempt, SILENT)
 
 
+def record_break(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
+    """Count a broken connection for the version, unless this box is partitioned.
+
+    To be called once it is known whether the worker can be reached.
+    """
+    tally = attempt.break_tally
+    attempt.break_tally = None
+    if tally is not None and not is_partitioned(core.fleet):
+        _record_tally(core, state, attempt, tally)
+
+
+def _record_blameless_fault(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, fault: SendFault
+) -> None:
+    """Record a fault on this box's side of the worker."""
+    state.cut_off = fault.cut_off
+    if fault.unreached and attempt.repeat:
+        uncount_repeat(core.fleet, attempt.service, Millis(attempt.sent))
+    log_event(
+        "WARNING",
+        "attempt failed",
+        request=state.request,
+        worker=attempt.worker.name,
+        unreached=fault.unreached,
+        blameless=True,
+        detail=fault.detail,
+    )
+
+
 def record_silent_worker(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt
 ) -> None:
     """Record a worker that is silent for too long while its answer is awaited."""
     now = core.clock.now()
+    if is_partitioned(core.fleet):
+        return
     record_unreachable(attempt.worker, now)
     _report_silence(core, state, attempt)
     log_event(
@@ -132,6 +172,9 @@
     """Record the time to the first byte of an answer."""
     fleet, route = core.fleet, state.admitted.route
     read = state.call.tokens.read
+    if attempt.indirect:
+        _record_tally(core, state, attempt, BEGAN)
+        return
     if attempt.prompt is not None:
         _record_first_event(core, state, attempt, first_ms)
     else:
@@ -190,7 +233,7 @@
         attempt.first_event_at = now
         return
     attempt.gaps += number
-    if _is_decoding_slow(core, attempt, whole=False):
+    if not attempt.indirect and _is_decoding_slow(core, attempt, whole=False):
         _mark_slow(core, state, attempt)
 
 
@@ -247,16 +290,24 @@
     now = core.clock.now()
     record_complete_answer(core.fleet, state.fingerprint, now)
     record_answer(attempt.worker, first_ms, good=True, now=now)
+    if not attempt.indirect:
+        _record_speed(core, state, attempt, first_ms)
+    total = now - state.began
+    org, name = state.org, state.request_class
+    core.histograms.record(org, name, Measure.TTFT, first_ms * 1_000)
+    core.histograms.record(org, name, Measure.TOTAL, total * 1_000)
+
+
+def _record_speed(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, first_ms: int
+) -> None:
+    """Record how fast a complete answer was, for its version and its worker."""
     _record_work_time(core, state, attempt, first_ms)
     if _is_decoding_slow(core, attempt, whole=True):
         _mark_slow(core, state, attempt)
     elif not attempt.slow and _is_slowness_detectable(core, attempt):
         _record_tally(core, state, attempt, IN_TIME)
-    _record_decode_speed(core, attempt, now)
-    total = now - state.began
-    org, name = state.org, state.request_class
-    core.histograms.record(org, name, Measure.TTFT, first_ms * 1_000)
-    core.histograms.record(org, name, Measure.TOTAL, total * 1_000)
+    _record_decode_speed(core, attempt, core.clock.now())
 
 
 def _record_work_time(
@@ -304,13 +355,15 @@
 ) -> None:
     """Record an answer that cannot be relayed as a success."""
     now = core.clock.now()
-    silent = isinstance(exc, SilentWorkerError)
     attempt.connection_broke = isinstance(exc, TruncatedAnswerError)
-    state.failed_versions |= attempt.worker.versions
-    record_answer(attempt.worker, 0.0, good=False, now=now)
-    if silent:
+    if not isinstance(exc, GatewayLostError):
+        state.failed_versions |= attempt.worker.versions
+        record_answer(attempt.worker, 0.0, good=False, now=now)
+    if isinstance(exc, SilentWorkerError):
         _mark_slow(core, state, attempt)
-    else:
+    elif attempt.connection_broke:
+        attempt.break_tally = FAILED
+    elif not isinstance(exc, GatewayLostError):
         _record_tally(core, state, attempt, FAILED)
     log_event(
         "WARNING",
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from .attempt_outcomes import attempt_version
+from .attempt_outcomes import record_break
 from .attempt_outcomes import record_broken_answer
 from .attempt_outcomes import record_first_byte
 from .attempt_outcomes import record_relayed_answer
@@ -98,7 +99,7 @@
         record_timeout=partial(_record_timeout, core),
         may_retry=partial(may_retry, core),
         retry_ms=partial(retry_after_ms, core),
-        find_break_cause=partial(find_break_cause, core),
+        find_break_cause=partial(_find_break_cause, core),
         await_room=waiting_room.await_room,
         after_attempt=lambda _state, _attempt: waiting_room.look_soon(),
         may_resume=partial(may_resume, core),
@@ -303,7 +304,7 @@
 ) -> None:
     """Record that a worker answers, its notices, and whether it was replaced."""
     now = core.clock.now()
-    attempt.answered = True
+    attempt.answered, attempt.indirect = True, answer.indirect
     attempt.worker.last_byte_at = now
     clear_outage(core.fleet, attempt.worker)
     record_worker_return(core.fleet, attempt.worker, now)
@@ -316,6 +317,16 @@
         mark_replaced(core.fleet, attempt.worker)
 
 
+async def _find_break_cause(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt
+) -> None:
+    """Find out why a connection broke, and whether that counts for the version."""
+    try:
+        await find_break_cause(core, state, attempt)
+    finally:
+        record_break(core, state, attempt)
+
+
 def _record_timeout(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
     """Record that a worker sent nothing until the request timed out."""
     waited = core.clock.now() - attempt.sent
--- a/src/spanshunt/catalog_state.py
+++ b/src/spanshunt/catalog_state.py
@@ -25,6 +25,7 @@
 from .systems.ramping import VersionRule
 from .systems.repeats import RepeatBounds
 from .tables.fleet import Fleet
+from .tables.rollouts import Tally
 from .worker_probes import Probe
 
 
@@ -57,6 +58,12 @@
         Number of events relayed after these.
     answered : bool
         Whether the head of an answer arrived.
+    indirect : bool
+        Whether a peer passes the answer on, so that its times tell nothing of the
+        worker.
+    break_tally : Tally or None
+        What a broken connection counts as for the version, once it is known that the
+        worker could be reached; None if no connection broke.
     worker_free : bool
         Whether all workers of the service were believed to have a free slot when this
         was planned.
@@ -79,6 +86,8 @@
     first_event_at: Millis = Millis(-1)
     gaps: int = 0
     answered: bool = False
+    indirect: bool = False
+    break_tally: Tally | None = None
     worker_free: bool = False
     repeat: bool = False
     time_factor: float = 1.0
@@ -106,6 +115,8 @@
         Id of the last complete event that the caller received; None for no event.
     full_workers : frozenset of str
         Workers without room for the request when it was last admitted.
+    cut_off : bool
+        Whether neither this box nor a peer of it had a way to workers.
     """
 
     call: Call
@@ -117,6 +128,7 @@
     failed_versions: set[VersionId] = msgspec.field(default_factory=set)
     last_event_id: int | None = None
     full_workers: frozenset[WorkerId] = frozenset()
+    cut_off: bool = False
 
 
 async def _do_nothing() -> None:
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -60,6 +60,7 @@
 from .systems.following_workers import is_served_by_store
 from .systems.following_workers import list_digest
 from .systems.following_workers import record_list_read
+from .systems.partitions import gateway_room
 from .systems.proving import merge_peer_proof
 from .systems.proving import newest_reported_version
 from .systems.proving import proof_age
@@ -295,6 +296,7 @@
             demands=demands_news(fleet, now)
             if peer_news is None
             else answer_demands(fleet, peer_news.demands, now),
+            gateway_room=gateway_room(fleet),
         )
 
     def _sample_peers(self, peer_news: News) -> tuple[PeerNews, ...]:
@@ -410,7 +412,7 @@
         row.domain, row.served = news.domain, news.served
         row.catalog_version = news.catalog_version
         row.heard, row.failures = now, 0
-        row.followers = news.followers
+        row.followers, row.gateway_room = news.followers, news.gateway_room
         row.settings = PeerSettings(
             digest=news.settings_digest,
             since=Millis(now - news.settings_age_ms),
--- /dev/null
+++ b/src/spanshunt/gateway_sends.py
@@ -0,0 +1,374 @@
+"""Sending to workers, by this box's own connections or through a peer.
+
+A box that reaches no worker by itself sends each request through a peer; see
+``systems.partitions``. The request takes one hop at most: a peer sends by its own
+connections only.
+"""
+
+import asyncio
+import random
+import typing as t
+
+import aiohttp
+from multidict import CIMultiDict
+from result import Err
+from result import Ok
+from result import Result
+
+from .clock import Clock
+from .http_sends import HttpSend
+from .ids import BoxId
+from .ids import Millis
+from .ids import RequestId
+from .logs import log_event
+from .peers.gateways import ForwardedBlock
+from .peers.gateways import ForwardedEnd
+from .peers.gateways import ForwardedHead
+from .peers.gateways import ForwardedRequest
+from .peers.gateways import ForwardFault
+from .peers.gateways import GatewayClient
+from .peers.gateways import GatewaySend
+from .peers.gateways import OfferFault
+from .peers.gateways import SendOffer
+from .peers.gateways import header_rows
+from .peers.unary import PeerFault
+from .ports import GatewayLostError
+from .ports import SendFault
+from .ports import WorkerResponse
+from .settling import Counter
+from .systems.partitions import begin_partition
+from .systems.partitions import choose_gateway
+from .systems.partitions import has_connected_since
+from .systems.partitions import has_gateway
+from .systems.partitions import is_partitioned
+from .systems.partitions import record_connected
+from .systems.partitions import record_probe
+from .systems.partitions import record_unreached
+from .systems.partitions import worker_to_probe
+from .systems.partitions import workers_to_probe
+from .tables.fleet import Fleet
+from .tables.fleet import PeerRow
+from .tables.workers import WorkerRow
+from .worker_probes import Presence
+from .worker_probes import Probe
+
+PROBE_INTERVAL_MS = 250
+"""How often a partitioned box probes a worker, in ms."""
+
+MAX_OFFERS = 3
+"""Number of peers that a request is offered to before it is refused."""
+
+Sent = Result[WorkerResponse, SendFault]
+DirectSend = t.Callable[[HttpSend], t.Awaitable[Sent]]
+"""Sends a request by this box's own connections."""
+
+BuildSend = t.Callable[[int], HttpSend]
+"""Builds a request that is sent some ms after it was planned."""
+
+
+class ForwardedResponse:
+    """A worker's answer that a gateway passes on.
+
+    Parameters
+    ----------
+    head : ForwardedHead
+        Its head.
+    send : GatewaySend
+        The stream of the rest.
+    on_end : callable
+        Called once when the gateway is done with the request.
+    """
+
+    def __init__(
+        self, head: ForwardedHead, send: GatewaySend, on_end: t.Callable[[], None]
+    ) -> None:
+        self.status = head.status
+        self.headers = CIMultiDict(head.headers)
+        self.content = self
+        self._send = send
+        self._on_end = on_end
+        self._ended = False
+
+    async def readany(self) -> bytes:
+        """Return the next bytes; empty at the end."""
+        if self._ended:
+            return b""
+        got = await self._send.get()
+        if isinstance(got, Err):
+            self.close()
+            raise GatewayLostError(f"body: {got.err_value.detail}")
+        message = got.ok_value
+        if isinstance(message, ForwardedBlock):
+            return message.data
+        self.close()
+        if isinstance(message, ForwardedEnd) and not message.broken:
+            return b""
+        detail = message.broken if isinstance(message, ForwardedEnd) else "no end"
+        raise aiohttp.ClientPayloadError(detail)
+
+    def close(self) -> None:
+        """End the request, cancelling it at the worker if it is not fully read."""
+        if not self._ended:
+            self._ended = True
+            self._send.close()
+            self._on_end()
+
+
+class WorkerSender:
+    """Sends requests to workers, and finds out whether this box reaches any.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The tables.
+    clock : Clock
+        The source of time.
+    rng : random.Random
+        Draws gateways and workers to probe.
+    probe : callable
+        Finds out whether a worker takes connections.
+    count : callable
+        Increments a counter.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        rng: random.Random,
+        probe: Probe,
+        count: Counter,
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._rng = rng
+        self._probe = probe
+        self._count = count
+        self._gateways = GatewayClient()
+        self._check: asyncio.Task[bool] | None = None
+        self._probed_at = Millis(0)
+
+    def stop(self) -> None:
+        """Close all connections to gateways."""
+        if self._check is not None:
+            self._check.cancel()
+        self._gateways.stop()
+
+    async def send(
+        self,
+        worker: WorkerRow,
+        request: RequestId,
+        build: BuildSend,
+        direct: DirectSend,
+        *,
+        left_ms: int,
+        new_connection: bool,
+    ) -> Sent:
+        """Send a request and return the head of its answer, or the fault."""
+        began = self._clock.now()
+        if not is_partitioned(self._fleet):
+            sent = await direct(build(0))
+            if not (isinstance(sent, Err) and sent.err_value.unreached):
+                if new_connection:
+                    record_connected(self._fleet, began)
+                return sent
+            if not await self._finds_partition(worker, began):
+                return sent
+        spent_ms = self._clock.now() - began
+        send = build(spent_ms)
+        message = ForwardedRequest(
+            send.method,
+            send.url.raw_path_qs,
+            header_rows(send.headers),
+            send.body,
+            left_ms - spent_ms,
+            new_connection,
+        )
+        return await self._send_through_gateway(worker, request, message)
+
+    async def probe(self, worker: WorkerRow) -> Presence:
+        """Find out whether a worker is there; unknown while this box is partitioned."""
+        if is_partitioned(self._fleet):
+            return Presence.UNKNOWN
+        began = self._clock.now()
+        found = await self._probe(worker)
+        if found is Presence.THERE:
+            record_connected(self._fleet, began)
+        elif await self._finds_partition(worker, began):
+            return Presence.UNKNOWN
+        return found
+
+    async def look(self) -> None:
+        """Probe whether a partition is over, when that is due."""
+        now = self._clock.now()
+        if not is_partitioned(self._fleet):
+            return
+        if now < self._probed_at + PROBE_INTERVAL_MS:
+            return
+        self._probed_at = now
+        row = worker_to_probe(self._fleet, self._rng)
+        if row is None:
+            return
+        reached = await self._probe(row) is Presence.THERE
+        since = self._fleet.partition.since
+        if record_probe(self._fleet, row, self._clock.now(), reached=reached):
+            self._count("partitions_ended")
+            log_event(
+                "INFO",
+                "partition ended",
+                lasted_ms=self._clock.now() - since,
+                worker=row.name,
+            )
+
+    async def _finds_partition(self, worker: WorkerRow, began: Millis) -> bool:
+        """Return whether the box is partitioned, after a connection failed.
+
+        Requests that fail at the same time share one check.
+        """
+        fleet = self._fleet
+        if is_partitioned(fleet):
+            return True
+        if has_connected_since(fleet, began):
+            return False
+        record_unreached(fleet, worker, self._clock.now())
+        if not has_gateway(fleet, self._clock.now()):
+            return False
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._check_others(worker))
+        return await asyncio.shield(self._check)
+
+    async def _check_others(self, failed: WorkerRow) -> bool:
+        """Probe other workers; return whether none of them is reached."""
+        fleet, began = self._fleet, self._clock.now()
+        rows = workers_to_probe(fleet, failed, self._rng)
+        found = await asyncio.gather(*(self._probe(row) for row in rows))
+        if not rows or Presence.THERE in found or has_connected_since(fleet, began):
+            if Presence.THERE in found:
+                record_connected(fleet, began)
+            return False
+        for row in rows:
+            record_unreached(fleet, row, self._clock.now())
+        self._count("partitions")
+        log_event(
+            "WARNING",
+            "partitioned from workers",
+            unreached=sorted(fleet.partition.unreached),
+            since_ms=self._clock.now() - fleet.partition.connected_at
+            if fleet.partition.connected_at >= 0
+            else None,
+        )
+        begin_partition(fleet, self._clock.now())
+        return True
+
+    async def _send_through_gateway(
+        self, worker: WorkerRow, request: RequestId, message: ForwardedRequest
+    ) -> Sent:
+        """Offer the request to peers until one sends it."""
+        tried: set[BoxId] = set()
+        detail = "no peer sends for this box"
+        while len(tried) < MAX_OFFERS:
+            now = self._clock.now()
+            peer = choose_gateway(self._fleet, now, self._rng, tried)
+            if peer is None:
+                break
+            tried.add(peer.box)
+            offer = SendOffer(
+                request, self._fleet.identity.box, worker.name, len(message.body)
+            )
+            # Counted while the offer is answered, so that offers made together spread.
+            peer.gateway_sends += 1
+            offered = await self._offer(peer, offer)
+            if isinstance(offered, Ok):
+                return await self._await_head(peer, worker, request, message, offered)
+            detail = f"{peer.box}: {offered.err_value.detail}"
+            if offered.err_value.of_worker:
+                return Err(SendFault(True, detail, blameless=True))
+            peer.gateway_failed_at = self._clock.now()
+        self._count("gateway_sends.refused")
+        log_event(
+            "WARNING",
+            "no gateway",
+            request=request,
+            worker=worker.name,
+            tried=sorted(tried),
+            detail=detail,
+        )
+        return Err(
+            SendFault(True, f"no gateway: {detail}", blameless=True, cut_off=True)
+        )
+
+    async def _offer(
+        self, peer: PeerRow, offer: SendOffer
+    ) -> Result[GatewaySend, OfferFault]:
+        accepted = False
+        try:
+            offered = await self._gateways.offer(peer.address, offer)
+            accepted = isinstance(offered, Ok)
+            return offered
+        finally:
+            if not accepted:
+                peer.gateway_sends -= 1
+
+    async def _await_head(
+        self,
+        peer: PeerRow,
+        worker: WorkerRow,
+        request: RequestId,
+        message: ForwardedRequest,
+        offered: Ok[GatewaySend],
+    ) -> Sent:
+        """Give an accepted request to the gateway and return the head of its answer."""
+        send = offered.ok_value
+        began = self._clock.now()
+
+        def end() -> None:
+            peer.gateway_sends -= 1
+
+        passed_on = False
+        try:
+            fault = await send.put(message)
+            got: Result[t.Any, PeerFault] = Err(fault) if fault else await send.get()
+            passed_on = isinstance(got, Ok) and isinstance(got.ok_value, ForwardedHead)
+        finally:
+            if not passed_on:
+                send.close()
+                end()
+        self._count("gateway_sends")
+        log_event(
+            "INFO",
+            "sent through gateway",
+            request=request,
+            worker=worker.name,
+            gateway=peer.box,
+            head_ms=self._clock.now() - began,
+            room=peer.gateway_room,
+            outcome=_describe(got),
+        )
+        if isinstance(got, Err):
+            peer.gateway_failed_at = self._clock.now()
+            detail = f"gateway {peer.box}: {got.err_value.detail}"
+            return Err(SendFault(False, detail, blameless=True))
+        if isinstance(got.ok_value, ForwardedHead):
+            return Ok(ForwardedResponse(got.ok_value, send, end))
+        return Err(_to_send_fault(peer, got.ok_value))
+
+
+def _to_send_fault(peer: PeerRow, message: t.Any) -> SendFault:
+    if not isinstance(message, ForwardFault):
+        detail = f"gateway {peer.box} sent {type(message).__name__} for a head"
+        return SendFault(False, detail, blameless=True)
+    return SendFault(
+        message.unreached,
+        f"through {peer.box}: {message.detail}",
+        stale=message.stale,
+        refused=message.refused,
+    )
+
+
+def _describe(got: Result[t.Any, PeerFault]) -> str:
+    if isinstance(got, Err):
+        return got.err_value.detail
+    message = got.ok_value
+    if isinstance(message, ForwardedHead):
+        return f"status {message.status}"
+    return message.detail if isinstance(message, ForwardFault) else "no head"
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -16,6 +16,7 @@
 from .ports import Collect
 from .ports import SendFault
 from .ports import TruncatedAnswerError
+from .ports import WorkerResponse
 from .ports import do_not_collect
 from .systems.worker_health import WorkerLoad
 from .tables.notices import Notice
@@ -88,19 +89,20 @@
 
     Parameters
     ----------
-    resp : aiohttp.ClientResponse
+    resp : WorkerResponse
         Response whose head has been read.
     headers : CIMultiDict
         Headers forwarded to the caller.
     """
 
-    def __init__(self, resp: aiohttp.ClientResponse, headers: CIMultiDict[str]) -> None:
+    def __init__(self, resp: WorkerResponse, headers: CIMultiDict[str]) -> None:
         self._resp = resp
         self.status = resp.status
         self.headers = headers
         self.not_run = False
         self.replaced = False
         self.defect = ""
+        self.indirect = False
         self.confidence: float | None = None
         self.load: WorkerLoad | None = None
         self.notice = Notice()
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -385,6 +385,8 @@
         Usual speeds of workers that differ from their service's.
     demands : tuple of DemandNews
         Demand of organisations for services that are short of room.
+    gateway_room : int
+        How many more requests the sender would send to workers for the receiver.
     """
 
     box: BoxId
@@ -425,6 +427,7 @@
     loads: tuple[LoadNews, ...] = ()
     worker_speeds: tuple[WorkerSpeedNews, ...] = ()
     demands: tuple[DemandNews, ...] = ()
+    gateway_room: int = 0
 
 
 class FetchCatalogRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -24,6 +24,8 @@
 from ..fleet_report import settings_lines
 from ..fleet_report import waiting_lines
 from ..fleet_report import worker_speed_lines
+from ..gateway_sends import WorkerSender
+from ..gateway_service import GatewayServer
 from ..histograms import Histograms
 from ..ids import BoxId
 from ..ids import DomainId
@@ -33,6 +35,7 @@
 from ..logs import log_event
 from ..logs import send_logs
 from ..peers.codec import MsgpackCodec
+from ..peers.gateways import GatewayService
 from ..peers.news import NewsService
 from ..platform_lines import log_older_store
 from ..settings_file import LOOK_MS as SETTINGS_MS
@@ -99,6 +102,9 @@
 UNREADY_LINE_MS = 2_000
 """Period of logging what a box that is not ready waits for, in ms."""
 
+PARTITION_LOOK_MS = 50
+"""Period of looking whether a partitioned box is due to probe a worker, in ms."""
+
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -158,7 +164,6 @@
         self._background = Background(self._on_broken, phase=random.random())
         self._runners: list[web.ServerRunner] = []
         self._sites: list[web.BaseSite] = []
-        self._workers = WorkerClient()
         self._store = StoreClient(
             settings.store.address,
             settings.store.timeout_ms,
@@ -167,12 +172,16 @@
         )
         bounds = settings.bounds
         rng = random.Random()
+        self._sender = WorkerSender(
+            self.fleet, clock, rng, WorkerProbes().probe, self.counters.add
+        )
+        self._workers = WorkerClient(self._sender)
         self.core = Core(
             clock=clock,
             rng=rng,
             fleet=self.fleet,
             send=self._workers.send,
-            probe=WorkerProbes().probe,
+            probe=self._sender.probe,
             gossip_now=lambda: self._exchange.tell_now(),
             load_quarantine=lambda: self._kept_back.recall(),
             check_suspension=lambda: self._wakes.look(),
@@ -214,7 +223,12 @@
             self.counters.add,
         )
         self._news = NewsService(self._exchange.answer_news, self._fetcher.tell)
-        self._server = Server([self._news], codec=MsgpackCodec())
+        gateway = GatewayServer(
+            self.fleet, clock, self._workers.send_direct, self.counters.add
+        )
+        self._server = Server(
+            [self._news, GatewayService(gateway.serve)], codec=MsgpackCodec()
+        )
 
     async def start(self) -> None:
         """Begin to listen and to follow."""
@@ -264,6 +278,7 @@
         jobs.every(JUDGE_MS, self._recorder.tick)
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
+        jobs.every(PARTITION_LOOK_MS, self._sender.look)
         jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
         jobs.every(UNREADY_LINE_MS, self._log_unready)
@@ -308,7 +323,8 @@
             await site.stop()
         while True:
             self._front.end_idle_connections()
-            if not self._front.server.connections or self.clock.now() >= last:
+            busy = self._front.server.connections or self.fleet.gateway_sends
+            if not busy or self.clock.now() >= last:
                 return
             await asyncio.sleep(STOP_STEP_S)
 
@@ -320,6 +336,7 @@
         self._news.close()
         self._server.close()
         self._exchange.stop()
+        self._sender.stop()
         await self._workers.stop()
         await self._store.stop()
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -12,6 +12,8 @@
 from result import Result
 from yarl import URL
 
+from ..gateway_sends import ForwardedResponse
+from ..gateway_sends import WorkerSender
 from ..http_sends import HttpAnswer
 from ..http_sends import HttpSend
 from ..http_sends import drop_headers
@@ -21,6 +23,7 @@
 from ..ports import Answer
 from ..ports import Dispatch
 from ..ports import SendFault
+from ..ports import WorkerResponse
 from ..systems.worker_health import WorkerLoad
 from ..tables.notices import InvalidNotice
 from ..tables.notices import Notice
@@ -77,7 +80,7 @@
 class WorkerAnswer(HttpAnswer):
     """A worker's answer, as its headers tell it."""
 
-    def __init__(self, resp: aiohttp.ClientResponse, request: str) -> None:
+    def __init__(self, resp: WorkerResponse, request: str) -> None:
         super().__init__(resp, drop_headers(resp.headers, wire.CONNECTION_HEADERS))
         self.not_run = wire.NOT_RUN in resp.headers
         self.replaced = resp.status == 421
@@ -88,9 +91,16 @@
 
 
 class WorkerClient:
-    """Sends to workers, over kept connections where that is safe."""
+    """Sends to workers, over kept connections where that is safe.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    sender : WorkerSender or None
+        Sends through a peer while this box reaches no worker; None for never.
+    """
+
+    def __init__(self, sender: WorkerSender | None = None) -> None:
+        self._sender = sender
         self._kept: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
@@ -109,14 +119,38 @@
         """Send a request and return the head of its answer."""
         call, worker = dispatch.call, dispatch.worker
         alone = dispatch.new_connection or len(call.body) > ONCE_BYTES
-        session = self._fresh if alone else self._kept
-        assert session is not None
-        url = URL(f"http://{worker.address}{call.target}", encoded=True)
-        send = HttpSend(call.method, url, _request_headers(dispatch), call.body)
-        sent = await send_http(session, send, reuses_connections=not alone)
+        if self._sender is None:
+            sent = await self.send_direct(_http_send(dispatch, 0), alone)
+        else:
+            sent = await self._sender.send(
+                worker,
+                call.request,
+                partial(_http_send, dispatch),
+                partial(self.send_direct, alone=alone),
+                left_ms=dispatch.left_ms,
+                new_connection=alone,
+            )
         if isinstance(sent, Err):
             return sent
-        return Ok(WorkerAnswer(sent.ok_value, call.request))
+        answer = WorkerAnswer(sent.ok_value, call.request)
+        answer.indirect = isinstance(sent.ok_value, ForwardedResponse)
+        return Ok(answer)
+
+    async def send_direct(
+        self, send: HttpSend, alone: bool
+    ) -> Result[WorkerResponse, SendFault]:
+        """Send a request by this box's own connections, `alone` on a new one."""
+        session = self._fresh if alone else self._kept
+        assert session is not None
+        return await send_http(session, send, reuses_connections=not alone)
+
+
+def _http_send(dispatch: Dispatch, spent_ms: int) -> HttpSend:
+    """Build a request that is sent `spent_ms` after it was planned."""
+    call = dispatch.call
+    url = URL(f"http://{dispatch.worker.address}{call.target}", encoded=True)
+    headers = _request_headers(dispatch, dispatch.left_ms - spent_ms)
+    return HttpSend(call.method, url, headers, call.body)
 
 
 def _session(*, force_close: bool) -> aiohttp.ClientSession:
@@ -130,10 +164,10 @@
     return new_client_session(connector, CONNECT_TIMEOUT_S, cookie_jar=jar)
 
 
-def _request_headers(dispatch: Dispatch) -> CIMultiDict[str]:
+def _request_headers(dispatch: Dispatch, left_ms: int) -> CIMultiDict[str]:
     call = dispatch.call
     headers = call.headers.copy()
-    headers[wire.DEADLINE] = str(max(1, dispatch.left_ms))
+    headers[wire.DEADLINE] = str(max(1, left_ms))
     headers[wire.WORKER_ID] = dispatch.worker.name
     if dispatch.org:
         headers[wire.ORGANISATION] = dispatch.org
@@ -146,7 +180,7 @@
     return headers
 
 
-def _flaw(resp: aiohttp.ClientResponse, request: str) -> str:
+def _flaw(resp: WorkerResponse, request: str) -> str:
     """Return what makes an answer none to this request, empty if it is one."""
     headers = resp.headers
     found = headers.get(wire.REQUEST_ID)
@@ -163,7 +197,7 @@
     return ""
 
 
-def _notice(resp: aiohttp.ClientResponse) -> Notice:
+def _notice(resp: WorkerResponse) -> Notice:
     """Decode what a worker says of itself; what can't be read is named."""
     headers = resp.headers
     per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
@@ -194,7 +228,7 @@
         return None
 
 
-def _load(resp: aiohttp.ClientResponse) -> WorkerLoad | None:
+def _load(resp: WorkerResponse) -> WorkerLoad | None:
     """Decode ``running,waiting,slots``, with or without the slowdown.
 
     Fewer figures, or others than whole numbers, tell nothing. A slowdown that can't be
@@ -210,5 +244,5 @@
     return WorkerLoad(running, waiting, slots, slowdown)
 
 
-def _load_figures(resp: aiohttp.ClientResponse) -> list[str]:
+def _load_figures(resp: WorkerResponse) -> list[str]:
     return resp.headers.get(wire.LOAD, "").split(",")
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from multidict import CIMultiDict
+from multidict import MultiMapping
 from result import Result
 
 from .ids import ModelId
@@ -36,6 +37,10 @@
     """The worker sent nothing for too long in the middle of an answer."""
 
 
+class GatewayLostError(BrokenAnswerError):
+    """The peer that passes on the answer was lost; it says nothing of the worker."""
+
+
 class Call(msgspec.Struct):
     """One request of a caller, independent of its protocol.
 
@@ -137,6 +142,11 @@
         Whether the worker accepted the request and then sent nothing for too long.
     refused : bool
         Whether the connection to the worker's address was refused.
+    blameless : bool
+        Whether the fault lies on this box's side of the worker, so that it says nothing
+        of the worker and its version.
+    cut_off : bool
+        Whether neither this box nor a peer of it has a way to workers.
     """
 
     unreached: bool
@@ -144,6 +154,44 @@
     stale: bool = False
     silent: bool = False
     refused: bool = False
+    blameless: bool = False
+    cut_off: bool = False
+
+
+class BodyReader(t.Protocol):
+    """Reads the body of a worker's answer."""
+
+    async def readany(self) -> bytes:
+        """Return the next bytes; empty at the end."""
+
+
+class WorkerResponse(t.Protocol):
+    """Head of an HTTP answer, however it reached this box.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : mapping
+        All headers, as a multidict.
+    content : BodyReader
+        The body.
+    """
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+
+    @property
+    def headers(self) -> MultiMapping[str]:
+        """All headers."""
+
+    @property
+    def content(self) -> BodyReader:
+        """The body."""
+
+    def close(self) -> None:
+        """Close the connection, cancelling what is not read."""
 
 
 Collect = t.Callable[[int], t.Awaitable[None]]
@@ -170,6 +218,8 @@
         Whether another worker uses this address now.
     defect : str
         Why this is not a valid answer to the request; empty if it is valid.
+    indirect : bool
+        Whether a peer passed it on, which takes longer than the way from the worker.
     confidence : float or None
         Confidence of the model in its answer, in 0 to 1.
     load : WorkerLoad or None
@@ -183,6 +233,7 @@
     not_run: bool
     replaced: bool
     defect: str
+    indirect: bool
     confidence: float | None
     load: WorkerLoad | None
     notice: Notice
--- a/src/spanshunt/repeating.py
+++ b/src/spanshunt/repeating.py
@@ -25,6 +25,8 @@
     """Return why no other worker may get the request; empty if one may get it."""
     if not may_attempt_again(state, core.clock.now()):
         return "its time or its attempts are used up"
+    if state.cut_off:
+        return "neither this box nor a peer reaches a worker"
     if state.unreached >= MAX_UNREACHED:
         return f"{state.unreached} workers were not reached"
     arrivals = state.sends - state.unreached
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -31,6 +31,7 @@
 from .holdings import BoxLimits
 from .holdings import ByteAccount
 from .identity import Identity
+from .partition import Partition
 from .rollouts import Rollouts
 from .settings_state import PeerSettings
 from .settings_state import SettingsRow
@@ -74,6 +75,13 @@
         domain, and reports none otherwise. Boxes that the store does not serve are left
         out, unless it does not serve that box either. Each box judges by its own view,
         so boxes mostly agree, but need not.
+    gateway_room : int
+        How many more requests the peer would send to workers for others, as it reports;
+        0 for none.
+    gateway_sends : int
+        Requests that this box sends through the peer now.
+    gateway_failed_at : int
+        When the peer last failed to send for this box, in ms; -1 for never.
     """
 
     box: BoxId
@@ -88,6 +96,9 @@
     clock_ahead: int | None = None
     settings: PeerSettings = PeerSettings()
     followers: tuple[BoxId, ...] = ()
+    gateway_room: int = 0
+    gateway_sends: int = 0
+    gateway_failed_at: Millis = Millis(-1)
 
 
 class TrafficSecond(msgspec.Struct):
@@ -326,6 +337,12 @@
         The operators' newest order for each failure domain.
     outages : dict
         Failure domains with workers that were recently unreachable.
+    partition : Partition
+        Whether this box reaches workers by its own connections.
+    gateway_bytes : int
+        Bytes taken by requests that this box sends to workers for peers.
+    gateway_sends : int
+        Number of these requests.
     regions : dict
         Region of each failure domain, from the settings.
     rollouts : Rollouts
@@ -406,6 +423,9 @@
     cold_bounds: ColdBounds = ColdBounds()
     evacuations: dict[DomainId, EvacuationRow] = {}
     outages: dict[DomainId, DomainOutage] = {}
+    partition: Partition = msgspec.field(default_factory=Partition)
+    gateway_bytes: int = 0
+    gateway_sends: int = 0
     regions: dict[DomainId, RegionId] = {}
     rollouts: Rollouts = msgspec.field(default_factory=Rollouts)
     traffic: dict[ServiceId, Traffic] = {}
