Brittle workers get no more than their slots from all boxes together

The word was read nowhere.

Change: the word is decoded, told to peers as limits are, ended by an answer without it. Boxes share a brittle worker's slots without messages: the places of all boxes add up to the slots. Plain requests wait at the box for a place; prompts are refused with the time to return. A worker that fell and is back is taken for brittle until it answers.

Not measured at 61 boxes: where there are more boxes than slots, boxes without a place are left with tries.

--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -43,6 +43,7 @@
 from .request_state import WorkerFailure
 from .systems.admitting import Admission
 from .systems.admitting import steps_below_highest
+from .systems.brittleness import use_place
 from .systems.cascading import record_lateness
 from .systems.ending import record_worker_return
 from .systems.estimating import record_sent_prompt
@@ -152,6 +153,7 @@
     cold = is_cold(attempt.worker, core.clock.now())
     record_cold_send(attempt.worker, core.clock.now())
     use_grant(core.fleet, attempt.worker, core.clock.now())
+    use_place(core.fleet, attempt.worker, core.clock.now())
     _charge_share(core, state, attempt)
     attempt.repeat = state.sends > state.unreached
     if attempt.repeat:
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -24,6 +24,7 @@
 from .peers.news import news_streams
 from .peers.news_rows import answer_demands
 from .peers.news_rows import apply_demand_answer
+from .peers.news_rows import brittle_news
 from .peers.news_rows import demands_news
 from .peers.news_rows import evacuations_news
 from .peers.news_rows import leaving_news
@@ -82,6 +83,7 @@
 from .tables.settings_state import PeerSettings
 from .tables.suspects import SuspectRequest
 from .tables.workers import WorkerRow
+from .worker_notices import merge_brittle_news
 from .worker_notices import merge_leaving_news
 from .worker_notices import merge_limit_news
 
@@ -297,6 +299,7 @@
             if peer_news is None
             else answer_demands(fleet, peer_news.demands, now),
             gateway_room=gateway_room(fleet),
+            brittle=brittle_news(fleet, now),
         )
 
     def _sample_peers(self, peer_news: News) -> tuple[PeerNews, ...]:
@@ -351,6 +354,7 @@
         merge_load_news(fleet, news, sent_at)
         merge_worker_speed_news(fleet, news)
         merge_limit_news(fleet, news, sent_at, now)
+        merge_brittle_news(fleet, news, sent_at, now)
         merge_leaving_news(fleet, news, sent_at, now)
 
     def _sent_at(self, news: News, called_at: Millis | None) -> Millis | None:
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -385,6 +385,9 @@
         Usual speeds of workers that differ from their service's.
     demands : tuple of DemandNews
         Demand of organisations for services that are short of room.
+    brittle : tuple of LimitNews
+        The newest notices of brittle workers; their rates are those of rejections that
+        the workers tolerate.
     gateway_room : int
         How many more requests the sender would send to workers for the receiver.
     """
@@ -428,6 +431,7 @@
     worker_speeds: tuple[WorkerSpeedNews, ...] = ()
     demands: tuple[DemandNews, ...] = ()
     gateway_room: int = 0
+    brittle: tuple[LimitNews, ...] = ()
 
 
 class FetchCatalogRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -6,6 +6,7 @@
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import Offset
+from ..systems.brittleness import brittle_to_send
 from ..systems.demand import DemandRow
 from ..systems.demand import apply_answered_demands
 from ..systems.demand import apply_called_demands
@@ -16,6 +17,7 @@
 from ..systems.quarantining import suspects_to_send
 from ..systems.sharing import services_short_of_room
 from ..systems.tallies import sum_tallies
+from ..systems.throttling import WorkerLimit
 from ..systems.throttling import limits_to_send
 from ..systems.worker_speed import newest_slowdowns
 from ..tables.fleet import EvacuationRow
@@ -278,6 +280,15 @@
 
 def limits_news(fleet: Fleet, now: Millis) -> tuple[LimitNews, ...]:
     """Return the newest rate limits of workers."""
+    return _rates_news(limits_to_send(fleet, now), now)
+
+
+def brittle_news(fleet: Fleet, now: Millis) -> tuple[LimitNews, ...]:
+    """Return the newest notices of brittle workers."""
+    return _rates_news(brittle_to_send(fleet, now), now)
+
+
+def _rates_news(rows: list[WorkerLimit], now: Millis) -> tuple[LimitNews, ...]:
     return tuple(
         LimitNews(
             worker=known.worker.name,
@@ -286,7 +297,7 @@
             age_ms=now - known.limit.at,
             source=known.limit.source,
         )
-        for known in limits_to_send(fleet, now)
+        for known in rows
     )
 
 
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -5,6 +5,7 @@
 operator removes meanwhile does not interrupt it.
 """
 
+import msgspec
 from result import Err
 from result import Ok
 from result import Result
@@ -22,6 +23,7 @@
 from .refusals import Refusal
 from .refusals import Run
 from .systems.admitting import steps_below_highest
+from .systems.brittleness import lacks_place
 from .systems.cascading import EscalationProspect
 from .systems.cascading import plan_models
 from .systems.cascading import record_engine_gain
@@ -125,6 +127,7 @@
     rule = _version_rule(core, state)
     eager = _is_eager(core, state)
     request = _placement_request(core, state, service, rule, ModelId(""), eager=eager)
+    request = msgspec.structs.replace(request, ignore_places=True)
     return candidate_workers(core.fleet, request, core.clock.now())
 
 
@@ -386,6 +389,10 @@
         detail = f"bodies on the way fill the workers of {request.service} now"
         return _no_worker_refusal(core, state, detail)
     if not rows:
+        if lacks_place(fleet, request.service, now):
+            core.count("refused_brittle")
+            detail = f"no place is free at the brittle workers of {request.service}"
+            return _no_worker_refusal(core, state, detail)
         detail = f"no worker of {request.service} accepts requests now"
         return _no_worker_refusal(core, state, detail)
     core.count("refused_held_off")
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -76,6 +76,9 @@
 RATE_LIMIT = "Server-Limit"
 """Requests a second that a worker takes from all boxes together, in its answers."""
 
+BRITTLE = "Server-Brittle"
+"""That a worker falls over if it has to turn away more requests a second than this."""
+
 LEAVING = "Server-Leaving"
 """That a worker leaves, in all its answers from then on."""
 
@@ -343,6 +346,20 @@
     return Err(f"{RATE_LIMIT} is {found!r}; one decimal number is allowed")
 
 
+def decode_brittle(texts: t.Sequence[str]) -> Result[float | None, str]:
+    """Decode how many rejections a second a brittle worker tolerates.
+
+    The result is None without the header; the value is one number above 0.
+    """
+    if not texts:
+        return Ok(None)
+    text = texts[0].strip()
+    if len(texts) == 1 and _DECIMAL.fullmatch(text) and float(text) > 0.0:
+        return Ok(float(text))
+    found = ", ".join(texts)[:FLAW_SHOWN]
+    return Err(f"{BRITTLE} is {found!r}; one decimal number above 0 is allowed")
+
+
 def decode_slowdown(texts: t.Sequence[str]) -> Result[float | None, str]:
     """Decode the figures of a load report after its counts: none, or the slowdown.
 
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -202,6 +202,7 @@
     headers = resp.headers
     per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
     leaving = wire.decode_leaving(headers.getall(wire.LEAVING, []))
+    brittle = wire.decode_brittle(headers.getall(wire.BRITTLE, []))
     slowdown = wire.decode_slowdown(_load_figures(resp)[LOAD_COUNTS:])
     rest_ms: Result[Millis | None, str] = Ok(None)
     if resp.status == TURNED_AWAY:
@@ -212,11 +213,13 @@
         (NoticeKind.LEAVING, leaving.err()),
         (NoticeKind.REST, rest_ms.err()),
         (NoticeKind.LOAD, slowdown.err()),
+        (NoticeKind.BRITTLE, brittle.err()),
     )
     return Notice(
         per_s=per_s.unwrap_or(None),
         leaving=leaving.unwrap_or(False),
         rest_ms=rest_ms.unwrap_or(None),
+        brittle_per_s=brittle.unwrap_or(None),
         invalid=tuple(InvalidNotice(word, detail) for word, detail in found if detail),
     )
 
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -81,7 +81,9 @@
     when it has run for ``ends_after_s``, and ``on_end`` is called then. ``says`` are
     headers that it puts into all its answers, ``asks`` those beside its word
     that it has no room, ``said`` which answers had any. ``slots`` bounds what it runs
-    at once and how many requests wait; without them it has room for all.
+    at once and how many requests wait; without them it has room for all. With
+    ``brittle_per_s`` it says so, and ends once it turned more requests away in a
+    second for want of room; ``falls`` counts that.
     ``event_bytes`` is the least length of an event's data, ``whole_bytes`` that of a
     plain answer.
 
@@ -106,6 +108,9 @@
         self.holds: t.Callable[[str], float] = lambda _request: 0.0
         self.on_end: t.Callable[[], None] = lambda: None
         self.slots: WorkerSlots | None = None
+        self.brittle_per_s = 0.0
+        self.falls = 0
+        self.turned_away: list[float] = []
         self.events = 4
         self.event_s = 0.0
         self.event_bytes = 0
@@ -211,7 +216,7 @@
             head = self._head(503, seen.request, length=0, sealed=False, extra=extra)
             writer.write(head)
             await writer.drain()
-            return True
+            return not self._falls_over()
         if self.slots and not await self._work(self.slots, seen, reader):
             return False
         self.ran.append(seen.request)
@@ -235,6 +240,18 @@
             return await self._stream(seen, reader, writer, fault)
         return await self._whole(seen, writer, fault)
 
+    def _falls_over(self) -> bool:
+        """Count a request turned away; end and return True if that is too many."""
+        now = asyncio.get_running_loop().time()
+        self.turned_away.append(now)
+        recent = sum(at > now - 1.0 for at in self.turned_away)
+        if not self.brittle_per_s or recent <= self.brittle_per_s:
+            return False
+        self.falls += 1
+        self.end()
+        self.on_end()
+        return True
+
     async def _work(
         self, slots: WorkerSlots, seen: SeenRequest, reader: asyncio.StreamReader
     ) -> bool:
@@ -320,6 +337,8 @@
     ) -> bytes:
         """Return an answer's head, with what this worker says of itself."""
         headers = {**(extra or {}), **self.says}
+        if self.brittle_per_s:
+            headers["Server-Brittle"] = f"{self.brittle_per_s:g}"
         if self.slots is not None:
             row = self.slots
             headers["Instance-Load"] = f"{row.running},{row.waiting},{row.slots}"
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -196,6 +196,8 @@
     if row.name in fleet.workers.rows:
         # Peers' reports of the former incarnation's silence are older than this.
         row.last_byte_at = now
+        # A worker that fell over and is back has not answered yet.
+        row.brittle = fleet.workers.rows[row.name].brittle
     fleet.workers.rows[row.name] = row
     fleet.workers.leaving.discard(row.name)
     fleet.silence_reports.pop(row.name, None)
@@ -208,6 +210,7 @@
     """Restore the notices of a worker whose entry came back."""
     row.limit, row.rate_limiter = former.limit, former.rate_limiter
     row.rest, row.notices_since = former.rest, former.notices_since
+    row.brittle = former.brittle
     if former.leaving is not None:
         record_leaving_notice(fleet, row, former.leaving)
 
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -34,6 +34,7 @@
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
 from ..utils import rendezvous
+from .brittleness import has_place
 from .estimating import FirstEventEstimate
 from .estimating import Prompt
 from .estimating import make_estimator
@@ -132,6 +133,9 @@
         Workers without room, which get the request only if there is no other.
     body_bytes : int
         Length of the request's body.
+    ignore_places : bool
+        Whether brittle workers are candidates without a place for the request, too: it
+        may wait for one.
     """
 
     service: ServiceId
@@ -147,6 +151,7 @@
     workers_with_suspects: t.Collection[WorkerId] | None = None
     full: t.Collection[WorkerId] = ()
     body_bytes: int = 0
+    ignore_places: bool = False
 
 
 class Placement(msgspec.Struct, frozen=True):
@@ -330,6 +335,7 @@
         if request.rule.admits(row.versions)
         and takes_work(row)
         and throttle_wait_ms(fleet, row, request, now) <= 0
+        and (request.ignore_places or has_place(fleet, row, now))
         and may_upload(marks, row, request.body_bytes)
     ]
     rows = [row for row in able if row.name not in request.tried]
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -14,6 +14,8 @@
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
+from .brittleness import has_place
+from .brittleness import is_brittle
 from .fleet_size import box_count
 from .worker_speed import time_factor
 
@@ -129,6 +131,7 @@
         row.name
         for row, bound in zip(rows, bounds, strict=True)
         if row.inflight + others_requests(row, now, half_life_ms) + 1 > bound
+        or not has_place(fleet, row, now)
     )
     has_room = len(full) < len(rows)
     scarce = work_ms > 0.0 and (not has_room or fleet.wait_list.count > 0)
@@ -145,7 +148,7 @@
 def has_free_slots_everywhere(fleet: Fleet, service: ServiceId) -> bool:
     """Return whether all workers of a service are believed to have a free slot."""
     return all(
-        row.inflight + row.others < row.slots
+        row.inflight + row.others < row.slots and not is_brittle(row)
         for row in fleet.workers.find_capable(service, None)
     )
 
--- a/src/spanshunt/tables/notices.py
+++ b/src/spanshunt/tables/notices.py
@@ -15,6 +15,7 @@
     LEAVING = "leaving"
     REST = "rest"
     LOAD = "load"
+    BRITTLE = "brittle"
 
 
 class InvalidNotice(msgspec.Struct, frozen=True):
@@ -37,6 +38,9 @@
     rest_ms : int or None
         How long the box whose request was turned away must send nothing to the worker,
         in ms; None if the answer does not ask for it.
+    brittle_per_s : float or None
+        Requests a second, of all boxes together, above which the worker falls over if
+        it turns them away; None if the answer names no valid number.
     invalid : tuple of InvalidNotice
         Notices that are invalid.
     """
@@ -44,6 +48,7 @@
     per_s: float | None = None
     leaving: bool = False
     rest_ms: Millis | None = None
+    brittle_per_s: float | None = None
     invalid: tuple[InvalidNotice, ...] = ()
 
     def is_invalid(self, kind: NoticeKind) -> bool:
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -113,6 +113,11 @@
         The newest rate limit that the worker announced; None if it never named one.
     rate_limiter : RateLimiter or None
         Limiter of this box's share of that rate; None without a limit.
+    brittle : RateLimit or None
+        The newest notice that the worker is brittle, with the rate of rejections that
+        it tolerates; None if it never said so.
+    try_limiter : RateLimiter or None
+        Limiter of this box's requests beyond its places at a brittle worker.
     notices_since : int
         Notices that arrived before this time are of an earlier run, in ms.
     leaving : LeavingNotice or None
@@ -164,6 +169,8 @@
     cold_sent_at: Millis = Millis(-1)
     limit: RateLimit | None = None
     rate_limiter: RateLimiter | None = None
+    brittle: RateLimit | None = None
+    try_limiter: RateLimiter | None = None
     notices_since: Millis = Millis(0)
     leaving: LeavingNotice | None = None
     rest: RestPeriod | None = None
@@ -175,7 +182,7 @@
     @property
     def has_notices(self) -> bool:
         """Whether the worker sent any notice that holds for its run."""
-        return any((self.limit, self.leaving, self.rest))
+        return any((self.limit, self.leaving, self.rest, self.brittle))
 
     @property
     def incarnation(self) -> WorkerIncarnation:
--- a/src/spanshunt/worker_notices.py
+++ b/src/spanshunt/worker_notices.py
@@ -14,6 +14,10 @@
 from .logs import log_event
 from .peers.news import News
 from .ports import Answer
+from .systems.brittleness import apply_brittle
+from .systems.brittleness import apply_peer_brittle
+from .systems.brittleness import own_places
+from .systems.brittleness import revokes_brittle
 from .systems.following_workers import record_leaving_notice
 from .systems.resting import apply_rest
 from .systems.resting import rest_left_ms
@@ -45,6 +49,7 @@
     for invalid in answer.notice.invalid:
         _log_invalid_notice(state, attempt.worker, invalid)
     _apply_limit(core, state, attempt, answer.notice)
+    _apply_brittle(core, state, attempt, answer.notice)
     if answer.notice.leaving:
         _apply_leaving(core, state, attempt.worker)
     if answer.notice.rest_ms is not None:
@@ -66,6 +71,23 @@
         log_limit(worker, previous, request=state.request)
 
 
+def _apply_brittle(
+    core: Core, state: CatalogRequest, attempt: CatalogAttempt, notice: Notice
+) -> None:
+    """Apply a notice that a worker is brittle, or its end, and tell peers."""
+    worker = attempt.worker
+    if notice.is_invalid(NoticeKind.BRITTLE):
+        return
+    if notice.brittle_per_s is None and not revokes_brittle(worker, attempt.sent):
+        return
+    now = core.clock.now()
+    known = RateLimit(notice.brittle_per_s, now, core.fleet.identity.box)
+    if apply_brittle(worker, known):
+        core.count("workers_brittle")
+        _log_brittle(core.fleet, worker, request=state.request)
+        core.gossip_now()
+
+
 def _apply_leaving(core: Core, state: CatalogRequest, worker: WorkerRow) -> None:
     """Apply a notice that a worker leaves, and tell peers.
 
@@ -123,6 +145,21 @@
     )
 
 
+def _log_brittle(fleet: Fleet, worker: WorkerRow, request: str | None = None) -> None:
+    """Log that a worker became brittle or no longer is, and this box's places."""
+    assert worker.brittle is not None
+    log_event(
+        "INFO",
+        "worker brittle",
+        worker=worker.name,
+        per_s=worker.brittle.per_s,
+        source=worker.brittle.source,
+        places=own_places(fleet, worker),
+        slots=worker.slots,
+        request=request,
+    )
+
+
 def log_limit(
     worker: WorkerRow, previous: RateLimit | None, request: str | None = None
 ) -> None:
@@ -179,6 +216,21 @@
             log_limit(changed, previous)
 
 
+def merge_brittle_news(
+    fleet: Fleet, news: News, told_at: Millis | None, now: Millis
+) -> None:
+    """Merge notices of brittle workers, as `merge_limit_news` does with limits."""
+    for item in news.brittle:
+        if told_at is None and item.per_s < 0:
+            continue
+        at = Millis((now if told_at is None else told_at) - item.age_ms)
+        per_s = item.per_s if item.per_s >= 0 else None
+        notice = RateLimit(per_s, at, item.source)
+        changed = apply_peer_brittle(fleet, item.worker, Millis(item.born), notice)
+        if changed is not None:
+            _log_brittle(fleet, changed)
+
+
 def merge_leaving_news(
     fleet: Fleet, news: News, told_at: Millis | None, now: Millis
 ) -> None:
--- a/tests/test_worker_words.py
+++ b/tests/test_worker_words.py
@@ -21,6 +21,7 @@
     "Confidence": "SURENESS",
     "Server-Limit": "RATE_LIMIT",
     "Server-Leaving": "LEAVING",
+    "Server-Brittle": "BRITTLE",
     "Retry-After": "RETRY_AFTER",
 }
 """Headers that the adapter reads, and the names of their constants."""
