Requests that fail together count as one failure of their worker

Cause: each of the requests that such a worker kept waiting counted as a failure of its own, and each doubled the ejection: eight put it out for 5 s after a silence of one.

Change: a worker that is ejected already is not counted again; one that is still silent when it is tried anew is out for longer, as before.

--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -102,8 +102,11 @@
 def record_unreachable(row: WorkerRow, now: Millis) -> None:
     """Eject a worker for a while that can't be reached or stopped responding.
 
-    An ejected worker gets requests only if no other worker is left.
+    An ejected worker gets requests only if no other worker is left. Requests that fail
+    while it is ejected were mostly sent before, so they count as one failure together.
     """
+    if row.ejected_until > now:
+        return
     row.failures += 1
     _eject(row, now)
 
