--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -34,6 +34,7 @@
 from ..logs import LineQueue
 from ..logs import log_event
 from ..logs import send_logs
+from ..partition_lines import partition_lines
 from ..peers.codec import MsgpackCodec
 from ..peers.gateways import GatewayService
 from ..peers.news import NewsService
@@ -434,6 +435,7 @@
         page = metrics_page(self.counters, self.histograms)
         page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
         page += waiting_lines(self.fleet) + share_lines(self.fleet)
+        page += partition_lines(self.fleet)
         return web.Response(text=page + held_lines(self.fleet))
 
 
