The decoding of workers' notices stands in a module of its own

What workers say of themselves in answers is decoded in platform/answer_notices.py now; nothing else changes. The tests of notices pass (resting, leaving, load reports, words, brittle workers).

--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -28,6 +28,7 @@
 from ..tables.notices import InvalidNotice
 from ..tables.notices import Notice
 from ..tables.notices import NoticeKind
+from . import answer_notices
 from . import wire
 
 CONNECT_TIMEOUT_S = 0.4
@@ -200,14 +201,14 @@
 def _notice(resp: WorkerResponse) -> Notice:
     """Decode what a worker says of itself; what can't be read is named."""
     headers = resp.headers
-    per_s = wire.decode_rate(headers.getall(wire.RATE_LIMIT, []))
-    leaving = wire.decode_leaving(headers.getall(wire.LEAVING, []))
-    brittle = wire.decode_brittle(headers.getall(wire.BRITTLE, []))
-    slowdown = wire.decode_slowdown(_load_figures(resp)[LOAD_COUNTS:])
+    per_s = answer_notices.decode_rate(headers.getall(wire.RATE_LIMIT, []))
+    leaving = answer_notices.decode_leaving(headers.getall(wire.LEAVING, []))
+    brittle = answer_notices.decode_brittle(headers.getall(wire.BRITTLE, []))
+    slowdown = answer_notices.decode_slowdown(_load_figures(resp)[LOAD_COUNTS:])
     rest_ms: Result[Millis | None, str] = Ok(None)
     if resp.status == TURNED_AWAY:
         asked = headers.getall(wire.RETRY_AFTER, [])
-        rest_ms = wire.decode_rest(asked, headers.getall("Date", []))
+        rest_ms = answer_notices.decode_rest(asked, headers.getall("Date", []))
     found = (
         (NoticeKind.LIMIT, per_s.err()),
         (NoticeKind.LEAVING, leaving.err()),
@@ -243,7 +244,7 @@
     if len(counts) != LOAD_COUNTS:
         return None
     running, waiting, slots = counts
-    slowdown = wire.decode_slowdown(figures[LOAD_COUNTS:]).unwrap_or(None)
+    slowdown = answer_notices.decode_slowdown(figures[LOAD_COUNTS:]).unwrap_or(None)
     return WorkerLoad(running, waiting, slots, slowdown)
 
 
--- a/tests/test_brittle_workers.py
+++ b/tests/test_brittle_workers.py
@@ -15,7 +15,7 @@
 from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
 from spanshunt.peers.news_rows import brittle_news
-from spanshunt.platform.wire import decode_brittle
+from spanshunt.platform.answer_notices import decode_brittle
 from spanshunt.standins.slots import WorkerSlots
 from spanshunt.systems.brittleness import TRIED_SHARE
 from spanshunt.systems.brittleness import apply_brittle
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -19,7 +19,7 @@
 from spanshunt.peers.news import LeavingNews
 from spanshunt.peers.news import News
 from spanshunt.peers.news_rows import leaving_news
-from spanshunt.platform.wire import decode_leaving
+from spanshunt.platform.answer_notices import decode_leaving
 from spanshunt.standins.worker import WorkerFault
 from spanshunt.standins.worker import WorkerStandin
 from spanshunt.systems.following_workers import MAX_FORMER_WORKERS
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -6,7 +6,7 @@
 from fleet_builders import ms
 from fleet_builders import running_fleet
 from spanshunt.ids import WorkerId
-from spanshunt.platform.wire import decode_slowdown
+from spanshunt.platform.answer_notices import decode_slowdown
 from spanshunt.systems.worker_health import WorkerLoad
 from spanshunt.systems.worker_health import record_load
 from spanshunt.systems.worker_speed import present_slowdown
--- a/tests/test_resting.py
+++ b/tests/test_resting.py
@@ -13,8 +13,8 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
-from spanshunt.platform.wire import REST_MOST_MS
-from spanshunt.platform.wire import decode_rest
+from spanshunt.platform.answer_notices import REST_MOST_MS
+from spanshunt.platform.answer_notices import decode_rest
 from spanshunt.standins.worker import WorkerFault
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -25,7 +25,7 @@
 from spanshunt.peers.news import LimitNews
 from spanshunt.peers.news import News
 from spanshunt.peers.news_rows import limits_news
-from spanshunt.platform.wire import decode_rate
+from spanshunt.platform.answer_notices import decode_rate
 from spanshunt.systems.ending import record_worker_end
 from spanshunt.systems.placing import PlacementRequest
 from spanshunt.systems.placing import choose_worker
