--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -16,32 +16,19 @@
 from .ids import Millis
 from .ids import Offset
 from .logs import log_event
+from .news_building import MAX_PEERS_SENT
+from .news_building import build_news
 from .peers.news import News
-from .peers.news import PeerNews
 from .peers.news import RolloutNews
 from .peers.news import SilenceNews
 from .peers.news import SuspicionNews
 from .peers.news import news_streams
-from .peers.news_rows import answer_demands
 from .peers.news_rows import apply_demand_answer
-from .peers.news_rows import brittle_news
-from .peers.news_rows import demands_news
-from .peers.news_rows import evacuations_news
-from .peers.news_rows import leaving_news
-from .peers.news_rows import limits_news
-from .peers.news_rows import loads_news
 from .peers.news_rows import merge_tally_group
-from .peers.news_rows import pending_prefills_news
-from .peers.news_rows import recent_prefills_news
-from .peers.news_rows import rollout_news
-from .peers.news_rows import speeds_news
-from .peers.news_rows import suspects_news
 from .peers.news_rows import to_evacuation_row
 from .peers.news_rows import to_listed_worker
 from .peers.news_rows import to_recorded_suspicion
 from .peers.news_rows import to_suspect_request
-from .peers.news_rows import worker_speeds_news
-from .peers.news_rows import workers_news
 from .peers.partners import Partners
 from .peers.talks import PeerStreams
 from .platform_lines import log_evacuation
@@ -54,17 +41,12 @@
 from .speed_news import merge_worker_speed_news
 from .systems.eras import record_era
 from .systems.evacuating import apply_evacuation
-from .systems.fleet_size import box_count
 from .systems.following_workers import apply_worker_list
 from .systems.following_workers import find_list_reader
-from .systems.following_workers import followers_to_announce
-from .systems.following_workers import is_served_by_store
 from .systems.following_workers import list_digest
 from .systems.following_workers import record_list_read
-from .systems.partitions import gateway_room
 from .systems.proving import merge_peer_proof
 from .systems.proving import newest_reported_version
-from .systems.proving import proof_age
 from .systems.quarantining import merge_suspect
 from .systems.quarantining import quarantine_digest
 from .systems.quarantining import update_quarantine
@@ -73,7 +55,6 @@
 from .systems.ramping import bar_versions
 from .systems.silence import SilenceReport
 from .systems.silence import is_silent
-from .systems.silence import newest_silence_reports
 from .systems.silence import record_silence
 from .tables.fleet import CatalogProof
 from .tables.fleet import Fleet
@@ -106,14 +87,6 @@
 next round. Each box that learns of them does the same, so a hundred boxes know after
 four successive calls."""
 
-MAX_PEERS_SENT = 8
-"""Maximum number of other boxes named in one message."""
-
-MAX_PEERS_SENT_TO_NEW = 64
-"""The same for a peer of this failure domain that knows less than half as many boxes:
-about 3 KB. The peer then need not read the list of boxes, and sends cold workers no
-more than its share from its first second on."""
-
 SEED_RETRY_MS = 1_000
 """Pause between calls to seeds that have not answered, in ms, once a peer was heard."""
 
@@ -231,85 +204,8 @@
     def build_news(
         self, peer_news: News | None, domain: DomainId | None = None
     ) -> News:
-        """Return the news to send to a peer.
-
-        `peer_news` is the message to answer; None for a call. `domain` is the failure
-        domain of the receiver; None if it is unknown.
-        """
-        fleet = self._fleet
-        now = self._clock.now()
-        streak = fleet.list_read_streak
-        digest = list_digest(fleet)
-        wants_list = (
-            peer_news is not None
-            and peer_news.workers_digest != digest
-            and peer_news.workers_end < fleet.workers_end
-        )
-        return News(
-            box=fleet.identity.box,
-            address=fleet.identity.address,
-            domain=fleet.identity.domain,
-            incarnation=fleet.identity.incarnation,
-            catalog_version=fleet.catalog_version,
-            workers_end=fleet.workers_end,
-            workers_age_ms=max(0, now - fleet.workers_read_at),
-            list_read_age_ms=max(0, now - streak.last) if streak.last >= 0 else -1,
-            list_unbroken_ms=streak.last - streak.since,
-            served=is_served_by_store(fleet, now),
-            silence_reports=tuple(
-                SilenceNews(item.worker, item.box, now - item.at)
-                for item in newest_silence_reports(fleet, now)
-            ),
-            speeds=speeds_news(fleet),
-            pending_prefills=pending_prefills_news(fleet),
-            recent_prefills=recent_prefills_news(fleet, now),
-            suspect_requests=suspects_news(
-                fleet,
-                now,
-                peer_news.quarantined_digest if peer_news is not None else None,
-            ),
-            quarantined_digest=quarantine_digest(fleet),
-            quarantine_known=fleet.quarantine_known,
-            followers=followers_to_announce(fleet, now)
-            if domain == fleet.identity.domain
-            else (),
-            limits=limits_news(fleet, now),
-            leaving_notices=leaving_news(fleet, now),
-            loads=loads_news(fleet, now),
-            worker_speeds=worker_speeds_news(fleet, self._rng),
-            evacuations=evacuations_news(fleet),
-            boxes=box_count(fleet),
-            store_era=fleet.store.era,
-            sent_at=now,
-            proof_age_ms=proof_age(fleet, now),
-            proof_end=fleet.catalog_proof.end,
-            proof_by=fleet.catalog_proof.source,
-            settings_digest=fleet.settings.digest,
-            settings_age_ms=now - fleet.settings.since,
-            settings_refused=bool(fleet.settings.refused),
-            settings_waiting=bool(fleet.settings.waiting),
-            workers_digest=digest,
-            workers=workers_news(fleet, now) if wants_list else (),
-            rollouts=tuple(
-                rollout_news(fleet, row, now, domain)
-                for row in fleet.rollouts.rows.values()
-            ),
-            peers=self._sample_peers(peer_news) if peer_news is not None else (),
-            demands=demands_news(fleet, now)
-            if peer_news is None
-            else answer_demands(fleet, peer_news.demands, now),
-            gateway_room=gateway_room(fleet),
-            brittle=brittle_news(fleet, now),
-        )
-
-    def _sample_peers(self, peer_news: News) -> tuple[PeerNews, ...]:
-        """Return some known boxes for a peer; more of them if it knows few boxes."""
-        peers = list(self._fleet.peers.values())
-        same_domain = peer_news.domain == self._fleet.identity.domain
-        is_new = same_domain and 2 * peer_news.boxes < len(peers)
-        max_sent = MAX_PEERS_SENT_TO_NEW if is_new else MAX_PEERS_SENT
-        sent = self._rng.sample(peers, min(max_sent, len(peers)))
-        return tuple(PeerNews(peer.box, peer.address, peer.domain) for peer in sent)
+        """Return the news to send to a peer; see `news_building.build_news`."""
+        return build_news(self._fleet, self._rng, self._clock.now(), peer_news, domain)
 
     def apply_news(self, news: News, called_at: Millis | None = None) -> None:
         """Apply what is newer in a peer's news than in this box's tables.
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -18,13 +18,13 @@
 from share_builders import make_boxes
 from spanshunt.clock import Clock
 from spanshunt.clock import ManualClock
-from spanshunt.exchange import MAX_PEERS_SENT
-from spanshunt.exchange import MAX_PEERS_SENT_TO_NEW
 from spanshunt.exchange import Exchange
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
 from spanshunt.ids import Incarnation
 from spanshunt.ids import Millis
+from spanshunt.news_building import MAX_PEERS_SENT
+from spanshunt.news_building import MAX_PEERS_SENT_TO_NEW
 from spanshunt.peers.codec import MsgpackCodec
 from spanshunt.peers.news import News
 from spanshunt.peers.news import NewsService
