A test of a sound version goes on asking until its order is done

test_sound_version_succeeds_and_gets_everything failed in 3 of 4 runs beside a load of 13, on as on the code of today; it passes on a quiet machine.

Cause, traced: the test asked for 3 s of an order of 4 s. Beside a load it asks some 270 requests then, of which the new version answers about ten; a version of fewer than ten known answers does not succeed while requests came of late, and no more came. The order is right to wait.

Change: the test asks on while it waits, for the same 6 s in all, and asserts the same.

--- a/tests/test_node_rollouts.py
+++ b/tests/test_node_rollouts.py
@@ -48,8 +48,13 @@
             await fleet.add_worker("n-1", version="v2")
             await order(fleet, "v2", 4.0)
             statuses = await ask_all(fleet, 3.0)
+            # A version succeeds only once enough of its answers are known.
+            for _ in range(6):
+                if status_of(fleet) == "succeeded":
+                    break
+                statuses += await ask_all(fleet, 0.5)
             assert set(statuses) == {200}
-            await until(lambda: status_of(fleet) == "succeeded", "succeeded", 3)
+            assert status_of(fleet) == "succeeded"
             done = [box.node.fleet.rollouts.rows for box in fleet.boxes]
             service = ServiceId("writer")
             await until(
