Connections to gateways are closed once a partition is over

Each is closed with its last request now. The test of the way back asserts that none is left; it failed without the change (the channels were never dropped).

--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -212,6 +212,7 @@
         reached = await self._probe(row) is Presence.THERE
         since = self._fleet.partition.since
         if record_probe(self._fleet, row, self._clock.now(), reached=reached):
+            self._gateways.give_up_all()
             self._count("partitions_ended")
             log_event(
                 "INFO",
--- a/src/spanshunt/peers/gateways.py
+++ b/src/spanshunt/peers/gateways.py
@@ -135,11 +135,47 @@
     of_worker: bool = False
 
 
+class _GatewayChannel:
+    """A channel to a peer; once given up it is closed with its last stream."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        config = Configuration(http2_stream_window_size=STREAM_WINDOW_BYTES)
+        self.channel = Channel(host, int(port), codec=MsgpackCodec(), config=config)
+        self._streams = 0
+        self._given_up = False
+
+    def open(self) -> ClientStream[t.Any, t.Any]:
+        """Return a new stream; `release` must follow."""
+        self._streams += 1
+        message: t.Any = GatewayMessage
+        method: StreamStreamMethod[t.Any, t.Any]
+        method = StreamStreamMethod(self.channel, PATH, message, message)
+        return method.open()
+
+    def release(self) -> None:
+        """Record that a stream is over."""
+        self._streams -= 1
+        self._close_unused()
+
+    def give_up(self) -> None:
+        """Open no more streams."""
+        self._given_up = True
+        self._close_unused()
+
+    def _close_unused(self) -> None:
+        if self._given_up and not self._streams:
+            self.channel.close()
+
+
 class GatewaySend:
     """A request that a peer accepted to send: its stream."""
 
-    def __init__(self, stream: ClientStream[t.Any, t.Any]) -> None:
+    def __init__(
+        self, stream: ClientStream[t.Any, t.Any], channel: _GatewayChannel
+    ) -> None:
         self._stream = stream
+        self._channel = channel
         self._closed = False
 
     async def put(self, message: ForwardedRequest) -> PeerFault | None:
@@ -165,75 +201,66 @@
         if self._closed:
             return
         self._closed = True
-        raw = self._stream._stream
-        if raw.closable:
-            raw.reset_nowait()
-        self._stream._release_stream()
+        if self._stream._send_request_done:
+            raw = self._stream._stream
+            if raw.closable:
+                raw.reset_nowait()
+            self._stream._release_stream()
+        self._channel.release()
 
 
 class GatewayClient:
     """Opens streams to gateways, over one channel for each address."""
 
     def __init__(self) -> None:
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, _GatewayChannel] = {}
 
     def stop(self) -> None:
-        """Close all channels."""
-        for channel in self._channels.values():
-            channel.close()
+        """Close all channels at once."""
+        for entry in self._channels.values():
+            entry.channel.close()
+        self._channels.clear()
+
+    def give_up_all(self) -> None:
+        """Close the channels once the requests under way on them are over."""
+        for entry in self._channels.values():
+            entry.give_up()
         self._channels.clear()
 
     async def offer(
         self, address: str, offer: SendOffer
     ) -> Result[GatewaySend, OfferFault]:
         """Offer a request to a peer; nothing has run if that fails."""
-        channel = self._channel(address)
-        message: t.Any = GatewayMessage
-        method: StreamStreamMethod[t.Any, t.Any]
-        method = StreamStreamMethod(channel, PATH, message, message)
-        stream = method.open()
+        entry = self._channels.get(address)
+        if entry is None:
+            entry = self._channels[address] = _GatewayChannel(address)
+        stream = entry.open()
+        send, reply = GatewaySend(stream, entry), None
         try:
             async with asyncio.timeout(OFFER_TIMEOUT_S):
                 await stream.__aenter__()
                 await stream.send_message(offer)
                 reply = await stream.recv_message()
         except CALL_FAULTS as exc:
-            self._give_up(address, channel, stream)
+            self._give_up(address, entry)
             return Err(OfferFault(_fault(exc).detail))
-        except asyncio.CancelledError:
-            _close(stream)
-            raise
-        if isinstance(reply, OfferReply) and reply.accepted:
-            return Ok(GatewaySend(stream))
-        _close(stream)
+        finally:
+            if not (isinstance(reply, OfferReply) and reply.accepted):
+                send.close()
         if not isinstance(reply, OfferReply):
             return Err(OfferFault("no reply"))
-        return Err(OfferFault(reply.detail, reply.of_worker))
-
-    def _channel(self, address: str) -> Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            host, _, port = address.rpartition(":")
-            config = Configuration(http2_stream_window_size=STREAM_WINDOW_BYTES)
-            channel = Channel(host, int(port), codec=MsgpackCodec(), config=config)
-            self._channels[address] = channel
-        return channel
-
-    def _give_up(
-        self, address: str, channel: Channel, stream: ClientStream[t.Any, t.Any]
-    ) -> None:
+        if not reply.accepted:
+            return Err(OfferFault(reply.detail, reply.of_worker))
+        return Ok(send)
+
+    def _give_up(self, address: str, entry: _GatewayChannel) -> None:
         """Let the next offer open a new connection: this one may be dead.
 
         Requests that the peer accepted before keep theirs.
         """
-        _close(stream)
-        if self._channels.get(address) is channel:
+        if self._channels.get(address) is entry:
             del self._channels[address]
-
-
-def _close(stream: ClientStream[t.Any, t.Any]) -> None:
-    if stream._send_request_done:
-        GatewaySend(stream).close()
+        entry.give_up()
 
 
 def _fault(exc: BaseException) -> PeerFault:
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -145,6 +145,7 @@
             again = await ask_each_kind(fleet, box, 3)
             assert statuses(again) == {200: len(again)}
             assert by_sender(box, "gateway_sends") == sent
+            assert not box.node._sender._gateways._channels
 
     async def test_all_boxes_partitioned_refuse_soon(self):
         """Guards against callers that wait for a way that no box has."""
