A word that a worker sent before its new life is listed outlasts the entry

Cause, from the boxes' lines: the worker had ended and was back under its id; it took requests and said that it leaves 0.9 s before its new life was listed. The word stood in the row of the former life and went with it as the entry came.

Change: a leaving notice that arrived after the listed life began is that life's, and is taken over. When it began the entry tells by the worker's time of day; clocks that differ by more than the time between two lives could keep a sound worker from work.

Evidence: the new test failed before (one request reached it) and passes now, with the tests of lists, entries and exchanges.

--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -289,7 +289,8 @@
             read_at = Millis(sent_at - news.workers_age_ms)
         if news.workers:
             rows = [to_listed_worker(item) for item in news.workers]
-            change = apply_worker_list(fleet, rows, Offset(news.workers_end), now)
+            end, wall = Offset(news.workers_end), self._clock.wall()
+            change = apply_worker_list(fleet, rows, end, now, wall)
             fleet.workers_read_at = max(fleet.workers_read_at, read_at)
             for row in change.replaced:
                 self._on_ended(row)
--- a/src/spanshunt/platform/worker_list.py
+++ b/src/spanshunt/platform/worker_list.py
@@ -93,7 +93,8 @@
         now = self._reader.now()
         self._fleet.wake_hold_until = Millis(0)
         record_list_read(self._fleet, now)
-        change = apply_worker_list(self._fleet, listed, listing.end, now)
+        wall = self._reader.clock.wall()
+        change = apply_worker_list(self._fleet, listed, listing.end, now, wall)
         if listing.end >= self._fleet.workers_end:
             self._fleet.workers_read_at = now
         for row in change.replaced:
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -124,15 +124,24 @@
 
 
 def apply_worker_list(
-    fleet: Fleet, listed: list[ListedWorker], end: Offset, now: Millis
+    fleet: Fleet,
+    listed: list[ListedWorker],
+    end: Offset,
+    now: Millis,
+    wall: Millis | None = None,
 ) -> ListChange:
-    """Apply a whole list to the table; one older than the last applied is ignored."""
+    """Apply a whole list to the table; one older than the last applied is ignored.
+
+    `wall` is the time of day at `now`, in ms since the Unix epoch; None if unknown.
+    With it, a notice that a worker sent after a restart holds for the run that is
+    listed later.
+    """
     if end < fleet.workers_end:
         return ListChange()
     fleet.workers_end = end
     present = {item.row.name for item in listed}
     replaced = _find_replaced(fleet, listed)
-    came, leaving = _apply_present(fleet, listed, now)
+    came, leaving = _apply_present(fleet, listed, now, wall)
     gone, kept = _apply_missing(fleet, present, now)
     fleet.workers.invalidate_index()
     return ListChange(came, leaving, gone, kept, replaced)
@@ -157,7 +166,7 @@
 
 
 def _apply_present(
-    fleet: Fleet, listed: list[ListedWorker], now: Millis
+    fleet: Fleet, listed: list[ListedWorker], now: Millis, wall: Millis | None
 ) -> tuple[tuple[WorkerId, ...], tuple[WorkerId, ...]]:
     workers = fleet.workers
     came, leaving = [], []
@@ -166,7 +175,7 @@
         fleet.missing_workers.discard(listed_row.name)
         known = workers.rows.get(listed_row.name)
         if known is None or listed_row.born > known.born > 0:
-            _add_incarnation(fleet, listed_row, now)
+            _add_incarnation(fleet, listed_row, now, wall)
             came.append(listed_row.name)
         else:
             known.address, known.domain = listed_row.address, listed_row.domain
@@ -186,24 +195,42 @@
     return tuple(came), tuple(leaving)
 
 
-def _add_incarnation(fleet: Fleet, row: WorkerRow, now: Millis) -> None:
+def _add_incarnation(
+    fleet: Fleet, row: WorkerRow, now: Millis, wall: Millis | None
+) -> None:
     """Add a worker that is new, or a new incarnation of a known one.
 
     A new incarnation gets a new row, because load, cache contents, failures and leaving
     state belonged to the former one and must not carry over. Attempts at the former
     incarnation still decrement the old row's counter.
     """
-    if row.name in fleet.workers.rows:
+    known = fleet.workers.rows.get(row.name)
+    if known is not None:
         # Peers' reports of the former incarnation's silence are older than this.
         row.last_byte_at = now
         # A worker that fell over and is back has not answered yet.
-        row.brittle = fleet.workers.rows[row.name].brittle
+        row.brittle = known.brittle
     fleet.workers.rows[row.name] = row
     fleet.workers.leaving.discard(row.name)
     fleet.silence_reports.pop(row.name, None)
     former = fleet.workers.former.pop(row.name, None)
     if former is not None and former.born == row.born:
         _restore_notices(fleet, row, former)
+    if known is not None and _has_leaving_notice_of(known, row, now, wall):
+        assert known.leaving is not None
+        record_leaving_notice(fleet, row, known.leaving)
+
+
+def _has_leaving_notice_of(
+    known: WorkerRow, row: WorkerRow, now: Millis, wall: Millis | None
+) -> bool:
+    """Return whether a known run's leaving notice came from a later run, `row`.
+
+    It did if it arrived after that run began: the run answered before it was listed.
+    """
+    if known.leaving is None or wall is None or not row.born:
+        return False
+    return known.leaving.at >= now - (wall - row.born)
 
 
 def _restore_notices(fleet: Fleet, row: WorkerRow, former: WorkerRow) -> None:
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -233,3 +233,38 @@
         record_leaving_notice(fleet, row, LeavingNotice(ms(1), BOX))
     apply_worker_list(fleet, [], Offset(4), ms(2))
     assert len(fleet.workers.former) == MAX_FORMER_WORKERS
+
+
+async def test_notice_of_a_life_that_is_not_listed_yet_outlasts_its_entry():
+    """Guards against a word that is dropped with the row of the life before."""
+    async with running_fleet() as fleet:
+        box, worker = fleet.boxes[0], fleet.workers["p-1"]
+        rows = box.node.fleet.workers.rows
+        wall = box.node.clock.wall()
+        await list_life(fleet, "p-1", wall - 60_000)
+        await until(lambda: rows[WorkerId("p-1")].born == wall - 60_000, "first life")
+        began = box.node.clock.wall()
+        announce_leaving(worker)
+        await ask_until_announced(fleet, box, "/look/", "p-1")
+        await list_life(fleet, "p-1", began)
+        await until(lambda: rows[WorkerId("p-1")].born == began, "next life")
+        reached = len(worker.seen)
+        for _ in range(20):
+            await fleet.ask(box, "/look/")
+        assert len(worker.seen) == reached
+
+
+async def list_life(fleet: TestFleet, name: str, born: int) -> None:
+    """List a worker's life that began at a time of day, in ms."""
+    body = {
+        "Backend": "web",
+        "Address": fleet.workers[name].address,
+        "Zone": "north",
+        "Version": "v1",
+        "Slots": 8,
+        "State": "ready",
+        "ColdRemainingMs": 0,
+        "Sequence": born,
+        "born": born,
+    }
+    await fleet.store.put("keyed.servers", name, body)
