Failures of a worker 0.3 s apart count singly again

A request that runs once and waits for a silent worker gives two verdicts on it, 0.4 s apart; the rule that an ejected worker is not counted again dropped the second, so that a worker that stays silent came back too soon.

Change: failures within 0.3 s of the last one counted count with it, others by themselves, whether the worker is ejected or not.

--- a/src/spanshunt/systems/worker_health.py
+++ b/src/spanshunt/systems/worker_health.py
@@ -17,6 +17,10 @@
 """Consecutive failed answers after which a worker is ejected, if it was reachable each
 time. One such failure may be the request's fault."""
 
+FAILING_TOGETHER_MS = 300
+"""Failures to reach a worker within this time of the last one counted are not counted
+again, in ms: half of the first ejection."""
+
 TOGETHER_MS = 20
 """Reports of a worker within this time come together, in ms: answers of requests that
 were sent together pass the network and this box within it."""
@@ -103,10 +107,12 @@
     """Eject a worker for a while that can't be reached or stopped responding.
 
     An ejected worker gets requests only if no other worker is left. Requests that fail
-    while it is ejected were mostly sent before, so they count as one failure together.
+    together count as one failure: those that wait for a silent worker end one after the
+    other, though it may be silent for a second only.
     """
-    if row.ejected_until > now:
+    if row.failed_at >= 0 and now - row.failed_at < FAILING_TOGETHER_MS:
         return
+    row.failed_at = now
     row.failures += 1
     _eject(row, now)
 
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -65,6 +65,8 @@
         came, in ms; see :func:`~spanshunt.systems.worker_health.record_others`.
     failures : int
         Consecutive failures since the last success.
+    failed_at : int
+        When a failure to reach the worker was last counted, in ms; -1 for never.
     ejected_until : int
         Until when the worker is ejected, in ms. An ejected worker gets requests only if
         no other worker is left.
@@ -149,6 +151,7 @@
     others: int = 0
     others_at: Millis = Millis(-1)
     failures: int = 0
+    failed_at: Millis = Millis(-1)
     ejected_until: Millis = Millis(0)
     ttft_ms: float = 0.0
     token_ms: float = 0.0
