--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -60,10 +60,10 @@
 
 def record_connected(fleet: Fleet, began: Millis) -> None:
     """Record that a connection that began at `began` reached a worker."""
-    way = fleet.partition
-    if began >= way.connected_at:
-        way.connected_at = began
-        way.unreached.clear()
+    partition = fleet.partition
+    if began >= partition.connected_at:
+        partition.connected_at = began
+        partition.unreached.clear()
 
 
 def record_unreached(fleet: Fleet, row: WorkerRow, now: Millis) -> None:
@@ -116,18 +116,18 @@
 
     Workers that it failed to reach were ejected, marked as cold and taken for ended.
     """
-    way = fleet.partition
-    way.since = now
-    way.reached_again.clear()
+    partition = fleet.partition
+    partition.since = now
+    partition.reached_again.clear()
     for row in fleet.workers.rows.values():
         row.failures = 0
         row.ejected_until = Millis(0)
-        unreached = way.unreached.get(row.name)
+        unreached = partition.unreached.get(row.name)
         if unreached is not None:
             _restore(row, unreached)
     for reports in fleet.silence_reports.values():
         reports.pop(fleet.identity.box, None)
-    way.unreached.clear()
+    partition.unreached.clear()
     fleet.outages.clear()
 
 
@@ -139,16 +139,16 @@
 
 def record_probe(fleet: Fleet, row: WorkerRow, now: Millis, *, reached: bool) -> bool:
     """Record a probe of a partitioned box; return whether the partition is over."""
-    way = fleet.partition
+    partition = fleet.partition
     if not reached:
-        way.reached_again.clear()
+        partition.reached_again.clear()
         return False
-    way.reached_again.add(row.name)
+    partition.reached_again.add(row.name)
     needed = min(REACHED_NEEDED, len(fleet.workers.rows))
-    if len(way.reached_again) < needed:
+    if len(partition.reached_again) < needed:
         return False
-    way.since = Millis(-1)
-    way.connected_at = now
+    partition.since = Millis(-1)
+    partition.connected_at = now
     return True
 
 
