Workers that left are dropped from the failures of a box's connections

Found on reading once more: where no connection came up and no peer could send, the table kept the names of workers that had left. The new test holds it; the 26 tests of partitions pass.

--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -72,6 +72,8 @@
     To be called before the fault is recorded against the worker.
     """
     known = fleet.partition.unreached
+    for name in known.keys() - fleet.workers.rows.keys():
+        del known[name]
     if row.name not in known:
         known[row.name] = UnreachedWorker(now, row.cold_until)
 
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -287,6 +287,16 @@
         record_connected(fleet, ms(2))
         assert not fleet.partition.unreached
 
+    def test_workers_that_left_are_forgotten(self):
+        """Guards against a list of failures that grows with each worker that left."""
+        fleet = fleet_with_workers()
+        rows = fleet.workers.rows
+        gone = rows[WorkerId("west-1")]
+        record_unreached(fleet, gone, ms(2))
+        del rows[gone.name]
+        record_unreached(fleet, rows[WorkerId("west-2")], ms(3))
+        assert set(fleet.partition.unreached) == {"west-2"}
+
     def test_partition_ends_once_enough_workers_are_reached_in_a_row(self):
         fleet = fleet_with_workers()
         begin_partition(fleet, ms(2))
