--- a/bench/ends.py
+++ b/bench/ends.py
@@ -73,17 +73,19 @@
     broken: list[str]
 
 
-class _Engines:
-    """Starts engines, and again those that ended."""
+class EngineStarts:
+    """Starts engines, and again those that ended; ``started`` are all of them."""
 
-    def __init__(self, play: Play) -> None:
+    def __init__(self, play: Play, deadly_parts: frozenset[str] = frozenset()) -> None:
         self.ended_at: list[float] = []
-        self.arrived_at: list[float] = []
+        self.started: list[Engine] = []
         self._play = play
+        self._deadly_parts = deadly_parts
         self._lives = 0
         self.back: set[asyncio.Task[None]] = set()
 
     async def start(self, domain: str) -> None:
+        """Start an engine in a failure domain."""
         play = self._play
         self._lives += 1
         engine = Engine(
@@ -93,7 +95,9 @@
             rng=random.Random(play.rng.random()),
             since=play.since,
             ends_on=CONTENT,
+            deadly_parts=self._deadly_parts,
         )
+        self.started.append(engine)
         engine.on_end = lambda: self._end(engine)
         await play.list_engine(engine)
 
@@ -124,7 +128,7 @@
     play = Play(random.Random(seed), catalog=play_catalog())
     play.ordered_at = play.clock.now() / 1_000 + 3.0
     play.places = {f"box-{DOMAINS[n % 3]}-{n}": DOMAINS[n % 3] for n in range(7)}
-    engines = _Engines(play)
+    engines = EngineStarts(play)
     for number in range(ENGINES):
         await engines.start(DOMAINS[number % 3])
     for name in play.places:
@@ -191,7 +195,7 @@
         play.start_box(name)
 
 
-def _outcome(play: Play, engines: _Engines, sound: list[bool]) -> EndsOutcome:
+def _outcome(play: Play, engines: EngineStarts, sound: list[bool]) -> EndsOutcome:
     content_at = sorted(
         at for engine in play.engines.values() for at in engine.content_at
     )
--- a/bench/play_engines.py
+++ b/bench/play_engines.py
@@ -41,6 +41,9 @@
 EVENT_TOKENS = 24
 """Tokens of an event: few events keep a play short."""
 
+DEADLY_S = 0.1
+"""How far into its answer a prompt part ends an engine, in s."""
+
 FAILED_MS = 6.0
 """How soon an engine answers that it failed, in ms."""
 
@@ -85,7 +88,9 @@
     ``own`` are faults of this worker, ``version_faults`` those of the version that it
     runs; ``arrivals`` and ``bad_at`` tell when requests came and when bad answers left,
     in seconds from the order. A request whose body is ``ends_on`` ends it as soon as it
-    runs, and ``on_end`` is called then. ``notice`` is what its answers say of it;
+    runs, and ``on_end`` is called then; a prompt with one of the ``deadly_parts`` does
+    so ``DEADLY_S`` into its answer. ``part_at`` tells when prompts with such a part
+    came, ``ended_by`` which part ended it. ``notice`` is what its answers say of it;
     ``limit_told_at`` tells when each run of a box first got one that names a limit.
     """
 
@@ -103,6 +108,9 @@
     arrivals: list[Arrival] = field(default_factory=list)
     bad_at: list[float] = field(default_factory=list)
     content_at: list[float] = field(default_factory=list)
+    deadly_parts: frozenset[str] = frozenset()
+    part_at: dict[str, list[float]] = field(default_factory=dict)
+    ended_by: str = ""
     notice: t.Callable[[], Notice] = Notice
     limit_told_at: dict[str, float] = field(default_factory=dict)
 
@@ -125,6 +133,9 @@
         self.arrivals.append(Arrival(self.since(), box))
         if self.ends_on and dispatch.call.body == self.ends_on:
             self.content_at.append(self.since())
+        deadly = self._deadly_part(dispatch)
+        if deadly:
+            self.part_at.setdefault(deadly, []).append(self.since())
         route = dispatch.call.path.strip("/")
         moment = Moment(self.since(), self.running, route)
         if self._happens(self.version_faults.failing, moment):
@@ -149,6 +160,8 @@
         if self.gone:
             self.running -= 1
             return Err(SendFault(False, "the worker ended"))
+        if deadly:
+            asyncio.get_running_loop().call_later(DEADLY_S, self._end_by, deadly)
         return Ok(StreamAnswer(self, dispatch, slow_x, bad=bad))
 
     def end(self) -> None:
@@ -156,6 +169,16 @@
         self.gone = True
         self.on_end()
 
+    def _deadly_part(self, dispatch: Dispatch) -> str:
+        """Return the part of a prompt that ends this engine; empty for none."""
+        names = (part.name for part in dispatch.call.shared_parts)
+        return next((name for name in names if name in self.deadly_parts), "")
+
+    def _end_by(self, part: str) -> None:
+        if not self.gone:
+            self.ended_by = part
+            self.end()
+
     def _happens(self, chance: Chance, moment: Moment) -> bool:
         return self.rng.random() < chance(moment)
 
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -54,10 +54,12 @@
 from spanshunt.ports import Dispatch
 from spanshunt.ports import SendFault
 from spanshunt.ports import do_not_collect
+from spanshunt.refusals import Problem
 from spanshunt.refusals import Refusal
 from spanshunt.standins.store import StoreStandin
 from spanshunt.systems.cascading import RequestTokens
 from spanshunt.systems.repeats import RepeatBounds
+from spanshunt.tables.engines import PromptPart
 from spanshunt.tables.fleet import ColdBounds
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.identity import Identity
@@ -98,10 +100,12 @@
         self.begun = False
         self.status = 0
         self.ended = False
+        self.kept_back = False
 
     async def refuse(self, refusal: Refusal) -> None:
         """Take a refusal."""
         self.status = 503
+        self.kept_back = refusal.problem is Problem.KEPT_BACK
 
     async def send_whole(
         self, status: int, headers: CIMultiDict[str], body: bytes
@@ -230,7 +234,9 @@
 class Asked:
     """What a caller asked and got, in seconds from the order.
 
-    ``domain`` is that of the box it asked first, ``first_status`` what it got there.
+    ``domain`` is that of the box it asked first, ``first_status`` what it got there;
+    ``served_first`` tells whether that was the whole answer, ``kept_back`` whether any
+    box refused it as one that ends engines.
     """
 
     at: float
@@ -238,6 +244,8 @@
     first_status: int = 0
     served: bool = False
     route: str = ""
+    served_first: bool = False
+    kept_back: bool = False
 
 
 @dataclass
@@ -247,7 +255,8 @@
     ``places`` are the boxes and their failure domains, ``boxes`` those that run;
     ``cut`` are boxes whose peers don't hear them. ``rate`` is how many requests a
     second come, by the seconds from the order. ``exchanges`` counts calls between
-    boxes, by the failure domains of who called and who was called.
+    boxes, by the failure domains of who called and who was called. ``shared_parts``
+    draws those of a prompt of a route.
     """
 
     rng: random.Random
@@ -272,6 +281,7 @@
     runs: int = 0
     catalog: bytes = b""
     slots: int = 128
+    shared_parts: t.Callable[[str], tuple[PromptPart, ...]] = lambda _route: ()
 
     def since(self) -> float:
         """Return the seconds from the order, negative before it."""
@@ -354,22 +364,36 @@
             asked.served = reply.ended
             if attempt == 0:
                 asked.domain, asked.first_status = box.domain, reply.status
+                asked.served_first = reply.ended
+            asked.kept_back |= reply.kept_back
             if asked.served:
                 return
 
-    async def ask_once(self, request: str, route: str, body: bytes) -> PlayReply:
+    async def ask_once(
+        self,
+        request: str,
+        route: str,
+        body: bytes = b"",
+        parts: tuple[PromptPart, ...] | None = None,
+    ) -> PlayReply:
         """Ask one box, in no session, and return what it replied."""
         reply = PlayReply()
         if self.boxes:
             box = self.rng.choice(list(self.boxes.values()))
-            call = self._a_call(request, "", route, body)
+            call = self._a_call(request, "", route, body, parts)
             await answer_request(box.core, box.steps, call, reply)
         return reply
 
     def _a_call(
-        self, request: str, session: str, route: str, body: bytes = b""
+        self,
+        request: str,
+        session: str,
+        route: str,
+        body: bytes = b"",
+        parts: tuple[PromptPart, ...] | None = None,
     ) -> Call:
         read, generated = ROUTES[route]
+        shared = self.shared_parts(route) if parts is None else parts
         now = self.clock.now()
         return Call(
             request=RequestId(request),
@@ -384,7 +408,9 @@
             deadline=now + 20_000,
             session=session,
             tokens=RequestTokens(
-                max(50, int(read * self.rng.lognormvariate(-0.5, 1.0))),
+                sum(part.tokens for part in shared)
+                + max(50, int(read * self.rng.lognormvariate(-0.5, 1.0))),
                 max(24, int(generated * self.rng.lognormvariate(-0.1, 0.5))),
             ),
+            shared_parts=shared,
         )
