Logs name the parts of prompts, and which of them were aboard when a worker ended

`dispatch` now names the shared parts of its prompt, `worker ended` counts in how many of the requests aboard each part was; eight names of 32 characters at most, no more lines.

--- a/src/spanshunt/break_causes.py
+++ b/src/spanshunt/break_causes.py
@@ -1,5 +1,8 @@
 """Cause of broken connections: whether the worker ended, and during which contents."""
 
+import collections
+import typing as t
+
 from .catalog_state import CatalogAttempt
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
@@ -16,6 +19,12 @@
 FINGERPRINTS_SHOWN = 16
 """Maximum number of fingerprints in one log line."""
 
+PARTS_SHOWN = 8
+"""Maximum number of prompt parts in one log line."""
+
+PART_NAME_SHOWN = 32
+"""Maximum length of a prompt part's name in logs; callers choose the names."""
+
 
 async def find_break_cause(
     core: Core, state: CatalogRequest, attempt: CatalogAttempt
@@ -25,7 +34,8 @@
         return
     worker = attempt.worker
     now = core.clock.now()
-    connection = BrokenConnection(state.fingerprint, attempt.service, now)
+    names = shown_part_names(state)
+    connection = BrokenConnection(state.fingerprint, attempt.service, now, names)
     record_broken_connection(core.fleet, worker, connection)
     if worker.ended_at >= attempt.sent:
         handle_worker_end(core, worker, "known before")
@@ -53,6 +63,7 @@
         evidence=evidence,
         aboard=len(broken),
         fingerprints=sorted(contents)[:FINGERPRINTS_SHOWN],
+        parts=_count_parts(broken),
     )
     rows = [
         record_end_during(fleet, content, service, worker, now)
@@ -61,3 +72,15 @@
     for row in rows:
         if update_quarantine(fleet, row, now):
             enforce_quarantine(core, row, "own evidence")
+
+
+def shown_part_names(state: CatalogRequest) -> tuple[str, ...]:
+    """Return the names of a prompt's shared parts as logs show them."""
+    parts = state.call.shared_parts[:PARTS_SHOWN]
+    return tuple(part.name[:PART_NAME_SHOWN] for part in parts)
+
+
+def _count_parts(broken: t.Iterable[BrokenConnection]) -> dict[str, int]:
+    """Return in how many broken requests each prompt part was, most frequent first."""
+    names = collections.Counter(name for conn in broken for name in conn.parts)
+    return dict(names.most_common(PARTS_SHOWN))
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -14,6 +14,7 @@
 from .attempt_outcomes import record_send_fault
 from .attempt_outcomes import record_silent_worker
 from .break_causes import find_break_cause
+from .break_causes import shown_part_names
 from .catalog_entry import admit_call
 from .catalog_entry import refuse_call
 from .catalog_state import CatalogAttempt
@@ -169,6 +170,7 @@
         org=state.org,
         session=state.call.session,
         fingerprint=state.fingerprint,
+        parts=shown_part_names(state),
         catalog=state.admitted.catalog_version,
         worker=attempt.worker.name,
         version=attempt_version(attempt),
--- a/src/spanshunt/tables/suspects.py
+++ b/src/spanshunt/tables/suspects.py
@@ -31,11 +31,14 @@
         The service that the request was sent to.
     at : int
         When the connection ended, in ms.
+    parts : tuple of str
+        Names of the shared parts of its prompt.
     """
 
     fingerprint: Fingerprint
     service: ServiceId
     at: Millis
+    parts: tuple[str, ...] = ()
 
 
 class SuspectRequest(msgspec.Struct):
