A gateway tells its peer that the worker of a broken answer ended

What callers saw: in the record a request ended an engine 3 ms after it ran there, and no box logged that end as one of this request: the box took itself for partitioned (four refused connections, as all engines had ended) and had sent it through a peer. 346 of the 929 dispatches in the boxes' lines went that way.

The end was attributed late, if another request met the refused connection within 5 s, or never, once the worker was back after 2 s.

Change: the gateway probes after a connection that broke and tells it (`refused` of a fault, a new last field `worker_ended` of an end; earlier boxes send none and read over it). The word stands for the box's own probe for 1 s.

The new test failed before, with no answer begun and with one: 0 of 2 engines ended at the box where one had.

--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import typing as t
+from functools import partial
 
 import aiohttp
 from multidict import CIMultiDict
@@ -55,6 +56,10 @@
 PROBE_INTERVAL_MS = 250
 """How often a partitioned box probes a worker, in ms."""
 
+TOLD_END_MS = 1_000
+"""How long a gateway's word that a worker ended stands for a probe, in ms: requests
+that broke with it ask at once, and a worker may be back soon."""
+
 MAX_OFFERS = 3
 """Number of peers that a request is offered to before it is refused."""
 
@@ -77,16 +82,23 @@
         The stream of the rest.
     on_end : callable
         Called once when the gateway is done with the request.
+    on_worker_end : callable
+        Called if the worker ended during the answer.
     """
 
     def __init__(
-        self, head: ForwardedHead, send: GatewaySend, on_end: t.Callable[[], None]
+        self,
+        head: ForwardedHead,
+        send: GatewaySend,
+        on_end: t.Callable[[], None],
+        on_worker_end: t.Callable[[], None],
     ) -> None:
         self.status = head.status
         self.headers = CIMultiDict(head.headers)
         self.content = self
         self._send = send
         self._on_end = on_end
+        self._on_worker_end = on_worker_end
         self._ended = False
 
     async def readany(self) -> bytes:
@@ -103,6 +115,8 @@
         self.close()
         if isinstance(message, ForwardedEnd) and not message.broken:
             return b""
+        if isinstance(message, ForwardedEnd) and message.worker_ended:
+            self._on_worker_end()
         detail = message.broken if isinstance(message, ForwardedEnd) else "no end"
         raise aiohttp.ClientPayloadError(detail)
 
@@ -187,9 +201,12 @@
         return await self._send_through_gateway(worker, request, message)
 
     async def probe(self, worker: WorkerRow) -> Presence:
-        """Find out whether a worker is there; unknown while this box is partitioned."""
+        """Find out whether a worker is there.
+
+        While this box is partitioned, that is unknown unless a gateway just told it.
+        """
         if is_partitioned(self._fleet):
-            return Presence.UNKNOWN
+            return self._told_presence(worker)
         began = self._clock.now()
         found = await self._probe(worker)
         if found is Presence.THERE:
@@ -198,6 +215,12 @@
             return Presence.UNKNOWN
         return found
 
+    def _told_presence(self, worker: WorkerRow) -> Presence:
+        """Return what a gateway told of a worker just now."""
+        told_at = self._fleet.partition.ended.get(worker.name, Millis(-1))
+        is_recent = told_at >= 0 and self._clock.now() - told_at <= TOLD_END_MS
+        return Presence.GONE if is_recent else Presence.UNKNOWN
+
     async def look(self) -> None:
         """Probe whether a partition is over, when that is due."""
         now = self._clock.now()
@@ -350,8 +373,16 @@
             detail = f"gateway {peer.box}: {got.err_value.detail}"
             return Err(SendFault(False, detail, blameless=True))
         if isinstance(got.ok_value, ForwardedHead):
-            return Ok(ForwardedResponse(got.ok_value, send, end))
-        return Err(_to_send_fault(peer, got.ok_value))
+            told = partial(self._record_told_end, worker)
+            return Ok(ForwardedResponse(got.ok_value, send, end, told))
+        send_fault = _to_send_fault(peer, got.ok_value)
+        if send_fault.refused:
+            self._record_told_end(worker)
+        return Err(send_fault)
+
+    def _record_told_end(self, worker: WorkerRow) -> None:
+        """Record that a gateway found a worker ended."""
+        self._fleet.partition.ended[worker.name] = self._clock.now()
 
 
 def _to_send_fault(peer: PeerRow, message: t.Any) -> SendFault:
--- a/src/spanshunt/gateway_service.py
+++ b/src/spanshunt/gateway_service.py
@@ -35,6 +35,8 @@
 from .tables.fleet import Fleet
 from .tables.workers import WorkerRow
 from .tables.workers import WorkerState
+from .worker_probes import Presence
+from .worker_probes import Probe
 
 REQUEST_TIMEOUT_S = 1.0
 """How long a peer may take to send the request that it offered, in s."""
@@ -60,16 +62,24 @@
         The source of time.
     send : callable
         Sends a request to a worker and returns the head of its answer, or the fault.
+    probe : callable
+        Finds out whether a worker whose connection broke takes connections.
     count : callable
         Increments a counter.
     """
 
     def __init__(
-        self, fleet: Fleet, clock: Clock, send: SendDirect, count: Counter
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        send: SendDirect,
+        probe: Probe,
+        count: Counter,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._send = send
+        self._probe = probe
         self._count = count
 
     async def serve(self, stream: GatewayStream) -> None:
@@ -148,8 +158,10 @@
         sent = await self._send(_http_send(row, message), message.new_connection)
         if isinstance(sent, Err):
             fault = sent.err_value
+            broke = not fault.unreached
+            refused = fault.refused or (broke and await self._has_ended(row))
             await stream.send_message(
-                ForwardFault(fault.unreached, fault.detail, fault.stale, fault.refused)
+                ForwardFault(fault.unreached, fault.detail, fault.stale, refused)
             )
             return fault.detail
         resp = sent.ok_value
@@ -158,11 +170,19 @@
                 ForwardedHead(resp.status, header_rows(resp.headers))
             )
             broken = await _pass_body(stream, resp)
-            await stream.send_message(ForwardedEnd(broken))
+            ended = bool(broken) and await self._has_ended(row)
+            await stream.send_message(ForwardedEnd(broken, ended))
         finally:
             resp.close()
         return broken or f"status {resp.status}"
 
+    async def _has_ended(self, row: WorkerRow) -> bool:
+        """Return whether a worker ended, after a connection to it broke.
+
+        The peer cannot find out: it reaches no worker.
+        """
+        return await self._probe(row) is Presence.GONE
+
 
 def _http_send(row: WorkerRow, message: ForwardedRequest) -> HttpSend:
     url = URL(f"http://{row.address}{message.target}", encoded=True)
--- a/src/spanshunt/peers/gateways.py
+++ b/src/spanshunt/peers/gateways.py
@@ -84,7 +84,10 @@
 
 
 class ForwardFault(msgspec.Struct, frozen=True, array_like=True, tag="fault"):
-    """The worker gave no answer; the fields are those of `SendFault`."""
+    """The worker gave no answer; the fields are those of `SendFault`.
+
+    `refused` also says that the worker refused connections after one broke.
+    """
 
     unreached: bool
     detail: str
@@ -106,9 +109,14 @@
 
 
 class ForwardedEnd(msgspec.Struct, frozen=True, array_like=True, tag="end"):
-    """The end of the answer; `broken` says how it ended early, empty if complete."""
+    """The end of the answer.
+
+    `broken` says how it ended early, empty if complete; `worker_ended` that the worker
+    refused connections just after that. Earlier versions do not send the latter.
+    """
 
     broken: str = ""
+    worker_ended: bool = False
 
 
 GatewayMessage = (
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -225,7 +225,11 @@
         )
         self._news = NewsService(self._exchange.answer_news, self._fetcher.tell)
         gateway = GatewayServer(
-            self.fleet, clock, self._workers.send_direct, self.counters.add
+            self.fleet,
+            clock,
+            self._workers.send_direct,
+            self._sender.probe,
+            self.counters.add,
         )
         self._server = Server(
             [self._news, GatewayService(gateway.serve)], codec=MsgpackCodec()
--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -121,6 +121,7 @@
     partition = fleet.partition
     partition.since = now
     partition.reached_again.clear()
+    partition.ended.clear()
     for row in fleet.workers.rows.values():
         row.failures = 0
         row.ejected_until = Millis(0)
--- a/src/spanshunt/tables/partition.py
+++ b/src/spanshunt/tables/partition.py
@@ -34,9 +34,12 @@
         Workers that new connections failed to reach since then.
     reached_again : set
         Workers that a probe reached since the partition began.
+    ended : dict
+        When a gateway last found a worker ended in this partition, in ms.
     """
 
     since: Millis = Millis(-1)
     connected_at: Millis = Millis(-1)
     unreached: dict[WorkerId, UnreachedWorker] = {}
     reached_again: set[WorkerId] = set()
+    ended: dict[WorkerId, Millis] = {}
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -128,6 +128,30 @@
                 assert not other.node.fleet.suspects
                 assert not other.node.fleet.silence_reports
 
+    @pytest.mark.parametrize("begun", [False, True])
+    async def test_end_of_a_worker_that_a_peer_reached_is_attributed(self, begun):
+        """Guards against ends of workers that a partitioned box does not see."""
+        async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
+            box = fleet.boxes[0]
+            await acquainted(fleet)
+            WorkerCut(box, refused=True, open_ones=OpenConnections.RESET).begin()
+            await ask_each_kind(fleet, box, 2)
+            assert is_partitioned(box.node.fleet)
+            workers = [fleet.workers[name] for name in ("w-1", "w-2")]
+
+            def spare_others() -> None:
+                for worker in workers:
+                    worker.ends_on = b""
+
+            for worker in workers:
+                worker.ends_on, worker.ends_begun = b"deadly", begun
+                worker.on_end = spare_others
+            reply = await fleet.ask(box, "/long/x", body=b"deadly")
+            assert reply.status == 200
+            assert [worker.listening for worker in workers].count(False) == 1
+            broken = box.node.fleet.workers.rows
+            assert [broken[name].ended_at >= 0 for name in ("w-1", "w-2")].count(True)
+
     async def test_box_sends_by_itself_again_after_a_cut(self):
         """Guards against a way round that lasts longer than the cut."""
         async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
