A box's share of workers' limits follows the requests that arrive there

Cause: each box had an even share of a named rate. At the favoured box a sixth was all there was, and the other boxes' grants expired unused.

Change: `systems/arrivals` counts the requests for a service at a box and averages them over all boxes as organisations' demand already is (`systems/averaging`, taken out of `demand`); a box's period follows its own against the total, a tenth stays even. The total is worked out from what peers state, as the mean of a box that counts much is above theirs. Boxes exchange it for services with limited workers, in a new last field of the news.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -13,6 +13,7 @@
 import random
 import typing as t
 from dataclasses import dataclass
+from functools import partial
 
 import async_solipsism
 import cappa
@@ -156,7 +157,13 @@
     arrived = [at for engine in limited for at in engine.arrived if at >= since]
     got = sum(_limit_at(need, at) is not None for at in arrived)
     return LimitOutcome(
-        over=max((_over(engine, need) for engine in limited), default=-math.inf),
+        over=max(
+            (
+                worst_excess(engine, partial(_limit_at, need), NAMED_S)
+                for engine in limited
+            ),
+            default=-math.inf,
+        ),
         used=got / max(1.0, len(limited) * _allowed(need, since, LAST_S)),
         served={
             route: _share(one.served for one in asked if one.route == route)
@@ -174,7 +181,9 @@
     return sum(limit for limit in limits if limit is not None) / 10
 
 
-def _over(engine: Engine, need: Need) -> float:
+def worst_excess(
+    engine: Engine, limit_at: t.Callable[[float], float | None], named_at: float
+) -> float:
     """Return by how much the worst window of an engine is over what it allows."""
     counted = [
         arrival.at
@@ -183,8 +192,8 @@
     ]
     worst = -math.inf
     for at in counted:
-        limits = [_limit_at(need, at - ago / 10) for ago in range(int(WINDOW_S * 10))]
-        if at < NAMED_S + CONTACT_S + WINDOW_S or None in limits:
+        limits = [limit_at(at - ago / 10) for ago in range(int(WINDOW_S * 10))]
+        if at < named_at + CONTACT_S + WINDOW_S or None in limits:
             continue
         named = max(limit for limit in limits if limit is not None)
         within = sum(at - WINDOW_S < one <= at for one in counted)
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -77,6 +77,9 @@
 ROUTES = {"summary": (6_600, 380), "query": (630, 290), "tag": (1_800, 24)}
 """Prompt and answer of each route, in tokens: long, middle and short ones."""
 
+FAVOURED_SHARE = 0.9
+"""Part of the callers that ask the favoured box first."""
+
 PEER_MS = 3.0
 """What a call to a peer takes, in ms."""
 
@@ -256,7 +259,8 @@
     ``cut`` are boxes whose peers don't hear them. ``rate`` is how many requests a
     second come, by the seconds from the order. ``exchanges`` counts calls between
     boxes, by the failure domains of who called and who was called. ``shared_parts``
-    draws those of a prompt of a route.
+    draws those of a prompt of a route. ``favoured`` names the box that most callers
+    ask first; empty for none.
     """
 
     rng: random.Random
@@ -282,6 +286,7 @@
     catalog: bytes = b""
     slots: int = 128
     shared_parts: t.Callable[[str], tuple[PromptPart, ...]] = lambda _route: ()
+    favoured: t.Callable[[], str] = lambda: ""
 
     def since(self) -> float:
         """Return the seconds from the order, negative before it."""
@@ -357,7 +362,7 @@
         for attempt in range(2):
             if not self.boxes:
                 return
-            box = self.rng.choice(list(self.boxes.values()))
+            box = self._ask_where(attempt)
             reply = PlayReply()
             call = self._a_call(f"{request}.{attempt}", session, route)
             await answer_request(box.core, box.steps, call, reply)
@@ -369,6 +374,14 @@
             if asked.served:
                 return
 
+    def _ask_where(self, attempt: int) -> PlayBox:
+        """Return the box that a caller asks: most first ask the favoured one."""
+        favoured = self.boxes.get(self.favoured())
+        asks_it = attempt == 0 and self.rng.random() < FAVOURED_SHARE
+        if favoured is not None and asks_it:
+            return favoured
+        return self.rng.choice(list(self.boxes.values()))
+
     async def ask_once(
         self,
         request: str,
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -23,6 +23,7 @@
 from .peers.news import SilenceNews
 from .peers.news import SuspicionNews
 from .peers.news import news_streams
+from .peers.news_rows import apply_arrival_answer
 from .peers.news_rows import apply_demand_answer
 from .peers.news_rows import merge_tally_group
 from .peers.news_rows import to_evacuation_row
@@ -451,6 +452,7 @@
             self._answered_seeds.add(address)
         self.apply_news(reply.ok_value, called_at)
         apply_demand_answer(self._fleet, news, reply.ok_value, self._clock.now())
+        apply_arrival_answer(self._fleet, news, reply.ok_value, self._clock.now())
 
 
 def _merge_suspicion(row: RolloutRow, item: SuspicionNews) -> None:
--- a/src/spanshunt/news_building.py
+++ b/src/spanshunt/news_building.py
@@ -7,7 +7,9 @@
 from .peers.news import News
 from .peers.news import PeerNews
 from .peers.news import SilenceNews
+from .peers.news_rows import answer_arrivals
 from .peers.news_rows import answer_demands
+from .peers.news_rows import arrivals_news
 from .peers.news_rows import brittle_news
 from .peers.news_rows import demands_news
 from .peers.news_rows import evacuations_news
@@ -112,6 +114,9 @@
         demands=demands_news(fleet, now)
         if peer_news is None
         else answer_demands(fleet, peer_news.demands, now),
+        arrivals=arrivals_news(fleet, now)
+        if peer_news is None
+        else answer_arrivals(fleet, peer_news.arrivals, now),
         gateway_room=gateway_room(fleet),
         brittle=brittle_news(fleet, now),
     )
--- a/src/spanshunt/peers/news.py
+++ b/src/spanshunt/peers/news.py
@@ -306,6 +306,13 @@
     per_s: float
 
 
+class ArrivalNews(msgspec.Struct, frozen=True, array_like=True):
+    """Mean requests a second for a service over all boxes, as in `DemandNews`."""
+
+    service: ServiceId
+    per_s: float
+
+
 class EvacuationNews(msgspec.Struct, frozen=True, array_like=True):
     """An operator's newest order whether a failure domain is evacuated."""
 
@@ -399,6 +406,8 @@
         the workers tolerate.
     gateway_room : int
         How many more requests the sender would send to workers for the receiver.
+    arrivals : tuple of ArrivalNews
+        Requests for services whose workers limit what boxes send.
     """
 
     box: BoxId
@@ -441,6 +450,7 @@
     demands: tuple[DemandNews, ...] = ()
     gateway_room: int = 0
     brittle: tuple[LimitNews, ...] = ()
+    arrivals: tuple[ArrivalNews, ...] = ()
 
 
 class FetchCatalogRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -6,6 +6,10 @@
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import Offset
+from ..systems.arrivals import ArrivalRow
+from ..systems.arrivals import apply_answered_arrivals
+from ..systems.arrivals import apply_called_arrivals
+from ..systems.arrivals import arrivals_to_send
 from ..systems.brittleness import brittle_to_send
 from ..systems.demand import DemandRow
 from ..systems.demand import apply_answered_demands
@@ -18,6 +22,7 @@
 from ..systems.sharing import services_short_of_room
 from ..systems.tallies import sum_tallies
 from ..systems.throttling import WorkerLimit
+from ..systems.throttling import has_limited_workers
 from ..systems.throttling import limits_to_send
 from ..systems.worker_speed import newest_slowdowns
 from ..tables.fleet import EvacuationRow
@@ -33,6 +38,7 @@
 from ..tables.rollouts import WorkerTallyKey
 from ..tables.suspects import SuspectFeature
 from ..tables.workers import WorkerRow
+from .news import ArrivalNews
 from .news import DemandNews
 from .news import EvacuationNews
 from .news import LeavingNews
@@ -426,6 +432,36 @@
     )
 
 
+def arrivals_news(fleet: Fleet, now: Millis) -> tuple[ArrivalNews, ...]:
+    """Return the means to call a peer with, of services with limited workers."""
+    services = {
+        service for service in fleet.arrivals if has_limited_workers(fleet, service)
+    }
+    return _to_arrival_news(arrivals_to_send(fleet, services, now))
+
+
+def answer_arrivals(
+    fleet: Fleet, called: tuple[ArrivalNews, ...], now: Millis
+) -> tuple[ArrivalNews, ...]:
+    """Apply the means in a peer's call; return those for the answer."""
+    return _to_arrival_news(apply_called_arrivals(fleet, _to_arrivals(called), now))
+
+
+def apply_arrival_answer(fleet: Fleet, called: News, answer: News, now: Millis) -> None:
+    """Apply the means in a peer's answer to a call of this box."""
+    apply_answered_arrivals(
+        fleet, _to_arrivals(called.arrivals), _to_arrivals(answer.arrivals), now
+    )
+
+
+def _to_arrival_news(rows: list[ArrivalRow]) -> tuple[ArrivalNews, ...]:
+    return tuple(ArrivalNews(row.service, row.per_s) for row in rows)
+
+
+def _to_arrivals(items: tuple[ArrivalNews, ...]) -> list[ArrivalRow]:
+    return [ArrivalRow(item.service, item.per_s) for item in items]
+
+
 def _to_demand_news(rows: list[DemandRow]) -> tuple[DemandNews, ...]:
     return tuple(DemandNews(row.service, row.org, row.per_s) for row in rows)
 
--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -24,6 +24,7 @@
 from .refusals import Refusal
 from .refusals import Run
 from .systems.admitting import steps_below_highest
+from .systems.arrivals import record_request
 from .systems.attributing import suspect_fingerprints
 from .systems.brittleness import lacks_place
 from .systems.cascading import EscalationProspect
@@ -135,14 +136,16 @@
 
 
 def record_demand(core: Core, state: CatalogRequest) -> None:
-    """Count a request that arrives as demand of its organisation.
+    """Count a request that arrives, for its service and as its organisation's demand.
 
-    Nothing is counted while the usual time of its work is unknown.
+    The latter is not counted while the usual time of its work is unknown.
     """
     service = _draw_service(core, state)
     work_ms = usual_work_ms(core.fleet, state.admitted.route)
+    now = core.clock.now()
+    if service is not None:
+        record_request(core.fleet, service.name, now)
     if service is not None and work_ms > 0.0:
-        now = core.clock.now()
         record_arrival(core.fleet, service.name, state.org, work_ms, now)
 
 
--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -1,12 +1,8 @@
 """Demand of organisations for a service, at this box and averaged over all boxes.
 
-Each arrival adds to a moving average, which decays by the same factor at every box. In
-an exchange of news both boxes move towards each other by the same amount. The mean over
-all boxes therefore stays what it is, and every box soon holds it. What a lost answer
-distorts is forgotten as the averages decay.
+The averages are those of :mod:`~spanshunt.systems.averaging`.
 """
 
-import math
 import typing as t
 
 import msgspec
@@ -16,11 +12,13 @@
 from ..ids import ServiceId
 from ..tables.fleet import Fleet
 from ..tables.waiting import OrgDemand
+from .averaging import add_to_rate
+from .averaging import decay_rate
+from .averaging import take_answered_mean
+from .averaging import take_called_mean
+from .averaging import total_rate
 from .fleet_size import box_count
 
-AVERAGING_MS = 1_000
-"""Time constant of the moving averages, in ms."""
-
 MAX_ORG_ROWS = 64
 """Maximum number of organisations of a service with a row of their own."""
 
@@ -36,10 +34,6 @@
 MAX_DEMAND_PER_S = 1e6
 """Greater demands in a message are not believed, in s of a worker's slot a second."""
 
-EXCHANGE_STEP = 0.25
-"""Part of the difference by which each side of an exchange moves. A box may have four
-calls under way, which together take no more than all of its demand."""
-
 
 class DemandRow(msgspec.Struct, frozen=True):
     """Demand of an organisation for a service, as it is exchanged with a peer."""
@@ -72,10 +66,7 @@
     """Count a request that arrives here; `work_ms` is its usual time at a worker."""
     key = (service, row_org(fleet, service, org))
     row = fleet.org_demands.setdefault(key, OrgDemand(0.0, now))
-    _decay(row, now)
-    added = work_ms / AVERAGING_MS
-    row.per_s += added
-    row.own_per_s += added
+    add_to_rate(row, work_ms / 1_000, now)
 
 
 def service_demands(
@@ -109,7 +100,7 @@
     rows = []
     for (service, org), row in fleet.org_demands.items():
         if service in services:
-            _decay(row, now)
+            decay_rate(row, now)
             rows.append(DemandRow(service, org, row.per_s))
     rows = [row for row in rows if row.per_s >= MIN_DEMAND_PER_S]
     return sorted(rows, key=lambda row: -row.per_s)[:MAX_DEMANDS_SENT]
@@ -126,7 +117,7 @@
     for item in called:
         row = _peer_row(fleet, item, now)
         if row is not None:
-            row.per_s += EXCHANGE_STEP * (item.per_s - row.per_s)
+            take_called_mean(row, item.per_s, now)
             answered.append(DemandRow(item.service, item.org, row.per_s))
     return answered
 
@@ -139,31 +130,30 @@
 ) -> None:
     """Move towards a peer by as much as it moved, which its answer to a call shows."""
     sent = {(item.service, item.org): item.per_s for item in called}
-    step = EXCHANGE_STEP / (1.0 - EXCHANGE_STEP)
     for item in answered:
         before = sent.pop((item.service, item.org), None)
         if before is None:
             continue
         row = _peer_row(fleet, item, now)
         if row is not None:
-            row.per_s = max(0.0, row.per_s + step * (item.per_s - before))
+            take_answered_mean(row, before, item.per_s, now)
 
 
 def expire_demands(fleet: Fleet, now: Millis) -> None:
     """Drop the rows whose averages have decayed."""
     for key, row in list(fleet.org_demands.items()):
-        _decay(row, now)
+        decay_rate(row, now)
         if max(row.per_s, row.own_per_s) < MIN_DEMAND_PER_S:
             del fleet.org_demands[key]
 
 
 def _demand(row: OrgDemand, boxes: int, now: Millis) -> Demand:
-    _decay(row, now)
-    return Demand(max(row.own_per_s, boxes * row.per_s), row.own_per_s)
+    total = total_rate(row, boxes, now)
+    return Demand(total, row.own_per_s)
 
 
 def _peer_row(fleet: Fleet, item: DemandRow, now: Millis) -> OrgDemand | None:
-    """Return the row that a peer's demand is merged into, decayed; None for none."""
+    """Return the row that a peer's demand is merged into; None for none."""
     if not 0.0 <= item.per_s <= MAX_DEMAND_PER_S:
         return None
     key = (item.service, item.org)
@@ -171,20 +161,8 @@
         if item.org != OTHER_ORGS and not _has_space(fleet, item.service):
             return None
         fleet.org_demands[key] = OrgDemand(0.0, now)
-    row = fleet.org_demands[key]
-    _decay(row, now)
-    return row
+    return fleet.org_demands[key]
 
 
 def _has_space(fleet: Fleet, service: ServiceId) -> bool:
     return sum(name == service for name, _ in fleet.org_demands) < MAX_ORG_ROWS
-
-
-def _decay(row: OrgDemand, now: Millis) -> None:
-    """Let the averages decay up to now."""
-    if now <= row.at:
-        return
-    factor = math.exp((row.at - now) / AVERAGING_MS)
-    row.per_s *= factor
-    row.own_per_s *= factor
-    row.at = now
--- a/src/spanshunt/systems/forgetting.py
+++ b/src/spanshunt/systems/forgetting.py
@@ -6,6 +6,7 @@
 
 from ..ids import Millis
 from ..tables.fleet import Fleet
+from .arrivals import expire_arrivals
 from .demand import expire_demands
 from .ending import expire_broken_connections
 from .estimating import expire_peer_prefill
@@ -16,6 +17,7 @@
 
 def forget_old(fleet: Fleet, now: Millis) -> None:
     """Drop expired reports and breaks, old suspect contents and old epochs."""
+    expire_arrivals(fleet, now)
     expire_demands(fleet, now)
     expire_peer_prefill(fleet, now)
     expire_broken_connections(fleet, now)
--- a/src/spanshunt/systems/throttling.py
+++ b/src/spanshunt/systems/throttling.py
@@ -3,10 +3,10 @@
 A worker announces its limit with a notice, a header of its answers. A box that receives
 the notice forwards the limit to its peers.
 
-Boxes share such a rate without communication. Each box gets one grant in every period,
-and the period grows with the number of boxes. The phase of the grants differs from box
-to box. An unused grant expires soon, so that grants that several boxes left unused are
-never used all at once.
+Each box gets one grant in every period, which is the shorter the more of the service's
+requests arrive there (`arrivals`). The phase of the grants differs from box to box. An
+unused grant expires soon, so that grants that several boxes left unused are never used
+all at once.
 """
 
 import math
@@ -20,7 +20,7 @@
 from ..tables.notices import RateLimit
 from ..tables.notices import RateLimiter
 from ..tables.workers import WorkerRow
-from .fleet_size import box_count
+from .arrivals import box_share
 from .fleet_size import is_discovery_finished
 from .fleet_size import stagger_fraction
 
@@ -162,7 +162,7 @@
 ) -> RateLimiter:
     """Return a worker's limiter, updated for this time, rate and number of boxes."""
     rate = GRANTED_SHARE * max(MIN_RATE_PER_S, per_s)
-    period_ms = 1_000 * box_count(fleet) / rate
+    period_ms = 1_000 / (rate * box_share(fleet, row.service, now))
     limiter = row.rate_limiter
     if limiter is None:
         grant_at = now + stagger_fraction(fleet, f"limit {row.name}") * period_ms
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -32,6 +32,7 @@
 from .holdings import ByteAccount
 from .identity import Identity
 from .partition import Partition
+from .rates import MeanRate
 from .rollouts import Rollouts
 from .settings_state import PeerSettings
 from .settings_state import SettingsRow
@@ -378,6 +379,8 @@
         Requests that wait at this box for room at a worker.
     work_times : dict
         Usual times of work without a queue, by route name, for plain requests.
+    arrivals : dict
+        Requests a second for each service, at this box and on average.
     org_demands : dict
         Demand by service and organisation, averaged over all boxes.
     service_shares : dict
@@ -442,6 +445,7 @@
     gain_per_engine_ms: dict[ServiceId, float] = {}
     wait_list: WaitList = msgspec.field(default_factory=WaitList)
     work_times: dict[str, WorkTime] = {}
+    arrivals: dict[ServiceId, MeanRate] = {}
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
     service_shares: dict[ServiceId, ServiceShares] = {}
     returns_spread: int = 0
--- a/src/spanshunt/tables/waiting.py
+++ b/src/spanshunt/tables/waiting.py
@@ -6,6 +6,7 @@
 from ..ids import OrgId
 from ..ids import RequestId
 from ..ids import ServiceId
+from .rates import MeanRate
 
 
 class Waiter(msgspec.Struct, frozen=True):
@@ -70,28 +71,19 @@
     answers: int = 1
 
 
-class OrgDemand(msgspec.Struct):
+class OrgDemand(MeanRate):
     """Demand of one organisation for one service.
 
     Demand is the time of a worker's slot that its arriving requests need, in s a
-    second, whatever becomes of them. It is a moving average and decays as time passes.
+    second, whatever becomes of them.
 
     Attributes
     ----------
-    per_s : float
-        Mean of the demand over all boxes, as far as this box knows.
-    at : int
-        When the averages were last updated, in ms.
-    own_per_s : float
-        Demand that arrives at this box.
     returns_until : float
         Until when the room that this box may give the organisation is left for callers
         that it refused and told to return, in ms.
     """
 
-    per_s: float
-    at: Millis
-    own_per_s: float = 0.0
     returns_until: float = 0.0
 
 
--- /dev/null
+++ b/tests/test_favoured_box.py
@@ -0,0 +1,139 @@
+"""Most new connections at one box, and then at another one.
+
+Guards against room that is cut into fixed parts by box: with workers that name limits,
+0.3 of the callers of a favoured box were served at the first try, 1.0 before.
+"""
+
+import pytest
+from bench.favours import FEW_TAKEN
+from bench.favours import LIMITS
+from bench.favours import MANY_BOXES
+from bench.favours import NO_LIMIT
+from bench.favours import FavourCase
+from bench.favours import play_favours
+
+from fleet_builders import add_worker
+from fleet_builders import make_fleet
+from fleet_builders import make_worker
+from fleet_builders import ms
+from spanshunt.ids import BoxId
+from spanshunt.ids import ServiceId
+from spanshunt.systems.arrivals import ArrivalRow
+from spanshunt.systems.arrivals import apply_answered_arrivals
+from spanshunt.systems.arrivals import apply_called_arrivals
+from spanshunt.systems.arrivals import arrivals_to_send
+from spanshunt.systems.arrivals import box_share
+from spanshunt.systems.arrivals import expire_arrivals
+from spanshunt.systems.arrivals import record_request
+from spanshunt.tables.catalog import Catalog
+from spanshunt.tables.catalog import ServiceRow
+from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.fleet import PeerRow
+
+SERVED_PART = 0.75
+"""Part of the callers served before that must be served under a favour, at the first
+try, from 3 s after it began."""
+
+WEB = ServiceId("web")
+
+BOXES = 6
+
+
+@pytest.mark.parametrize(
+    "case",
+    [NO_LIMIT, LIMITS, FEW_TAKEN, MANY_BOXES],
+    ids=lambda case: case.name.replace(" ", "_"),
+)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_of_a_favoured_box_are_served_as_before(case: FavourCase, seed: int):
+    out = play_favours(case, seed)
+    assert out.worst >= SERVED_PART, out
+    assert out.over <= 0, out
+    assert not out.broken
+
+
+def _boxes() -> list[Fleet]:
+    names = [BoxId(f"box-{number}") for number in range(BOXES)]
+    fleets = []
+    for name in names:
+        fleet = make_fleet(name)
+        add_worker(fleet, make_worker("w-1"))
+        fleet.catalog = Catalog(1, (), {WEB: ServiceRow(WEB)}, ())
+        fleet.peers |= {peer: PeerRow(peer, "h:1") for peer in names if peer != name}
+        fleets.append(fleet)
+    return fleets
+
+
+def _gossip(fleets: list[Fleet], at: float, *, answered: bool = True) -> None:
+    """Let each box call the next but one, and take the answer if there is one."""
+    now = ms(at)
+    for number, fleet in enumerate(fleets):
+        for step in (1, 2):
+            peer = fleets[(number + step) % len(fleets)]
+            called = arrivals_to_send(fleet, {WEB}, now)
+            reply = apply_called_arrivals(peer, called, now)
+            if answered:
+                apply_answered_arrivals(fleet, called, reply, now)
+
+
+def _favour(fleets: list[Fleet], favoured: int, since: float, until: float) -> None:
+    """Let 40 requests a second arrive, nine of ten at one box."""
+    steps = round((until - since) * 40)
+    for step in range(steps):
+        at = since + step / 40
+        where = favoured if step % 10 else step // 10 % len(fleets)
+        record_request(fleets[where], WEB, ms(at))
+        if step % 16 == 0:
+            _gossip(fleets, at)
+
+
+def _shares(fleets: list[Fleet], at: float) -> list[float]:
+    return [box_share(fleet, WEB, ms(at)) for fleet in fleets]
+
+
+def test_share_follows_the_requests_to_the_favoured_box_and_on_to_the_next():
+    fleets = _boxes()
+    _favour(fleets, 0, 100, 103)
+    assert _shares(fleets, 103)[0] >= 0.75
+    _favour(fleets, 3, 103, 106)
+    shares = _shares(fleets, 106)
+    assert shares[3] >= 0.75
+    assert shares[0] <= 0.15
+
+
+def test_shares_of_all_boxes_add_up_to_no_more_than_a_worker_tolerates():
+    """Boxes disagree while the favour moves; the reserve of a limit covers a fifth."""
+    fleets = _boxes()
+    for turn in range(8):
+        _favour(fleets, turn % BOXES, 100 + turn, 101 + turn)
+        assert sum(_shares(fleets, 101 + turn)) <= 1.2
+
+
+def test_box_without_word_of_others_keeps_an_even_share():
+    fleets = _boxes()
+    for number in range(40):
+        record_request(fleets[0], WEB, ms(100 + number / 40))
+    assert _shares(fleets, 101) == pytest.approx([1 / BOXES] * BOXES)
+
+
+def test_lost_answers_are_forgotten():
+    fleets = _boxes()
+    _favour(fleets, 0, 100, 102)
+    _gossip(fleets, 102, answered=False)
+    for fleet in fleets:
+        expire_arrivals(fleet, ms(130))
+        assert not fleet.arrivals
+
+
+@pytest.mark.parametrize("per_s", [-1.0, float("nan"), float("inf"), 1e12])
+def test_mean_that_is_not_credible_is_left_out(per_s: float):
+    fleet = _boxes()[0]
+    assert not apply_called_arrivals(fleet, [ArrivalRow(WEB, per_s)], ms(1))
+    assert not fleet.arrivals
+
+
+def test_mean_of_an_unknown_service_is_left_out():
+    fleet = _boxes()[0]
+    called = [ArrivalRow(ServiceId("other"), 1.0)]
+    assert not apply_called_arrivals(fleet, called, ms(1))
+    assert not fleet.arrivals
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -34,7 +34,7 @@
 from spanshunt.share_lines import log_share_events
 from spanshunt.share_lines import share_fields
 from spanshunt.share_lines import share_lines
-from spanshunt.systems.demand import AVERAGING_MS
+from spanshunt.systems.averaging import AVERAGING_MS
 from spanshunt.systems.demand import MAX_DEMANDS_SENT
 from spanshunt.systems.demand import MAX_ORG_ROWS
 from spanshunt.systems.demand import OTHER_ORGS
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -328,6 +328,7 @@
         for worker in fleet.workers.values():
             worker.says["Server-Limit"] = "500"
         for _ in range(6):
+            await asyncio.sleep(0.01)
             assert (await fleet.ask(box, "/look/")).status == 200
         announced = events_of(lines, "worker limit")
         assert {line["worker"] for line in announced} <= {"p-1", "p-2"}
