A resumed stream that wrote nothing clears neither its content nor its parts

Cause: a stream that broke off after its last event is resumed, the next worker has nothing to write and the answer is whole: it counted as one that clears. A request that ends each worker as it begins to write would be cleared by such an answer, and its part for a minute. Found in the emulator, where each answer of one event did so.

Change: an attempt that resumed and passed no event on clears nothing. The new test failed before (no end counted, one does).

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -296,8 +296,10 @@
 ) -> None:
     """Record an answer that was completely relayed."""
     now = core.clock.now()
-    for feature in state.features:
-        record_complete_answer(core.fleet, feature.fingerprint, now)
+    wrote_nothing = state.last_event_id is not None and attempt.first_event_at < 0
+    if not wrote_nothing:
+        for feature in state.features:
+            record_complete_answer(core.fleet, feature.fingerprint, now)
     record_answer(attempt.worker, first_ms, good=True, now=now)
     if not attempt.indirect:
         _record_speed(core, state, attempt, first_ms)
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -23,10 +23,12 @@
 from fleet_builders import make_fleet
 from fleet_builders import make_worker
 from fleet_builders import ms
+from fleet_builders import running_fleet
 from spanshunt.ids import Fingerprint
 from spanshunt.ids import Millis
 from spanshunt.peers.news_rows import suspects_news
 from spanshunt.peers.news_rows import to_suspect_feature
+from spanshunt.standins.worker import WorkerFault
 from spanshunt.systems.attributing import attribute_ends
 from spanshunt.systems.attributing import suspect_fingerprints
 from spanshunt.systems.quarantining import PART_DELAY_MS
@@ -211,3 +213,22 @@
             fleet.boxes[0], "/long/x", body=b"sound", Prompt_Prefix="a1:200,e9:800"
         )
         assert sound.status == 200
+
+
+async def test_resumed_stream_that_wrote_nothing_clears_no_part():
+    """Each stream has one event: the worker that resumes it has nothing to write."""
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        ending, other = fleet.workers["w-1"], fleet.workers["w-2"]
+        ending.ends_on_part, ending.ends_begun = "dead", True
+        other.events, other.fault = 1, WorkerFault.FULL
+
+        def let_other_resume() -> None:
+            other.fault = WorkerFault.NONE
+
+        ending.on_end = let_other_resume
+        reply = await fleet.ask(box, "/long/x", Prompt_Prefix="dead:200,e9:800")
+        assert reply.status == 200
+        assert not ending.listening and other.ran
+        rows = box.node.fleet.suspects.values()
+        assert [len(row.counted_ends()) for row in rows if row.position == 0] == [1]
