Answers ended by their connection, and prompt parts, in stand-ins and soak

Workers of the stand-ins may give answers with neither a length nor chunks, and break such streams off inside an event, inside a character, or by a reset.

The soak has workers that do so, and in a third of its schedules prompts with a part that ends workers, every 24th request if it is a stream; sound requests that are kept back beside it are counted, too (5 and one in 500 of all).

A worker that ends between two events of such a stream ends it inside the next one: an orderly end between events can't be told from the end of the answer.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -7,6 +7,7 @@
 from spanshunt.standins.worker import SeenRequest
 
 from .soak_fleet import DEADLY
+from .soak_fleet import DEADLY_PART
 from .soak_fleet import HELD_S
 from .soak_fleet import HOST
 from .soak_fleet import IN_FORCE_S
@@ -35,9 +36,18 @@
 """A version must get nothing that is sent this long after so many failures of it, in
 s."""
 
+CONTENT_ENDS, PART_ENDS = 3, 5
+"""How many workers end under a content, or a prompt part, until it is known."""
+
 KEPT_BACK_S, KEPT_BACK_MOST = 3.0, 3
-"""A content under which three workers ended may reach so many more, sent this long
-after the third, in s: where only the list shows an end, it does within two."""
+"""What is known may reach so many more workers, sent this long after it was, in s:
+where only the list shows an end, it does within two."""
+
+SOUND_MOST, SOUND_ONE_IN = 5, 500
+"""So many sound requests, and one of so many more, may be kept back beside it."""
+
+DOCUMENTS = 7
+"""Documents that prompts share."""
 
 LEAVES_AFTER_S = 0.2
 """How long after it asked a caller leaves that does, in s."""
@@ -68,6 +78,7 @@
     # One organisation sends it: another's would be another content.
     deadly = rng.random() < soak.deadly_share
     sent.deadly = deadly and path == "stream" and org == "museo"
+    sent.deadly_part = path == "stream" and _has_deadly_part(soak, number)
     soak.sent[sent.request] = sent
     headers = {
         "Host": HOST,
@@ -80,9 +91,10 @@
             "Model": "*",
             "Token-Counts": "900,60",
             "Session": f"s-{number % SESSIONS}",
+            "Prompt-Prefix": _prompt_parts(sent, number),
         }
     url = f"http://{box.callers}/{path}/x"
-    leaves = held_s(sent.request) > 0.0 and not sent.deadly
+    leaves = held_s(sent.request) > 0.0 and not (sent.deadly or sent.deadly_part)
     timeout = aiohttp.ClientTimeout(total=LEAVES_AFTER_S if leaves else 4.0)
     try:
         body = DEADLY if sent.deadly else None
@@ -100,6 +112,16 @@
     sent.ended = soak.now()
 
 
+def _has_deadly_part(soak: Soak, number: int) -> bool:
+    return bool(soak.deadly_part_every) and number % soak.deadly_part_every == 0
+
+
+def _prompt_parts(sent: Sent, number: int) -> str:
+    """Return the parts of a prompt: of all, a deadly one, a document, its own."""
+    deadly = f"{DEADLY_PART}:100," if sent.deadly_part else ""
+    return f"all:300,{deadly}document-{number % DOCUMENTS}:200,{sent.request}:300"
+
+
 def _check_answer(
     soak: Soak, sent: Sent, resp: aiohttp.ClientResponse, body: bytes
 ) -> None:
@@ -212,15 +234,26 @@
 
 
 def _check_kept_back(soak: Soak) -> None:
-    """Check that a content under which workers ended is sent on no more."""
-    if len(soak.deadly_at) < 3:
+    """Check that what ended workers, a content or a prompt part, is sent on no more.
+
+    Sound requests, which share the other parts, are not kept back with it.
+    """
+    sound = [
+        sent.request
+        for sent in soak.sent.values()
+        if sent.status == 400 and not (sent.deadly or sent.deadly_part)
+    ]
+    if len(sound) > SOUND_MOST + len(soak.sent) / SOUND_ONE_IN:
+        soak.fail("kept back sound", f"{len(sound)} sound requests: {sound[:4]}")
+    known = PART_ENDS if soak.deadly_part_every else CONTENT_ENDS
+    if len(soak.deadly_at) < known:
         return
-    bound = sorted(soak.deadly_at)[2] + KEPT_BACK_S
+    bound = sorted(soak.deadly_at)[known - 1] + KEPT_BACK_S
     reached = {seen.request for w in soak.workers.values() for seen in w.seen}
     late = [
         sent.request
         for sent in soak.sent.values()
-        if sent.deadly
+        if (sent.deadly or sent.deadly_part)
         and sent.request in reached
         and sent.at > bound
         and sent.box.is_calm(sent.at, sent.ended)
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -32,6 +32,9 @@
 DEADLY = b"ends its worker"
 """The body of the request that ends each worker that runs it."""
 
+DEADLY_PART = "dead"
+"""The prompt part that ends each worker that begins to answer it."""
+
 BACK_S = (0.3, 1.5)
 """Bounds of the time after which a worker that ended is back, in s."""
 
@@ -145,6 +148,7 @@
     ended: float = float("inf")
     status: int = 0
     deadly: bool = False
+    deadly_part: bool = False
     left: float = float("inf")
 
 
@@ -156,8 +160,9 @@
     recorded as taken back; ``keys_gone`` from when until when a key is. ``ordered``
     says when a version was, and for how long. ``bad`` are workers whose faults an order
     decides, ``bad_versions`` those that it made bad; ``end`` is when the last request
-    comes. ``deadly_share`` of the streams end their workers, which they did at
-    ``deadly_at``. ``emptied`` says from when until when operators had the second
+    comes. ``deadly_share`` of the streams end their workers, or those of every
+    ``deadly_part_every`` requests do by a part of their prompts (0: none), which they
+    did at ``deadly_at``. ``emptied`` says from when until when operators had the second
     failure domain emptied, whose workers are ``far``. ``routes`` were added since the
     start, ``probed`` requests asked for them; ``refused_in_trouble`` are proper ones
     that boxes refused for good which something had struck. A ``quiet`` schedule
@@ -191,6 +196,7 @@
     spared: int = 0
     end: float = 0.0
     deadly_share: float = 0.0
+    deadly_part_every: int = 0
     deadly_at: list[float] = field(default_factory=list)
     back: set[asyncio.Task[None]] = field(default_factory=set)
     far: set[str] = field(default_factory=set)
@@ -288,6 +294,7 @@
     worker.sureness = {"small": soak.rng.randrange(100), "large": 90}
     worker.born = round(time.time() * 1_000)
     worker.ends_on = DEADLY
+    worker.ends_on_part, worker.ends_begun = DEADLY_PART, len(soak.workers) % 2 == 0
     worker.holds = held_s
     worker.on_end = lambda: take_deadly_end(soak, name)
     await worker.start()
@@ -301,7 +308,7 @@
 
 
 def take_deadly_end(soak: Soak, name: str) -> None:
-    """Note that a worker ended under the deadly request, and let it come back."""
+    """Note that a worker ended under a deadly request, and let it come back."""
     soak.deadly_at.append(soak.now())
     soak.back.add(asyncio.create_task(come_back(soak, name)))
 
--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -36,6 +36,10 @@
 DEADLY_SHARE = 0.1
 """Part of the streams that end their worker, in every third schedule."""
 
+DEADLY_PART_EVERY = 24
+"""Every so many requests, if it is a stream, has a prompt part that ends its worker, in
+another third of the schedules."""
+
 REGRESSIONS: dict[int, str] = {
     3043: "a worker's words were lost with its entry, which came back",
     771282: "a worker's word that it leaves came before its new life was listed",
@@ -92,8 +96,14 @@
         "systems/blaming.py", "EVIDENCE_THRESHOLD = 5.0", "EVIDENCE_THRESHOLD = 1e9"
     ),
     "kept back": Mutation(
-        "systems/quarantining.py", "QUARANTINE_ENDS = 3", "QUARANTINE_ENDS = 1_000"
+        "systems/attributing.py", "QUARANTINE_ENDS = 3", "QUARANTINE_ENDS = 1_000"
+    ),
+    "prompt part": Mutation(
+        "systems/recognising.py",
+        "for position, part in enumerate(parts)",
+        "for position, part in enumerate(())",
     ),
+    "unframed": Mutation("relaying.py", "if splitter.partial:", "if False:"),
     "emptied": Mutation(
         "systems/evacuating.py", "for row in rows if row.active", "for row in ()"
     ),
@@ -135,6 +145,7 @@
     soak.spared = seed % 2
     soak.quiet = seed % 4 == 3
     soak.deadly_share = DEADLY_SHARE if seed % 3 == 0 else 0.0
+    soak.deadly_part_every = DEADLY_PART_EVERY if seed % 3 == 1 else 0
     await configure(soak)
     for service in ("web", "web", "writer", "writer", "writer"):
         await add_worker(soak, service)
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -7,6 +7,7 @@
 
 from spanshunt.standins.worker import Said
 from spanshunt.standins.worker import SeenRequest
+from spanshunt.standins.worker import StreamEnding
 from spanshunt.standins.worker import WorkerFault
 
 from .soak_fleet import NamedLimit
@@ -27,6 +28,10 @@
 """When a worker says that it leaves, and when one begins to turn requests away, in s
 from the first request."""
 
+UNFRAMED_AT_S, BROKEN_STREAMS = (0.5, 3.0), 3
+"""When a worker begins to give answers that end with their connection, in s from the
+first request, and how many of its streams break off."""
+
 LEAVING_S = 2.0
 """Within which a worker that told a box so must get nothing new of it, in s."""
 
@@ -60,6 +65,7 @@
         _name_limits(soak, random.Random(rng.random())),
         _leave(soak, random.Random(rng.random())),
         _rest(soak, random.Random(rng.random())),
+        _unframe(soak, random.Random(rng.random())),
     )
 
 
@@ -112,6 +118,20 @@
     soak.undisturbed.discard(name)
 
 
+async def _unframe(soak: Soak, rng: random.Random) -> None:
+    """Let a worker of each service end its answers with their connections.
+
+    Some of its streams break off.
+    """
+    await asyncio.sleep(rng.uniform(*UNFRAMED_AT_S))
+    for service in ("web", "writer"):
+        known = sorted(name for name, of in soak.services.items() if of == service)
+        worker = soak.workers[rng.choice(known)]
+        worker.unframed = True
+        worker.stream_ending = rng.choice(list(StreamEnding))
+        worker.broken_streams_left = BROKEN_STREAMS
+
+
 def _unspoken(soak: Soak, service: str) -> list[str]:
     """Return a service's workers that said nothing yet; that are to stay, if any."""
     out = soak.draining.keys() | soak.bad
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -54,6 +54,20 @@
     DROP = "drop"
 
 
+class StreamEnding(enum.Enum):
+    """How a stream without chunks ends with its connection.
+
+    ``WHOLE``: after its last event. The others break it off after ``CUT_AFTER`` events:
+    ``INSIDE_EVENT`` and ``INSIDE_CHARACTER`` (of several bytes) close the connection,
+    ``RESET`` resets it in place of an end.
+    """
+
+    WHOLE = "whole"
+    INSIDE_EVENT = "inside event"
+    INSIDE_CHARACTER = "inside character"
+    RESET = "reset"
+
+
 class SeenRequest(msgspec.Struct, frozen=True):
     """A request as it reached the worker; ``at`` is when, by the loop, in s."""
 
@@ -80,8 +94,9 @@
     failures of its own, in the loop's time. A request whose body is ``ends_on``, or
     whose prompt shares the part ``ends_on_part``, ends it when it has run for
     ``ends_after_s`` (after its first event if ``ends_begun``), and ``on_end`` is called
-    then. ``says`` are
-    headers that it puts into all its answers, ``asks`` those beside its word
+    then. A worker that is ``unframed`` gives answers with neither a length nor chunks,
+    and ``broken_streams_left`` of its streams a ``stream_ending`` (-1: all). ``says``
+    are headers that it puts into all its answers, ``asks`` those beside its word
     that it has no room, ``said`` which answers had any. ``slots`` bounds what it runs
     at once and how many requests wait; without them it has room for all. With
     ``brittle_per_s`` it says so, and ends once it turned more requests away in a
@@ -115,6 +130,9 @@
         self.brittle_per_s = 0.0
         self.falls = 0
         self.turned_away: list[float] = []
+        self.unframed = False
+        self.stream_ending = StreamEnding.WHOLE
+        self.broken_streams_left = -1
         self.events = 4
         self.event_s = 0.0
         self.event_bytes = 0
@@ -243,6 +261,8 @@
             await self._until_closed(seen, reader)
             return False
         if "model" in seen.headers:
+            if self.unframed and fault is WorkerFault.NONE:
+                return await self._unframed_stream(seen, reader, writer)
             return await self._stream(seen, reader, writer, fault)
         return await self._whole(seen, writer, fault)
 
@@ -298,8 +318,12 @@
             await asyncio.sleep(0.02)
             reset(t.cast(asyncio.Transport, writer.transport))
             return False
-        answer = self._head(status, request, length=len(body), sealed=sealed) + body
+        length = None if self.unframed else len(body)
+        answer = self._head(status, request, length, sealed=sealed) + body
         writer.write(answer)
+        if self.unframed:
+            await writer.drain()
+            return False
         if fault is WorkerFault.EXTRA:
             writer.write(SURPLUS)
         await writer.drain()
@@ -347,6 +371,55 @@
         await writer.drain()
         return True
 
+    async def _unframed_stream(
+        self,
+        seen: SeenRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Write a stream with neither a length nor chunks; its connection ends it."""
+        ending = self._take_ending()
+        extra = {"Content-Type": "text/event-stream"}
+        writer.write(self._head(200, seen.request, None, sealed=True, extra=extra))
+        begin = int(seen.headers.get("last-event-id", "0")) + 1
+        for sent, number in enumerate(range(begin, self.events + 1)):
+            event = f"id: {number}\ndata: {seen.request}/{number} \u00e9\n\n".encode()
+            if sent == CUT_AFTER and ending is not StreamEnding.WHOLE:
+                await self._break_stream(event, ending, writer)
+                return False
+            writer.write(event)
+            await writer.drain()
+            try:
+                left = self.event_s and await self._closed_within(reader, self.event_s)
+            except asyncio.CancelledError:
+                # This worker ends. Between two events that would look like the end.
+                writer.write(event[:5])
+                raise
+            if left:
+                self.cancelled.append(seen.request)
+                return False
+        return False
+
+    def _take_ending(self) -> StreamEnding:
+        if self.stream_ending is StreamEnding.WHOLE or not self.broken_streams_left:
+            return StreamEnding.WHOLE
+        self.broken_streams_left -= 1
+        return self.stream_ending
+
+    async def _break_stream(
+        self, event: bytes, ending: StreamEnding, writer: asyncio.StreamWriter
+    ) -> None:
+        """End a stream early, before or inside its next event."""
+        if ending is StreamEnding.INSIDE_EVENT:
+            writer.write(event[:9])
+        elif ending is StreamEnding.INSIDE_CHARACTER:
+            writer.write(event[: event.index("\u00e9".encode()) + 1])
+        await writer.drain()
+        # What was written must be on its way before the connection ends.
+        await asyncio.sleep(0.02)
+        if ending is StreamEnding.RESET:
+            reset(t.cast(asyncio.Transport, writer.transport))
+
     def _head(
         self,
         status: int,
