A soak of most connections at one daemon, and then at another

Four real daemons, three web workers that name 20 requests a second each, 30 callers a second on connections of their own; nine of ten ask one daemon, then another. From 3 s on three quarters of what was served before must be. It holds, and the plant "favoured" (even shares) is found.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -21,6 +21,7 @@
 from .soak_callers import call_until_end
 from .soak_callers import check_records
 from .soak_faults import act
+from .soak_favours import play_favours
 from .soak_fleet import ROOT
 from .soak_fleet import Soak
 from .soak_fleet import add_worker
@@ -103,6 +104,7 @@
         "for position, part in enumerate(parts)",
         "for position, part in enumerate(())",
     ),
+    "favoured": Mutation("systems/arrivals.py", "EVEN_PART = 0.1", "EVEN_PART = 1.0"),
     "unframed": Mutation("relaying.py", "if splitter.partial:", "if False:"),
     "emptied": Mutation(
         "systems/evacuating.py", "for row in rows if row.active", "for row in ()"
@@ -208,6 +210,16 @@
     return soak
 
 
+def run_favours(mutation: str = "") -> Soak:
+    """Play most connections at one daemon, and then at another, in its own folder."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-favours-"))
+    source = mutated_sources(mutation, folder) if mutation else ROOT / "src"
+    soak = Soak(random.Random(0), folder, source)
+    asyncio.run(play_favours(soak))
+    shutil.rmtree(folder)
+    return soak
+
+
 @cappa.command(name="soak-processes", help="A fault soak of real daemons.")
 @dataclass
 class SoakCommand:
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -9,6 +9,7 @@
 from bench.soak_processes import MUTATIONS
 from bench.soak_processes import REGRESSIONS
 from bench.soak_processes import ROOT
+from bench.soak_processes import run_favours
 from bench.soak_processes import run_seed
 
 from spanshunt.standins.worker import WorkerStandin
@@ -46,6 +47,16 @@
     assert any(text.startswith(promises) for text in soak.broken)
 
 
+def test_callers_of_a_favoured_daemon_are_served_as_before():
+    """Guards against limits of workers that are cut into fixed parts by box."""
+    assert run_favours().broken == []
+
+
+def test_soak_of_favours_can_fail():
+    broken = run_favours("favoured").broken
+    assert any(text.startswith("favoured") for text in broken)
+
+
 @pytest.mark.parametrize("name", MUTATIONS)
 def test_plants_still_fit_the_code(name):
     mutation = MUTATIONS[name]
