--- a/bench/ends.py
+++ b/bench/ends.py
@@ -6,15 +6,13 @@
 """
 
 import asyncio
-import concurrent.futures
 import random
-import typing as t
 from dataclasses import dataclass
 
 import async_solipsism
-import cappa
 from loguru import logger
 
+from .case_runs import run_cases
 from .play_cases import DOMAINS
 from .play_cases import play_catalog
 from .play_engines import Engine
@@ -136,11 +134,11 @@
     sound: list[bool] = []
     jobs = [asyncio.create_task(_repeat(play)) for _ in range(case.at_a_time)]
     if case.ends_per_s:
-        jobs.append(asyncio.create_task(_end_at_random(play, case.ends_per_s)))
+        jobs.append(asyncio.create_task(end_at_random(play, case.ends_per_s)))
     if case.sound_per_s:
         jobs.append(asyncio.create_task(_ask_sound(play, case.sound_per_s, sound)))
     if case.all_ended_at >= 0:
-        jobs.append(asyncio.create_task(_end_boxes(play, case.all_ended_at)))
+        jobs.append(asyncio.create_task(end_boxes(play, case.all_ended_at)))
     await play.call_until(LAST_S + 6.0)
     for job in jobs:
         job.cancel()
@@ -163,7 +161,8 @@
         await asyncio.sleep(EVERY_S)
 
 
-async def _end_at_random(play: Play, per_s: float) -> None:
+async def end_at_random(play: Play, per_s: float) -> None:
+    """End engines at random, so many a second."""
     while True:
         await asyncio.sleep(play.rng.expovariate(per_s))
         live = [engine for engine in play.engines.values() if not engine.gone]
@@ -186,7 +185,8 @@
         await asyncio.gather(*tasks)
 
 
-async def _end_boxes(play: Play, at: float) -> None:
+async def end_boxes(play: Play, at: float) -> None:
+    """End all boxes at a time, in s, and start them a second later."""
     await asyncio.sleep(max(0.0, at - play.since()))
     for name in list(play.boxes):
         await play.stop_box(name)
@@ -219,33 +219,14 @@
     )
 
 
-@cappa.command(name="ends", help="Engines that end under a content, or at random.")
-@dataclass
-class EndsCommand:
-    """Arguments of the plays."""
-
-    seeds: t.Annotated[int, cappa.Arg(long=True, help="How many seeds.")] = 2
-    first: t.Annotated[int, cappa.Arg(long=True, help="The first seed.")] = 1
-    jobs: t.Annotated[int, cappa.Arg(long=True, help="Processors to use.")] = 2
-
-
 def main() -> None:
     """Play all cases and print a line for each."""
-    command = cappa.parse(EndsCommand)
-    seeds = range(command.first, command.first + command.seeds)
-    with concurrent.futures.ProcessPoolExecutor(command.jobs) as pool:
-        plays = {
-            (case.name, seed): pool.submit(play_ends, case, seed)
-            for case in CASES
-            for seed in seeds
-        }
-        for (name, seed), found in plays.items():
-            out = found.result()
-            print(
-                f"{name:34} seed {seed}: ended {out.ended:3}  late {out.late:3}  "
-                f"others served {out.served:.3f}  sound {out.sound_served:.3f}  "
-                f"kept back {out.kept_back}  recorded {out.recorded} {out.broken[:2]}"
-            )
+    for label, out in run_cases(play_ends, CASES):
+        print(
+            f"{label}: ended {out.ended:3}  late {out.late:3}  "
+            f"others served {out.served:.3f}  sound {out.sound_served:.3f}  "
+            f"kept back {out.kept_back}  recorded {out.recorded} {out.broken[:2]}"
+        )
 
 
 if __name__ == "__main__":
--- a/bench/favours.py
+++ b/bench/favours.py
@@ -7,17 +7,15 @@
 """
 
 import asyncio
-import concurrent.futures
 import random
-import typing as t
 from dataclasses import dataclass
 
 import async_solipsism
-import cappa
 from loguru import logger
 
 from spanshunt.tables.notices import Notice
 
+from .case_runs import run_cases
 from .limits import worst_excess
 from .play_cases import DOMAINS
 from .play_cases import play_catalog
@@ -133,33 +131,14 @@
     return sum(firsts) / max(1, len(firsts))
 
 
-@cappa.command(name="favours", help="Most callers ask one box, and then another.")
-@dataclass
-class FavoursCommand:
-    """Arguments of the plays."""
-
-    seeds: t.Annotated[int, cappa.Arg(long=True, help="How many seeds.")] = 2
-    first: t.Annotated[int, cappa.Arg(long=True, help="The first seed.")] = 1
-    jobs: t.Annotated[int, cappa.Arg(long=True, help="Processors to use.")] = 2
-
-
 def main() -> None:
     """Play all cases and print a line for each."""
-    command = cappa.parse(FavoursCommand)
-    seeds = range(command.first, command.first + command.seeds)
-    with concurrent.futures.ProcessPoolExecutor(command.jobs) as pool:
-        plays = {
-            (case.name, seed): pool.submit(play_favours, case, seed)
-            for case in CASES
-            for seed in seeds
-        }
-        for (name, seed), found in plays.items():
-            out = found.result()
-            under = ", ".join(f"{part:.3f}" for part in out.under)
-            print(
-                f"{name:30} seed {seed}: before {out.before:.3f}  under {under}  "
-                f"over {out.over:.1f} {out.broken[:2]}"
-            )
+    for label, out in run_cases(play_favours, CASES):
+        under = ", ".join(f"{part:.3f}" for part in out.under)
+        print(
+            f"{label}: before {out.before:.3f}  under {under}  "
+            f"over {out.over:.1f} {out.broken[:2]}"
+        )
 
 
 if __name__ == "__main__":
--- a/bench/part_ends.py
+++ b/bench/part_ends.py
@@ -8,18 +8,19 @@
 """
 
 import asyncio
-import concurrent.futures
 import random
 import typing as t
 from dataclasses import dataclass
 
 import async_solipsism
-import cappa
 from loguru import logger
 
 from spanshunt.tables.engines import PromptPart
 
+from .case_runs import run_cases
 from .ends import EngineStarts
+from .ends import end_at_random
+from .ends import end_boxes
 from .play_cases import DOMAINS
 from .play_cases import play_catalog
 from .play_fleet import Play
@@ -119,9 +120,9 @@
         play.start_box(name)
     jobs = [asyncio.create_task(_ask_deadly(play, case, names))] if names else []
     if case.ends_per_s:
-        jobs.append(asyncio.create_task(_end_at_random(play, case.ends_per_s)))
+        jobs.append(asyncio.create_task(end_at_random(play, case.ends_per_s)))
     if case.all_ended_at >= 0:
-        jobs.append(asyncio.create_task(_end_boxes(play, case.all_ended_at)))
+        jobs.append(asyncio.create_task(end_boxes(play, case.all_ended_at)))
     await play.call_until(LAST_S)
     for job in jobs:
         job.cancel()
@@ -161,23 +162,6 @@
         await asyncio.gather(*tasks)
 
 
-async def _end_at_random(play: Play, per_s: float) -> None:
-    while True:
-        await asyncio.sleep(play.rng.expovariate(per_s))
-        live = [engine for engine in play.engines.values() if not engine.gone]
-        if live and play.since() >= FIRST_S:
-            play.rng.choice(live).end()
-
-
-async def _end_boxes(play: Play, at: float) -> None:
-    await asyncio.sleep(max(0.0, at - play.since()))
-    for name in list(play.boxes):
-        await play.stop_box(name)
-    await asyncio.sleep(1.0)
-    for name in play.places:
-        play.start_box(name)
-
-
 def _outcome(play: Play, engines: EngineStarts, names: list[str]) -> PartOutcome:
     known_at = [_known_at(engines, name) for name in names]
     late = [
@@ -216,33 +200,14 @@
     return sum(firsts) / max(1, len(firsts))
 
 
-@cappa.command(name="part-ends", help="Engines that end under prompt parts.")
-@dataclass
-class PartEndsCommand:
-    """Arguments of the plays."""
-
-    seeds: t.Annotated[int, cappa.Arg(long=True, help="How many seeds.")] = 2
-    first: t.Annotated[int, cappa.Arg(long=True, help="The first seed.")] = 1
-    jobs: t.Annotated[int, cappa.Arg(long=True, help="Processors to use.")] = 2
-
-
 def main() -> None:
     """Play all cases and print a line for each."""
-    command = cappa.parse(PartEndsCommand)
-    seeds = range(command.first, command.first + command.seeds)
-    with concurrent.futures.ProcessPoolExecutor(command.jobs) as pool:
-        plays = {
-            (case.name, seed): pool.submit(play_parts, case, seed)
-            for case in CASES
-            for seed in seeds
-        }
-        for (name, seed), found in plays.items():
-            out = found.result()
-            print(
-                f"{name:26} seed {seed}: ended {out.ended:3}  late {out.late}  "
-                f"sound {out.sound_first:.3f}  others {out.others_first:.3f}  "
-                f"refused {out.refused} {out.broken[:2]}"
-            )
+    for label, out in run_cases(play_parts, CASES):
+        print(
+            f"{label}: ended {out.ended:3}  late {out.late}  "
+            f"sound {out.sound_first:.3f}  others {out.others_first:.3f}  "
+            f"refused {out.refused} {out.broken[:2]}"
+        )
 
 
 if __name__ == "__main__":
