Means of demand and arrivals share their exchange; the news' rows have a module

`demand` and `arrivals` kept the same rules for calls, answers and decay of means over all boxes: `systems/averaging` has them once, for any key. No name on the wire, no order of fields and no behaviour changes.

--- a/src/spanshunt/news_building.py
+++ b/src/spanshunt/news_building.py
@@ -5,8 +5,8 @@
 from .ids import DomainId
 from .ids import Millis
 from .peers.news import News
-from .peers.news import PeerNews
-from .peers.news import SilenceNews
+from .peers.news_items import PeerNews
+from .peers.news_items import SilenceNews
 from .peers.news_rows import answer_arrivals
 from .peers.news_rows import answer_demands
 from .peers.news_rows import arrivals_news
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -6,7 +6,7 @@
 from ..ids import Incarnation
 from ..ids import Millis
 from ..ids import Offset
-from ..systems.arrivals import ArrivalRow
+from ..systems.arrivals import Arrival
 from ..systems.arrivals import apply_answered_arrivals
 from ..systems.arrivals import apply_called_arrivals
 from ..systems.arrivals import arrivals_to_send
@@ -38,24 +38,24 @@
 from ..tables.rollouts import WorkerTallyKey
 from ..tables.suspects import SuspectFeature
 from ..tables.workers import WorkerRow
-from .news import ArrivalNews
-from .news import DemandNews
-from .news import EvacuationNews
-from .news import LeavingNews
-from .news import LimitNews
-from .news import LoadNews
 from .news import News
-from .news import PendingPrefillNews
-from .news import RecentPrefillNews
-from .news import RolloutNews
-from .news import SpeedNews
-from .news import SuspectNews
-from .news import SuspicionNews
-from .news import TallyGroup
-from .news import TallyNews
-from .news import WorkerNews
-from .news import WorkerSpeedNews
-from .news import WorkerTallyNews
+from .news_items import ArrivalNews
+from .news_items import DemandNews
+from .news_items import EvacuationNews
+from .news_items import LeavingNews
+from .news_items import LimitNews
+from .news_items import LoadNews
+from .news_items import PendingPrefillNews
+from .news_items import RecentPrefillNews
+from .news_items import RolloutNews
+from .news_items import SpeedNews
+from .news_items import SuspectNews
+from .news_items import SuspicionNews
+from .news_items import TallyGroup
+from .news_items import TallyNews
+from .news_items import WorkerNews
+from .news_items import WorkerSpeedNews
+from .news_items import WorkerTallyNews
 
 NEWEST_EPOCHS_SENT = 3
 """Number of the newest epochs whose tallies are sent in each message."""
@@ -454,17 +454,17 @@
     )
 
 
-def _to_arrival_news(rows: list[ArrivalRow]) -> tuple[ArrivalNews, ...]:
-    return tuple(ArrivalNews(row.service, row.per_s) for row in rows)
+def _to_arrival_news(arrivals: list[Arrival]) -> tuple[ArrivalNews, ...]:
+    return tuple(ArrivalNews(service, per_s) for service, per_s in arrivals)
 
 
-def _to_arrivals(items: tuple[ArrivalNews, ...]) -> list[ArrivalRow]:
-    return [ArrivalRow(item.service, item.per_s) for item in items]
+def _to_arrivals(items: tuple[ArrivalNews, ...]) -> list[Arrival]:
+    return [(item.service, item.per_s) for item in items]
 
 
 def _to_demand_news(rows: list[DemandRow]) -> tuple[DemandNews, ...]:
-    return tuple(DemandNews(row.service, row.org, row.per_s) for row in rows)
+    return tuple(DemandNews(service, org, per_s) for (service, org), per_s in rows)
 
 
 def _to_demands(items: tuple[DemandNews, ...]) -> list[DemandRow]:
-    return [DemandRow(item.service, item.org, item.per_s) for item in items]
+    return [((item.service, item.org), item.per_s) for item in items]
--- a/src/spanshunt/speed_news.py
+++ b/src/spanshunt/speed_news.py
@@ -1,8 +1,8 @@
 """Speeds and load reports of workers that peers pass on, merged into the tables."""
 
 from .ids import Millis
-from .peers.news import LoadNews
 from .peers.news import News
+from .peers.news_items import LoadNews
 from .systems.worker_health import WorkerLoad
 from .systems.worker_health import record_relayed_load
 from .systems.worker_speed import merge_usual_factor
--- a/src/spanshunt/systems/arrivals.py
+++ b/src/spanshunt/systems/arrivals.py
@@ -8,18 +8,19 @@
 """
 
 import typing as t
-
-import msgspec
+from functools import partial
 
 from ..ids import Millis
 from ..ids import ServiceId
 from ..tables.fleet import Fleet
 from ..tables.rates import MeanRate
+from .averaging import MIN_PER_S
 from .averaging import add_to_rate
-from .averaging import decay_rate
+from .averaging import apply_answered_means
+from .averaging import apply_called_means
+from .averaging import expire_means
+from .averaging import means_to_send
 from .averaging import stated_total
-from .averaging import take_answered_mean
-from .averaging import take_called_mean
 from .fleet_size import box_count
 
 EVEN_PART = 0.1
@@ -28,18 +29,8 @@
 MAX_ARRIVALS_SENT = 16
 """Maximum number of services in one message, those with most requests first."""
 
-MIN_ARRIVALS_PER_S = 1e-3
-"""Smaller means are neither sent nor kept, in requests a second."""
-
-MAX_ARRIVALS_PER_S = 1e6
-"""Greater means in a message are not believed, in requests a second."""
-
-
-class ArrivalRow(msgspec.Struct, frozen=True):
-    """Mean of the requests a second for a service over all boxes."""
-
-    service: ServiceId
-    per_s: float
+Arrival = tuple[ServiceId, float]
+"""A service and the mean of its requests a second over all boxes."""
 
 
 def record_request(fleet: Fleet, service: ServiceId, now: Millis) -> None:
@@ -53,66 +44,46 @@
     boxes = box_count(fleet)
     row = fleet.arrivals.get(service)
     total = stated_total(row, boxes, now) if row is not None else 0.0
-    if row is None or total < MIN_ARRIVALS_PER_S:
+    if row is None or total < MIN_PER_S:
         return 1.0 / boxes
     return EVEN_PART / boxes + (1.0 - EVEN_PART) * row.own_per_s / total
 
 
 def arrivals_to_send(
     fleet: Fleet, services: t.Collection[ServiceId], now: Millis
-) -> list[ArrivalRow]:
+) -> list[Arrival]:
     """Return the means for these services, to call a peer with."""
-    rows = []
-    for service, row in fleet.arrivals.items():
-        if service in services:
-            decay_rate(row, now)
-            rows.append(ArrivalRow(service, row.per_s))
-    rows = [row for row in rows if row.per_s >= MIN_ARRIVALS_PER_S]
-    return sorted(rows, key=lambda row: -row.per_s)[:MAX_ARRIVALS_SENT]
+    rows = {name: row for name, row in fleet.arrivals.items() if name in services}
+    return means_to_send(rows, now, MAX_ARRIVALS_SENT)
 
 
 def apply_called_arrivals(
-    fleet: Fleet, called: t.Iterable[ArrivalRow], now: Millis
-) -> list[ArrivalRow]:
+    fleet: Fleet, called: t.Iterable[Arrival], now: Millis
+) -> list[Arrival]:
     """Move towards the means in a peer's call; return this box's own for the answer.
 
     A mean that is not credible, or of a service that is not configured, is left out.
     """
-    answered = []
-    for item in called:
-        row = _peer_row(fleet, item, now)
-        if row is not None:
-            take_called_mean(row, item.per_s, now)
-            answered.append(ArrivalRow(item.service, row.per_s))
-    return answered
+    return apply_called_means(partial(_peer_row, fleet, now), called, now)
 
 
 def apply_answered_arrivals(
     fleet: Fleet,
-    called: t.Iterable[ArrivalRow],
-    answered: t.Iterable[ArrivalRow],
+    called: t.Iterable[Arrival],
+    answered: t.Iterable[Arrival],
     now: Millis,
 ) -> None:
     """Move towards a peer by as much as it moved, which its answer to a call shows."""
-    sent = {item.service: item.per_s for item in called}
-    for item in answered:
-        before = sent.pop(item.service, None)
-        row = _peer_row(fleet, item, now) if before is not None else None
-        if row is not None and before is not None:
-            take_answered_mean(row, before, item.per_s, now)
+    apply_answered_means(partial(_peer_row, fleet, now), called, answered, now)
 
 
 def expire_arrivals(fleet: Fleet, now: Millis) -> None:
     """Drop the rows whose averages have decayed."""
-    for service, row in list(fleet.arrivals.items()):
-        decay_rate(row, now)
-        if max(row.per_s, row.own_per_s) < MIN_ARRIVALS_PER_S:
-            del fleet.arrivals[service]
+    expire_means(fleet.arrivals, now)
 
 
-def _peer_row(fleet: Fleet, item: ArrivalRow, now: Millis) -> MeanRate | None:
+def _peer_row(fleet: Fleet, now: Millis, service: ServiceId) -> MeanRate | None:
     """Return the row that a peer's mean is merged into; None for none."""
-    configured = fleet.catalog.services if fleet.catalog is not None else {}
-    if item.service not in configured or not 0.0 <= item.per_s <= MAX_ARRIVALS_PER_S:
+    if fleet.catalog is None or service not in fleet.catalog.services:
         return None
-    return fleet.arrivals.setdefault(item.service, MeanRate(0.0, now))
+    return fleet.arrivals.setdefault(service, MeanRate(0.0, now))
--- a/src/spanshunt/systems/averaging.py
+++ b/src/spanshunt/systems/averaging.py
@@ -7,10 +7,19 @@
 """
 
 import math
+import typing as t
 
 from ..ids import Millis
 from ..tables.rates import MeanRate
 
+K = t.TypeVar("K", bound=t.Hashable)
+
+MIN_PER_S = 1e-3
+"""Smaller means are neither sent nor kept, a second."""
+
+MAX_PER_S = 1e6
+"""Greater means in a message are not believed, a second."""
+
 AVERAGING_MS = 1_000
 """Time constant of the moving averages, in ms."""
 
@@ -45,23 +54,69 @@
     row.own_per_s += added
 
 
-def take_called_mean(row: MeanRate, per_s: float, now: Millis) -> None:
-    """Move towards the mean that a peer's call states."""
-    decay_rate(row, now)
-    _observe_peer(row, per_s, now)
-    row.per_s += EXCHANGE_STEP * (per_s - row.per_s)
+def means_to_send(
+    rows: t.Mapping[K, MeanRate], now: Millis, max_rows: int
+) -> list[tuple[K, float]]:
+    """Return the greatest means, to call a peer with."""
+    for row in rows.values():
+        decay_rate(row, now)
+    means = [(key, row.per_s) for key, row in rows.items() if row.per_s >= MIN_PER_S]
+    return sorted(means, key=lambda mean: -mean[1])[:max_rows]
 
 
-def take_answered_mean(
-    row: MeanRate, called_per_s: float, answered_per_s: float, now: Millis
+def apply_called_means(
+    find_row: t.Callable[[K], MeanRate | None],
+    called: t.Iterable[tuple[K, float]],
+    now: Millis,
+) -> list[tuple[K, float]]:
+    """Move towards the means in a peer's call; return this box's own for the answer.
+
+    A mean that is not credible, or for which `find_row` has no row, is left out.
+    """
+    answered = []
+    for key, per_s in called:
+        row = find_row(key) if _is_credible(per_s) else None
+        if row is None:
+            continue
+        decay_rate(row, now)
+        _observe_peer(row, per_s, now)
+        row.per_s += EXCHANGE_STEP * (per_s - row.per_s)
+        answered.append((key, row.per_s))
+    return answered
+
+
+def apply_answered_means(
+    find_row: t.Callable[[K], MeanRate | None],
+    called: t.Iterable[tuple[K, float]],
+    answered: t.Iterable[tuple[K, float]],
+    now: Millis,
 ) -> None:
     """Move towards a peer by as much as it moved, which its answer to a call shows."""
-    decay_rate(row, now)
-    moved = EXCHANGE_STEP * called_per_s
-    before = max(0.0, answered_per_s - moved) / (1.0 - EXCHANGE_STEP)
-    _observe_peer(row, before, now)
+    sent = dict(called)
     step = EXCHANGE_STEP / (1.0 - EXCHANGE_STEP)
-    row.per_s = max(0.0, row.per_s + step * (answered_per_s - called_per_s))
+    for key, per_s in answered:
+        before = sent.pop(key, None)
+        if before is None or not _is_credible(per_s):
+            continue
+        row = find_row(key)
+        if row is None:
+            continue
+        decay_rate(row, now)
+        moved = max(0.0, per_s - EXCHANGE_STEP * before)
+        _observe_peer(row, moved / (1.0 - EXCHANGE_STEP), now)
+        row.per_s = max(0.0, row.per_s + step * (per_s - before))
+
+
+def expire_means(rows: dict[K, t.Any], now: Millis) -> None:
+    """Drop the rows whose averages have decayed."""
+    for key, row in list(rows.items()):
+        decay_rate(row, now)
+        if max(row.per_s, row.own_per_s) < MIN_PER_S:
+            del rows[key]
+
+
+def _is_credible(per_s: float) -> bool:
+    return 0.0 <= per_s <= MAX_PER_S
 
 
 def total_rate(row: MeanRate, boxes: int, now: Millis) -> float:
--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -4,6 +4,7 @@
 """
 
 import typing as t
+from functools import partial
 
 import msgspec
 
@@ -13,9 +14,10 @@
 from ..tables.fleet import Fleet
 from ..tables.waiting import OrgDemand
 from .averaging import add_to_rate
-from .averaging import decay_rate
-from .averaging import take_answered_mean
-from .averaging import take_called_mean
+from .averaging import apply_answered_means
+from .averaging import apply_called_means
+from .averaging import expire_means
+from .averaging import means_to_send
 from .averaging import total_rate
 from .fleet_size import box_count
 
@@ -28,19 +30,9 @@
 MAX_DEMANDS_SENT = 32
 """Maximum number of demands in one message, largest first."""
 
-MIN_DEMAND_PER_S = 1e-3
-"""Smaller demands are neither sent nor kept, in s of a worker's slot a second."""
-
-MAX_DEMAND_PER_S = 1e6
-"""Greater demands in a message are not believed, in s of a worker's slot a second."""
-
-
-class DemandRow(msgspec.Struct, frozen=True):
-    """Demand of an organisation for a service, as it is exchanged with a peer."""
-
-    service: ServiceId
-    org: OrgId
-    per_s: float
+DemandKey = tuple[ServiceId, OrgId]
+DemandRow = tuple[DemandKey, float]
+"""A service and an organisation, and the mean of its demand over all boxes."""
 
 
 class Demand(msgspec.Struct, frozen=True):
@@ -97,13 +89,8 @@
     fleet: Fleet, services: t.Collection[ServiceId], now: Millis
 ) -> list[DemandRow]:
     """Return the greatest demands for these services, to call a peer with."""
-    rows = []
-    for (service, org), row in fleet.org_demands.items():
-        if service in services:
-            decay_rate(row, now)
-            rows.append(DemandRow(service, org, row.per_s))
-    rows = [row for row in rows if row.per_s >= MIN_DEMAND_PER_S]
-    return sorted(rows, key=lambda row: -row.per_s)[:MAX_DEMANDS_SENT]
+    rows = {key: row for key, row in fleet.org_demands.items() if key[0] in services}
+    return means_to_send(rows, now, MAX_DEMANDS_SENT)
 
 
 def apply_called_demands(
@@ -113,13 +100,7 @@
 
     A demand that is not credible, or for which there is no space, is left out.
     """
-    answered = []
-    for item in called:
-        row = _peer_row(fleet, item, now)
-        if row is not None:
-            take_called_mean(row, item.per_s, now)
-            answered.append(DemandRow(item.service, item.org, row.per_s))
-    return answered
+    return apply_called_means(partial(_peer_row, fleet, now), called, now)
 
 
 def apply_answered_demands(
@@ -129,22 +110,12 @@
     now: Millis,
 ) -> None:
     """Move towards a peer by as much as it moved, which its answer to a call shows."""
-    sent = {(item.service, item.org): item.per_s for item in called}
-    for item in answered:
-        before = sent.pop((item.service, item.org), None)
-        if before is None:
-            continue
-        row = _peer_row(fleet, item, now)
-        if row is not None:
-            take_answered_mean(row, before, item.per_s, now)
+    apply_answered_means(partial(_peer_row, fleet, now), called, answered, now)
 
 
 def expire_demands(fleet: Fleet, now: Millis) -> None:
     """Drop the rows whose averages have decayed."""
-    for key, row in list(fleet.org_demands.items()):
-        decay_rate(row, now)
-        if max(row.per_s, row.own_per_s) < MIN_DEMAND_PER_S:
-            del fleet.org_demands[key]
+    expire_means(fleet.org_demands, now)
 
 
 def _demand(row: OrgDemand, boxes: int, now: Millis) -> Demand:
@@ -152,13 +123,11 @@
     return Demand(total, row.own_per_s)
 
 
-def _peer_row(fleet: Fleet, item: DemandRow, now: Millis) -> OrgDemand | None:
+def _peer_row(fleet: Fleet, now: Millis, key: DemandKey) -> OrgDemand | None:
     """Return the row that a peer's demand is merged into; None for none."""
-    if not 0.0 <= item.per_s <= MAX_DEMAND_PER_S:
-        return None
-    key = (item.service, item.org)
+    service, org = key
     if key not in fleet.org_demands:
-        if item.org != OTHER_ORGS and not _has_space(fleet, item.service):
+        if org != OTHER_ORGS and not _has_space(fleet, service):
             return None
         fleet.org_demands[key] = OrgDemand(0.0, now)
     return fleet.org_demands[key]
--- a/tests/test_favoured_box.py
+++ b/tests/test_favoured_box.py
@@ -18,7 +18,6 @@
 from fleet_builders import ms
 from spanshunt.ids import BoxId
 from spanshunt.ids import ServiceId
-from spanshunt.systems.arrivals import ArrivalRow
 from spanshunt.systems.arrivals import apply_answered_arrivals
 from spanshunt.systems.arrivals import apply_called_arrivals
 from spanshunt.systems.arrivals import arrivals_to_send
@@ -128,12 +127,12 @@
 @pytest.mark.parametrize("per_s", [-1.0, float("nan"), float("inf"), 1e12])
 def test_mean_that_is_not_credible_is_left_out(per_s: float):
     fleet = _boxes()[0]
-    assert not apply_called_arrivals(fleet, [ArrivalRow(WEB, per_s)], ms(1))
+    assert not apply_called_arrivals(fleet, [(WEB, per_s)], ms(1))
     assert not fleet.arrivals
 
 
 def test_mean_of_an_unknown_service_is_left_out():
     fleet = _boxes()[0]
-    called = [ArrivalRow(ServiceId("other"), 1.0)]
+    called = [(ServiceId("other"), 1.0)]
     assert not apply_called_arrivals(fleet, called, ms(1))
     assert not fleet.arrivals
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -16,8 +16,8 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.ids import WorkerId
-from spanshunt.peers.news import LeavingNews
 from spanshunt.peers.news import News
+from spanshunt.peers.news_items import LeavingNews
 from spanshunt.peers.news_rows import leaving_news
 from spanshunt.platform.answer_notices import decode_leaving
 from spanshunt.standins.worker import WorkerFault
--- a/tests/test_older_store.py
+++ b/tests/test_older_store.py
@@ -32,7 +32,7 @@
 from spanshunt.ids import VersionId
 from spanshunt.ids import WorkerIncarnation
 from spanshunt.peers.news import News
-from spanshunt.peers.news import RolloutNews
+from spanshunt.peers.news_items import RolloutNews
 from spanshunt.platform.store import StoreClient
 from spanshunt.platform.store import StoreProblem
 from spanshunt.platform.wire import RolloutStatus
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -38,7 +38,6 @@
 from spanshunt.systems.demand import MAX_DEMANDS_SENT
 from spanshunt.systems.demand import MAX_ORG_ROWS
 from spanshunt.systems.demand import OTHER_ORGS
-from spanshunt.systems.demand import DemandRow
 from spanshunt.systems.demand import apply_answered_demands
 from spanshunt.systems.demand import apply_called_demands
 from spanshunt.systems.demand import demands_to_send
@@ -178,7 +177,7 @@
 @pytest.mark.parametrize("per_s", [-1.0, math.nan, math.inf, 1e12])
 def test_demand_that_is_not_credible_is_left_out(per_s: float) -> None:
     (fleet,) = make_boxes(1)
-    assert not apply_called_demands(fleet, [DemandRow(WEB, SMALL, per_s)], Millis(0))
+    assert not apply_called_demands(fleet, [((WEB, SMALL), per_s)], Millis(0))
     assert not fleet.org_demands
 
 
@@ -191,8 +190,8 @@
     assert len(fleet.org_demands) == MAX_ORG_ROWS + 1
     sent = demands_to_send(fleet, {WEB}, Millis(0))
     assert len(sent) == MAX_DEMANDS_SENT
-    assert sent[0].org == OTHER_ORGS
-    strangers = [DemandRow(WEB, OrgId(f"new-{n}"), 1.0) for n in range(100)]
+    assert sent[0][0] == (WEB, OTHER_ORGS)
+    strangers = [((WEB, OrgId(f"new-{n}")), 1.0) for n in range(100)]
     assert not apply_called_demands(fleet, strangers, Millis(0))
     assert len(fleet.org_demands) == MAX_ORG_ROWS + 1
 
--- a/tests/test_throttling.py
+++ b/tests/test_throttling.py
@@ -22,8 +22,8 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import ServiceId
 from spanshunt.ids import WorkerId
-from spanshunt.peers.news import LimitNews
 from spanshunt.peers.news import News
+from spanshunt.peers.news_items import LimitNews
 from spanshunt.peers.news_rows import limits_news
 from spanshunt.platform.answer_notices import decode_rate
 from spanshunt.systems.ending import record_worker_end
