Ends are attributed in one pass over the suspects

A plan looks for suspects only if its request has a feature among them.

Contents and parts: 41 tests passed.

--- a/src/spanshunt/planning.py
+++ b/src/spanshunt/planning.py
@@ -266,7 +266,10 @@
 
     Returns None if the request has no suspect feature.
     """
-    suspects = suspect_fingerprints(core.fleet) if core.fleet.suspects else set()
+    known = core.fleet.suspects
+    if not any(feature.fingerprint in known for feature in state.features):
+        return None
+    suspects = suspect_fingerprints(core.fleet)
     own = _suspect_features(state, suspects)
     if not own:
         return None
--- a/src/spanshunt/systems/attributing.py
+++ b/src/spanshunt/systems/attributing.py
@@ -8,6 +8,9 @@
 part before those ahead of it in the prompt, which more requests share.
 """
 
+import heapq
+import typing as t
+
 from ..ids import Fingerprint
 from ..ids import WorkerIncarnation
 from ..tables.fleet import Fleet
@@ -18,21 +21,35 @@
 """Worker ends that quarantine a feature. Where workers also end for other reasons, 2
 would quarantine many harmless requests; the third costs one more worker."""
 
-Ends = set[WorkerIncarnation]
-
 
 def attribute_ends(fleet: Fleet) -> dict[Fingerprint, SuspectFeature]:
     """Return the features that are quarantined, i.e. to which ends are attributed."""
+    ends = {
+        name: set(row.counted_ends())
+        for name, row in fleet.suspects.items()
+        if is_candidate(row)
+    }
+    present: dict[WorkerIncarnation, list[Fingerprint]] = {}
+    for name, runs in ends.items():
+        for run in runs:
+            present.setdefault(run, []).append(name)
+    queue = [_rank(fleet.suspects[name], len(runs)) for name, runs in ends.items()]
+    heapq.heapify(queue)
     quarantined: dict[Fingerprint, SuspectFeature] = {}
-    unexplained = _candidates(fleet)
-    while unexplained:
-        row, ends = max(unexplained, key=_attribution_order)
-        if len(ends) < QUARANTINE_ENDS:
-            break
-        quarantined[row.fingerprint] = row
-        unexplained = [
-            (other, others - ends) for other, others in unexplained if other is not row
-        ]
+    while queue:
+        rank = heapq.heappop(queue)
+        name = rank.fingerprint
+        row, unexplained = fleet.suspects[name], ends[name]
+        if len(unexplained) < QUARANTINE_ENDS:
+            continue
+        if len(unexplained) < rank.unexplained:
+            # Another feature has explained some of its ends since it was ranked.
+            heapq.heappush(queue, _rank(row, len(unexplained)))
+            continue
+        quarantined[name] = row
+        for run in list(unexplained):
+            for other in present[run]:
+                ends[other].discard(run)
     return quarantined
 
 
@@ -49,7 +66,7 @@
     The quarantined ones are among them.
     """
     quarantined = attribute_ends(fleet)
-    explained: Ends = set()
+    explained: set[WorkerIncarnation] = set()
     for row in quarantined.values():
         explained |= row.counted_ends().keys()
     return quarantined.keys() | {
@@ -59,17 +76,22 @@
     }
 
 
-def _candidates(fleet: Fleet) -> list[tuple[SuspectFeature, Ends]]:
-    return [
-        (row, set(row.counted_ends()))
-        for row in fleet.suspects.values()
-        if is_candidate(row)
-    ]
+class _Rank(t.NamedTuple):
+    """Order in which ends are attributed; the least comes first."""
+
+    order: tuple[int, bool, int, Fingerprint]
+
+    @property
+    def unexplained(self) -> int:
+        """Number of ends that no feature explained when it was ranked."""
+        return -self.order[0]
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """The feature."""
+        return self.order[-1]
 
 
-def _attribution_order(
-    candidate: tuple[SuspectFeature, Ends],
-) -> tuple[int, bool, int, Fingerprint]:
-    row, ends = candidate
-    is_content = row.position == CONTENT_POSITION
-    return (len(ends), is_content, row.position, row.fingerprint)
+def _rank(row: SuspectFeature, unexplained: int) -> _Rank:
+    is_part = row.position != CONTENT_POSITION
+    return _Rank((-unexplained, is_part, -row.position, row.fingerprint))
