Requests that arrive, and the part of a limit, are told; at most 64 parts are features

Gauges `spanshunt_arrivals_per_s` and `spanshunt_limit_part` by service, and `limit_part` in the `dispatch` lines of limited workers. A prompt's first 64 shared parts are features, as each costs a digest.

--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -101,8 +101,8 @@
     ),
     "prompt part": Mutation(
         "systems/recognising.py",
-        "for position, part in enumerate(parts)",
-        "for position, part in enumerate(())",
+        "in enumerate(itertools.islice(parts, MAX_PARTS))",
+        "in enumerate(itertools.islice(parts, 0))",
     ),
     "favoured": Mutation("systems/arrivals.py", "EVEN_PART = 0.1", "EVEN_PART = 1.0"),
     "unframed": Mutation("relaying.py", "if splitter.partial:", "if False:"),
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -44,6 +44,7 @@
 from .request_state import WorkerFailure
 from .systems.admitting import Admission
 from .systems.admitting import steps_below_highest
+from .systems.arrivals import box_share
 from .systems.brittleness import use_place
 from .systems.cascading import record_lateness
 from .systems.ending import record_worker_return
@@ -58,6 +59,7 @@
 from .systems.repeats import count_repeat
 from .systems.repeats import count_request
 from .systems.sharing import charge_start
+from .systems.throttling import is_limited
 from .systems.throttling import use_grant
 from .systems.timing import RECENTLY_SENT_FACTOR
 from .systems.timing import first_byte_timeout_ms
@@ -192,6 +194,7 @@
         slowdown=round(present_slowdown(attempt.worker, core.clock.now()), 2),
         candidates=attempt.candidates,
         passed_over=attempt.passed_over,
+        limit_part=_limit_part(core, attempt),
         cold=cold,
         send=state.sends + 1,
         left_ms=state.limit - attempt.sent,
@@ -202,6 +205,13 @@
     )
 
 
+def _limit_part(core: Core, attempt: CatalogAttempt) -> float | None:
+    """Return this box's part of the worker's limit; None if it names no limit."""
+    if not is_limited(attempt.worker):
+        return None
+    return round(box_share(core.fleet, attempt.service, core.clock.now()), 3)
+
+
 def _charge_share(core: Core, state: CatalogRequest, attempt: CatalogAttempt) -> None:
     """Charge a send to the organisation's share, if one is in force."""
     fleet = core.fleet
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from grpclib.server import Server
 
+from ..arrival_lines import arrival_lines
 from ..background import Background
 from ..break_causes import handle_worker_end
 from ..byte_keeper import held_lines
@@ -440,6 +441,7 @@
         page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
         page += waiting_lines(self.fleet) + share_lines(self.fleet)
         page += partition_lines(self.fleet)
+        page += arrival_lines(self.fleet, self.clock.now())
         return web.Response(text=page + held_lines(self.fleet))
 
 
--- a/src/spanshunt/systems/recognising.py
+++ b/src/spanshunt/systems/recognising.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+import itertools
 import typing as t
 
 from ..ids import Fingerprint
@@ -19,6 +20,11 @@
 1.5e-21."""
 
 
+MAX_PARTS = 64
+"""Maximum number of parts of a prompt that are features: each costs a digest a
+request."""
+
+
 def compute_fingerprint(
     org: OrgId, method: str, host: str, target: str, body: bytes, key: str = ""
 ) -> Fingerprint:
@@ -47,13 +53,13 @@
 def part_features(
     parts: t.Iterable[PromptPart], key: str = ""
 ) -> tuple[RequestFeature, ...]:
-    """Return the features of a prompt's shared parts, in order.
+    """Return the features of a prompt's first `MAX_PARTS` shared parts, in order.
 
     `key` is that of :func:`compute_fingerprint`.
     """
     return tuple(
         RequestFeature(_part_fingerprint(part.name, key), position, part.name)
-        for position, part in enumerate(parts)
+        for position, part in enumerate(itertools.islice(parts, MAX_PARTS))
     )
 
 
