Ends of a part weigh less where each of them broke many requests with it

What callers saw, in the soak with a deadly part in every sixth and sixteenth request before three to five engines: 36 of 2,313 and 16 sound requests kept back, as their documents had the same ends as the part: dozens of requests were aboard at each end, some with each document, and no engine lived long enough to clear one.

Cause: the number of ends alone ranked the features. A part that many requests have is there at each end by chance; the cause is there once.

Change: a part's ends count by how many ends there are for each request with it that they broke (the most at any box, told to peers in a new last field); a part is kept back from a weight of three on. Contents keep their three ends.

The new test failed before.

--- a/src/spanshunt/break_causes.py
+++ b/src/spanshunt/break_causes.py
@@ -64,6 +64,9 @@
         for connection in broken
         for feature in connection.features
     }
+    requests = collections.Counter(
+        feature.fingerprint for connection in broken for feature in connection.features
+    )
     contents = [one.fingerprint for one in aboard if one.position == CONTENT_POSITION]
     log_event(
         "WARNING",
@@ -76,7 +79,13 @@
     )
     rows = [
         record_end_during(
-            fleet, feature.fingerprint, service, worker, now, feature.position
+            fleet,
+            feature.fingerprint,
+            service,
+            worker,
+            now,
+            feature.position,
+            requests[feature.fingerprint],
         )
         for feature, service in aboard.items()
         if not _is_cleared_part(fleet, feature, now)
--- a/src/spanshunt/peers/news_items.py
+++ b/src/spanshunt/peers/news_items.py
@@ -235,6 +235,8 @@
     position : int
         Index of a part in its prompt; -1 for a content. Earlier versions send none and
         know contents only.
+    requests : int
+        The most requests with the feature that these ends broke at one box.
     """
 
     fingerprint: Fingerprint
@@ -245,6 +247,7 @@
     quarantined_by: BoxId
     recorded: bool
     position: int = CONTENT_POSITION
+    requests: int = 0
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -390,6 +390,7 @@
             quarantined_by=row.quarantined_by,
             recorded=row.recorded,
             position=row.position,
+            requests=row.requests,
         )
         for row in suspects_to_send(fleet, now, receiver_digest)
     )
@@ -407,6 +408,7 @@
         quarantined_by=item.quarantined_by,
         recorded=item.recorded,
         position=item.position,
+        requests=item.requests,
     )
 
 
--- a/src/spanshunt/systems/attributing.py
+++ b/src/spanshunt/systems/attributing.py
@@ -3,9 +3,11 @@
 A worker that ends was processing several requests, and each of their features is a
 suspect. One end has one cause, so an end that a quarantined feature explains counts
 against no other one. Of several that may explain the same ends, the one with the most
-ends is quarantined first: a bystander is absent now and then, the cause never is. Equal
-ends are attributed to the most specific feature, a whole content before a part, and a
-part before those ahead of it in the prompt, which more requests share.
+weight is quarantined first. A content weighs as much as it has ends. A part that most
+requests have is present at each end by chance, so ends weigh the less the more requests
+with the part each of them broke. Equal weights are attributed to the most specific
+feature, a whole content before a part, and a part before those ahead of it in the
+prompt, which more requests share.
 """
 
 import heapq
@@ -40,11 +42,12 @@
         rank = heapq.heappop(queue)
         name = rank.fingerprint
         row, unexplained = fleet.suspects[name], ends[name]
-        if len(unexplained) < QUARANTINE_ENDS:
+        now_ranked = _rank(row, len(unexplained))
+        if now_ranked.weight < QUARANTINE_ENDS:
             continue
-        if len(unexplained) < rank.unexplained:
+        if now_ranked.weight < rank.weight:
             # Another feature has explained some of its ends since it was ranked.
-            heapq.heappush(queue, _rank(row, len(unexplained)))
+            heapq.heappush(queue, now_ranked)
             continue
         quarantined[name] = row
         for run in list(unexplained):
@@ -79,11 +82,11 @@
 class _Rank(t.NamedTuple):
     """Order in which ends are attributed; the least comes first."""
 
-    order: tuple[int, bool, int, Fingerprint]
+    order: tuple[float, bool, int, Fingerprint]
 
     @property
-    def unexplained(self) -> int:
-        """Number of ends that no feature explained when it was ranked."""
+    def weight(self) -> float:
+        """Weight of the ends that no feature explained when it was ranked."""
         return -self.order[0]
 
     @property
@@ -94,4 +97,7 @@
 
 def _rank(row: SuspectFeature, unexplained: int) -> _Rank:
     is_part = row.position != CONTENT_POSITION
-    return _Rank((-unexplained, is_part, -row.position, row.fingerprint))
+    weight = float(unexplained)
+    if is_part:
+        weight *= min(1.0, len(row.counted_ends()) / max(1, row.requests))
+    return _Rank((-weight, is_part, -row.position, row.fingerprint))
--- a/src/spanshunt/systems/quarantining.py
+++ b/src/spanshunt/systems/quarantining.py
@@ -92,10 +92,12 @@
     worker: WorkerRow,
     now: Millis,
     position: int = CONTENT_POSITION,
+    requests: int = 1,
 ) -> SuspectFeature:
     """Record that a worker ended while it processed a feature.
 
-    `position` is that of the feature in its prompt. Returns the row of the feature.
+    `position` is that of the feature in its prompt, `requests` how many requests with
+    it the end broke at this box. Returns the row of the feature.
     """
     row = fleet.suspects.get(fingerprint)
     if row is None:
@@ -107,6 +109,8 @@
         _evict_suspects(fleet)
     row.position = max(row.position, position)
     row.ends.setdefault(worker.incarnation, now)
+    row.own_requests += requests
+    row.requests = max(row.requests, row.own_requests)
     _limit_ends(row)
     row.versions |= worker.versions
     row.shared |= len(row.counted_ends()) > 1
@@ -141,6 +145,7 @@
     # A feature that is answered often is sent to peers now and then, not each time.
     if row.counted_ends() or at > row.cleared_at + CLEARED_MS // 2:
         row.cleared_at = row.changed_at = at
+        row.requests = row.own_requests = 0
 
 
 def release_suspect(
@@ -269,6 +274,7 @@
         _evict_suspects(fleet)
     before = (set(row.ends), row.recorded, row.quarantined_by)
     row.position = max(row.position, received.position)
+    row.requests = max(row.requests, received.requests)
     # Reported times are derived from ages and inexact, so known times are kept.
     row.ends = received.ends | row.ends
     _limit_ends(row)
@@ -279,6 +285,7 @@
     cleared_later = received.cleared_at > row.cleared_at + _SAME_EVENT_MS
     if cleared_later:
         row.cleared_at = received.cleared_at
+        row.requests = row.own_requests = 0
     row.shared = True
     if cleared_later or before != (set(row.ends), row.recorded, row.quarantined_by):
         row.changed_at = now
--- a/src/spanshunt/tables/suspects.py
+++ b/src/spanshunt/tables/suspects.py
@@ -74,6 +74,9 @@
         Largest index of the part in a prompt; `CONTENT_POSITION` for a content.
     ends : dict
         Runs of workers that ended while processing the feature, and when, in ms.
+    requests, own_requests : int
+        Number of requests with the feature that these ends broke at one box: the most
+        of any box, and that of this one.
     versions : set of str
         Versions that these workers ran.
     cleared_at : int
@@ -102,6 +105,8 @@
     service: ServiceId
     position: int = CONTENT_POSITION
     ends: dict[WorkerIncarnation, Millis] = {}
+    requests: int = 0
+    own_requests: int = 0
     versions: set[VersionId] = set()
     cleared_at: Millis = Millis(-1)
     shared: bool = False
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -117,6 +117,27 @@
     assert _attributed(fleet) == "a"
 
 
+def test_part_that_many_requests_have_is_not_blamed_for_being_there_at_each_end():
+    fleet = make_fleet()
+    for number in range(8):
+        row = make_worker(f"w-{number}")
+        for name, position, requests in (("a", 0, 20), ("b", 1, 1), ("c", 2, 5)):
+            record_end_during(
+                fleet,
+                Fingerprint(name),
+                row.service,
+                row,
+                at_s(number),
+                position,
+                requests,
+            )
+        if number >= 3:
+            assert _attributed(fleet) == "b"
+    # Without the cause among them they are not to blame either.
+    del fleet.suspects[Fingerprint("b")]
+    assert _attributed(fleet) == ""
+
+
 def test_two_parts_that_each_crash_workers_are_both_blamed():
     fleet = make_fleet()
     for number in range(6):
