A content that many requests have does not explain the ends of a deadly one

Before ends were attributed, both were kept back.

Change: contents, too, rank by their ends for each request that these broke. A content still needs three ends that nothing else explains. The new test failed before (B, not A); contents and parts: 43 tests passed.

--- a/src/spanshunt/systems/attributing.py
+++ b/src/spanshunt/systems/attributing.py
@@ -3,11 +3,11 @@
 A worker that ends was processing several requests, and each of their features is a
 suspect. One end has one cause, so an end that a quarantined feature explains counts
 against no other one. Of several that may explain the same ends, the one with the most
-weight is quarantined first. A content weighs as much as it has ends. A part that most
-requests have is present at each end by chance, so ends weigh the less the more requests
-with the part each of them broke. Equal weights are attributed to the most specific
-feature, a whole content before a part, and a part before those ahead of it in the
-prompt, which more requests share.
+weight is quarantined first. What most requests have is present at each end by chance,
+so ends weigh the less the more requests with the feature each of them broke. A content
+needs three unexplained ends, a part as much weight. Equal weights are attributed to the
+most specific feature, a whole content before a part, and a part before those ahead of
+it in the prompt, which more requests share.
 """
 
 import heapq
@@ -43,7 +43,7 @@
         name = rank.fingerprint
         row, unexplained = fleet.suspects[name], ends[name]
         now_ranked = _rank(row, len(unexplained))
-        if now_ranked.weight < QUARANTINE_ENDS:
+        if not _has_enough(row, len(unexplained), now_ranked.weight):
             continue
         if now_ranked.weight < rank.weight:
             # Another feature has explained some of its ends since it was ranked.
@@ -97,7 +97,11 @@
 
 def _rank(row: SuspectFeature, unexplained: int) -> _Rank:
     is_part = row.position != CONTENT_POSITION
-    weight = float(unexplained)
-    if is_part:
-        weight *= min(1.0, len(row.counted_ends()) / max(1, row.requests))
+    weight = unexplained * min(1.0, len(row.counted_ends()) / max(1, row.requests))
     return _Rank((-weight, is_part, -row.position, row.fingerprint))
+
+
+def _has_enough(row: SuspectFeature, unexplained: int, weight: float) -> bool:
+    """Return whether what no other feature explains suffices for a quarantine."""
+    is_part = row.position != CONTENT_POSITION
+    return (weight if is_part else unexplained) >= QUARANTINE_ENDS
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -138,6 +138,18 @@
     assert _attributed(fleet) == ""
 
 
+def test_content_that_many_requests_have_does_not_explain_the_ends_of_another():
+    fleet = make_fleet()
+    for number in range(5):
+        row = make_worker(f"w-{number}")
+        if number < 4:
+            record_end_during(fleet, Fingerprint("A"), row.service, row, at_s(number))
+        record_end_during(
+            fleet, Fingerprint("B"), row.service, row, at_s(number), requests=10
+        )
+    assert _attributed(fleet) == "A"
+
+
 def test_two_parts_that_each_crash_workers_are_both_blamed():
     fleet = make_fleet()
     for number in range(6):
