--- a/bench/soak_processes.py
+++ b/bench/soak_processes.py
@@ -44,6 +44,8 @@
 REGRESSIONS: dict[int, str] = {
     3043: "a worker's words were lost with its entry, which came back",
     771282: "a worker's word that it leaves came before its new life was listed",
+    905025: "a content that many requests have explained the ends of a deadly one",
+    905109: "the same: sound requests with that content were kept back",
 }
 """Seeds that ever failed, with a line on the cause."""
 
