Errors of a version's own put off its success and are tested by themselves

Cause, by the logs: under the load of all requests 0.07 to 0.17 of the version's answers had status 500 on routes where the leaving version had 0 or 1 of some 360. The test of failures allows 0.1, for links and crashes; a route with 0.29 errors in any version raised the ceiling of all to 0.25. Before success 2 to 7 of about 55 answers had shown it, as success came 0.1 to 2.9 s into a full phase that a burst had shortened. Ruled out: verdicts that are late at some boxes (all within 0.4 s).

Change: error statuses, which no link or crash causes, are counted by themselves, on routes where the leaving version gives hardly any, against 0.03. While one error in twenty explains them better than one in two hundred, the version does not succeed, up to 15 s into its full phase. A shortened full phase lasts as long as a late one. `roll-out evidence` has `errors` and `doubted`.

--- a/src/spanshunt/attempt_outcomes.py
+++ b/src/spanshunt/attempt_outcomes.py
@@ -9,6 +9,7 @@
 from .ids import VersionId
 from .logs import log_event
 from .ports import BrokenAnswerError
+from .ports import ErrorStatusError
 from .ports import GatewayLostError
 from .ports import SendFault
 from .ports import SilentWorkerError
@@ -27,6 +28,7 @@
 from .systems.tallies import BEGAN
 from .systems.tallies import FAILED
 from .systems.tallies import IN_TIME
+from .systems.tallies import OWN_ERROR
 from .systems.tallies import SILENT
 from .systems.tallies import SLOW
 from .systems.tallies import record_observation
@@ -374,6 +376,8 @@
         _mark_slow(core, state, attempt)
     elif attempt.connection_broke:
         attempt.break_tally = FAILED
+    elif isinstance(exc, ErrorStatusError):
+        _record_tally(core, state, attempt, OWN_ERROR)
     elif not isinstance(exc, GatewayLostError):
         _record_tally(core, state, attempt, FAILED)
     log_event(
--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -30,9 +30,9 @@
 from .planning import record_demand
 from .planning import retry_after_ms
 from .ports import Answer
-from .ports import BrokenAnswerError
 from .ports import Call
 from .ports import Dispatch
+from .ports import ErrorStatusError
 from .ports import Reply
 from .ports import SendFault
 from .relaying import relay_stream
@@ -406,7 +406,7 @@
     record_complete_answer(core.fleet, state.fingerprint, core.clock.now())
     if answer.status >= 500:
         record_broken_answer(
-            core, state, attempt, BrokenAnswerError(f"status {answer.status}")
+            core, state, attempt, ErrorStatusError(f"status {answer.status}")
         )
     state.failed_versions |= attempt.worker.versions
     if answer.status not in NOT_RUN_STATUSES:
--- a/src/spanshunt/peers/news_items.py
+++ b/src/spanshunt/peers/news_items.py
@@ -31,6 +31,7 @@
     timed: int = 0
     loaded: int = 0
     loaded_failed: int = 0
+    errors: int = 0
 
 
 class WorkerTallyNews(msgspec.Struct, frozen=True, array_like=True):
@@ -44,6 +45,7 @@
     timed: int
     loaded: int = 0
     loaded_failed: int = 0
+    errors: int = 0
 
 
 class TallyGroup(msgspec.Struct, frozen=True, array_like=True):
--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -221,6 +221,7 @@
             timed=tally.timed,
             loaded=tally.loaded,
             loaded_failed=tally.loaded_failed,
+            errors=tally.errors,
         )
         for key, tally in tallies.routes.items()
         if key.epoch in epochs
@@ -235,6 +236,7 @@
             timed=tally.timed,
             loaded=tally.loaded,
             loaded_failed=tally.loaded_failed,
+            errors=tally.errors,
         )
         for key, tally in tallies.workers.items()
     )
@@ -273,6 +275,7 @@
         slow=received.slow,
         loaded=received.loaded,
         loaded_failed=received.loaded_failed,
+        errors=received.errors,
     )
 
 
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -37,6 +37,10 @@
     """The worker sent nothing for too long in the middle of an answer."""
 
 
+class ErrorStatusError(BrokenAnswerError):
+    """The worker answered with an error status of its own."""
+
+
 class GatewayLostError(BrokenAnswerError):
     """The peer that passes on the answer was lost; it says nothing of the worker."""
 
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -92,6 +92,8 @@
         entering=basis.entering,
         leaving=basis.leaving,
         loaded=basis.loaded,
+        errors=basis.errors,
+        doubted=basis.doubted,
         loaded_from=round(row.loaded_from, 3) if row.loaded_from < math.inf else None,
         heard=basis.heard,
         boxes=basis.boxes,
--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -17,8 +17,12 @@
 from ..tables.rollouts import RolloutRow
 from ..tables.rollouts import Tallies
 from .exposing import full_phase_start_ms
+from .own_errors import ERROR_CEILING
+from .own_errors import errors_by_epoch
+from .own_errors import has_doubted_errors
 from .references import Reference
 from .references import build_reference
+from .sequential import log_change_above
 from .sequential import log_change_above_each
 from .tallies import MIN_FAULTS
 from .tallies import count_answers
@@ -54,6 +58,11 @@
 ms."""
 
 
+ROUTE_FINDINGS = (Finding.FAILED, Finding.SLOW, Finding.FAILED_UNDER_LOAD)
+"""Kinds of faults that are tested on each route and on all. Errors of the workers' own
+are tested on all sound routes together."""
+
+
 class Suspicion(t.NamedTuple):
     """Result of the test with the strongest evidence against an entering version.
 
@@ -118,6 +127,10 @@
         Answers of the entering version and of all other versions that this box knows.
     loaded : int
         Those of the entering version that came from loaded workers.
+    errors : int
+        Errors of the entering version's workers on sound routes.
+    doubted : bool
+        Whether these keep the version from success (:mod:`own_errors`).
     suspicion : Suspicion
         The strongest suspicion against the entering version.
     heard, boxes : int
@@ -127,6 +140,8 @@
     entering: int
     leaving: int
     loaded: int
+    errors: int
+    doubted: bool
     suspicion: Suspicion
     heard: int
     boxes: int
@@ -171,8 +186,9 @@
             has_turns=has_turns,
         )
         for route in sorted(routes)
-        for finding in Finding
+        for finding in ROUTE_FINDINGS
     ]
+    found.append(_error_suspicion(tallies, has_turns=has_turns))
     return max(found, key=lambda item: item.log_evidence)
 
 
@@ -218,6 +234,8 @@
         entering=count_answers(tallies, entering=True),
         leaving=count_answers(tallies, entering=False),
         loaded=count_loaded_answers(tallies)[0],
+        errors=sum(errors for _, errors in errors_by_epoch(tallies).values()),
+        doubted=has_doubted_errors(tallies),
         suspicion=current_suspicion(fleet, row),
         heard=1 + len(live_peers(fleet, now)),
         boxes=1 + len(fleet.peers),
@@ -267,6 +285,28 @@
     )
 
 
+def _error_suspicion(tallies: Tallies, *, has_turns: bool) -> Suspicion:
+    """Return the suspicion by errors of the workers' own, on sound routes."""
+    epochs = errors_by_epoch(tallies)
+    series = [epochs[number] for number in sorted(epochs)]
+    faulty = sum(faults for _, faults in series)
+    log_evidence = -math.inf
+    if faulty >= MIN_FAULTS and _is_fault_of_version(
+        tallies, Finding.OWN_ERROR, has_turns=has_turns
+    ):
+        log_evidence = log_change_above(series, ERROR_CEILING)
+    return Suspicion(
+        route="",
+        finding=Finding.OWN_ERROR,
+        answers=sum(answers for answers, _ in series),
+        faulty=faulty,
+        usual=0.0,
+        ceiling=ERROR_CEILING,
+        log_evidence=log_evidence,
+        faulty_everywhere=faulty,
+    )
+
+
 def _count_faults(tallies: Tallies, finding: Finding) -> int:
     """Return the entering version's answers with a fault on all routes."""
     epochs = trials_by_epoch(tallies, "", finding, entering=True).values()
--- a/src/spanshunt/systems/judging.py
+++ b/src/spanshunt/systems/judging.py
@@ -93,9 +93,9 @@
     if now < row.suspected_at + record_delay(fleet, now):
         return None
     epoch = (now - row.began) // EPOCH_MS
-    # The store has no kind of its own for failures under load.
+    # The store has no kind of its own for these.
     finding = found.finding
-    if finding is Finding.FAILED_UNDER_LOAD:
+    if finding in (Finding.FAILED_UNDER_LOAD, Finding.OWN_ERROR):
         finding = Finding.FAILED
     return RecordedSuspicion(found.route, finding, found.log_evidence, epoch)
 
--- a/src/spanshunt/systems/succeeding.py
+++ b/src/spanshunt/systems/succeeding.py
@@ -15,6 +15,7 @@
 from .exposing import full_phase_part
 from .exposing import full_phase_start_ms
 from .load_trials import has_load
+from .own_errors import has_doubted_errors
 from .tallies import count_answers
 from .tallies import count_loaded_answers
 
@@ -58,12 +59,14 @@
 """Part of the planned full phase for which the version must have got all requests
 before it succeeds. Requests of seconds run at once, so their load comes by and by."""
 
-LATE_LOAD_MS, LATE_LOAD_PART = 2_500, 0.1
-"""The same if the full phase begins when the order's time is over, as after a burst:
-the most in ms, and the part of the order's time."""
+MAX_DOUBT_MS = 15_000
+"""How long a doubted version gets all requests before it succeeds nevertheless, in ms.
+A success can't be undone; a version with one error in twenty is mostly proven bad
+within this time."""
 
-SHORTENED_LEFT_MS = 500
-"""Time left to record a success of a version whose full phase was shortened, in ms."""
+LATE_LOAD_MS, LATE_LOAD_PART = 2_500, 0.1
+"""The same if the full phase is shortened, or begins when the order's time is over, as
+after a burst: the most in ms, and the part of the order's time."""
 
 IDLE_MS = 1_000
 """A service counts as idle if boxes observed no answer and no failure from this long
@@ -98,11 +101,19 @@
     )
     return (
         is_supported
+        and not _is_doubted(fleet, row, tallies, now)
         and _has_carried_load(fleet, row, tallies, now)
         and hears_enough_peers(fleet, row, now)
     )
 
 
+def _is_doubted(fleet: Fleet, row: RolloutRow, tallies: Tallies, now: Millis) -> bool:
+    """Return whether errors of the version call for more answers before it succeeds."""
+    if now - row.began >= full_phase_start_ms(fleet, row) + MAX_DOUBT_MS:
+        return False
+    return has_doubted_errors(tallies)
+
+
 def earliest_success_ms(fleet: Fleet, row: RolloutRow) -> int:
     """Return the age from which on an order may succeed, in ms."""
     return _success_age_ms(fleet, row, SUCCESS_PART, SUCCESS_LEFT_MS)
@@ -170,8 +181,8 @@
 
     Where hardly any requests run at once, there is no load to be under. Otherwise it
     must have got all requests for a while. If enough of its answers came from loaded
-    workers, a part of the planned full phase suffices; if not, or if the full phase
-    begins late, as after a burst, the load is one that the version never was under.
+    workers, a part of the planned full phase suffices; if not, or if the full phase is
+    shortened, as by a burst, the load is one that the version never was under.
     """
     if not has_load(fleet, row):
         return True
@@ -180,11 +191,11 @@
     loaded, failed = count_loaded_answers(tallies)
     if loaded < MIN_LOADED_ANSWERS + LOADED_ANSWERS_PER_FAULT * failed:
         return carried_ms >= min(MAX_LOAD_WAIT_MS, LOAD_WAIT_PART * row.duration_ms)
-    if full_from >= row.duration_ms:
-        return carried_ms >= min(LATE_LOAD_MS, LATE_LOAD_PART * row.duration_ms)
     planned_part = full_phase_part(fleet.rollouts.bounds, row.duration_ms)
-    needed_ms = LOAD_PART * planned_part * row.duration_ms
-    return carried_ms >= min(needed_ms, row.duration_ms - SHORTENED_LEFT_MS - full_from)
+    planned_ms = int(planned_part * row.duration_ms)
+    if full_from > row.duration_ms - planned_ms + 1:
+        return carried_ms >= min(LATE_LOAD_MS, LATE_LOAD_PART * row.duration_ms)
+    return carried_ms >= LOAD_PART * planned_ms
 
 
 def _is_idle(fleet: Fleet, row: RolloutRow, tallies: Tallies) -> bool:
--- a/src/spanshunt/systems/tallies.py
+++ b/src/spanshunt/systems/tallies.py
@@ -48,6 +48,9 @@
 """Observations that an answer was in time, or was slow at its first byte or its events.
 """
 
+OWN_ERROR = Tally(answers=1, failed=1, errors=1)
+"""An answer with an error status of the worker's own."""
+
 SILENT = Tally(answers=1, timed=1, slow=1)
 """A worker that gave no answer in time."""
 
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -40,7 +40,8 @@
 
 
 class Finding(enum.Enum):
-    """Kinds of faults of an answer: it failed, at a loaded worker or any, or was late.
+    """Kinds of faults of an answer: it failed, at a loaded worker or any, was late, or
+    had an error status of the worker's own.
 
     Failures at loaded workers are tested by themselves as well, as a version may fail
     under load alone, and while its share is small few of its answers show that.
@@ -52,6 +53,7 @@
     FAILED = "failed"
     SLOW = "slow"
     FAILED_UNDER_LOAD = "failed under load"
+    OWN_ERROR = "with an error status"
 
 
 class Tally(msgspec.Struct):
@@ -74,6 +76,8 @@
         ``systems/load_trials.py``.
     loaded_failed : int
         Those of `failed` whose worker was loaded.
+    errors : int
+        Those of `failed` with an error status of the worker's own.
     """
 
     answers: int = 0
@@ -82,6 +86,7 @@
     slow: int = 0
     loaded: int = 0
     loaded_failed: int = 0
+    errors: int = 0
 
     def add(self, other: "Tally") -> None:
         """Add `other` to these counts."""
@@ -91,6 +96,7 @@
         self.slow += other.slow
         self.loaded += other.loaded
         self.loaded_failed += other.loaded_failed
+        self.errors += other.errors
 
     def merge(self, other: "Tally") -> None:
         """Merge other counts of the same answers by maximum, as counts only rise."""
@@ -100,17 +106,20 @@
         self.slow = max(self.slow, other.slow)
         self.loaded = max(self.loaded, other.loaded)
         self.loaded_failed = max(self.loaded_failed, other.loaded_failed)
+        self.errors = max(self.errors, other.errors)
 
     def trials(self, finding: Finding) -> int:
         """Return the number of answers that were checked for this fault."""
         if finding is Finding.FAILED_UNDER_LOAD:
             return self.loaded
-        return self.answers if finding is Finding.FAILED else self.timed
+        return self.timed if finding is Finding.SLOW else self.answers
 
     def faults(self, finding: Finding) -> int:
         """Return the number of answers with this fault."""
         if finding is Finding.FAILED_UNDER_LOAD:
             return self.loaded_failed
+        if finding is Finding.OWN_ERROR:
+            return self.errors
         return self.failed if finding is Finding.FAILED else self.slow
 
 
