--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -18,14 +18,14 @@
 from .logs import log_event
 from .news_building import MAX_PEERS_SENT
 from .news_building import build_news
+from .peers.mean_rows import apply_arrival_answer
+from .peers.mean_rows import apply_demand_answer
+from .peers.mean_rows import merge_busy_boxes_news
 from .peers.news import News
 from .peers.news import news_streams
 from .peers.news_items import RolloutNews
 from .peers.news_items import SilenceNews
 from .peers.news_items import SuspicionNews
-from .peers.news_rows import apply_arrival_answer
-from .peers.news_rows import apply_demand_answer
-from .peers.news_rows import merge_busy_boxes_news
 from .peers.news_rows import merge_tally_group
 from .peers.news_rows import to_evacuation_row
 from .peers.news_rows import to_listed_worker
--- a/src/spanshunt/news_building.py
+++ b/src/spanshunt/news_building.py
@@ -4,15 +4,15 @@
 
 from .ids import DomainId
 from .ids import Millis
+from .peers.mean_rows import answer_arrivals
+from .peers.mean_rows import answer_demands
+from .peers.mean_rows import arrivals_news
+from .peers.mean_rows import busy_boxes_news
+from .peers.mean_rows import demands_news
 from .peers.news import News
 from .peers.news_items import PeerNews
 from .peers.news_items import SilenceNews
-from .peers.news_rows import answer_arrivals
-from .peers.news_rows import answer_demands
-from .peers.news_rows import arrivals_news
 from .peers.news_rows import brittle_news
-from .peers.news_rows import busy_boxes_news
-from .peers.news_rows import demands_news
 from .peers.news_rows import evacuations_news
 from .peers.news_rows import leaving_news
 from .peers.news_rows import limits_news
--- a/tests/share_builders.py
+++ b/tests/share_builders.py
@@ -8,13 +8,21 @@
 from spanshunt.ids import OrgId
 from spanshunt.ids import RequestId
 from spanshunt.ids import ServiceId
+from spanshunt.systems.demand import apply_answered_demands
+from spanshunt.systems.demand import apply_called_demands
+from spanshunt.systems.demand import demands_to_send
 from spanshunt.systems.queueing import add_waiter
+from spanshunt.systems.sharing import services_short_of_room
 from spanshunt.systems.sharing import waiters_in_order
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.waiting import Waiter
 
 WEB = ServiceId("web")
+
+ORGS = tuple(OrgId(f"org-{number}") for number in range(6))
+"""Six organisations."""
+
 LARGE = OrgId("large")
 SMALL = OrgId("small")
 
@@ -64,3 +72,12 @@
     """Let requests wait at a box."""
     for waiter in waiters:
         add_waiter(fleet.wait_list, waiter)
+
+
+def exchange(caller: Fleet, called: Fleet, now: int, *, answered: bool = True) -> None:
+    """Let a box call another one with its demands."""
+    services = services_short_of_room(caller, Millis(now))
+    rows = demands_to_send(caller, services, Millis(now))
+    answer = apply_called_demands(called, rows, Millis(now))
+    if answered:
+        apply_answered_demands(caller, rows, answer, Millis(now))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -26,10 +26,10 @@
 from spanshunt.news_building import MAX_PEERS_SENT
 from spanshunt.news_building import MAX_PEERS_SENT_TO_NEW
 from spanshunt.peers.codec import MsgpackCodec
+from spanshunt.peers.mean_rows import apply_demand_answer
 from spanshunt.peers.news import News
 from spanshunt.peers.news import NewsService
 from spanshunt.peers.news import news_streams
-from spanshunt.peers.news_rows import apply_demand_answer
 from spanshunt.peers.news_rows import workers_news
 from spanshunt.peers.partners import MAX_PARTNERS
 from spanshunt.peers.partners import Partners
