--- a/src/spanshunt/systems/own_errors.py
+++ b/src/spanshunt/systems/own_errors.py
@@ -24,7 +24,7 @@
 MIN_DOUBTED_ERRORS = 2
 """Least number of errors for a doubt: a single one may be the request's."""
 
-OTHER_WORKERS_ANSWERS = 20
+OTHERS_WITHOUT_ERROR = 20
 """Answers without an error of all workers but the worst one that show that the errors
 are that worker's."""
 
@@ -74,4 +74,4 @@
     worst = max(entering, key=lambda tally: tally.errors)
     answers = sum(tally.answers for tally in entering) - worst.answers
     errors = sum(tally.errors for tally in entering) - worst.errors
-    return errors == 0 and answers >= OTHER_WORKERS_ANSWERS
+    return errors == 0 and answers >= OTHERS_WITHOUT_ERROR
--- a/tests/share_builders.py
+++ b/tests/share_builders.py
@@ -11,8 +11,10 @@
 from spanshunt.systems.demand import apply_answered_demands
 from spanshunt.systems.demand import apply_called_demands
 from spanshunt.systems.demand import demands_to_send
+from spanshunt.systems.demand import record_arrival
 from spanshunt.systems.queueing import add_waiter
 from spanshunt.systems.sharing import services_short_of_room
+from spanshunt.systems.sharing import update_shares
 from spanshunt.systems.sharing import waiters_in_order
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
@@ -81,3 +83,17 @@
     answer = apply_called_demands(called, rows, Millis(now))
     if answered:
         apply_answered_demands(caller, rows, answer, Millis(now))
+
+
+def arrive(fleet: Fleet, org: OrgId, per_s: float, now: int, span_ms: int) -> None:
+    """Let requests of an organisation arrive evenly up to a moment."""
+    step = 1_000 / per_s
+    for number in range(int(span_ms / step)):
+        at = now - span_ms + int(number * step)
+        record_arrival(fleet, WEB, org, WORK_MS, Millis(at))
+
+
+def overload(fleet: Fleet, now: int = 5_000) -> None:
+    """Let one organisation ask for twice the room of all workers."""
+    arrive(fleet, LARGE, 2 * ROOM * 1_000 / WORK_MS, now, 5_000)
+    update_shares(fleet, Millis(now))
