--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -169,7 +169,11 @@
             if ways != "store":
                 box.peers_link.silence()
     await asyncio.sleep(CALM_S + soak.rng.uniform(0.1, LAST_PAUSE_S))
-    await soak.rng.choice((_change_keys, _change_routes))(soak)
+    change = soak.rng.choice((_change_keys, _change_routes))
+    await change(soak)
+    if change is not _change_keys:
+        # An added route may show nothing; a key that is gone or back does.
+        await _change_keys(soak)
 
 
 async def _cut_peers(soak: Soak, box: BoxProcess) -> None:
