A box whose connections come up but are never answered is partitioned, too

Cause: a connection that came up counted as a reached worker. Change: what counts is an answer. After two workers in a row that took a request and did not answer, up to three others are asked for their health, the path of which the configuration names; if none of them answers, the box sends through peers until two do. Answers over kept connections do not clear failures of new ones. A single worker that ends costs no check. Line `partitioned from workers` has `answerless`.

The new test (reset or silent; open connections reset, hanging or living on) failed in all six kinds on the code before, passes now, with its 41 neighbours. Ruled out while testing: counting answers over any connection, which left requests that run once failing where kept connections lived on.

--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -8,7 +8,7 @@
 from spanshunt.standins.store import EndpointFault
 from spanshunt.standins.store import StoredRecord
 from spanshunt.standins.store import StoredTopic
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 
 from .links import LinkFault
 from .soak_fleet import CALM_S
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -7,8 +7,8 @@
 
 from spanshunt.standins.worker import Said
 from spanshunt.standins.worker import SeenRequest
-from spanshunt.standins.worker import StreamEnding
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import StreamEnding
+from spanshunt.standins.worker_faults import WorkerFault
 
 from .soak_fleet import NamedLimit
 from .soak_fleet import Soak
--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -41,9 +41,12 @@
 from .systems.partitions import choose_gateway
 from .systems.partitions import has_connected_since
 from .systems.partitions import has_gateway
+from .systems.partitions import health_path
 from .systems.partitions import is_partitioned
+from .systems.partitions import record_answered
 from .systems.partitions import record_connected
 from .systems.partitions import record_probe
+from .systems.partitions import record_unanswered
 from .systems.partitions import record_unreached
 from .systems.partitions import worker_to_probe
 from .systems.partitions import workers_to_probe
@@ -60,6 +63,10 @@
 """How long a gateway's word that a worker ended stands for a probe, in ms: requests
 that broke with it ask at once, and a worker may be back soon."""
 
+SILENT_MS = 300
+"""How long a request that its sender gives up must have been unanswered for its worker
+to count as silent, in ms: callers leave earlier ones."""
+
 MAX_OFFERS = 3
 """Number of peers that a request is offered to before it is refused."""
 
@@ -67,6 +74,9 @@
 DirectSend = t.Callable[[HttpSend], t.Awaitable[Sent]]
 """Sends a request by this box's own connections."""
 
+AskHealth = t.Callable[[WorkerRow, str], t.Awaitable[bool]]
+"""Asks a worker for its health at a path; returns whether it answered at all."""
+
 BuildSend = t.Callable[[int], HttpSend]
 """Builds a request that is sent some ms after it was planned."""
 
@@ -141,6 +151,8 @@
         Draws gateways and workers to probe.
     probe : callable
         Finds out whether a worker takes connections.
+    ask_health : callable
+        Asks a worker for its health.
     count : callable
         Increments a counter.
     """
@@ -151,12 +163,14 @@
         clock: Clock,
         rng: random.Random,
         probe: Probe,
+        ask_health: AskHealth,
         count: Counter,
     ) -> None:
         self._fleet = fleet
         self._clock = clock
         self._rng = rng
         self._probe = probe
+        self._ask_health = ask_health
         self._count = count
         self._gateways = GatewayClient()
         self._check: asyncio.Task[bool] | None = None
@@ -181,11 +195,19 @@
         """Send a request and return the head of its answer, or the fault."""
         began = self._clock.now()
         if not is_partitioned(self._fleet):
-            sent = await direct(build(0))
-            if not (isinstance(sent, Err) and sent.err_value.unreached):
+            sent = await self._send_direct(
+                worker, build(0), direct, began, over_new=new_connection
+            )
+            if isinstance(sent, Ok):
+                now = self._clock.now()
+                record_answered(self._fleet, now, over_new=new_connection)
                 if new_connection:
                     record_connected(self._fleet, began)
                 return sent
+            if not sent.err_value.unreached:
+                if not sent.err_value.stale:
+                    await self._finds_no_answers(worker, began, over_new=new_connection)
+                return sent
             if not await self._finds_partition(worker, began):
                 return sent
         spent_ms = self._clock.now() - began
@@ -200,6 +222,23 @@
         )
         return await self._send_through_gateway(worker, request, message)
 
+    async def _send_direct(
+        self,
+        worker: WorkerRow,
+        send: HttpSend,
+        direct: DirectSend,
+        began: Millis,
+        *,
+        over_new: bool,
+    ) -> Sent:
+        """Send by this box's own connections; a request given up late counts."""
+        try:
+            return await direct(send)
+        except asyncio.CancelledError:
+            if self._clock.now() - began >= SILENT_MS:
+                self._start_check(worker, began, over_new=over_new)
+            raise
+
     async def probe(self, worker: WorkerRow) -> Presence:
         """Find out whether a worker is there.
 
@@ -232,7 +271,7 @@
         row = worker_to_probe(self._fleet, self._rng)
         if row is None:
             return
-        reached = await self._probe(row) is Presence.THERE
+        reached = await self._is_reached(row)
         since = self._fleet.partition.since
         if record_probe(self._fleet, row, self._clock.now(), reached=reached):
             self._gateways.give_up_all()
@@ -244,6 +283,53 @@
                 worker=row.name,
             )
 
+    async def _is_reached(self, row: WorkerRow) -> bool:
+        """Return whether a partitioned box reaches a worker."""
+        path = health_path(self._fleet, row)
+        if self._fleet.partition.answerless and path:
+            return await self._ask_health(row, path)
+        return await self._probe(row) is Presence.THERE
+
+    async def _finds_no_answers(
+        self, worker: WorkerRow, began: Millis, *, over_new: bool
+    ) -> bool:
+        """Return whether no worker answers, after one took a request and did not."""
+        if is_partitioned(self._fleet):
+            return True
+        check = self._start_check(worker, began, over_new=over_new)
+        return check is not None and await asyncio.shield(check)
+
+    def _start_check(
+        self, worker: WorkerRow, began: Millis, *, over_new: bool
+    ) -> asyncio.Task[bool] | None:
+        """Ask other workers for their health in the background, if that is due."""
+        fleet = self._fleet
+        if is_partitioned(fleet):
+            return None
+        if not record_unanswered(fleet, worker, began, over_new=over_new):
+            return None
+        if not has_gateway(fleet, self._clock.now()):
+            return None
+        if self._check is None or self._check.done():
+            self._check = asyncio.create_task(self._ask_others(worker))
+        return self._check
+
+    async def _ask_others(self, failed: WorkerRow) -> bool:
+        """Ask other workers for their health; return whether none of them answers."""
+        fleet, began = self._fleet, self._clock.now()
+        rows = [
+            (row, health_path(fleet, row))
+            for row in workers_to_probe(fleet, failed, self._rng)
+        ]
+        asked = [self._ask_health(row, path) for row, path in rows if path]
+        answered = await asyncio.gather(*asked)
+        if any(answered):
+            record_answered(fleet, self._clock.now(), over_new=True)
+        if not answered or fleet.partition.answered_new_at >= began:
+            return False
+        self._begin_partition(answerless=True)
+        return True
+
     async def _finds_partition(self, worker: WorkerRow, began: Millis) -> bool:
         """Return whether the box is partitioned, after a connection failed.
 
@@ -272,17 +358,23 @@
             return False
         for row in rows:
             record_unreached(fleet, row, self._clock.now())
+        self._begin_partition()
+        return True
+
+    def _begin_partition(self, *, answerless: bool = False) -> None:
+        fleet, now = self._fleet, self._clock.now()
+        partition = fleet.partition
+        last = partition.answered_at if answerless else partition.connected_at
+        unreached = partition.unanswered if answerless else partition.unreached
         self._count("partitions")
         log_event(
             "WARNING",
             "partitioned from workers",
-            unreached=sorted(fleet.partition.unreached),
-            since_ms=self._clock.now() - fleet.partition.connected_at
-            if fleet.partition.connected_at >= 0
-            else None,
+            unreached=sorted(unreached),
+            answerless=answerless,
+            since_ms=now - last if last >= 0 else None,
         )
-        begin_partition(fleet, self._clock.now())
-        return True
+        begin_partition(fleet, now, answerless=answerless)
 
     async def _send_through_gateway(
         self, worker: WorkerRow, request: RequestId, message: ForwardedRequest
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -175,7 +175,12 @@
         bounds = settings.bounds
         rng = random.Random()
         self._sender = WorkerSender(
-            self.fleet, clock, rng, WorkerProbes().probe, self.counters.add
+            self.fleet,
+            clock,
+            rng,
+            WorkerProbes().probe,
+            lambda worker, path: self._workers.ask_health(worker, path),
+            self.counters.add,
         )
         self._workers = WorkerClient(self._sender)
         self.core = Core(
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -175,6 +175,8 @@
     cold_start_s: float = 0.0
     # Requests a second that it bears meanwhile, of all senders.
     cold_per_s: float = 0.0
+    # Where a GET asks a worker whether it is healthy.
+    health_path: str = ""
 
 
 class _Org(_Wire, frozen=True, rename="pascal"):
@@ -465,4 +467,5 @@
         kv_capacity_tokens=engine.kv_capacity_tokens,
         cold_start_ms=Millis(int(row.cold_start_s * 1_000)),
         cold_per_s=row.cold_per_s,
+        health_path=row.health_path,
     )
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -28,6 +28,7 @@
 from ..tables.notices import InvalidNotice
 from ..tables.notices import Notice
 from ..tables.notices import NoticeKind
+from ..tables.workers import WorkerRow
 from . import answer_notices
 from . import wire
 
@@ -36,6 +37,9 @@
 1 ms and two domains are 1 to 2 ms apart; a lost first packet is sent again after 1
 s."""
 
+HEALTH_TIMEOUT_S = 0.4
+"""How long a worker's answer about its health may take, in s."""
+
 KEEP_ALIVE_S = 3.0
 """How long an idle connection is kept, in s: workers close theirs after some
 seconds."""
@@ -145,6 +149,17 @@
         assert session is not None
         return await send_http(session, send, reuses_connections=not alone)
 
+    async def ask_health(self, worker: WorkerRow, path: str) -> bool:
+        """Ask a worker for its health; return whether it answered at all."""
+        assert self._fresh is not None
+        url = URL(f"http://{worker.address}{path}", encoded=True)
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        try:
+            async with self._fresh.get(url, timeout=timeout):
+                return True
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
 
 def _http_send(dispatch: Dispatch, spent_ms: int) -> HttpSend:
     """Build a request that is sent `spent_ms` after it was planned."""
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import enum
 import random
 import typing as t
 from functools import partial
@@ -14,6 +13,11 @@
 
 from .resets import reset
 from .slots import WorkerSlots
+from .worker_faults import StreamEnding
+from .worker_faults import WorkerFault
+
+HEALTH_PATH = "/health"
+"""Where a worker tells whether it is healthy; here it always is while it listens."""
 
 PAUSE_S = 1.6
 """How long a stream is silent that goes on by itself, in s."""
@@ -22,52 +26,6 @@
 """Events after which a stream is cut by the faults that cut one."""
 
 
-class WorkerFault(enum.Enum):
-    """What a worker does wrong, or what keeps it from running a request.
-
-    ``FULL`` and ``REPLACED`` say truly that the request has not run. ``ERROR``: its own
-    500 after a run. ``MUTE``: it runs the request and says nothing. ``CUT``: a stream
-    breaks off inside an event. ``STALL``: a stream falls silent. ``PAUSE``: it does for
-    ``PAUSE_S``, then goes on. ``RESET``: an answer
-    without a length is reset. ``OTHER``: the answer is another request's. ``EXTRA``: a
-    second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
-    ``FORGET``: a connection that is used again is reset. ``OWED``: a second answer
-    follows the first when the next request is read. ``UNSEALED``: the answer lacks its
-    seal. ``DROP``: the connection is closed unread.
-    """
-
-    NONE = "none"
-    FULL = "full"
-    REPLACED = "replaced"
-    ERROR = "error"
-    MUTE = "mute"
-    CUT = "cut"
-    STALL = "stall"
-    PAUSE = "pause"
-    RESET = "reset"
-    OTHER = "other"
-    EXTRA = "extra"
-    LATE_EXTRA = "late extra"
-    OWED = "owed"
-    FORGET = "forget"
-    UNSEALED = "unsealed"
-    DROP = "drop"
-
-
-class StreamEnding(enum.Enum):
-    """How a stream without chunks ends with its connection.
-
-    ``WHOLE``: after its last event. The others break it off after ``CUT_AFTER`` events:
-    ``INSIDE_EVENT`` and ``INSIDE_CHARACTER`` (of several bytes) close the connection,
-    ``RESET`` resets it in place of an end.
-    """
-
-    WHOLE = "whole"
-    INSIDE_EVENT = "inside event"
-    INSIDE_CHARACTER = "inside character"
-    RESET = "reset"
-
-
 class SeenRequest(msgspec.Struct, frozen=True):
     """A request as it reached the worker; ``at`` is when, by the loop, in s."""
 
@@ -193,6 +151,9 @@
         try:
             owes = used = False
             while (seen := await _read_request(reader)) is not None:
+                if seen.target == HEALTH_PATH:
+                    writer.write(_health_head(self.name))
+                    continue
                 self.seen.append(seen)
                 if used and self.fault is WorkerFault.FORGET:
                     reset(t.cast(asyncio.Transport, writer.transport))
@@ -493,3 +454,9 @@
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     at = asyncio.get_running_loop().time()
     return SeenRequest(headers.get("attempt-id", ""), method, target, headers, body, at)
+
+
+def _health_head(name: str) -> bytes:
+    """Return the answer of a healthy worker."""
+    head = f"HTTP/1.1 200 OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+    return head.encode()
--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -7,6 +7,10 @@
 counts against them, and it sends its requests through peers, called gateways, until
 probes reach workers again.
 
+Where something on the way takes connections in the place of workers, all come up and
+none is answered. Once several workers in a row did not answer, the box asks others for
+their health, and only an answer counts.
+
 A gateway only sends. The box that received the request plans it, counts it against the
 retry budget, the shares and the limits of workers, and bills it.
 """
@@ -39,6 +43,10 @@
 """How long a gateway that failed or had no room is left out, in ms: its next news tell
 its room."""
 
+UNANSWERED_NEEDED = 2
+"""Number of workers in a row that must have taken a request without an answer before
+others are asked for their health: a single one mostly ended."""
+
 SAME_DOMAIN_WEIGHT = 4.0
 """How much more often a gateway of the box's own failure domain is drawn: the request
 then crosses domains at most once."""
@@ -78,6 +86,46 @@
         known[row.name] = UnreachedWorker(now, row.cold_until)
 
 
+def record_answered(fleet: Fleet, now: Millis, *, over_new: bool) -> None:
+    """Record that a worker answered, over a new connection or a kept one.
+
+    Kept connections may live on while new ones are taken by something else.
+    """
+    partition = fleet.partition
+    partition.answered_at = now
+    if over_new:
+        partition.answered_new_at = now
+        partition.unanswered.clear()
+        return
+    for name, was_new in list(partition.unanswered.items()):
+        if not was_new:
+            del partition.unanswered[name]
+
+
+def record_unanswered(
+    fleet: Fleet, row: WorkerRow, began: Millis, *, over_new: bool
+) -> bool:
+    """Record that a worker took a request at `began` or later and did not answer.
+
+    Returns whether other workers must be asked for their health now.
+    """
+    partition = fleet.partition
+    answered_at = partition.answered_new_at if over_new else partition.answered_at
+    if answered_at >= began:
+        return False
+    for name in partition.unanswered.keys() - fleet.workers.rows.keys():
+        del partition.unanswered[name]
+    partition.unanswered[row.name] = over_new
+    return len(partition.unanswered) >= UNANSWERED_NEEDED
+
+
+def health_path(fleet: Fleet, row: WorkerRow) -> str:
+    """Return the path that a worker is asked for its health at; empty if unknown."""
+    services = fleet.catalog.services if fleet.catalog is not None else {}
+    service = services.get(row.service)
+    return service.health_path if service is not None else ""
+
+
 def has_connected_since(fleet: Fleet, began: Millis) -> bool:
     """Return whether a connection that began at `began` or later reached a worker."""
     return fleet.partition.connected_at >= began
@@ -113,13 +161,16 @@
     return row.name not in fleet.workers.leaving and row.state is WorkerState.LIVE
 
 
-def begin_partition(fleet: Fleet, now: Millis) -> None:
+def begin_partition(fleet: Fleet, now: Millis, *, answerless: bool = False) -> None:
     """Record that this box reaches no worker, and take back what it made of that.
 
     Workers that it failed to reach were ejected, marked as cold and taken for ended.
+    `answerless` tells whether connections come up all the same.
     """
     partition = fleet.partition
     partition.since = now
+    partition.answerless = answerless
+    partition.unanswered.clear()
     partition.reached_again.clear()
     partition.ended.clear()
     for row in fleet.workers.rows.values():
@@ -152,6 +203,7 @@
         return False
     partition.since = Millis(-1)
     partition.connected_at = now
+    partition.answered_at = partition.answered_new_at = now
     return True
 
 
--- a/src/spanshunt/tables/catalog.py
+++ b/src/spanshunt/tables/catalog.py
@@ -113,6 +113,8 @@
         How long a worker is slow after its start, in ms; 0 for not at all.
     cold_per_s : float
         Requests a second that a cold worker can take from all boxes; 0 for unknown.
+    health_path : str
+        Path of a request that each worker answers at once; empty if unknown.
     """
 
     name: ServiceId
@@ -120,6 +122,7 @@
     kv_capacity_tokens: int = 0
     cold_start_ms: Millis = Millis(0)
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 class OrgRow(msgspec.Struct, frozen=True):
--- a/src/spanshunt/tables/partition.py
+++ b/src/spanshunt/tables/partition.py
@@ -28,6 +28,15 @@
     ----------
     since : int
         Since when no worker is reached, in ms; -1 while workers are reached.
+    answerless : bool
+        Whether the partition was found by missing answers: connections come up, as in a
+        proxy on the way, but no worker answers.
+    answered_at, answered_new_at : int
+        When a worker last answered over a connection of this box, and over a new one,
+        in ms; -1 for never.
+    unanswered : dict
+        Workers that took a request since then and did not answer, and whether over a
+        new connection.
     connected_at : int
         When a connection to a worker last came up, in ms; -1 for never.
     unreached : dict
@@ -43,3 +52,7 @@
     unreached: dict[WorkerId, UnreachedWorker] = {}
     reached_again: set[WorkerId] = set()
     ended: dict[WorkerId, Millis] = {}
+    answerless: bool = False
+    answered_at: Millis = Millis(-1)
+    answered_new_at: Millis = Millis(-1)
+    unanswered: dict[WorkerId, bool] = {}
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -26,6 +26,7 @@
 from spanshunt.standins.ports import free_ports
 from spanshunt.standins.store import StoreEndpoint
 from spanshunt.standins.store import StoreStandin
+from spanshunt.standins.worker import HEALTH_PATH
 from spanshunt.standins.worker import WorkerStandin
 from spanshunt.systems.estimating import Prompt
 from spanshunt.systems.tallies import record_observation
@@ -83,6 +84,7 @@
     "Backends": [
         {
             "Name": "writer",
+            "HealthPath": HEALTH_PATH,
             "Engine": {
                 "Slots": 8,
                 "KvCapacityTokens": 100000,
@@ -93,7 +95,7 @@
                 ],
             },
         },
-        {"Name": "web"},
+        {"Name": "web", "HealthPath": HEALTH_PATH},
     ],
     "Limits": {"IdleTimeoutMs": 15000},
     "Tenants": [
--- a/tests/test_callers_leave.py
+++ b/tests/test_callers_leave.py
@@ -17,7 +17,7 @@
 from fleet_builders import running_fleet
 from fleet_builders import until
 from spanshunt.ids import WorkerId
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 
 CANCEL_S = 0.5
 """Time after a disconnect within which all workers must stop, in s."""
--- a/tests/test_fleet_report.py
+++ b/tests/test_fleet_report.py
@@ -20,7 +20,7 @@
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.evacuating import apply_evacuation
 from spanshunt.systems.quarantining import record_end_during
 from spanshunt.systems.quarantining import update_quarantine
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -14,7 +14,7 @@
 from fleet_builders import until
 from fleet_builders import without_key
 from spanshunt.ids import WorkerId
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.repeats import RepeatBounds
 
 
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -20,8 +20,8 @@
 from spanshunt.peers.news_items import LeavingNews
 from spanshunt.peers.news_rows import leaving_news
 from spanshunt.platform.answer_notices import decode_leaving
-from spanshunt.standins.worker import WorkerFault
 from spanshunt.standins.worker import WorkerStandin
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.following_workers import MAX_FORMER_WORKERS
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
--- a/tests/test_node_rollouts.py
+++ b/tests/test_node_rollouts.py
@@ -10,7 +10,7 @@
 from fleet_builders import until
 from spanshunt.ids import ServiceId
 from spanshunt.standins.store import EndpointFault
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.tables.rollouts import Verdict
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -19,7 +19,7 @@
 from fleet_builders import without_key
 from spanshunt.logs import LineQueue
 from spanshunt.logs import _json_sink
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.tables.rollouts import Verdict
 
 MAX_LINES = 1_000_000
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -20,6 +20,7 @@
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
 from spanshunt.ids import WorkerId
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.partitions import DEFAULT_SENDS_BYTES
 from spanshunt.systems.partitions import REACHED_NEEDED
 from spanshunt.systems.partitions import SEND_BYTES
@@ -28,13 +29,16 @@
 from spanshunt.systems.partitions import gateway_room
 from spanshunt.systems.partitions import is_partitioned
 from spanshunt.systems.partitions import may_send_for_peer
+from spanshunt.systems.partitions import record_answered
 from spanshunt.systems.partitions import record_connected
 from spanshunt.systems.partitions import record_probe
+from spanshunt.systems.partitions import record_unanswered
 from spanshunt.systems.partitions import record_unreached
 from spanshunt.systems.partitions import workers_to_probe
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
 from spanshunt.tables.holdings import BoxLimits
+from worker_cuts import AcceptingCut
 from worker_cuts import OpenConnections
 from worker_cuts import WorkerCut
 
@@ -109,6 +113,39 @@
             assert statuses(late) == {200: len(late)}
             assert most_runs_of_single_requests(fleet) == 1
 
+    @pytest.mark.parametrize("open_ones", list(OpenConnections))
+    @pytest.mark.parametrize("silent", [False, True])
+    async def test_callers_are_served_though_a_proxy_takes_the_connections(
+        self, silent, open_ones
+    ):
+        """Guards against connections that come up and are taken for reached workers."""
+        async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
+            box = fleet.boxes[0]
+            cut = AcceptingCut(box, silent=silent, open_ones=open_ones)
+            await ask_each_kind(fleet, box, 3)
+            await acquainted(fleet)
+            await cut.start()
+            await ask_each_kind(fleet, box, 4)
+            late = await ask_each_kind(fleet, box, 8)
+            assert statuses(late) == {200: len(late)}
+            assert most_runs_of_single_requests(fleet) == 1
+            await cut.stop()
+            await until(
+                lambda: not is_partitioned(box.node.fleet), "sends itself", BACK_S
+            )
+            again = await ask_each_kind(fleet, box, 3)
+            assert statuses(again) == {200: len(again)}
+
+    async def test_one_worker_that_answers_nobody_is_no_partition(self):
+        """Guards against a way round because of a worker that resets or is silent."""
+        async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
+            box = fleet.boxes[0]
+            await acquainted(fleet)
+            fleet.workers["p-1"].fault = WorkerFault.DROP
+            await ask_each_kind(fleet, box, 6)
+            assert not is_partitioned(box.node.fleet)
+            assert not by_sender(box, "partitions")
+
     async def test_cut_speaks_against_no_worker(self):
         """Guards against workers ejected, cold or ended by a box's own partition."""
         async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
@@ -311,6 +348,36 @@
         record_connected(fleet, ms(2))
         assert not fleet.partition.unreached
 
+    def test_workers_that_answer_in_between_are_no_partition(self):
+        """Guards against checks of health because single workers end now and then."""
+        fleet = fleet_with_workers()
+        one, other = list(fleet.workers.rows.values())[:2]
+        assert not record_unanswered(fleet, one, ms(2), over_new=True)
+        assert not record_unanswered(fleet, one, ms(3), over_new=True)
+        record_answered(fleet, ms(4), over_new=True)
+        assert not record_unanswered(fleet, other, ms(4), over_new=True)
+        assert not record_unanswered(fleet, other, ms(5), over_new=True)
+        assert record_unanswered(fleet, one, ms(5), over_new=True)
+
+    def test_answers_over_kept_connections_say_nothing_of_new_ones(self):
+        fleet = fleet_with_workers()
+        one, other = list(fleet.workers.rows.values())[:2]
+        assert not record_unanswered(fleet, one, ms(2), over_new=True)
+        record_answered(fleet, ms(3), over_new=False)
+        assert not record_unanswered(fleet, other, ms(2.5), over_new=False)
+        assert record_unanswered(fleet, other, ms(2.5), over_new=True)
+
+    def test_unanswered_workers_that_left_are_forgotten(self):
+        fleet = fleet_with_workers()
+        rows = fleet.workers.rows
+        gone = rows[WorkerId("west-1")]
+        record_unanswered(fleet, gone, ms(2), over_new=True)
+        del rows[gone.name]
+        assert not record_unanswered(
+            fleet, rows[WorkerId("west-2")], ms(3), over_new=True
+        )
+        assert set(fleet.partition.unanswered) == {"west-2"}
+
     def test_workers_that_left_are_forgotten(self):
         """Guards against a list of failures that grows with each worker that left."""
         fleet = fleet_with_workers()
--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -28,7 +28,7 @@
 from spanshunt.ids import Millis
 from spanshunt.peers.news_rows import suspects_news
 from spanshunt.peers.news_rows import to_suspect_feature
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.attributing import attribute_ends
 from spanshunt.systems.attributing import suspect_fingerprints
 from spanshunt.systems.quarantining import PART_DELAY_MS
--- a/tests/test_resting.py
+++ b/tests/test_resting.py
@@ -15,7 +15,7 @@
 from spanshunt.ids import ServiceId
 from spanshunt.platform.answer_notices import REST_MOST_MS
 from spanshunt.platform.answer_notices import decode_rest
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.placing import PlacementRequest
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -16,8 +16,8 @@
 from fleet_builders import until
 from spanshunt.ids import Millis
 from spanshunt.ids import ServiceId
-from spanshunt.standins.worker import WorkerFault
 from spanshunt.standins.worker import WorkerStandin
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.ramping import apply_verdict
 from spanshunt.systems.repeats import RepeatBounds
 from spanshunt.tables.rollouts import Verdict
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -15,7 +15,7 @@
 from fleet_builders import running_fleet
 from fleet_builders import until
 from spanshunt.ids import WorkerId
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems import holding
 from spanshunt.tables.holdings import BoxLimits
 from spanshunt.tables.holdings import ByteMarks
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -10,7 +10,7 @@
 from fleet_builders import Reply
 from fleet_builders import TestFleet
 from fleet_builders import running_fleet
-from spanshunt.standins.worker import StreamEnding
+from spanshunt.standins.worker_faults import StreamEnding
 from worker_cuts import OpenConnections
 from worker_cuts import WorkerCut
 
--- a/tests/test_waking.py
+++ b/tests/test_waking.py
@@ -6,7 +6,7 @@
 from spanshunt.clock import Clock
 from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
-from spanshunt.standins.worker import WorkerFault
+from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.following_workers import must_read_list
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
--- a/tests/worker_cuts.py
+++ b/tests/worker_cuts.py
@@ -97,3 +97,57 @@
             return Presence.GONE
         await asyncio.sleep(PROBE_S)
         return Presence.UNKNOWN
+
+
+class AcceptingCut(WorkerCut):
+    """Keeps a box from all workers by a proxy that takes connections in their place.
+
+    Parameters
+    ----------
+    box : Box
+        The box.
+    silent : bool
+        Whether the proxy then says nothing; else it resets a connection once it got
+        something.
+    open_ones : OpenConnections
+        What becomes of the open ones.
+    """
+
+    def __init__(self, box: Box, *, silent: bool, open_ones: OpenConnections) -> None:
+        super().__init__(box, refused=False, open_ones=open_ones)
+        self._silent = silent
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin the cut."""
+        self._server = await asyncio.start_server(self._take, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        workers = self._box.node._workers
+        for session in (workers._kept, workers._fresh):
+            assert session is not None
+            connector: t.Any = session.connector
+            self._strike_open(connector)
+            create = connector._create_connection
+
+            async def redirect(
+                req: t.Any, *args: t.Any, create: t.Any = create
+            ) -> t.Any:
+                req.url = req.url.with_port(port)
+                return await create(req, *args)
+
+            self._replace(connector, "_create_connection", redirect)
+
+    async def stop(self) -> None:
+        """End the cut and the proxy."""
+        self.end()
+        assert self._server is not None
+        self._server.close()
+
+    async def _take(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while await reader.read(65_536):
+            if not self._silent:
+                writer.transport.abort()
+                return
+        writer.close()
