--- a/src/spanshunt/systems/blaming.py
+++ b/src/spanshunt/systems/blaming.py
@@ -18,6 +18,7 @@
 from ..tables.rollouts import Tallies
 from .exposing import full_phase_start_ms
 from .own_errors import ERROR_CEILING
+from .own_errors import MIN_OWN_ERRORS
 from .own_errors import errors_by_epoch
 from .own_errors import has_doubted_errors
 from .references import Reference
@@ -188,8 +189,11 @@
         for route in sorted(routes)
         for finding in ROUTE_FINDINGS
     ]
-    found.append(_error_suspicion(tallies, has_turns=has_turns))
-    return max(found, key=lambda item: item.log_evidence)
+    strongest = max(found, key=lambda item: item.log_evidence)
+    if strongest.is_proven:
+        return strongest
+    by_errors = _error_suspicion(tallies, has_turns=has_turns)
+    return max(strongest, by_errors, key=lambda item: item.log_evidence)
 
 
 def _has_recorded_answers(tallies: Tallies, recorded: RecordedSuspicion) -> bool:
@@ -291,7 +295,7 @@
     series = [epochs[number] for number in sorted(epochs)]
     faulty = sum(faults for _, faults in series)
     log_evidence = -math.inf
-    if faulty >= MIN_FAULTS and _is_fault_of_version(
+    if faulty >= MIN_OWN_ERRORS and _is_fault_of_version(
         tallies, Finding.OWN_ERROR, has_turns=has_turns
     ):
         log_evidence = log_change_above(series, ERROR_CEILING)
--- a/src/spanshunt/systems/own_errors.py
+++ b/src/spanshunt/systems/own_errors.py
@@ -13,6 +13,10 @@
 ERROR_CEILING = 0.03
 """Greatest share of errors on sound routes that is still good."""
 
+MIN_OWN_ERRORS = 6
+"""Number of errors below which they are no evidence by themselves: a version that
+mostly fails is proven bad by fewer failures of all kinds."""
+
 MIN_SOUND_ANSWERS, SOUND_ERROR_SHARE = 10, 0.02
 """Answers of the leaving version from which on it can show that a route is sound, and
 the greatest share of errors that it may give there besides one."""
