--- a/bench/favours.py
+++ b/bench/favours.py
@@ -1,4 +1,4 @@
-"""Most callers ask one box, and then another, before workers that name limits.
+"""Most callers ask one box, and then another one, before limits or little room.
 
 ``python -m bench.favours --seeds 2`` plays six boxes before six engines. Nine of ten
 callers ask one box for some seconds, then another one. It prints which of them were
@@ -22,6 +22,10 @@
 from .play_engines import Engine
 from .play_fleet import Asked
 from .play_fleet import Play
+from .play_plain import ROOM_PER_S
+from .play_plain import SLOTS
+from .play_plain import PlainWorker
+from .play_plain import plain_catalog
 
 ENGINES = 6
 
@@ -39,20 +43,34 @@
 class FavourCase:
     """How many boxes, requests a second, and what each engine takes a second.
 
-    ``limit_per_s`` is None where engines name no limit.
+    ``limit_per_s`` is None where engines name no limit. ``room_part`` asks a plain
+    service for this part of its room instead, whose workers may tell their load.
     """
 
     name: str
     rate: float = 100.0
     limit_per_s: float | None = None
     boxes: int = 6
+    room_part: float = 0.0
+    tells_load: bool = True
 
 
 NO_LIMIT = FavourCase("no limit")
 LIMITS = FavourCase("each engine names 24 a second", limit_per_s=24.0)
 FEW_TAKEN = FavourCase("each engine names 4 a second", rate=16.0, limit_per_s=4.0)
 MANY_BOXES = FavourCase("the same, 61 boxes", limit_per_s=24.0, boxes=61)
-CASES = (NO_LIMIT, LIMITS, FEW_TAKEN, MANY_BOXES)
+NEAR_ROOM = FavourCase("nine tenths of the room", room_part=0.9)
+NEAR_ROOM_MANY = FavourCase("the same, 24 boxes", room_part=0.9, boxes=24)
+UNREPORTED = FavourCase("the same, no reports", room_part=0.9, tells_load=False)
+CASES = (
+    NO_LIMIT,
+    LIMITS,
+    FEW_TAKEN,
+    MANY_BOXES,
+    NEAR_ROOM,
+    NEAR_ROOM_MANY,
+    UNREPORTED,
+)
 
 
 @dataclass
@@ -87,15 +105,23 @@
 
 
 async def _play(case: FavourCase, seed: int) -> FavourOutcome:
-    play = Play(random.Random(seed), catalog=play_catalog())
+    is_plain = case.room_part > 0.0
+    catalog = plain_catalog() if is_plain else play_catalog()
+    rate = case.room_part * ENGINES * ROOM_PER_S if is_plain else case.rate
+    play = Play(random.Random(seed), catalog=catalog)
     play.ordered_at = play.clock.now() / 1_000 - BEGIN_S
     play.places = {f"box-{n}": DOMAINS[n % len(DOMAINS)] for n in range(case.boxes)}
-    play.rate = lambda _at: case.rate
+    play.rate = lambda _at: rate
+    if is_plain:
+        play.slots = SLOTS
     play.favoured = lambda: _favoured_at(play.since())
     for number in range(ENGINES):
         rng = random.Random(play.rng.random())
         domain = DOMAINS[number % len(DOMAINS)]
         engine = Engine(f"engine-{number}", "v1", domain, rng, play.since)
+        if is_plain:
+            engine = PlainWorker(engine.name, "v1", domain, rng, play.since)
+            engine.tells_load = case.tells_load
         engine.notice = lambda: Notice(case.limit_per_s)
         await play.list_engine(engine)
     for name in play.places:
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -43,6 +43,7 @@
 from spanshunt.platform.node import EXCHANGE_MS
 from spanshunt.platform.node import JUDGE_MS
 from spanshunt.platform.node import RECORD_MS
+from spanshunt.platform.node import SHARES_MS
 from spanshunt.platform.operator_records import OperatorRecords
 from spanshunt.platform.recorder import Recorder
 from spanshunt.platform.store_reader import LOOK_MS
@@ -59,6 +60,7 @@
 from spanshunt.standins.store import StoreStandin
 from spanshunt.systems.cascading import RequestTokens
 from spanshunt.systems.repeats import RepeatBounds
+from spanshunt.systems.sharing import update_shares
 from spanshunt.tables.engines import PromptPart
 from spanshunt.tables.fleet import ColdBounds
 from spanshunt.tables.fleet import Fleet
@@ -227,6 +229,10 @@
         self._jobs.every(EXCHANGE_MS, self.exchange.run_round)
         self._jobs.every(JUDGE_MS, self.recorder.tick)
         self._jobs.every(RECORD_MS, self.kept_back.tick)
+        self._jobs.every(SHARES_MS, self._share)
+
+    async def _share(self) -> None:
+        update_shares(self.fleet, self.core.clock.now())
 
     async def stop(self) -> None:
         """End at once, with all that it knows."""
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -170,6 +170,7 @@
     that are ``leaving`` say so in their answers alone. ``harmed`` tells which worker's
     link was, and from when until when, ``lives`` when which worker began another.
     ``undisturbed`` workers are left alone, so that a check has something to see.
+    ``slots`` is what workers' entries say that each runs at once.
     """
 
     rng: random.Random
@@ -214,6 +215,7 @@
     harmed: list[tuple[str, float, float]] = field(default_factory=list)
     lives: list[tuple[str, float]] = field(default_factory=list)
     undisturbed: set[str] = field(default_factory=set)
+    slots: int = 8
 
     def now(self) -> float:
         """Return the time, in s."""
@@ -279,7 +281,7 @@
         "Address": soak.links[name].address,
         "Zone": "south" if name in soak.far else "north",
         "Version": soak.workers[name].version,
-        "Slots": 8,
+        "Slots": soak.slots,
         "State": state,
         "born": soak.workers[name].born,
     }
--- a/src/spanshunt/peers/mean_rows.py
+++ b/src/spanshunt/peers/mean_rows.py
@@ -45,22 +45,25 @@
 
 
 def arrivals_news(fleet: Fleet, now: Millis) -> tuple[ArrivalNews, ...]:
-    """Return the means to call a peer with, of services with limited workers."""
-    services = _limited_services(fleet)
+    """Return the means to call a peer with, of services whose room is shared out."""
+    services = _scarce_services(fleet)
     return _to_arrival_news(arrivals_to_send(fleet, services, now))
 
 
-def _limited_services(fleet: Fleet) -> set[ServiceId]:
+def _scarce_services(fleet: Fleet) -> set[ServiceId]:
+    """Return the services that are short of room, or that have limited workers."""
     return {
-        service for service in fleet.arrivals if has_limited_workers(fleet, service)
+        service
+        for service in fleet.arrivals
+        if service in fleet.short_services or has_limited_workers(fleet, service)
     }
 
 
 def busy_boxes_news(fleet: Fleet, now: Millis) -> tuple[BusyBoxNews, ...]:
-    """Return the busy boxes to tell a peer of, of services with limited workers."""
+    """Return the busy boxes to tell a peer of, of services whose room is shared out."""
     return tuple(
         BusyBoxNews(service, box, row.per_s, now - row.at)
-        for service, box, row in busy_to_send(fleet, _limited_services(fleet), now)
+        for service, box, row in busy_to_send(fleet, _scarce_services(fleet), now)
     )
 
 
--- a/src/spanshunt/standins/slots.py
+++ b/src/spanshunt/standins/slots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 import typing as t
 
 Gone = t.Callable[[float], t.Awaitable[bool]]
@@ -22,17 +23,23 @@
     slots, places : int
         Requests that run at once, and that may wait beside them.
     work_s : float
-        Time of one request's work, in s.
+        Mean time of one request's work, in s.
+    varies : float
+        By which part of it the time varies, evenly.
     """
 
-    def __init__(self, slots: int, places: int, work_s: float) -> None:
+    def __init__(
+        self, slots: int, places: int, work_s: float, varies: float = 0.0
+    ) -> None:
         self.slots = slots
         self.places = places
         self.work_s = work_s
+        self.varies = varies
         self.running = 0
         self.worked_s = 0.0
         self.wasted_s = 0.0
         self._queue: collections.deque[object] = collections.deque()
+        self._rng = random.Random(0)
 
     @property
     def waiting(self) -> int:
@@ -61,10 +68,13 @@
         began, done = loop.time(), False
         self.running += 1
         try:
-            done = not await gone(self.work_s)
+            done = not await gone(self.work_s * self._factor())
         finally:
             self.running -= 1
             took = loop.time() - began
             self.worked_s += took
             self.wasted_s += 0.0 if done else took
         return done
+
+    def _factor(self) -> float:
+        return 1.0 + self.varies * self._rng.uniform(-1.0, 1.0)
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -56,7 +56,9 @@
     and ``broken_streams_left`` of its streams a ``stream_ending`` (-1: all). ``says``
     are headers that it puts into all its answers, ``asks`` those beside its word
     that it has no room, ``said`` which answers had any. ``slots`` bounds what it runs
-    at once and how many requests wait; without them it has room for all. With
+    at once and how many requests wait; without them it has room for all. Its answers
+    tell its load if it ``tells_load``, the answered request included if it
+    ``counts_answered``. With
     ``brittle_per_s`` it says so, and ends once it turned more requests away in a
     second for want of room; ``falls`` counts that.
     ``event_bytes`` is the least length of an event's data, ``whole_bytes`` that of a
@@ -85,6 +87,8 @@
         self.holds: t.Callable[[str], float] = lambda _request: 0.0
         self.on_end: t.Callable[[], None] = lambda: None
         self.slots: WorkerSlots | None = None
+        self.tells_load = True
+        self.counts_answered = False
         self.brittle_per_s = 0.0
         self.falls = 0
         self.turned_away: list[float] = []
@@ -394,13 +398,21 @@
         headers = {**(extra or {}), **self.says}
         if self.brittle_per_s:
             headers["Server-Brittle"] = f"{self.brittle_per_s:g}"
-        if self.slots is not None:
+        if self.slots is not None and self.tells_load:
             row = self.slots
-            headers["Instance-Load"] = f"{row.running},{row.waiting},{row.slots}"
+            running = row.running + int(self.counts_answered)
+            headers["Instance-Load"] = f"{running},{row.waiting},{row.slots}"
         if self.says or self.asks:
             at = asyncio.get_running_loop().time()
             self.said.append(Said(request, at, headers))
-        return _head(status, request, length, sealed=sealed, extra=headers)
+        return _head(
+            status,
+            request,
+            length,
+            sealed=sealed,
+            tells_load=self.tells_load,
+            extra=headers,
+        )
 
     async def _until_closed(
         self, seen: SeenRequest, reader: asyncio.StreamReader
@@ -422,9 +434,13 @@
     length: int | None,
     *,
     sealed: bool,
+    tells_load: bool = True,
     extra: dict[str, str] | None = None,
 ) -> bytes:
-    headers = {"Attempt-Id": request, "Instance-Load": "1,0,8", **(extra or {})}
+    headers = {"Attempt-Id": request}
+    if tells_load:
+        headers["Instance-Load"] = "1,0,8"
+    headers |= extra or {}
     if sealed:
         headers["Response-Seal"] = f"seal-of-{request}"
     if length is not None:
--- a/src/spanshunt/systems/arrivals.py
+++ b/src/spanshunt/systems/arrivals.py
@@ -23,14 +23,20 @@
 from .averaging import expire_means
 from .averaging import means_to_send
 from .averaging import stated_mean
+from .averaging import sum_of_means
 from .averaging import total_rate
 from .busy_boxes import busy_total
+from .busy_boxes import is_busy_box
 from .busy_boxes import update_busy_box
 from .fleet_size import box_count
 
 EVEN_PART = 0.1
 """Part of the whole that is shared evenly, for boxes that get their first requests."""
 
+FAVOURED_FACTOR = 2.0
+"""A box is favoured if it gets this many times as many requests as others: fewer come
+by chance."""
+
 MAX_ARRIVALS_SENT = 16
 """Maximum number of services in one message, those with most requests first."""
 
@@ -49,12 +55,27 @@
 
 def box_share(fleet: Fleet, service: ServiceId, now: Millis) -> float:
     """Return the part of a worker's room that this box may use, from 0 to 1."""
-    boxes = box_count(fleet)
+    even = 1.0 / box_count(fleet)
+    return EVEN_PART * even + (1.0 - EVEN_PART) * own_part(fleet, service, now)
+
+
+def own_part(fleet: Fleet, service: ServiceId, now: Millis) -> float:
+    """Return which part of a service's requests arrives here, from 0 to 1."""
     row = fleet.arrivals.get(service)
     total = _total_per_s(fleet, service, row, now) if row is not None else 0.0
     if row is None or total < MIN_PER_S:
-        return 1.0 / boxes
-    return EVEN_PART / boxes + (1.0 - EVEN_PART) * row.own_per_s / total
+        return 1.0 / box_count(fleet)
+    return row.own_per_s / total
+
+
+def is_favoured(fleet: Fleet, service: ServiceId, now: Millis) -> bool:
+    """Return whether far more of a service's requests arrive here than elsewhere."""
+    row = fleet.arrivals.get(service)
+    mean = stated_mean(row, now) if row is not None else None
+    if row is None or mean is None:
+        return False
+    decay_rate(row, now)
+    return row.own_per_s >= FAVOURED_FACTOR * max(MIN_PER_S, mean)
 
 
 def _total_per_s(fleet: Fleet, service: ServiceId, row: MeanRate, now: Millis) -> float:
@@ -63,11 +84,12 @@
     It is too low for a moment once many requests begin to arrive everywhere.
     """
     boxes = box_count(fleet)
-    mean = stated_mean(row, now)
-    if mean is None:
+    if stated_mean(row, now) is None:
         return total_rate(row, boxes, now)
-    decay_rate(row, now)
-    others = row.per_s + (boxes - 1) * mean
+    others = sum_of_means(row, boxes, now)
+    if is_busy_box(fleet, service):
+        # What it added to the mean before it stated its rate is in both.
+        others = max(0.0, others - row.added_per_s)
     return max(row.own_per_s, busy_total(fleet, service, now) + others)
 
 
--- a/src/spanshunt/systems/averaging.py
+++ b/src/spanshunt/systems/averaging.py
@@ -43,6 +43,7 @@
     factor = math.exp((row.at - now) / AVERAGING_MS)
     row.per_s *= factor
     row.own_per_s *= factor
+    row.added_per_s *= factor
     row.at = now
 
 
@@ -50,6 +51,7 @@
     """Add an amount that is counted at this box, such as 1 for a request."""
     add_to_own_rate(row, amount, now)
     row.per_s += amount * 1_000 / AVERAGING_MS
+    row.added_per_s += amount * 1_000 / AVERAGING_MS
 
 
 def add_to_own_rate(row: MeanRate, amount: float, now: Millis) -> None:
@@ -133,6 +135,16 @@
     return max(row.own_per_s, boxes * row.per_s)
 
 
+def sum_of_means(row: MeanRate, boxes: int, now: Millis) -> float:
+    """Return what the means of all boxes add up to, by what peers stated.
+
+    Boxes of which nothing was stated count as this one.
+    """
+    decay_rate(row, now)
+    mean = stated_mean(row, now)
+    return row.per_s + (boxes - 1) * (row.per_s if mean is None else mean)
+
+
 def stated_mean(row: MeanRate, now: Millis) -> float | None:
     """Return the mean that peers state; None if none did lately."""
     return row.peers_per_s if _has_recent_statement(row, now) else None
--- a/src/spanshunt/systems/busy_boxes.py
+++ b/src/spanshunt/systems/busy_boxes.py
@@ -47,6 +47,11 @@
     return True
 
 
+def is_busy_box(fleet: Fleet, service: ServiceId) -> bool:
+    """Return whether this box states its rate for a service."""
+    return fleet.identity.box in fleet.busy_boxes.get(service, {})
+
+
 def _is_busy(row: MeanRate, was_busy: bool, now: Millis) -> bool:
     mean = stated_mean(row, now)
     if mean is None:
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -141,8 +141,12 @@
 
 
 def update_shares(fleet: Fleet, now: Millis) -> list[ShareEvent]:
-    """Compute all shares anew; return those that came into force or ended."""
+    """Compute all shares anew; return those that came into force or ended.
+
+    Also records which services are short of room.
+    """
     events: list[ShareEvent] = []
+    fleet.short_services = frozenset(services_short_of_room(fleet, now))
     demands = all_demands(fleet, now)
     for service in demands.keys() | fleet.service_shares.keys():
         events += _update_service(fleet, service, demands.get(service, {}), now)
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -3,8 +3,10 @@
 A worker has room while it holds fewer requests than it can begin within a short time.
 The requests of this box there are counted exactly. Those of other boxes are known from
 the worker's last report, which counts for less the older it is. It counts for longer
-where this box already holds its even share of the room, so that boxes with old reports
-do not all fill the same workers.
+where this box already holds its share of the room, so that boxes with old reports do
+not all fill the same workers. The share follows the requests that arrive at the box
+(`arrivals`). One that most callers ask holds most of the room: it would leave workers
+alone for seconds that others filled before, so there old reports never count longer.
 """
 
 import msgspec
@@ -14,9 +16,10 @@
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
+from .arrivals import box_share
+from .arrivals import is_favoured
 from .brittleness import has_place
 from .brittleness import is_brittle
-from .fleet_size import box_count
 from .worker_speed import time_factor
 
 LEAD_MS = 50.0
@@ -29,7 +32,7 @@
 
 SHARE_HALF_LIFE_MS = 400.0
 """Half-life of the weight of other boxes' requests in a report while this box holds
-less than its even share of the room, in ms."""
+less than its share of the room, in ms."""
 
 FULL_HALF_LIFE_MS = 5_000.0
 """Half-life of that weight once this box holds its share, in ms: about the time of a
@@ -124,9 +127,11 @@
         bounds = [
             request_bound(row, took) for row, took in zip(rows, times, strict=True)
         ]
-    share = sum(bounds) / box_count(fleet)
+    service = rows[0].service
+    part = box_share(fleet, service, now)
     own = sum(row.inflight for row in rows)
-    half_life_ms = SHARE_HALF_LIFE_MS if own < share else FULL_HALF_LIFE_MS
+    has_share = own >= part * sum(bounds) and not is_favoured(fleet, service, now)
+    half_life_ms = FULL_HALF_LIFE_MS if has_share else SHARE_HALF_LIFE_MS
     full = frozenset(
         row.name
         for row, bound in zip(rows, bounds, strict=True)
@@ -141,7 +146,7 @@
         has_room=has_room,
         work_ms=fastest_ms,
         lead_ms=MAX_LEAD_FRACTION * fastest_ms,
-        starts_per_ms=_starts_per_ms(fleet, rows, times, now) if scarce else 0.0,
+        starts_per_ms=_starts_per_ms(rows, times, part, now) if scarce else 0.0,
     )
 
 
@@ -154,15 +159,15 @@
 
 
 def _starts_per_ms(
-    fleet: Fleet, rows: list[WorkerRow], times: list[float], now: Millis
+    rows: list[WorkerRow], times: list[float], part: float, now: Millis
 ) -> float:
     """Return the rate at which workers begin requests of this box, in 1/ms.
 
     It is the room that other boxes leave by the last reports, and at least this box's
-    even share.
+    `part` of the room.
     """
-    boxes, rate = box_count(fleet), 0.0
+    rate = 0.0
     for row, took in zip(rows, times, strict=True):
         left = row.slots - others_requests(row, now, FULL_HALF_LIFE_MS)
-        rate += max(row.slots / boxes, left) / max(MIN_WORK_MS, took)
+        rate += max(part * row.slots, left) / max(MIN_WORK_MS, took)
     return rate
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -388,6 +388,9 @@
         Demand by service and organisation, averaged over all boxes.
     service_shares : dict
         Shares of services that were recently short of room.
+    short_services : frozenset of str
+        Services with waiting requests, or whose demand nearly fills their room, as of
+        the last time that shares were computed.
     returns_spread : int
         Number of refused callers whose return this box spread over a span, without
         those that got a place of their own.
@@ -452,6 +455,7 @@
     busy_boxes: dict[ServiceId, dict[BoxId, BusyBox]] = {}
     org_demands: dict[tuple[ServiceId, OrgId], OrgDemand] = {}
     service_shares: dict[ServiceId, ServiceShares] = {}
+    short_services: frozenset[ServiceId] = frozenset()
     returns_spread: int = 0
     byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
     limits: BoxLimits = BoxLimits()
--- a/src/spanshunt/tables/rates.py
+++ b/src/spanshunt/tables/rates.py
@@ -16,6 +16,8 @@
         When the averages were last updated, in ms.
     own_per_s : float
         The rate at this box.
+    added_per_s : float
+        The part of it that was added to the mean: a busy box's later part is not.
     peers_per_s : float
         Moving average of the means that peers stated.
     peers_at : int
@@ -25,6 +27,7 @@
     per_s: float
     at: Millis
     own_per_s: float = 0.0
+    added_per_s: float = 0.0
     peers_per_s: float = 0.0
     peers_at: Millis = Millis(-1)
 
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -27,6 +27,7 @@
 from .refusals import Refusal
 from .refusals import Run
 from .share_lines import share_fields
+from .systems.arrivals import box_share
 from .systems.placing import may_share_region
 from .systems.queueing import WAITER_BYTES
 from .systems.queueing import Admission
@@ -297,6 +298,7 @@
             workers=[_describe(row, now) for row in rows[:MAX_WORKERS_LOGGED]],
             report_age_ms=max((_report_age_ms(row, now) for row in rows), default=-1),
             work_ms=round(room.work_ms) if room else None,
+            room_part=round(box_share(core.fleet, state.service, now), 3),
             expected_wait_ms=round(expected_ms),
             waiters=core.fleet.wait_list.count,
             left_ms=state.limit - now,
--- a/tests/test_favoured_box.py
+++ b/tests/test_favoured_box.py
@@ -11,6 +11,7 @@
 from bench.favours import NO_LIMIT
 from bench.favours import FavourCase
 from bench.favours import play_favours
+from bench.play_fleet import FAVOURED_SHARE
 
 from fleet_builders import add_worker
 from fleet_builders import make_fleet
@@ -18,6 +19,7 @@
 from fleet_builders import ms
 from spanshunt.ids import BoxId
 from spanshunt.ids import Millis
+from spanshunt.ids import OrgId
 from spanshunt.ids import ServiceId
 from spanshunt.systems.arrivals import apply_answered_arrivals
 from spanshunt.systems.arrivals import apply_called_arrivals
@@ -27,6 +29,7 @@
 from spanshunt.systems.arrivals import record_request
 from spanshunt.systems.busy_boxes import busy_to_send
 from spanshunt.systems.busy_boxes import merge_busy_box
+from spanshunt.systems.worker_room import find_room
 from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.catalog import ServiceRow
 from spanshunt.tables.fleet import Fleet
@@ -37,9 +40,12 @@
 try, from 3 s after it began."""
 
 WEB = ServiceId("web")
+MUSEO = OrgId("museo")
 
 BOXES = 6
 
+SLOTS, WORK_MS = 8, 200.0
+
 
 @pytest.mark.parametrize(
     "case",
@@ -146,3 +152,45 @@
     called = [(ServiceId("other"), 1.0)]
     assert not apply_called_arrivals(fleet, called, ms(1))
     assert not fleet.arrivals
+
+
+def _report(fleet: Fleet, worker: str, own: int, others: int, at: float) -> None:
+    row = make_worker(worker, service=WEB)
+    row.slots, row.inflight = SLOTS, own
+    row.others, row.others_at = others, ms(at)
+    add_worker(fleet, row)
+
+
+def test_favoured_box_sends_to_a_worker_that_others_had_filled_before_the_favour():
+    """Guards against room that lies idle: a box with most of the work held a worker for
+    full by a report from before, which no answer renewed."""
+    fleets = _boxes()
+    _favour(fleets, 0, 100, 103)
+    fleet = fleets[0]
+    _report(fleet, "w-1", SLOTS, 0, 103)
+    _report(fleet, "w-2", 0, SLOTS + 4, 101)
+    rows = list(fleet.workers.rows.values())
+    room = find_room(fleet, rows, WORK_MS, ms(103), free_slots_only=True)
+    assert room.full == {"w-1"}
+
+
+def test_box_with_its_share_of_the_room_leaves_what_others_hold_to_them():
+    fleets = _boxes()
+    _favour(fleets, 0, 100, 103)
+    fleet = fleets[3]
+    _report(fleet, "w-1", 2, 7, 101)
+    rows = list(fleet.workers.rows.values())
+    assert not find_room(fleet, rows, WORK_MS, ms(103), free_slots_only=True).has_room
+
+
+def test_share_of_the_favoured_box_has_risen_when_the_favour_must_be_met():
+    """Guards against requests counted twice: a box that began to state its rate took
+    those that it had added to the mean before for requests of others."""
+    fleets = _boxes()
+    for step in range(400):
+        at = 90 + step / 40
+        record_request(fleets[step % BOXES], WEB, ms(at))
+        if step % 16 == 0:
+            _gossip(fleets, at)
+    _favour(fleets, 0, 100, 103)
+    assert _shares(fleets, 103)[0] >= SERVED_PART * FAVOURED_SHARE
