--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -13,6 +13,8 @@
 from ..ids import ServiceId
 from ..tables.fleet import Fleet
 from ..tables.waiting import OrgDemand
+from .arrivals import is_favoured
+from .arrivals import own_part
 from .averaging import add_to_rate
 from .averaging import apply_answered_means
 from .averaging import apply_called_means
@@ -68,9 +70,9 @@
 
     The total is never below what arrives at this box alone.
     """
-    boxes = box_count(fleet)
+    part, boxes = _favoured_part(fleet, service, now), box_count(fleet)
     return {
-        org: _demand(row, boxes, now)
+        org: _demand(row, boxes, part, now)
         for (name, org), row in fleet.org_demands.items()
         if name == service
     }
@@ -78,10 +80,14 @@
 
 def all_demands(fleet: Fleet, now: Millis) -> dict[ServiceId, dict[OrgId, Demand]]:
     """Return the demand of each organisation for each service."""
-    boxes = box_count(fleet)
     demands: dict[ServiceId, dict[OrgId, Demand]] = {}
+    parts: dict[ServiceId, float | None] = {}
+    boxes = box_count(fleet)
     for (service, org), row in fleet.org_demands.items():
-        demands.setdefault(service, {})[org] = _demand(row, boxes, now)
+        if service not in parts:
+            parts[service] = _favoured_part(fleet, service, now)
+        found = _demand(row, boxes, parts[service], now)
+        demands.setdefault(service, {})[org] = found
     return demands
 
 
@@ -118,8 +124,22 @@
     expire_means(fleet.org_demands, now)
 
 
-def _demand(row: OrgDemand, boxes: int, now: Millis) -> Demand:
+def _favoured_part(fleet: Fleet, service: ServiceId, now: Millis) -> float | None:
+    """Return which part of a service's requests this box gets if it is favoured."""
+    if not is_favoured(fleet, service, now):
+        return None
+    return own_part(fleet, service, now)
+
+
+def _demand(row: OrgDemand, boxes: int, part: float | None, now: Millis) -> Demand:
+    """Return a demand. `part` is which part of all requests a favoured box gets.
+
+    Its mean is above those of other boxes, so its total is worked out from that part:
+    what favours a box is connections, whoever opens them.
+    """
     total = total_rate(row, boxes, now)
+    if part is not None:
+        total = max(row.own_per_s, min(total, row.own_per_s / part))
     return Demand(total, row.own_per_s)
 
 
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -23,6 +23,7 @@
 from ..tables.workers import WorkerRow
 from ..utils import unit_hash
 from .admitting import steps_below_highest
+from .arrivals import box_share
 from .demand import OTHER_ORGS
 from .demand import Demand
 from .demand import all_demands
@@ -50,8 +51,9 @@
 left, in ms."""
 
 MAX_BOX_PART = 4.0
-"""Most of the room that the paces of one box add up to, as a multiple of an even part.
-It bounds what boxes without news of each other give out together."""
+"""Most of the room that the paces of one box add up to, as a multiple of an even part,
+unless more of the requests arrive there. It bounds what boxes without news of each
+other give out together."""
 
 PRIORITY_STEP = 4
 """Of the requests of a priority, one in this many is ordered as if its priority were
@@ -271,7 +273,8 @@
         return
     shares = fleet.service_shares.setdefault(service, ServiceShares(room))
     shares.room_per_s = room
-    paces = _paces(fleet, room, demands, limited)
+    part = box_share(fleet, service, now)
+    paces = _paces(room, part, box_count(fleet), demands, limited)
     for org, share_per_s in limited.items():
         total = demands[org].total_per_s
         row = shares.orgs.get(org)
@@ -285,17 +288,21 @@
 
 
 def _paces(
-    fleet: Fleet,
     room: float,
+    part: float,
+    boxes: int,
     demands: t.Mapping[OrgId, Demand],
     limited: t.Mapping[OrgId, float],
 ) -> dict[OrgId, float]:
-    """Return this box's part of each share: its part of the organisation's demand."""
+    """Return this box's part of each share: its part of the organisation's demand.
+
+    `part` is that of the service's requests which arrives at this box.
+    """
     paces = {
         org: share * demands[org].own_per_s / demands[org].total_per_s
         for org, share in limited.items()
     }
-    bound = room * min(1.0, MAX_BOX_PART / box_count(fleet))
+    bound = room * min(1.0, max(part, MAX_BOX_PART / boxes))
     factor = min(1.0, bound / max(_TOLERANCE, sum(paces.values())))
     return {org: factor * pace for org, pace in paces.items()}
 
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -30,6 +30,11 @@
 """Least and most of such requests, as fractions of the slots. Boxes do not know of each
 other's requests at once, and workers queue only a few."""
 
+ANSWERED_REQUESTS = 1
+"""Requests that a report may count though they have ended: the one that it answers. If
+they counted against an organisation over its share, it would leave a slot of each
+worker idle."""
+
 SHARE_HALF_LIFE_MS = 400.0
 """Half-life of the weight of other boxes' requests in a report while this box holds
 less than its share of the room, in ms."""
@@ -102,6 +107,7 @@
     now: Millis,
     *,
     free_slots_only: bool,
+    over_share: bool = False,
 ) -> ServiceRoom:
     """Return what is believed of the room of workers that accept a request.
 
@@ -117,8 +123,10 @@
         The time, in ms.
     free_slots_only : bool
         Whether only a free slot counts as room: for a request that a worker turned away
-        as full, because each arrival that is turned away uses up retry budget, and for
-        one of an organisation over its share, so that others find places at workers.
+        as full, because each arrival that is turned away uses up retry budget.
+    over_share : bool
+        Whether the request is one of an organisation over its share. It gets free slots
+        only, so that others find places at workers.
     """
     times = [work_ms * time_factor(row, now) for row in rows]
     if free_slots_only:
@@ -127,6 +135,11 @@
         bounds = [
             request_bound(row, took) for row, took in zip(rows, times, strict=True)
         ]
+    if over_share:
+        bounds = [
+            min(bound, row.slots + ANSWERED_REQUESTS)
+            for row, bound in zip(rows, bounds, strict=True)
+        ]
     service = rows[0].service
     part = box_share(fleet, service, now)
     own = sum(row.inflight for row in rows)
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -154,8 +154,10 @@
             rows,
             usual_work_ms(core.fleet, state.admitted.route),
             core.clock.now(),
-            free_slots_only=turned_away
-            or is_over_share(core.fleet, state.service, state.org, core.clock.now()),
+            free_slots_only=turned_away,
+            over_share=is_over_share(
+                core.fleet, state.service, state.org, core.clock.now()
+            ),
         )
 
     def _candidates(self, state: CatalogRequest) -> list[WorkerRow]:
--- a/tests/test_favoured_box.py
+++ b/tests/test_favoured_box.py
@@ -29,6 +29,13 @@
 from spanshunt.systems.arrivals import record_request
 from spanshunt.systems.busy_boxes import busy_to_send
 from spanshunt.systems.busy_boxes import merge_busy_box
+from spanshunt.systems.demand import Demand
+from spanshunt.systems.demand import apply_answered_demands
+from spanshunt.systems.demand import apply_called_demands
+from spanshunt.systems.demand import demands_to_send
+from spanshunt.systems.demand import record_arrival
+from spanshunt.systems.demand import service_demands
+from spanshunt.systems.sharing import _paces
 from spanshunt.systems.worker_room import find_room
 from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.catalog import ServiceRow
@@ -183,6 +190,28 @@
     assert not find_room(fleet, rows, WORK_MS, ms(103), free_slots_only=True).has_room
 
 
+def test_demand_of_all_is_not_taken_for_more_than_comes_at_the_favoured_box():
+    """Guards against shares in force without need: the favoured box took the demand for
+    up to twice what came, so its requests found free slots only."""
+    fleets = _boxes()
+    for step in range(240):
+        at = ms(100 + step / 40)
+        where = fleets[0 if step % 10 else step // 10 % BOXES]
+        record_request(where, WEB, at)
+        record_arrival(where, WEB, MUSEO, 100.0, at)
+        if step % 16 == 0:
+            _gossip(fleets, 100 + step / 40)
+        for number, fleet in enumerate(fleets if step % 16 == 0 else ()):
+            peer = fleets[(number + 1 + step // 16 % (BOXES - 1)) % BOXES]
+            called = demands_to_send(fleet, {WEB}, at)
+            apply_answered_demands(
+                fleet, called, apply_called_demands(peer, called, at), at
+            )
+    found = service_demands(fleets[0], WEB, ms(106))[MUSEO]
+    assert found.own_per_s <= found.total_per_s <= 1.3 * 4.0
+    assert found.own_per_s >= 0.7 * found.total_per_s
+
+
 def test_share_of_the_favoured_box_has_risen_when_the_favour_must_be_met():
     """Guards against requests counted twice: a box that began to state its rate took
     those that it had added to the mean before for requests of others."""
@@ -194,3 +223,12 @@
             _gossip(fleets, at)
     _favour(fleets, 0, 100, 103)
     assert _shares(fleets, 103)[0] >= SERVED_PART * FAVOURED_SHARE
+
+
+def test_paces_of_the_favoured_box_reach_its_part_of_the_room():
+    """Guards against a bound on paces by the number of boxes alone: of many boxes, the
+    one that got most requests gave out little of the room."""
+    demands = {MUSEO: Demand(20.0, 18.0)}
+    paces = _paces(10.0, 0.9, 61, demands, {MUSEO: 10.0})
+    assert paces[MUSEO] == pytest.approx(9.0)
+    assert _paces(10.0, 1 / 61, 61, demands, {MUSEO: 10.0})[MUSEO] < 1.0
