--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -61,6 +61,9 @@
 from .bounds import repeat_bounds
 from .bounds import set_tables
 from .box_list import BoxList
+from .caller_listener import BACKLOG
+from .caller_listener import CallerListener
+from .caller_listener import listen
 from .front import Front
 from .kept_back import KeptBackRecords
 from .operator_records import OperatorRecords
@@ -165,7 +168,7 @@
         self.histograms = Histograms()
         self._background = Background(self._on_broken, phase=random.random())
         self._runners: list[web.ServerRunner] = []
-        self._sites: list[web.BaseSite] = []
+        self._listener: CallerListener | None = None
         self._store = StoreClient(
             settings.store.address,
             settings.store.timeout_ms,
@@ -252,8 +255,7 @@
         await self._server.start(host, int(port))
         self._start_jobs()
         await self._await_catalog()
-        front = await self._serve(self._front.server, listen.callers, self._callers)
-        self._sites.append(front)
+        await self._serve_callers()
         log_event(
             "INFO",
             "started",
@@ -330,8 +332,8 @@
         Returns when none is left, or at `last`, in ms. A request that was read counts
         before its handler begins.
         """
-        for site in self._sites:
-            await site.stop()
+        if self._listener is not None:
+            self._listener.stop()
         while True:
             self._front.end_idle_connections()
             busy = self._front.server.connections or self.fleet.gateway_sends
@@ -341,6 +343,8 @@
 
     async def close(self) -> None:
         """Let go of everything at once."""
+        if self._listener is not None:
+            self._listener.stop()
         await self._background.stop()
         for runner in self._runners:
             await runner.cleanup()
@@ -415,20 +419,24 @@
     async def _sweep(self) -> None:
         forget_old(self.fleet, self.clock.now())
 
-    async def _serve(
-        self, server: web.Server, address: str, sock: socket.socket | None = None
-    ) -> web.BaseSite:
+    async def _serve_callers(self) -> None:
+        """Begin to accept callers' connections."""
+        server = self._front.server
+        await self._set_up(server)
+        sock = self._callers or listen(self.settings.listen.callers)
+        self._listener = CallerListener(sock, server, lambda: True)
+        self._listener.start()
+
+    async def _serve(self, server: web.Server, address: str) -> None:
+        runner = await self._set_up(server)
+        host, _, port = address.rpartition(":")
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
+
+    async def _set_up(self, server: web.Server) -> web.ServerRunner:
         runner = web.ServerRunner(server, shutdown_timeout=0.2)
         await runner.setup()
         self._runners.append(runner)
-        site: web.BaseSite
-        if sock is not None:
-            site = web.SockSite(runner, sock)
-        else:
-            host, _, port = address.rpartition(":")
-            site = web.TCPSite(runner, host, int(port), backlog=1024)
-        await site.start()
-        return site
+        return runner
 
     async def _answer_ready(self, req: web.BaseRequest) -> web.StreamResponse:
         reason = self.why_not_ready()
