--- a/bench/favoured_load.py
+++ b/bench/favoured_load.py
@@ -107,6 +107,10 @@
     "prompts": Case(60.0, workers=12, slots=12, prompts=True),
     "prompts-half": Case(110.0, workers=12, slots=12, prompts=True, cpu_part=0.5),
     "prompts-quarter": Case(140.0, workers=24, slots=12, prompts=True, cpu_part=0.25),
+    "prompts-sixth": Case(140.0, workers=24, slots=12, prompts=True, cpu_part=0.16),
+    "prompts-sixth-24": Case(
+        140.0, boxes=24, workers=24, slots=12, prompts=True, cpu_part=0.16
+    ),
 }
 
 
--- a/src/spanshunt/background.py
+++ b/src/spanshunt/background.py
@@ -27,6 +27,11 @@
     phase : float
         That moment, in s of the loop's time; it should differ from box to box, so that
         not all of them act at once.
+
+    Attributes
+    ----------
+    late_s : float
+        How late the job that runs now was begun, in s; to be read as it begins.
     """
 
     def __init__(
@@ -35,14 +40,19 @@
         self._on_broken = on_broken
         self._phase = phase
         self._tasks: list[asyncio.Task[None]] = []
+        self.late_s = 0.0
 
     def every(self, period_ms: int, job: Job) -> None:
         """Run `job` now, and whenever a multiple of `period_ms` comes after its end."""
 
         async def run() -> None:
+            loop = asyncio.get_running_loop()
             while True:
                 await self._turn(job)
-                await asyncio.sleep(self._until_next(period_ms / 1_000))
+                pause = self._until_next(period_ms / 1_000)
+                due = loop.time() + pause
+                await asyncio.sleep(pause)
+                self.late_s = max(0.0, loop.time() - due)
 
         self._tasks.append(asyncio.create_task(run()))
 
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -35,6 +35,7 @@
 from ..tables.catalog import CallerLimits
 from ..tables.engines import PromptPart
 from . import wire
+from .caller_server import CallerServer
 
 DEADLINE_MS = 60_000
 """How long a request may take whose caller names no deadline, in ms."""
@@ -121,8 +122,12 @@
             if waiter is not None and not waiter.done():
                 connection.force_close()
 
-    def _make_server(self) -> web.Server:
-        return web.Server(
+    def _make_server(self) -> CallerServer:
+        core = self._core
+        return CallerServer(
+            core.fleet,
+            core.clock,
+            core.count,
             self._handle,
             request_factory=self._make_request,
             handler_cancellation=True,
@@ -156,6 +161,7 @@
         )
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.server.record_read(req.protocol)
         reply = CallerReply(req, self._core)
         held = self.keeper.open(RequestId(req.headers.get(wire.REQUEST_ID, "")))
         reply.held = held
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -35,6 +35,7 @@
 from ..logs import LineQueue
 from ..logs import log_event
 from ..logs import send_logs
+from ..overload_lines import overload_lines
 from ..partition_lines import partition_lines
 from ..peers.codec import MsgpackCodec
 from ..peers.gateways import GatewayService
@@ -110,6 +111,9 @@
 PARTITION_LOOK_MS = 50
 """Period of looking whether a partitioned box is due to probe a worker, in ms."""
 
+TIMER_LOOK_MS = 50
+"""Period of looking how late timers are, in ms."""
+
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
 
@@ -291,6 +295,7 @@
         jobs.every(JUDGE_MS, self._recorder.tick)
         jobs.every(RECORD_MS, self._kept_back.tick)
         jobs.every(WAKES_MS, self._look)
+        jobs.every(TIMER_LOOK_MS, self._look_at_timer)
         jobs.every(PARTITION_LOOK_MS, self._sender.look)
         jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
@@ -397,6 +402,9 @@
     async def _look(self) -> None:
         self._wakes.look()
 
+    async def _look_at_timer(self) -> None:
+        self._front.server.look(self._background.late_s)
+
     async def _share(self) -> None:
         events = update_shares(self.fleet, self.clock.now())
         log_share_events(events, self.counters.add)
@@ -424,7 +432,7 @@
         server = self._front.server
         await self._set_up(server)
         sock = self._callers or listen(self.settings.listen.callers)
-        self._listener = CallerListener(sock, server, lambda: True)
+        self._listener = CallerListener(sock, server, server.may_take)
         self._listener.start()
 
     async def _serve(self, server: web.Server, address: str) -> None:
@@ -453,7 +461,7 @@
         page = metrics_page(self.counters, self.histograms)
         page += settings_lines(self.fleet, now) + worker_speed_lines(self.fleet, now)
         page += waiting_lines(self.fleet) + share_lines(self.fleet)
-        page += partition_lines(self.fleet)
+        page += partition_lines(self.fleet) + overload_lines(self.fleet)
         page += arrival_lines(self.fleet, self.clock.now())
         return web.Response(text=page + held_lines(self.fleet))
 
--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -25,6 +25,7 @@
 from ..tables.partition import UnreachedWorker
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
+from .shedding import is_overloaded
 
 MAX_PROBED = 3
 """Number of other workers that are probed after a failed connection. If a third of all
@@ -247,9 +248,12 @@
 def gateway_room(fleet: Fleet) -> int:
     """Return how many more requests without a long body this box would send for peers.
 
-    A box that stops, that is partitioned itself or that knows no workers sends none.
+    A box that stops, that is partitioned itself, that has more work than it can carry
+    or that knows no workers sends none.
     """
-    if fleet.stopping or is_partitioned(fleet) or not fleet.workers.rows:
+    if fleet.stopping or is_partitioned(fleet) or is_overloaded(fleet.overload):
+        return 0
+    if not fleet.workers.rows:
         return 0
     return max(0, (_max_sends_bytes(fleet) - fleet.gateway_bytes) // SEND_BYTES)
 
--- a/src/spanshunt/tables/fleet.py
+++ b/src/spanshunt/tables/fleet.py
@@ -31,6 +31,7 @@
 from .holdings import BoxLimits
 from .holdings import ByteAccount
 from .identity import Identity
+from .overload import Overload
 from .partition import Partition
 from .rates import BusyBox
 from .rates import MeanRate
@@ -396,6 +397,8 @@
         those that got a place of their own.
     byte_account : ByteAccount
         Bytes that this box holds for requests in progress.
+    overload : Overload
+        How far this box's processor is behind, and the limit that follows.
     limits : BoxLimits
         Resources of this box, from the settings.
     store : StoreHealth
@@ -458,6 +461,7 @@
     short_services: frozenset[ServiceId] = frozenset()
     returns_spread: int = 0
     byte_account: ByteAccount = msgspec.field(default_factory=ByteAccount)
+    overload: Overload = msgspec.field(default_factory=Overload)
     limits: BoxLimits = BoxLimits()
     store: StoreHealth = msgspec.field(default_factory=StoreHealth)
     wake_hold_until: Millis = Millis(0)
