--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -50,6 +50,7 @@
 from .systems.partitions import record_unreached
 from .systems.partitions import worker_to_probe
 from .systems.partitions import workers_to_probe
+from .systems.shedding import is_behind
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
 from .tables.workers import WorkerRow
@@ -304,7 +305,7 @@
     ) -> asyncio.Task[bool] | None:
         """Ask other workers for their health in the background, if that is due."""
         fleet = self._fleet
-        if is_partitioned(fleet):
+        if is_partitioned(fleet) or is_behind(fleet.overload):
             return None
         if not record_unanswered(fleet, worker, began, over_new=over_new):
             return None
@@ -338,7 +339,7 @@
         fleet = self._fleet
         if is_partitioned(fleet):
             return True
-        if has_connected_since(fleet, began):
+        if has_connected_since(fleet, began) or is_behind(fleet.overload):
             return False
         record_unreached(fleet, worker, self._clock.now())
         if not has_gateway(fleet, self._clock.now()):
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -146,6 +146,17 @@
             assert not is_partitioned(box.node.fleet)
             assert not by_sender(box, "partitions")
 
+    async def test_box_whose_processor_is_behind_is_not_partitioned(self):
+        """Guards against a busy box that takes its own time-outs for lost workers."""
+        async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
+            box = fleet.boxes[0]
+            await acquainted(fleet)
+            overload = box.node.fleet.overload
+            overload.limit, overload.closed_at = 1_000, box.node.clock.now()
+            WorkerCut(box, refused=True, open_ones=OpenConnections.RESET).begin()
+            await ask_each_kind(fleet, box, 4)
+            assert not is_partitioned(box.node.fleet)
+
     async def test_cut_speaks_against_no_worker(self):
         """Guards against workers ejected, cold or ended by a box's own partition."""
         async with running_fleet(boxes=3, domains=DOMAINS) as fleet:
