--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -7,6 +7,7 @@
 from .catalog_state import CatalogRequest
 from .catalog_state import Core
 from .events import EventSplitter
+from .forwarding import may_attempt_again
 from .logs import log_event
 from .planning import escalation_prospect
 from .ports import Answer
@@ -45,6 +46,8 @@
     service = catalog.services.get(attempt.service) if catalog else None
     if service is None or state.runs + _reserved_attempts(state) >= route.max_attempts:
         return False
+    if not may_attempt_again(state, core.clock.now()):
+        return False
     prospect = escalation_prospect(core, state, service)
     required = required_probability(core.fleet, route, service, call.tokens, prospect)
     affordable = budget_allows(core, state, for_escalation=True)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -322,6 +322,25 @@
                 await fleet.ask(box, "/long/", Attempt_Id="uncut")
             assert _run_count(fleet, "uncut") == 1
 
+    async def test_unsure_answer_that_may_run_once_goes_to_its_caller(self):
+        """Guards against an escalation that runs such a request again: the check that
+        it is sent once ended the box, with all that it had under way."""
+        async with running_fleet() as fleet:
+            routes = [{**route, "StreamResume": False} for route in config()["Routes"]]
+            await fleet.configure(config(8, Routes=routes))
+            box = fleet.boxes[0]
+            await until(lambda: box.node.fleet.catalog.version == 8, "version 8")
+            for worker in fleet.workers.values():
+                worker.sureness = {"small": 2, "large": 90}
+            for number in range(6):
+                name = f"once-{number}"
+                reply = await fleet.ask(
+                    box, "/long/", Attempt_Id=name, Token_Counts="4000,10"
+                )
+                assert _event_ids(reply.body) == [1, 2, 3, 4]
+                assert _run_count(fleet, name) == 1
+            assert not box.node.broken
+
     async def test_unsure_answer_is_escalated_to_largest_model(self):
         async with running_fleet() as fleet:
             for worker in fleet.workers.values():
