--- a/src/spanshunt/callers.py
+++ b/src/spanshunt/callers.py
@@ -17,7 +17,10 @@
 from .admission import read_chat
 from .admission import read_timeout
 from .api_replies import ApiReply
+from .broken_requests import end_broken_request
+from .broken_requests import log_request_invariant
 from .exceptions import InvariantError
+from .exceptions import RequestInvariantError
 from .ids import Micros
 from .ids import Millis
 from .ids import OrgId
@@ -179,6 +182,9 @@
             return self._refuse(admitted.err_value, request)
         try:
             await answer
+        except RequestInvariantError as exc:
+            log_request_invariant(exc, request, router.metrics.count)
+            await end_broken_request(reply)
         except InvariantError as exc:
             router.on_broken(exc)
             raise
--- a/src/spanshunt/exceptions.py
+++ b/src/spanshunt/exceptions.py
@@ -32,6 +32,9 @@
 class InvariantError(SpanshuntError):
     """A promise of the program was about to be broken; the process must stop.
 
+    Where only one request is concerned, it is a `RequestInvariantError`, which ends
+    that request: to stop the process would cut all the others.
+
     Parameters
     ----------
     promise : str
@@ -46,6 +49,10 @@
         self.detail = detail
 
 
+class RequestInvariantError(InvariantError):
+    """A promise to one caller was about to be broken; only its request must end."""
+
+
 class InvalidInputError(SpanshuntError):
     """A document from outside that does not fit its schema.
 
--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -14,12 +14,15 @@
 from result import Ok
 from result import Result
 
+from ..broken_requests import end_broken_request
+from ..broken_requests import log_request_invariant
 from ..byte_keeper import ByteKeeper
 from ..byte_keeper import HeldRequest
 from ..catalog_calls import answer_request
 from ..catalog_calls import catalog_steps
 from ..catalog_state import Core
 from ..exceptions import InvariantError
+from ..exceptions import RequestInvariantError
 from ..forwarding import stop_request
 from ..http_replies import HttpReply
 from ..http_sends import drop_headers
@@ -197,9 +200,15 @@
             await self._answer_call(read.ok_value, reply)
 
     async def _answer_call(self, call: Call, reply: CallerReply) -> None:
-        """Answer; a broken invariant is told to the process, which stops."""
+        """Answer. A broken invariant ends the request, or the process if it is shared.
+
+        The process is told, and stops.
+        """
         try:
             await answer_request(self._core, self._steps, call, reply)
+        except RequestInvariantError as exc:
+            log_request_invariant(exc, call.request, self._core.count)
+            await end_broken_request(reply)
         except InvariantError as exc:
             reply.abort()
             self._on_broken(exc)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,6 +15,7 @@
 from fleet_builders import without_key
 from spanshunt.ids import WorkerId
 from spanshunt.standins.worker_faults import WorkerFault
+from spanshunt.systems.invariants import check_single_send
 from spanshunt.systems.repeats import RepeatBounds
 
 
@@ -341,6 +342,28 @@
                 assert _run_count(fleet, name) == 1
             assert not box.node.broken
 
+    async def test_broken_invariant_of_a_request_ends_that_request_alone(
+        self, monkeypatch: pytest.MonkeyPatch
+    ):
+        """Guards against a check of one request that cuts all the others of a box."""
+
+        def check_but_one(sends: int, request: str) -> None:
+            check_single_send(int(request == "bad"), request)
+
+        async with running_fleet() as fleet:
+            box = fleet.boxes[0]
+            monkeypatch.setattr("spanshunt.forwarding.check_single_send", check_but_one)
+            for worker in fleet.workers.values():
+                worker.holds = lambda _request: 0.3
+            beside = asyncio.create_task(fleet.ask(box, "/view/", Attempt_Id="beside"))
+            await asyncio.sleep(0.1)
+            bad = await fleet.ask(box, "/view/", Attempt_Id="bad")
+            assert bad.status == 502
+            assert not _run_count(fleet, "bad")
+            assert (await beside).status == 200
+            assert not box.node.broken
+            assert box.node.counters.value("request_invariants_broken") == 1
+
     async def test_unsure_answer_is_escalated_to_largest_model(self):
         async with running_fleet() as fleet:
             for worker in fleet.workers.values():
