--- a/src/spanshunt/systems/shedding.py
+++ b/src/spanshunt/systems/shedding.py
@@ -26,6 +26,10 @@
 """Timers in a row that must be late, or on time, for the limit to change: a single
 long turn, such as the reading of a large catalog, is none."""
 
+BEHIND_LOOKS = 3
+"""Timers in a row that must be late for the box to be behind: one alone is late on any
+machine now and then."""
+
 FIRST_PART, LATER_PART = 0.5, 0.8
 """Limit as a part of the requests that are open when it begins, and when it falls. The
 first one is low, as requests of some seconds have piled up by then."""
@@ -141,7 +145,7 @@
 
     A connection that does not come up in time then tells nothing of its other end.
     """
-    return overload.late_looks > 0 or is_overloaded(overload)
+    return overload.late_looks >= BEHIND_LOOKS or is_overloaded(overload)
 
 
 def is_overloaded(overload: Overload) -> bool:
