--- a/src/spanshunt/events.py
+++ b/src/spanshunt/events.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
+from .ports import BrokenAnswerError
+from .sse import MAX_EVENT_BYTES
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_END_BYTES = 3
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d+)", re.MULTILINE)
 
 
@@ -35,12 +39,19 @@
         return self._partial
 
     def feed(self, block: bytes) -> Events:
-        """Return the events that `block` completes."""
+        """Return the events that `block` completes.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If the event that follows them is too long.
+        """
+        searched = max(0, len(self._partial) - _END_BYTES)
         data = self._partial + block
         events: list[bytes] = []
         start = 0
         last_id: int | None = None
-        for match in _EVENT_END.finditer(data):
+        for match in _EVENT_END.finditer(data, searched):
             event = data[start : match.end()]
             start = match.end()
             event_id = _event_id(event)
@@ -50,6 +61,8 @@
                 last_id = event_id
             events.append(event)
         self._partial = data[start:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise BrokenAnswerError(f"event: over {MAX_EVENT_BYTES} bytes")
         return Events(b"".join(events), last_id, len(events))
 
 
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -13,6 +13,7 @@
 
 from .resets import reset
 from .slots import WorkerSlots
+from .worker_faults import ENDLESS
 from .worker_faults import StreamEnding
 from .worker_faults import WorkerFault
 
@@ -22,6 +23,9 @@
 PAUSE_S = 1.6
 """How long a stream is silent that goes on by itself, in s."""
 
+ENDLESS_BLOCK, ENDLESS_MOST = 4_096, 256 * 1_048_576
+"""Bytes that an answer without end writes at a time, and at the most."""
+
 CUT_AFTER = 2
 """Events after which a stream is cut by the faults that cut one."""
 
@@ -61,6 +65,9 @@
     ``counts_answered``. With
     ``brittle_per_s`` it says so, and ends once it turned more requests away in a
     second for want of room; ``falls`` counts that.
+    ``endless_health`` is the fault of its health answers, if they have one;
+    ``endless_bytes`` tells how much of each answer without end was written,
+    ``endless_open`` how many are under way.
     ``event_bytes`` is the least length of an event's data, ``whole_bytes`` that of a
     plain answer.
 
@@ -92,6 +99,9 @@
         self.brittle_per_s = 0.0
         self.falls = 0
         self.turned_away: list[float] = []
+        self.endless_health: WorkerFault | None = None
+        self.endless_bytes: list[int] = []
+        self.endless_open = 0
         self.unframed = False
         self.stream_ending = StreamEnding.WHOLE
         self.broken_streams_left = -1
@@ -156,6 +166,10 @@
             owes = used = False
             while (seen := await _read_request(reader)) is not None:
                 if seen.target == HEALTH_PATH:
+                    if self.endless_health is not None:
+                        fault = self.endless_health
+                        await self._write_without_end("", writer, fault)
+                        break
                     writer.write(_health_head(self.name))
                     continue
                 self.seen.append(seen)
@@ -194,6 +208,10 @@
         expected = seen.headers.get("expect-instance", self.name)
         if fault is WorkerFault.DROP:
             return False
+        if fault in ENDLESS:
+            self.ran.append(seen.request)
+            await self._write_without_end(seen.request, writer, fault)
+            return False
         if expected != self.name or fault is WorkerFault.REPLACED:
             writer.write(self._head(421, seen.request, length=0, sealed=False))
             await writer.drain()
@@ -365,6 +383,34 @@
                 return False
         return False
 
+    async def _write_without_end(
+        self, request: str, writer: asyncio.StreamWriter, fault: WorkerFault
+    ) -> None:
+        """Write bytes that are no answer until the box closes, or to a bound."""
+        extra = {"Content-Type": "text/event-stream"}
+        if fault is WorkerFault.ENDLESS_CHUNKS:
+            extra["Transfer-Encoding"] = "chunked"
+        head = self._head(200, request, None, sealed=True, extra=extra)
+        block = b"x" * ENDLESS_BLOCK
+        if fault is WorkerFault.ENDLESS_HEAD:
+            head, block = head[:-2], b"X-More: x\r\n" * (ENDLESS_BLOCK // 11)
+        elif fault is WorkerFault.ENDLESS_LINE:
+            head = head[:-2] + b"X-Long: "
+        elif fault is WorkerFault.ENDLESS_CHUNKS:
+            block = _chunk(block)
+        written = 0
+        self.endless_open += 1
+        try:
+            writer.write(head)
+            while written < ENDLESS_MOST:
+                writer.write(block)
+                await writer.drain()
+                written += len(block)
+                await asyncio.sleep(0)
+        finally:
+            self.endless_bytes.append(written)
+            self.endless_open -= 1
+
     def _take_ending(self) -> StreamEnding:
         if self.stream_ending is StreamEnding.WHOLE or not self.broken_streams_left:
             return StreamEnding.WHOLE
--- a/src/spanshunt/standins/worker_faults.py
+++ b/src/spanshunt/standins/worker_faults.py
@@ -14,7 +14,9 @@
     second answer follows the first. ``LATE_EXTRA``: likewise, somewhat later.
     ``FORGET``: a connection that is used again is reset. ``OWED``: a second answer
     follows the first when the next request is read. ``UNSEALED``: the answer lacks its
-    seal. ``DROP``: the connection is closed unread.
+    seal. ``DROP``: the connection is closed unread. ``ENDLESS_HEAD``, ``ENDLESS_LINE``,
+    ``ENDLESS_CHUNKS``, ``ENDLESS_BODY``: headers, one line, chunks or bytes without a
+    length come until the box closes, and are no answer.
     """
 
     NONE = "none"
@@ -33,6 +35,21 @@
     FORGET = "forget"
     UNSEALED = "unsealed"
     DROP = "drop"
+    ENDLESS_HEAD = "endless head"
+    ENDLESS_LINE = "endless line"
+    ENDLESS_CHUNKS = "endless chunks"
+    ENDLESS_BODY = "endless body"
+
+
+ENDLESS = frozenset(
+    {
+        WorkerFault.ENDLESS_HEAD,
+        WorkerFault.ENDLESS_LINE,
+        WorkerFault.ENDLESS_CHUNKS,
+        WorkerFault.ENDLESS_BODY,
+    }
+)
+"""Faults whose bytes come without end."""
 
 
 class StreamEnding(enum.Enum):
