--- a/src/spanshunt/platform/caller_server.py
+++ b/src/spanshunt/platform/caller_server.py
@@ -104,7 +104,8 @@
         self._count(f"connection_limits.{change.value}")
         log_event(
             "INFO" if change is LimitChange.GREW else "WARNING",
-            f"limit on open requests {change.value}",
+            "limit on open requests",
+            change=change.value,
             limit=overload.limit,
             before=before,
             open=open_requests,
