--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -273,6 +273,7 @@
         left_ms=state.limit - core.clock.now(),
         resume_after=state.last_event_id,
         new_connection=state.has_failed_attempt or not state.repeatable,
+        regions=state.admitted.regions,
     )
     worker.prefill_ms += prefill_ms
     worker.upload_bytes += len(state.call.body)
--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -20,6 +20,7 @@
 from .http_sends import HttpSend
 from .ids import BoxId
 from .ids import Millis
+from .ids import RegionId
 from .ids import RequestId
 from .logs import log_event
 from .peers.gateways import ForwardedBlock
@@ -75,6 +76,9 @@
 DirectSend = t.Callable[[HttpSend], t.Awaitable[Sent]]
 """Sends a request by this box's own connections."""
 
+Regions = tuple[frozenset[RegionId], ...]
+"""Sets of allowed regions; an empty one allows any."""
+
 AskHealth = t.Callable[[WorkerRow, str], t.Awaitable[bool]]
 """Asks a worker for its health at a path; returns whether it answered at all."""
 
@@ -192,8 +196,12 @@
         *,
         left_ms: int,
         new_connection: bool,
+        regions: Regions = (),
     ) -> Sent:
-        """Send a request and return the head of its answer, or the fault."""
+        """Send a request and return the head of its answer, or the fault.
+
+        `regions` are the sets of regions in each of which a peer must be.
+        """
         began = self._clock.now()
         if not is_partitioned(self._fleet):
             sent = await self._send_direct(
@@ -221,7 +229,7 @@
             left_ms - spent_ms,
             new_connection,
         )
-        return await self._send_through_gateway(worker, request, message)
+        return await self._send_through_gateway(worker, request, message, regions)
 
     async def _send_direct(
         self,
@@ -378,14 +386,18 @@
         begin_partition(fleet, now, answerless=answerless)
 
     async def _send_through_gateway(
-        self, worker: WorkerRow, request: RequestId, message: ForwardedRequest
+        self,
+        worker: WorkerRow,
+        request: RequestId,
+        message: ForwardedRequest,
+        regions: Regions,
     ) -> Sent:
         """Offer the request to peers until one sends it."""
         tried: set[BoxId] = set()
         detail = "no peer sends for this box"
         while len(tried) < MAX_OFFERS:
             now = self._clock.now()
-            peer = choose_gateway(self._fleet, now, self._rng, tried)
+            peer = choose_gateway(self._fleet, now, self._rng, tried, regions)
             if peer is None:
                 break
             tried.add(peer.box)
@@ -408,6 +420,7 @@
             request=request,
             worker=worker.name,
             tried=sorted(tried),
+            regions=[sorted(allowed) for allowed in regions],
             detail=detail,
         )
         return Err(
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -134,6 +134,7 @@
                 partial(self.send_direct, alone=alone),
                 left_ms=dispatch.left_ms,
                 new_connection=alone,
+                regions=dispatch.regions,
             )
         if isinstance(sent, Err):
             return sent
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -13,6 +13,7 @@
 
 from .ids import ModelId
 from .ids import OrgId
+from .ids import RegionId
 from .ids import RequestId
 from .refusals import Refusal
 from .systems.cascading import RequestTokens
@@ -118,6 +119,9 @@
         it sent this request; None for no event.
     new_connection : bool
         Whether a new connection must be used for the call.
+    regions : tuple of frozenset of str
+        Sets of allowed regions. A box that the call goes through must be in each of
+        them, as the worker is. An empty set allows any region.
     """
 
     call: Call
@@ -128,6 +132,7 @@
     left_ms: int
     resume_after: int | None
     new_connection: bool
+    regions: tuple[frozenset[RegionId], ...] = ()
 
 
 class SendFault(msgspec.Struct, frozen=True):
--- a/src/spanshunt/systems/partitions.py
+++ b/src/spanshunt/systems/partitions.py
@@ -20,11 +20,13 @@
 
 from ..ids import BoxId
 from ..ids import Millis
+from ..ids import RegionId
 from ..tables.fleet import Fleet
 from ..tables.fleet import PeerRow
 from ..tables.partition import UnreachedWorker
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
+from .regions import is_in_regions
 from .shedding import is_overloaded
 
 MAX_PROBED = 3
@@ -214,17 +216,25 @@
 
 
 def choose_gateway(
-    fleet: Fleet, now: Millis, rng: random.Random, tried: t.Collection[BoxId] = ()
+    fleet: Fleet,
+    now: Millis,
+    rng: random.Random,
+    tried: t.Collection[BoxId] = (),
+    regions: t.Collection[frozenset[RegionId]] = (),
 ) -> PeerRow | None:
     """Return a peer to send a request through; None if there is none.
 
     Peers are drawn by the room that they told, less what this box sends through them,
     so that a small box gets less than a large one, and boxes do not all take the same.
+    A peer must be in each of the sets of `regions` that is not empty, as the request
+    with its body goes through it.
     """
     rows = [
         row
         for row in fleet.peers.values()
-        if row.box not in tried and _room_at(row, now) > 0
+        if row.box not in tried
+        and _room_at(row, now) > 0
+        and is_in_regions(fleet, row.domain, regions)
     ]
     if not rows:
         return None
--- a/src/spanshunt/systems/placing.py
+++ b/src/spanshunt/systems/placing.py
@@ -46,6 +46,7 @@
 from .keeping import part_key
 from .outages import has_outage
 from .ramping import VersionRule
+from .regions import is_in_regions
 from .resting import rest_left_ms
 from .throttling import grant_wait_ms
 from .throttling import is_limited
@@ -422,38 +423,20 @@
     """
     leaving = fleet.workers.leaving
     emptied = evacuated_domains(fleet)
-    bounds = [allowed for allowed in request.regions if allowed]
+    regions = request.regions
 
     def takes_work(row: WorkerRow) -> bool:
         if row.name in leaving or row.state is WorkerState.LEAVING:
             return False
         if row.domain in emptied:
             return False
-        if bounds and not _is_in_regions(fleet, row, bounds):
+        if not is_in_regions(fleet, row.domain, regions):
             return False
         return row.cold_until <= now or may_send_to(fleet, row, now)
 
     return takes_work
 
 
-def _is_in_regions(
-    fleet: Fleet, row: WorkerRow, bounds: t.Iterable[frozenset[RegionId]]
-) -> bool:
-    """Return whether a worker is in each set of regions; an unknown region is in
-    none.
-    """
-    region = fleet.regions.get(row.domain)
-    return all(region in allowed for allowed in bounds)
-
-
-def may_share_region(
-    first: t.Iterable[frozenset[RegionId]], second: t.Iterable[frozenset[RegionId]]
-) -> bool:
-    """Return whether requests with these sets of allowed regions may go to the same."""
-    bounds = [allowed for allowed in (*first, *second) if allowed]
-    return not bounds or bool(frozenset.intersection(*bounds))
-
-
 def batch_load(row: WorkerRow, now: Millis) -> float:
     """Return a worker's load as a fraction of its batch.
 
--- a/src/spanshunt/waiting_room.py
+++ b/src/spanshunt/waiting_room.py
@@ -28,7 +28,6 @@
 from .refusals import Run
 from .share_lines import share_fields
 from .systems.arrivals import box_share
-from .systems.placing import may_share_region
 from .systems.queueing import WAITER_BYTES
 from .systems.queueing import Admission
 from .systems.queueing import add_waiter
@@ -38,6 +37,7 @@
 from .systems.queueing import latest_start
 from .systems.queueing import must_end_waits
 from .systems.queueing import remove_waiter
+from .systems.regions import may_share_region
 from .systems.sharing import is_over_share
 from .systems.sharing import waiters_in_order
 from .systems.work_times import usual_work_ms
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -19,6 +19,7 @@
 from fleet_builders import until
 from spanshunt.ids import BoxId
 from spanshunt.ids import DomainId
+from spanshunt.ids import RegionId
 from spanshunt.ids import WorkerId
 from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.partitions import DEFAULT_SENDS_BYTES
@@ -434,6 +435,25 @@
         assert choose_gateway(fleet, ms(1.2), rng) is full
         assert choose_gateway(fleet, ms(3), rng) is None
 
+    def test_gateways_are_in_the_regions_of_the_request(self):
+        """Guards against bodies that cross regions by a peer: the worker's region was
+        looked at, that of the box on the way was not."""
+        fleet = fleet_with_workers()
+        fleet.regions = {
+            DomainId("north"): RegionId("here"),
+            DomainId("south"): RegionId("abroad"),
+        }
+        add_peer(fleet, "far", 50, "south")
+        add_peer(fleet, "unknown", 50, "elsewhere")
+        here, anywhere = frozenset({RegionId("here")}), frozenset[RegionId]()
+        rng = random.Random(1)
+        assert choose_gateway(fleet, ms(1.2), rng, regions=(anywhere, here)) is None
+        near = add_peer(fleet, "near", 1, "north")
+        for _ in range(50):
+            chosen = choose_gateway(fleet, ms(1.2), rng, regions=(anywhere, here))
+            assert chosen is near
+        assert choose_gateway(fleet, ms(1.2), rng, regions=(anywhere,)) is not None
+
     @pytest.mark.parametrize("memory_mb", [0, 64, 150, 300])
     def test_room_is_bounded_by_memory(self, memory_mb):
         fleet = fleet_with_workers()
