--- a/src/spanshunt/platform/record_taking.py
+++ b/src/spanshunt/platform/record_taking.py
@@ -14,6 +14,7 @@
 from ..logs import log_event
 from ..platform_lines import log_evacuation
 from ..rollout_lines import log_order
+from ..rollout_lines import log_repeated_order
 from ..systems.evacuating import apply_evacuation
 from ..systems.evacuating import revoke_unlisted
 from ..systems.quarantining import release_suspect
@@ -87,6 +88,8 @@
         order = decoded.ok_value
         service = ServiceId(order.backend)
         now = self._reader.now()
+        known = self._fleet.rollouts.rows.get(service)
+        newest = known.newest_order if known is not None else None
         new = apply_order(
             self._fleet,
             service,
@@ -96,5 +99,8 @@
             now,
             seen=seen,
         )
+        row = self._fleet.rollouts.rows[service]
         if new:
-            log_order(self._fleet.rollouts.rows[service], now, "store")
+            log_order(row, now, "store")
+        elif row.newest_order != newest:
+            log_repeated_order(row, offset)
--- a/src/spanshunt/rollout_lines.py
+++ b/src/spanshunt/rollout_lines.py
@@ -3,6 +3,7 @@
 import math
 
 from .ids import Millis
+from .ids import Offset
 from .logs import log_event
 from .systems.blaming import EvidenceSummary
 from .tables.rollouts import RolloutRow
@@ -23,6 +24,20 @@
     )
 
 
+def log_repeated_order(row: RolloutRow, order: Offset) -> None:
+    """Log that an order was taken for the known one, which it repeats."""
+    log_event(
+        "INFO",
+        "order repeated",
+        service=row.service,
+        version=row.version,
+        order=order,
+        taken_for=row.order,
+        verdict=row.verdict.value,
+        duration_ms=row.duration_ms,
+    )
+
+
 def log_verdict(row: RolloutRow, source: str) -> None:
     """Log what this box believes of a roll-out from now on."""
     log_event(
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -204,20 +204,27 @@
     duration_ms: Millis,
     order: Offset,
 ) -> bool:
-    """Return whether an order is the known one, possibly written again after a restore.
+    """Return whether an order is the known one, possibly written again.
+
+    An operator's tool repeats a write without an answer, which may have been done or be
+    done later. So an order of the same content is the known one, whether that runs or
+    has succeeded; only after a roll-back it is a new one.
 
     The order keeps the offset at which it was first known, since sessions are selected
     by a hash of that offset. A restore of the store from a copy begins an era, in which
     offsets go back and are assigned again. An order that began less than
     `MAX_COPY_AGE_MS` before the restore may be missing from the copy; operators' tools
     then write it again, at another offset. An older order is in every copy and keeps
-    its offset, so an order of the same content at another offset is a different one.
+    its offset, so after a restore an order of the same content at another offset is a
+    different one.
     """
     if order in (known.order, known.newest_order):
         return True
     is_same_content = version == known.version and duration_ms == known.duration_ms
-    if not is_same_content or era_of(order) == era_of(known.newest_order):
+    if not is_same_content:
         return False
+    if era_of(order) == era_of(known.newest_order):
+        return known.verdict is not Verdict.ROLLED_BACK
     oldest = fleet.store.era_began - MAX_COPY_AGE_MS
     return has_same_store_offset(order, known.newest_order) or known.began >= oldest
 
