--- a/src/spanshunt/gateway_sends.py
+++ b/src/spanshunt/gateway_sends.py
@@ -10,31 +10,28 @@
 import typing as t
 from functools import partial
 
-import aiohttp
-from multidict import CIMultiDict
 from result import Err
 from result import Ok
 from result import Result
 
 from .clock import Clock
+from .forwarded_answers import ForwardedResponse
+from .forwarded_answers import describe_head
+from .forwarded_answers import to_send_fault
 from .http_sends import HttpSend
 from .ids import BoxId
 from .ids import Millis
 from .ids import RegionId
 from .ids import RequestId
 from .logs import log_event
-from .peers.gateways import ForwardedBlock
-from .peers.gateways import ForwardedEnd
 from .peers.gateways import ForwardedHead
 from .peers.gateways import ForwardedRequest
-from .peers.gateways import ForwardFault
 from .peers.gateways import GatewayClient
 from .peers.gateways import GatewaySend
 from .peers.gateways import OfferFault
 from .peers.gateways import SendOffer
 from .peers.gateways import header_rows
 from .peers.unary import PeerFault
-from .ports import GatewayLostError
 from .ports import SendFault
 from .ports import WorkerResponse
 from .settling import Counter
@@ -86,63 +83,6 @@
 """Builds a request that is sent some ms after it was planned."""
 
 
-class ForwardedResponse:
-    """A worker's answer that a gateway passes on.
-
-    Parameters
-    ----------
-    head : ForwardedHead
-        Its head.
-    send : GatewaySend
-        The stream of the rest.
-    on_end : callable
-        Called once when the gateway is done with the request.
-    on_worker_end : callable
-        Called if the worker ended during the answer.
-    """
-
-    def __init__(
-        self,
-        head: ForwardedHead,
-        send: GatewaySend,
-        on_end: t.Callable[[], None],
-        on_worker_end: t.Callable[[], None],
-    ) -> None:
-        self.status = head.status
-        self.headers = CIMultiDict(head.headers)
-        self.content = self
-        self._send = send
-        self._on_end = on_end
-        self._on_worker_end = on_worker_end
-        self._ended = False
-
-    async def readany(self) -> bytes:
-        """Return the next bytes; empty at the end."""
-        if self._ended:
-            return b""
-        got = await self._send.get()
-        if isinstance(got, Err):
-            self.close()
-            raise GatewayLostError(f"body: {got.err_value.detail}")
-        message = got.ok_value
-        if isinstance(message, ForwardedBlock):
-            return message.data
-        self.close()
-        if isinstance(message, ForwardedEnd) and not message.broken:
-            return b""
-        if isinstance(message, ForwardedEnd) and message.worker_ended:
-            self._on_worker_end()
-        detail = message.broken if isinstance(message, ForwardedEnd) else "no end"
-        raise aiohttp.ClientPayloadError(detail)
-
-    def close(self) -> None:
-        """End the request, cancelling it at the worker if it is not fully read."""
-        if not self._ended:
-            self._ended = True
-            self._send.close()
-            self._on_end()
-
-
 class WorkerSender:
     """Sends requests to workers, and finds out whether this box reaches any.
 
@@ -472,7 +412,7 @@
             gateway=peer.box,
             head_ms=self._clock.now() - began,
             room=peer.gateway_room,
-            outcome=_describe(got),
+            outcome=describe_head(got),
         )
         if isinstance(got, Err):
             peer.gateway_failed_at = self._clock.now()
@@ -481,7 +421,7 @@
         if isinstance(got.ok_value, ForwardedHead):
             told = partial(self._record_told_end, worker)
             return Ok(ForwardedResponse(got.ok_value, send, end, told))
-        send_fault = _to_send_fault(peer, got.ok_value)
+        send_fault = to_send_fault(peer, got.ok_value)
         if send_fault.refused:
             self._record_told_end(worker)
         return Err(send_fault)
@@ -489,24 +429,3 @@
     def _record_told_end(self, worker: WorkerRow) -> None:
         """Record that a gateway found a worker ended."""
         self._fleet.partition.ended[worker.name] = self._clock.now()
-
-
-def _to_send_fault(peer: PeerRow, message: t.Any) -> SendFault:
-    if not isinstance(message, ForwardFault):
-        detail = f"gateway {peer.box} sent {type(message).__name__} for a head"
-        return SendFault(False, detail, blameless=True)
-    return SendFault(
-        message.unreached,
-        f"through {peer.box}: {message.detail}",
-        stale=message.stale,
-        refused=message.refused,
-    )
-
-
-def _describe(got: Result[t.Any, PeerFault]) -> str:
-    if isinstance(got, Err):
-        return got.err_value.detail
-    message = got.ok_value
-    if isinstance(message, ForwardedHead):
-        return f"status {message.status}"
-    return message.detail if isinstance(message, ForwardFault) else "no head"
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -12,7 +12,7 @@
 from result import Result
 from yarl import URL
 
-from ..gateway_sends import ForwardedResponse
+from ..forwarded_answers import ForwardedResponse
 from ..gateway_sends import WorkerSender
 from ..http_sends import HttpAnswer
 from ..http_sends import HttpSend
