--- a/bench/favours.py
+++ b/bench/favours.py
@@ -114,6 +114,7 @@
     play.rate = lambda _at: rate
     if is_plain:
         play.slots = SLOTS
+        play.shares_room = True
     play.favoured = lambda: _favoured_at(play.since())
     for number in range(ENGINES):
         rng = random.Random(play.rng.random())
--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -175,6 +175,7 @@
     def __init__(self, play: "Play", name: str, domain: str, run: int) -> None:
         self.name = name
         self.domain = domain
+        self._shares_room = play.shares_room
         clock = play.clock
         me = Identity(
             BoxId(name), DomainId(domain), f"{name}:1", Incarnation(f"{name}.{run:04d}")
@@ -229,7 +230,8 @@
         self._jobs.every(EXCHANGE_MS, self.exchange.run_round)
         self._jobs.every(JUDGE_MS, self.recorder.tick)
         self._jobs.every(RECORD_MS, self.kept_back.tick)
-        self._jobs.every(SHARES_MS, self._share)
+        if self._shares_room:
+            self._jobs.every(SHARES_MS, self._share)
 
     async def _share(self) -> None:
         update_shares(self.fleet, self.core.clock.now())
@@ -266,7 +268,8 @@
     second come, by the seconds from the order. ``exchanges`` counts calls between
     boxes, by the failure domains of who called and who was called. ``shared_parts``
     draws those of a prompt of a route. ``favoured`` names the box that most callers
-    ask first; empty for none.
+    ask first; empty for none. With ``shares_room`` boxes share out the room of services
+    that are short of it.
     """
 
     rng: random.Random
@@ -293,6 +296,7 @@
     slots: int = 128
     shared_parts: t.Callable[[str], tuple[PromptPart, ...]] = lambda _route: ()
     favoured: t.Callable[[], str] = lambda: ""
+    shares_room: bool = False
 
     def since(self) -> float:
         """Return the seconds from the order, negative before it."""
