--- a/bench/favoured_load.py
+++ b/bench/favoured_load.py
@@ -189,7 +189,9 @@
 
 async def play(case: Case, seed: int, folder: pathlib.Path) -> dict[str, Phase]:
     """Play a case and return what became of the callers before, under and after."""
-    soak = Soak(random.Random(seed), folder, ROOT / "src", slots=case.slots)
+    soak = Soak(
+        random.Random(seed), folder, ROOT / "src", slots=case.slots, cpu_share=1.0
+    )
     await configure(soak)
     for _ in range(case.workers):
         await _add_worker(soak, case)
--- a/bench/soak_fleet.py
+++ b/bench/soak_fleet.py
@@ -170,7 +170,8 @@
     that are ``leaving`` say so in their answers alone. ``harmed`` tells which worker's
     link was, and from when until when, ``lives`` when which worker began another.
     ``undisturbed`` workers are left alone, so that a check has something to see.
-    ``slots`` is what workers' entries say that each runs at once.
+    ``slots`` is what workers' entries say that each runs at once, ``cpu_share`` what
+    boxes' settings tell of their processors (0: nothing).
     """
 
     rng: random.Random
@@ -216,6 +217,7 @@
     lives: list[tuple[str, float]] = field(default_factory=list)
     undisturbed: set[str] = field(default_factory=set)
     slots: int = 8
+    cpu_share: float = 0.0
 
     def now(self) -> float:
         """Return the time, in s."""
@@ -352,6 +354,7 @@
         "store": {"address": link.address, "timeout_ms": 800},
         "seeds": seeds,
         "bounds": {"repeat_ratio": 0.9, "repeat_slack": 60.0},
+        "limits": {"cpu_share": soak.cpu_share},
     }
     path = soak.folder / f"box-{number}.json"
     path.write_text(json.dumps(settings))
--- a/src/spanshunt/platform/caller_server.py
+++ b/src/spanshunt/platform/caller_server.py
@@ -9,12 +9,16 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ..clock import Clock
+from ..ids import Millis
 from ..logs import log_event
 from ..settling import Counter
+from ..systems.shedding import UNREAD_MS
 from ..systems.shedding import LimitChange
 from ..systems.shedding import closed_to_log
+from ..systems.shedding import limits_connections
 from ..systems.shedding import look_at_timer
 from ..systems.shedding import may_take_connection
+from ..systems.shedding import reset
 from ..tables.fleet import Fleet
 
 
@@ -47,12 +51,12 @@
         self._fleet = fleet
         self._clock = clock
         self._count = count
-        self._unread: set[RequestHandler] = set()
+        self._unread: dict[RequestHandler, Millis] = {}
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a connection that was taken."""
         handler = super().__call__()
-        self._unread.add(handler)
+        self._unread[handler] = self._clock.now()
         return handler
 
     def may_take(self) -> bool:
@@ -67,20 +71,24 @@
         self, handler: RequestHandler, exc: BaseException | None = None
     ) -> None:
         """Forget a connection that has ended."""
-        self._unread.discard(handler)
+        self._unread.pop(handler, None)
         super().connection_lost(handler, exc)
 
     def record_read(self, handler: RequestHandler) -> None:
         """Record that the first request of a connection was read."""
-        self._unread.discard(handler)
+        self._unread.pop(handler, None)
 
     def open_requests(self) -> int:
-        """Return how many requests are held, or on connections without one so far."""
+        """Return how many requests are held, or awaited on new connections."""
         return len(self._fleet.byte_account.held) + len(self._unread)
 
     def look(self, late_s: float) -> None:
         """Take in how late a timer was, in s, and log what follows from it."""
         overload, now = self._fleet.overload, self._clock.now()
+        self._expire_unread(now)
+        if not limits_connections(self._fleet.limits):
+            reset(overload)
+            return
         open_requests = self.open_requests()
         before = overload.limit
         change = look_at_timer(overload, 1_000 * late_s, open_requests, now)
@@ -97,6 +105,13 @@
                 late_ms=round(overload.late_ms),
             )
 
+    def _expire_unread(self, now: Millis) -> None:
+        """Count connections without a request no longer than they are awaited."""
+        for handler, since in list(self._unread.items()):
+            if now - since < UNREAD_MS:
+                break
+            del self._unread[handler]
+
     def _log_change(
         self, change: LimitChange, before: int | None, open_requests: int
     ) -> None:
--- a/src/spanshunt/systems/arrivals.py
+++ b/src/spanshunt/systems/arrivals.py
@@ -33,9 +33,9 @@
 EVEN_PART = 0.1
 """Part of the whole that is shared evenly, for boxes that get their first requests."""
 
-FAVOURED_FACTOR = 2.0
-"""A box is favoured if it gets this many times as many requests as others: fewer come
-by chance."""
+FAR_ABOVE_FACTOR = 2.0
+"""Multiple of the mean from which on a box gets far more requests: fewer come by
+chance."""
 
 MAX_ARRIVALS_SENT = 16
 """Maximum number of services in one message, those with most requests first."""
@@ -68,14 +68,14 @@
     return row.own_per_s / total
 
 
-def is_favoured(fleet: Fleet, service: ServiceId, now: Millis) -> bool:
+def is_far_above_mean(fleet: Fleet, service: ServiceId, now: Millis) -> bool:
     """Return whether far more of a service's requests arrive here than elsewhere."""
     row = fleet.arrivals.get(service)
     mean = stated_mean(row, now) if row is not None else None
     if row is None or mean is None:
         return False
     decay_rate(row, now)
-    return row.own_per_s >= FAVOURED_FACTOR * max(MIN_PER_S, mean)
+    return row.own_per_s >= FAR_ABOVE_FACTOR * max(MIN_PER_S, mean)
 
 
 def _total_per_s(fleet: Fleet, service: ServiceId, row: MeanRate, now: Millis) -> float:
--- a/src/spanshunt/systems/demand.py
+++ b/src/spanshunt/systems/demand.py
@@ -13,7 +13,7 @@
 from ..ids import ServiceId
 from ..tables.fleet import Fleet
 from ..tables.waiting import OrgDemand
-from .arrivals import is_favoured
+from .arrivals import is_far_above_mean
 from .arrivals import own_part
 from .averaging import add_to_rate
 from .averaging import apply_answered_means
@@ -70,7 +70,7 @@
 
     The total is never below what arrives at this box alone.
     """
-    part, boxes = _favoured_part(fleet, service, now), box_count(fleet)
+    part, boxes = _part_far_above_mean(fleet, service, now), box_count(fleet)
     return {
         org: _demand(row, boxes, part, now)
         for (name, org), row in fleet.org_demands.items()
@@ -85,7 +85,7 @@
     boxes = box_count(fleet)
     for (service, org), row in fleet.org_demands.items():
         if service not in parts:
-            parts[service] = _favoured_part(fleet, service, now)
+            parts[service] = _part_far_above_mean(fleet, service, now)
         found = _demand(row, boxes, parts[service], now)
         demands.setdefault(service, {})[org] = found
     return demands
@@ -124,18 +124,21 @@
     expire_means(fleet.org_demands, now)
 
 
-def _favoured_part(fleet: Fleet, service: ServiceId, now: Millis) -> float | None:
-    """Return which part of a service's requests this box gets if it is favoured."""
-    if not is_favoured(fleet, service, now):
+def _part_far_above_mean(fleet: Fleet, service: ServiceId, now: Millis) -> float | None:
+    """Return which part of a service's requests this box gets, if that is far above the
+    mean; else None.
+    """
+    if not is_far_above_mean(fleet, service, now):
         return None
     return own_part(fleet, service, now)
 
 
 def _demand(row: OrgDemand, boxes: int, part: float | None, now: Millis) -> Demand:
-    """Return a demand. `part` is which part of all requests a favoured box gets.
+    """Return a demand.
 
-    Its mean is above those of other boxes, so its total is worked out from that part:
-    what favours a box is connections, whoever opens them.
+    `part` is which part of all requests this box gets, if that is far above the mean.
+    Its mean is then above those of other boxes, so the total is worked out from that
+    part: such a box gets more connections, of all organisations alike.
     """
     total = total_rate(row, boxes, now)
     if part is not None:
--- a/src/spanshunt/systems/sharing.py
+++ b/src/spanshunt/systems/sharing.py
@@ -137,8 +137,7 @@
     return [
         service
         for service, demands in all_demands(fleet, now).items()
-        if service in fleet.wait_list.waiters
-        or _total(demands) > SHORT_PART * service_room(fleet, service, now)
+        if _is_short(fleet, service, demands, service_room(fleet, service, now))
     ]
 
 
@@ -148,10 +147,15 @@
     Also records which services are short of room.
     """
     events: list[ShareEvent] = []
-    fleet.short_services = frozenset(services_short_of_room(fleet, now))
+    short = set()
     demands = all_demands(fleet, now)
     for service in demands.keys() | fleet.service_shares.keys():
-        events += _update_service(fleet, service, demands.get(service, {}), now)
+        room = service_room(fleet, service, now)
+        found = demands.get(service, {})
+        if _is_short(fleet, service, found, room):
+            short.add(service)
+        events += _update_service(fleet, service, room, found, now)
+    fleet.short_services = frozenset(short)
     return events
 
 
@@ -259,15 +263,25 @@
     )
 
 
+def _is_short(
+    fleet: Fleet, service: ServiceId, demands: t.Mapping[OrgId, Demand], room: float
+) -> bool:
+    """Return whether requests wait, or the demand nearly exceeds the room."""
+    return service in fleet.wait_list.waiters or _total(demands) > SHORT_PART * room
+
+
 def _total(demands: t.Mapping[OrgId, Demand]) -> float:
     return sum(demand.total_per_s for demand in demands.values())
 
 
 def _update_service(
-    fleet: Fleet, service: ServiceId, demands: t.Mapping[OrgId, Demand], now: Millis
+    fleet: Fleet,
+    service: ServiceId,
+    room: float,
+    demands: t.Mapping[OrgId, Demand],
+    now: Millis,
 ) -> t.Iterator[ShareEvent]:
     """Compute the shares of one service anew."""
-    room = service_room(fleet, service, now)
     limited = limited_shares(room, demands)
     if not limited and service not in fleet.service_shares:
         return
--- a/src/spanshunt/systems/shedding.py
+++ b/src/spanshunt/systems/shedding.py
@@ -11,16 +11,20 @@
 TCP, the limit falls by a factor while timers are late, grows slowly while they are not,
 and is lifted once it is not reached any more. The box stays ready: if it did not, all
 of its callers would move to the next box, and so on.
+
+A box whose settings do not tell its share of a processor closes none: whoever runs it
+may have reasons to let it stand still.
 """
 
 import enum
 
 from ..ids import Millis
+from ..tables.holdings import BoxLimits
 from ..tables.overload import Overload
 
 LATE_MS = 50.0
 """Lateness of a timer from which on it counts as late, in ms. A request takes some ten
-turns of the loop up to its first event, and routes aim at 400 ms and more."""
+turns of the loop up to its first event, so half a second then."""
 
 LOOKS_NEEDED = 6
 """Timers in a row that must be late, or on time, for the limit to change: a single
@@ -54,6 +58,10 @@
 LIFTED_MS = 3_000
 """Time without a closed connection after which the limit is lifted, in ms."""
 
+UNREAD_MS = 1_000
+"""How long a connection without a request counts as an open one, in ms: callers give a
+try up that is not read within that. Later it is an idle one."""
+
 LINE_MS = 1_000
 """Shortest time between two log lines about closed connections, in ms."""
 
@@ -119,6 +127,17 @@
     return LimitChange.GREW
 
 
+def limits_connections(limits: BoxLimits) -> bool:
+    """Return whether the settings ask for it: they tell the processor's share."""
+    return limits.cpu_share > 0.0
+
+
+def reset(overload: Overload) -> None:
+    """Forget all lateness and the limit."""
+    overload.late_looks = overload.calm_looks = 0
+    overload.limit = None
+
+
 def may_take_connection(overload: Overload, open_requests: int, now: Millis) -> bool:
     """Return whether a new connection is taken; if not, it is to be closed unread."""
     if overload.limit is None:
--- a/src/spanshunt/systems/worker_room.py
+++ b/src/spanshunt/systems/worker_room.py
@@ -17,7 +17,7 @@
 from ..tables.fleet import Fleet
 from ..tables.workers import WorkerRow
 from .arrivals import box_share
-from .arrivals import is_favoured
+from .arrivals import is_far_above_mean
 from .brittleness import has_place
 from .brittleness import is_brittle
 from .worker_speed import time_factor
@@ -143,7 +143,7 @@
     service = rows[0].service
     part = box_share(fleet, service, now)
     own = sum(row.inflight for row in rows)
-    has_share = own >= part * sum(bounds) and not is_favoured(fleet, service, now)
+    has_share = own >= part * sum(bounds) and not is_far_above_mean(fleet, service, now)
     half_life_ms = FULL_HALF_LIFE_MS if has_share else SHARE_HALF_LIFE_MS
     full = frozenset(
         row.name
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -153,6 +153,7 @@
             box = fleet.boxes[0]
             await acquainted(fleet)
             overload = box.node.fleet.overload
+            box.node.fleet.limits = BoxLimits(cpu_share=1.0)
             overload.limit, overload.closed_at = 1_000, box.node.clock.now()
             WorkerCut(box, refused=True, open_ones=OpenConnections.RESET).begin()
             await ask_each_kind(fleet, box, 4)
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -3,21 +3,37 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fleet_builders import make_fleet
+from spanshunt.clock import Clock
 from spanshunt.ids import Millis
+from spanshunt.platform.caller_server import CallerServer
 from spanshunt.systems.shedding import LATE_MS
 from spanshunt.systems.shedding import LIFTED_MS
 from spanshunt.systems.shedding import LOOKS_NEEDED
 from spanshunt.systems.shedding import MAX_CLOSED_MS
 from spanshunt.systems.shedding import MIN_LIMIT
+from spanshunt.systems.shedding import UNREAD_MS
 from spanshunt.systems.shedding import LimitChange
 from spanshunt.systems.shedding import is_overloaded
+from spanshunt.systems.shedding import limits_connections
 from spanshunt.systems.shedding import look_at_timer
 from spanshunt.systems.shedding import may_take_connection
+from spanshunt.tables.holdings import BoxLimits
 from spanshunt.tables.overload import Overload
 
 LOOK_MS = 50
 
 
+class ManualClock(Clock):
+    """A clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.at = 0
+
+    def now(self) -> Millis:
+        return Millis(self.at)
+
+
 def _look(overload: Overload, late_ms: float, open_requests: int, at: int, looks: int):
     changes = [
         look_at_timer(overload, late_ms, open_requests, Millis(at + step * LOOK_MS))
@@ -94,3 +110,35 @@
         assert overload.limit is None or overload.limit >= MIN_LIMIT
     look_at_timer(overload, 0.0, 0, Millis(now + LIFTED_MS))
     assert not is_overloaded(overload)
+
+
+def test_box_that_does_not_know_its_processor_closes_nothing():
+    assert not limits_connections(BoxLimits())
+    assert limits_connections(BoxLimits(cpu_share=0.5))
+
+
+async def test_connections_without_a_request_count_for_a_second_only():
+    """Guards against idle connections that keep callers out of a box."""
+    clock = ManualClock()
+    fleet = make_fleet("box-1")
+    fleet.limits = BoxLimits(cpu_share=1.0)
+    server = CallerServer(fleet, clock, lambda _name: None, None)
+    handlers = [server() for _ in range(5)]
+    assert server.open_requests() == 5
+    server.record_read(handlers[0])
+    clock.at += UNREAD_MS
+    server.look(0.0)
+    assert not server.open_requests()
+
+
+async def test_limit_ends_with_the_setting():
+    fleet = make_fleet("box-1")
+    fleet.limits = BoxLimits(cpu_share=1.0)
+    server = CallerServer(fleet, ManualClock(), lambda _name: None, None)
+    for _ in range(LOOKS_NEEDED):
+        server.look(2 * LATE_MS / 1_000)
+    assert is_overloaded(fleet.overload)
+    fleet.limits = BoxLimits()
+    server.look(2 * LATE_MS / 1_000)
+    assert not is_overloaded(fleet.overload)
+    assert server.may_take()
