--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from .endless import chunk
+from .endless import write_without_end
 from .resets import reset
 from .slots import WorkerSlots
 from .worker_faults import ENDLESS
@@ -23,9 +25,6 @@
 PAUSE_S = 1.6
 """How long a stream is silent that goes on by itself, in s."""
 
-ENDLESS_BLOCK, ENDLESS_MOST = 4_096, 256 * 1_048_576
-"""Bytes that an answer without end writes at a time, and at the most."""
-
 CUT_AFTER = 2
 """Events after which a stream is cut by the faults that cut one."""
 
@@ -262,7 +261,7 @@
         extra = {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(self._head(200, seen.request, None, sealed=True, extra=extra))
         number = int(seen.headers.get("last-event-id", "0")) + 1
-        writer.write(_chunk(f"id: {number}\ndata: {seen.request}\n\n".encode()))
+        writer.write(chunk(f"id: {number}\ndata: {seen.request}\n\n".encode()))
 
     def _falls_over(self) -> bool:
         """Count a request turned away; end and return True if that is too many."""
@@ -335,7 +334,7 @@
             event = f"id: {number}\ndata: {text}\n\n".encode()
             if sent == CUT_AFTER and fault is WorkerFault.CUT:
                 await asyncio.sleep(0.03)
-                writer.write(_chunk(event[:9]))
+                writer.write(chunk(event[:9]))
                 await writer.drain()
                 return False
             pauses = sent == CUT_AFTER and fault is WorkerFault.PAUSE
@@ -345,7 +344,7 @@
             if sent == CUT_AFTER and fault is WorkerFault.STALL:
                 await self._until_closed(seen, reader)
                 return False
-            writer.write(_chunk(event))
+            writer.write(chunk(event))
             await writer.drain()
             if self.event_s and await self._closed_within(reader, self.event_s):
                 self.cancelled.append(seen.request)
@@ -391,24 +390,10 @@
         if fault is WorkerFault.ENDLESS_CHUNKS:
             extra["Transfer-Encoding"] = "chunked"
         head = self._head(200, request, None, sealed=True, extra=extra)
-        block = b"x" * ENDLESS_BLOCK
-        if fault is WorkerFault.ENDLESS_HEAD:
-            head, block = head[:-2], b"X-More: x\r\n" * (ENDLESS_BLOCK // 11)
-        elif fault is WorkerFault.ENDLESS_LINE:
-            head = head[:-2] + b"X-Long: "
-        elif fault is WorkerFault.ENDLESS_CHUNKS:
-            block = _chunk(block)
-        written = 0
         self.endless_open += 1
         try:
-            writer.write(head)
-            while written < ENDLESS_MOST:
-                writer.write(block)
-                await writer.drain()
-                written += len(block)
-                await asyncio.sleep(0)
+            await write_without_end(writer, head, fault, self.endless_bytes)
         finally:
-            self.endless_bytes.append(written)
             self.endless_open -= 1
 
     def _take_ending(self) -> StreamEnding:
@@ -496,10 +481,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def _chunk(data: bytes) -> bytes:
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
-
-
 SURPLUS = _head(200, "surplus", length=7, sealed=True) + b"surplus"
 """An answer that nobody asked for."""
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -436,3 +436,15 @@
 def seeded(seed: int = 1) -> random.Random:
     """Return a source of chance that repeats."""
     return random.Random(seed)
+
+
+def event_ids(body: bytes) -> list[int]:
+    """Return the ids of the events of a stream."""
+    return [
+        int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")
+    ]
+
+
+def run_count(fleet: TestFleet, request: str) -> int:
+    """Return how often workers ran a request."""
+    return sum(worker.ran.count(request) for worker in fleet.workers.values())
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -10,12 +10,13 @@
 from fleet_builders import KEY
 from fleet_builders import TestFleet
 from fleet_builders import config
+from fleet_builders import event_ids
+from fleet_builders import run_count
 from fleet_builders import running_fleet
 from fleet_builders import until
 from fleet_builders import without_key
 from spanshunt.ids import WorkerId
 from spanshunt.standins.worker_faults import WorkerFault
-from spanshunt.systems.invariants import check_single_send
 from spanshunt.systems.repeats import RepeatBounds
 
 
@@ -28,16 +29,6 @@
             worker.fault, worker.faults_left = fault, left
 
 
-def _run_count(fleet: TestFleet, request: str) -> int:
-    return sum(worker.ran.count(request) for worker in fleet.workers.values())
-
-
-def _event_ids(body: bytes) -> list[int]:
-    return [
-        int(line[3:]) for line in body.decode().splitlines() if line.startswith("id:")
-    ]
-
-
 class TestWhole:
     """Plain requests get the worker's unchanged answer, or a correct refusal."""
 
@@ -119,7 +110,7 @@
             reply = await fleet.ask(fleet.boxes[0], "/view/", Attempt_Id="full")
             assert reply.status == 503
             assert 0 < float(reply.headers["Retry-After"]) < 1
-            assert _run_count(fleet, "full") == 0
+            assert run_count(fleet, "full") == 0
 
     async def test_full_worker_causes_retry_elsewhere(self):
         async with running_fleet() as fleet:
@@ -129,7 +120,7 @@
                     fleet.boxes[0], "/view/", Attempt_Id=f"n{number}"
                 )
                 assert reply.status == 200
-                assert _run_count(fleet, f"n{number}") == 1
+                assert run_count(fleet, f"n{number}") == 1
 
     @pytest.mark.parametrize(
         "fault",
@@ -186,7 +177,7 @@
             reply = await fleet.ask(fleet.boxes[0], "/look/", Attempt_Id="bad")
             assert reply.status == 500
             assert reply.headers["Response-Seal"] == "seal-of-bad"
-            assert _run_count(fleet, "bad") == 2
+            assert run_count(fleet, "bad") == 2
 
     @pytest.mark.parametrize("fault", [WorkerFault.EXTRA, WorkerFault.LATE_EXTRA])
     async def test_surplus_answers_are_dropped(self, fault):
@@ -274,7 +265,7 @@
         async with running_fleet() as fleet:
             reply = await fleet.ask(fleet.boxes[0], "/long/", Attempt_Id="st")
             assert reply.status == 200
-            assert _event_ids(reply.body) == [1, 2, 3, 4]
+            assert event_ids(reply.body) == [1, 2, 3, 4]
             models = {
                 seen.headers["model"]
                 for worker in fleet.workers.values()
@@ -288,7 +279,7 @@
             _set_fault(fleet, "writer", fault, left=1)
             reply = await fleet.ask(fleet.boxes[0], "/long/", Attempt_Id="cut")
             assert reply.status == 200
-            assert _event_ids(reply.body) == [1, 2, 3, 4]
+            assert event_ids(reply.body) == [1, 2, 3, 4]
             assert reply.headers["Response-Seal"] == "seal-of-cut"
 
     async def test_silent_stream_continues_if_it_cannot_be_resumed(self):
@@ -301,8 +292,8 @@
             box.node.core.bounds = RepeatBounds(ratio=0.0, slack=0.0)
             _set_fault(fleet, "writer", WorkerFault.PAUSE)
             reply = await fleet.ask(box, "/long/", Attempt_Id="still")
-            assert _event_ids(reply.body) == [1, 2, 3, 4]
-            assert _run_count(fleet, "still") == 1
+            assert event_ids(reply.body) == [1, 2, 3, 4]
+            assert run_count(fleet, "still") == 1
 
     async def test_unfinished_stream_is_visibly_incomplete(self):
         async with running_fleet() as fleet:
@@ -321,48 +312,7 @@
             _set_fault(fleet, "writer", WorkerFault.CUT)
             with pytest.raises(aiohttp.ClientPayloadError):
                 await fleet.ask(box, "/long/", Attempt_Id="uncut")
-            assert _run_count(fleet, "uncut") == 1
-
-    async def test_unsure_answer_that_may_run_once_goes_to_its_caller(self):
-        """Guards against an escalation that runs such a request again: the check that
-        it is sent once ended the box, with all that it had under way."""
-        async with running_fleet() as fleet:
-            routes = [{**route, "StreamResume": False} for route in config()["Routes"]]
-            await fleet.configure(config(8, Routes=routes))
-            box = fleet.boxes[0]
-            await until(lambda: box.node.fleet.catalog.version == 8, "version 8")
-            for worker in fleet.workers.values():
-                worker.sureness = {"small": 2, "large": 90}
-            for number in range(6):
-                name = f"once-{number}"
-                reply = await fleet.ask(
-                    box, "/long/", Attempt_Id=name, Token_Counts="4000,10"
-                )
-                assert _event_ids(reply.body) == [1, 2, 3, 4]
-                assert _run_count(fleet, name) == 1
-            assert not box.node.broken
-
-    async def test_broken_invariant_of_a_request_ends_that_request_alone(
-        self, monkeypatch: pytest.MonkeyPatch
-    ):
-        """Guards against a check of one request that cuts all the others of a box."""
-
-        def check_but_one(sends: int, request: str) -> None:
-            check_single_send(int(request == "bad"), request)
-
-        async with running_fleet() as fleet:
-            box = fleet.boxes[0]
-            monkeypatch.setattr("spanshunt.forwarding.check_single_send", check_but_one)
-            for worker in fleet.workers.values():
-                worker.holds = lambda _request: 0.3
-            beside = asyncio.create_task(fleet.ask(box, "/view/", Attempt_Id="beside"))
-            await asyncio.sleep(0.1)
-            bad = await fleet.ask(box, "/view/", Attempt_Id="bad")
-            assert bad.status == 502
-            assert not _run_count(fleet, "bad")
-            assert (await beside).status == 200
-            assert not box.node.broken
-            assert box.node.counters.value("request_invariants_broken") == 1
+            assert run_count(fleet, "uncut") == 1
 
     async def test_unsure_answer_is_escalated_to_largest_model(self):
         async with running_fleet() as fleet:
@@ -371,7 +321,7 @@
             reply = await fleet.ask(
                 fleet.boxes[0], "/long/", Attempt_Id="up", Token_Counts="4000,10"
             )
-            assert _event_ids(reply.body) == [1, 2, 3, 4]
+            assert event_ids(reply.body) == [1, 2, 3, 4]
             models = [
                 seen.headers["model"]
                 for worker in fleet.workers.values()
@@ -395,7 +345,7 @@
             reply = await fleet.ask(
                 box, "/long/", Attempt_Id="last", Token_Counts="4000,10"
             )
-            assert _event_ids(reply.body) == [1, 2, 3, 4]
+            assert event_ids(reply.body) == [1, 2, 3, 4]
             models = [
                 seen.headers["model"]
                 for worker in fleet.workers.values()
@@ -466,7 +416,7 @@
             running = [worker for worker in fleet.workers.values() if worker.ran]
             for worker in running:
                 worker.break_off()
-            assert _event_ids((await asking).body) == list(range(1, 13))
+            assert event_ids((await asking).body) == list(range(1, 13))
 
     async def test_older_catalog_version_is_ignored(self):
         async with running_fleet() as fleet:
