--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -29,6 +29,7 @@
 from ..tables.notices import Notice
 from ..tables.notices import NoticeKind
 from ..tables.workers import WorkerRow
+from ..time_limits import within
 from . import answer_notices
 from . import wire
 
@@ -154,12 +155,17 @@
         """Ask a worker for its health; return whether it answered at all."""
         assert self._fresh is not None
         url = URL(f"http://{worker.address}{path}", encoded=True)
-        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
         try:
-            async with self._fresh.get(url, timeout=timeout):
-                return True
+            await within(HEALTH_TIMEOUT_S, _get_head(self._fresh, url))
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
+        return True
+
+
+async def _get_head(session: aiohttp.ClientSession, url: URL) -> None:
+    """Wait for the head of an answer."""
+    async with session.get(url, timeout=aiohttp.ClientTimeout()):
+        pass
 
 
 def _http_send(dispatch: Dispatch, spent_ms: int) -> HttpSend:
--- a/src/spanshunt/worker_probes.py
+++ b/src/spanshunt/worker_probes.py
@@ -7,6 +7,7 @@
 
 from .ids import WorkerId
 from .tables.workers import WorkerRow
+from .time_limits import within
 
 PROBE_S = 0.15
 """How long a connect may take, in s: within a region it is refused or up within 10 ms;
@@ -45,12 +46,15 @@
 async def _connect(address: str) -> Presence:
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(PROBE_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+        await within(PROBE_S, _open_and_close(host, int(port)))
     except (TimeoutError, ValueError):
         return Presence.UNKNOWN
     except OSError as exc:
         refused = exc.errno == errno.ECONNREFUSED
         return Presence.GONE if refused else Presence.UNKNOWN
-    writer.close()
     return Presence.THERE
+
+
+async def _open_and_close(host: str, port: int) -> None:
+    _, writer = await asyncio.open_connection(host, port)
+    writer.close()
