--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -223,7 +223,8 @@
     """Return log fields on the choice of the version during a roll-out."""
     row = core.fleet.rollouts.rows.get(attempt.service)
     if row is None:
-        return {}
+        withheld = sorted(attempt.rule.never)
+        return {"withheld": withheld} if withheld else {}
     return {
         "version_by": attempt.rule.reason.value,
         "order": row.order,
--- a/src/spanshunt/exchange.py
+++ b/src/spanshunt/exchange.py
@@ -321,7 +321,7 @@
             for row in change.replaced:
                 self._on_ended(row)
             if not change.empty:
-                log_event("INFO", "workers", source=news.box, **_log_fields(change))
+                log_event("INFO", "workers", source=news.box, **change.as_fields())
         elif news.workers_digest == list_digest(fleet):
             fleet.workers_end = Offset(news.workers_end)
             fleet.workers_read_at = max(fleet.workers_read_at, read_at)
@@ -472,7 +472,3 @@
 def _is_due(peer: PeerRow, now: Millis) -> bool:
     """Return whether the back-off after failed calls to a peer is over."""
     return now >= peer.asked + BACK_OFF_MS * min(peer.failures, MAX_BACK_OFF_FAILURES)
-
-
-def _log_fields(change: t.Any) -> dict[str, object]:
-    return {name: list(getattr(change, name)) for name in ("came", "leaving", "gone")}
--- a/src/spanshunt/fleet_report.py
+++ b/src/spanshunt/fleet_report.py
@@ -27,6 +27,7 @@
 from .systems.silence import is_silent
 from .systems.tallies import pooled_tallies
 from .systems.warming import is_cold
+from .systems.withholding import withheld_versions
 from .systems.worker_speed import present_slowdown
 from .tables.fleet import Fleet
 from .tables.fleet import PeerRow
@@ -328,6 +329,8 @@
     )
     if barred is not None:
         return f"its version was taken back before {barred}"
+    if row.versions and row.versions <= withheld_versions(fleet, row.service, now):
+        return "its version may have an order"
     if is_silent(fleet, row.name, now):
         boxes = ", ".join(sorted(fleet.silence_reports[row.name]))
         return f"silent to {boxes}"
--- a/src/spanshunt/platform/bounds.py
+++ b/src/spanshunt/platform/bounds.py
@@ -16,6 +16,7 @@
     bounds = settings.bounds
     fleet.cold_bounds = ColdBounds(bounds.cold_over, bounds.cold_slack)
     fleet.rollouts.bounds = ExposureBounds(bounds.expose_share, bounds.expose_slack)
+    fleet.rollouts.order_wait_ms = bounds.in_force_ms
     fleet.limits = BoxLimits(
         settings.limits.cpu_share,
         settings.limits.memory_mb,
--- a/src/spanshunt/platform/worker_list.py
+++ b/src/spanshunt/platform/worker_list.py
@@ -106,10 +106,7 @@
                 "workers",
                 source="store",
                 end=listing.end,
-                came=list(change.came),
-                leaving=list(change.leaving),
-                gone=list(change.gone),
-                kept=list(change.kept),
+                **change.as_fields(),
             )
         return True
 
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -29,6 +29,8 @@
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
 from .warming import mark_cold
+from .withholding import ServiceVersion
+from .withholding import withhold_new_versions
 
 ENTRY_GRACE_MS = 2_000
 """How long after the store is back an expired entry is waited for, in ms: live workers
@@ -112,6 +114,8 @@
         Workers that are newly missing: absent from the list, but still used.
     replaced : tuple
         Former rows of workers that ended unplanned and have a successor in the list.
+    withheld : tuple
+        Services with a new version that gets nothing until its order may be known.
     """
 
     came: tuple[WorkerId, ...] = ()
@@ -119,12 +123,23 @@
     gone: tuple[WorkerId, ...] = ()
     kept: tuple[WorkerId, ...] = ()
     replaced: tuple[WorkerRow, ...] = ()
+    withheld: tuple[ServiceVersion, ...] = ()
 
     @property
     def empty(self) -> bool:
         """Whether nothing changed."""
         return not (self.came or self.leaving or self.gone or self.kept)
 
+    def as_fields(self) -> dict[str, list[str]]:
+        """Return fields of a log line."""
+        return {
+            "came": list(self.came),
+            "leaving": list(self.leaving),
+            "gone": list(self.gone),
+            "kept": list(self.kept),
+            "withheld": [f"{service}/{version}" for service, version in self.withheld],
+        }
+
 
 def apply_worker_list(
     fleet: Fleet,
@@ -144,10 +159,12 @@
     fleet.workers_end = end
     present = {item.row.name for item in listed}
     replaced = _find_replaced(fleet, listed)
+    versions = fleet.workers.known_versions()
     came, leaving = _apply_present(fleet, listed, now, wall)
     gone, kept = _apply_missing(fleet, present, now)
     fleet.workers.invalidate_index()
-    return ListChange(came, leaving, gone, kept, replaced)
+    withheld = withhold_new_versions(fleet, versions, now)
+    return ListChange(came, leaving, gone, kept, replaced, withheld)
 
 
 def _find_replaced(fleet: Fleet, listed: list[ListedWorker]) -> tuple[WorkerRow, ...]:
--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -30,6 +30,7 @@
 from .load_trials import workers_in_turn
 from .tallies import has_excess_faults
 from .watching import can_fall_back
+from .withholding import withheld_versions
 
 
 class Reason(enum.Enum):
@@ -126,11 +127,12 @@
         is not resumed on an entering version that already failed it.
     """
     row = fleet.rollouts.rows.get(service)
+    withheld = _withheld(fleet, service, now)
     if row is None:
-        return VersionRule()
+        return VersionRule(never=withheld)
     share = entering_share(fleet, row, now, in_session=bool(session))
     entering = VersionRule(only=row.version, share=share)
-    leaving = VersionRule(never=row.barred | {row.version}, share=share)
+    leaving = VersionRule(never=row.barred | {row.version} | withheld, share=share)
     if row.verdict is Verdict.SUCCEEDED:
         if can_fall_back(fleet, row, now):
             return leaving._replace(reason=Reason.TURNED_BAD)
@@ -279,6 +281,20 @@
     return changed
 
 
+def _withheld(fleet: Fleet, service: ServiceId, now: Millis) -> frozenset[VersionId]:
+    """Return the versions that get nothing until their order may be known.
+
+    None if only their workers could answer.
+    """
+    if not fleet.rollouts.withheld:
+        return frozenset()
+    withheld = withheld_versions(fleet, service, now)
+    others = VersionRule(never=withheld)
+    if withheld and not _has_reachable_workers(fleet, service, others, now):
+        return frozenset()
+    return withheld
+
+
 def _has_workers(
     fleet: Fleet,
     service: ServiceId,
--- a/src/spanshunt/tables/rollouts.py
+++ b/src/spanshunt/tables/rollouts.py
@@ -337,7 +337,14 @@
         Bounds of the requests that a bad version may get.
     rows : dict
         The newest order of each service.
+    order_wait_ms : int
+        Within which an order that was written must be known here, in ms.
+    withheld : dict
+        Until when versions without an order get nothing, by service and version; see
+        ``systems/withholding.py``.
     """
 
     bounds: ExposureBounds = ExposureBounds()
     rows: dict[ServiceId, RolloutRow] = {}
+    order_wait_ms: int = 2_000
+    withheld: dict[tuple[ServiceId, VersionId], Millis] = {}
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -232,13 +232,24 @@
         self, service: ServiceId, version: VersionId | None
     ) -> list[WorkerRow]:
         """Return the workers of `service` with `version` loaded, in any state."""
-        if not self.index:
-            for row in self.rows.values():
-                self.index.setdefault((row.service, None), []).append(row)
-                for held in row.versions:
-                    self.index.setdefault((row.service, held), []).append(row)
+        self._build_index()
         return self.index.get((service, version), [])
 
+    def known_versions(self) -> frozenset[tuple[ServiceId, VersionId]]:
+        """Return the versions that any worker has loaded, with their services."""
+        self._build_index()
+        return frozenset(
+            (service, version) for service, version in self.index if version is not None
+        )
+
+    def _build_index(self) -> None:
+        if self.index:
+            return
+        for row in self.rows.values():
+            self.index.setdefault((row.service, None), []).append(row)
+            for held in row.versions:
+                self.index.setdefault((row.service, held), []).append(row)
+
     def invalidate_index(self) -> None:
         """Invalidate the index and the digest after a change to the workers."""
         self.index.clear()
