--- a/src/spanshunt/gateway_service.py
+++ b/src/spanshunt/gateway_service.py
@@ -13,10 +13,10 @@
 from multidict import CIMultiDict
 from result import Err
 from result import Result
-from yarl import URL
 
 from .clock import Clock
 from .http_sends import HttpSend
+from .http_sends import worker_url
 from .logs import log_event
 from .peers.gateways import ForwardedBlock
 from .peers.gateways import ForwardedEnd
@@ -185,7 +185,7 @@
 
 
 def _http_send(row: WorkerRow, message: ForwardedRequest) -> HttpSend:
-    url = URL(f"http://{row.address}{message.target}", encoded=True)
+    url = worker_url(row.address, message.target)
     headers = CIMultiDict(message.headers)
     return HttpSend(message.method, url, headers, message.body)
 
--- a/src/spanshunt/http_sends.py
+++ b/src/spanshunt/http_sends.py
@@ -75,6 +75,17 @@
     return session
 
 
+def worker_url(address: str, target: str) -> URL:
+    """Return the URL of a request to a worker, with the target as it was received.
+
+    The target is taken as a path as a whole: a parsed URL forgets an empty query.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(
+        scheme="http", host=host, port=int(port), path=target, encoded=True
+    )
+
+
 def drop_headers(
     headers: t.Mapping[str, str], dropped: t.Collection[str]
 ) -> CIMultiDict[str]:
--- a/src/spanshunt/platform/workers.py
+++ b/src/spanshunt/platform/workers.py
@@ -19,6 +19,7 @@
 from ..http_sends import drop_headers
 from ..http_sends import new_client_session
 from ..http_sends import send_http
+from ..http_sends import worker_url
 from ..ids import Millis
 from ..ports import Answer
 from ..ports import Dispatch
@@ -154,7 +155,7 @@
     async def ask_health(self, worker: WorkerRow, path: str) -> bool:
         """Ask a worker for its health; return whether it answered at all."""
         assert self._fresh is not None
-        url = URL(f"http://{worker.address}{path}", encoded=True)
+        url = worker_url(worker.address, path)
         try:
             await within(HEALTH_TIMEOUT_S, _get_head(self._fresh, url))
         except (aiohttp.ClientError, OSError, TimeoutError):
@@ -171,7 +172,7 @@
 def _http_send(dispatch: Dispatch, spent_ms: int) -> HttpSend:
     """Build a request that is sent `spent_ms` after it was planned."""
     call = dispatch.call
-    url = URL(f"http://{dispatch.worker.address}{call.target}", encoded=True)
+    url = worker_url(dispatch.worker.address, call.target)
     headers = _request_headers(dispatch, dispatch.left_ms - spent_ms)
     return HttpSend(call.method, url, headers, call.body)
 
