--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -10,6 +10,7 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
+from multidict import CIMultiDictProxy
 from result import Err
 from result import Ok
 from result import Result
@@ -291,17 +292,27 @@
     return Err(Refusal(Problem.BAD_REQUEST, detail))
 
 
-def _end_to_end(headers: t.Mapping[str, str], *, keep_model: bool) -> CIMultiDict[str]:
+def _end_to_end(
+    headers: CIMultiDictProxy[str], *, keep_model: bool
+) -> CIMultiDict[str]:
     """Return the headers that travel on: no connection's, none of the system's."""
-    named = headers.get("Connection", "").lower().split(",")
-    dropped = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS
-    dropped |= {name.strip() for name in named}
+    dropped = wire.CONNECTION_HEADERS | wire.SYSTEM_HEADERS | _named_headers(headers)
     kept = drop_headers(headers, dropped)
     if keep_model:
         kept[wire.MODEL] = headers[wire.MODEL]
     return kept
 
 
+def _named_headers(headers: CIMultiDictProxy[str]) -> set[str]:
+    """Return what `Connection` names, in lower case, but for what workers need."""
+    named = ",".join(headers.getall("Connection", [])).lower().split(",")
+    return {
+        name.strip()
+        for name in named
+        if not name.strip().startswith(wire.CONTENT_HEADERS)
+    } - wire.NEEDED_HEADERS
+
+
 def _parse_tokens(text: str) -> RequestTokens:
     """Decode ``READ,GENERATED``; anything else tells nothing of the size."""
     first, _, second = text.partition(",")
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -118,6 +118,16 @@
 )
 """Headers that concern one connection alone."""
 
+NEEDED_HEADERS = frozenset(
+    {"host", "attempt-id", "session", "token-counts", "prompt-prefix"}
+)
+"""Headers, in lower case, that reach the worker even if `Connection` names them: what a
+request is and whom it is for does not depend on one connection."""
+
+CONTENT_HEADERS = "content-"
+"""How the names of headers begin that tell what the body is, in lower case; the same
+holds for them."""
+
 ANY_MODEL = "*"
 
 _KINDS = {"safe": RequestKind.REPEATABLE, "streaming": RequestKind.STREAM}
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fleet_builders import HOST
 from fleet_builders import KEY
 from fleet_builders import Box
 from fleet_builders import TestFleet
@@ -24,12 +25,12 @@
         writer.close()
 
 
-async def ask_raw(fleet: TestFleet, target: str, **headers: str) -> None:
-    """Ask by a connection of its own, with the target as it is."""
+async def ask_raw(fleet: TestFleet, target: str, *more: str, **headers: str) -> None:
+    """Ask by a connection of its own, with the target as it is and `more` lines."""
     sent = fleet.headers("/look/", KEY, headers)
     lines = [f"{name}: {value}" for name, value in sent.items()]
     async with connection(fleet.boxes[0]) as (reader, writer):
-        head = "\r\n".join([f"GET {target} HTTP/1.1", *lines, "", ""])
+        head = "\r\n".join([f"GET {target} HTTP/1.1", *lines, *more, "", ""])
         writer.write(head.encode())
         assert b" 200 " in await reader.readline()
         await reader.readuntil(b"\r\n\r\n")
@@ -55,3 +56,21 @@
     async with running_fleet() as fleet:
         await ask_raw(fleet, target)
         assert seen_targets(fleet) == [target]
+
+
+async def test_connection_names_no_header_that_workers_need():
+    """Guards against requests that a caller's hop makes unreadable to workers."""
+    async with running_fleet() as fleet:
+        needed = {"Session": "s-1", "Content-Language": "de"}
+        named = "close, X-Hop, Attempt-Id, Session, Host, Content-Language"
+        also = ("Connection: X-Other", "X-Other: 3")
+        await ask_raw(
+            fleet, "/look/x", *also, Connection=named, X_Hop="1", X_End="2", **needed
+        )
+        found = [seen for worker in fleet.workers.values() for seen in worker.seen]
+        headers = {name.lower(): value for name, value in found[0].headers.items()}
+        assert headers["attempt-id"] and headers["host"] == HOST
+        assert headers["session"] == "s-1"
+        assert headers["content-language"] == "de"
+        assert headers["x-end"] == "2"
+        assert headers.keys().isdisjoint({"x-hop", "x-other", "connection"})
