--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -1,5 +1,6 @@
 """Callers' requests on the platform's wire, and the way back to them."""
 
+import asyncio
 import contextlib
 import typing as t
 from functools import partial
@@ -51,9 +52,9 @@
 HEADER_BYTES = 65_536
 """Longest header line, in bytes; the catalog's limit is checked against the whole."""
 
-KEEP_ALIVE_S = 75.0
-"""How long an idle connection of a caller is kept, in s: well over the longest rest
-that catalogs allow, so that the caller closes first."""
+KEEP_ALIVE_S = 3_600.0
+"""How long an idle connection of a caller is kept at most, in s, whatever the catalog
+allows."""
 
 
 class CallerReply(HttpReply):
@@ -113,18 +114,33 @@
         self._on_broken = on_broken
         self.server = self._make_server()
 
-    def end_idle_connections(self) -> None:
-        """End connections without a request; to be called until none is left.
+    def end_idle_connections(self, rested_s: float = 0.0) -> int:
+        """End connections that have had no request for so long; return how many.
 
-        The others end with their answers. They are not told to close: the library then
-        drops what has not arrived yet of a request's body.
+        In a stop it is to be called until none is left. The others end with their
+        answers. They are not told to close: the library then drops what has not arrived
+        yet of a request's body.
         """
+        before = asyncio.get_running_loop().time() + KEEP_ALIVE_S - rested_s
+        ended = 0
         for connection in list(self.server.connections):
             # A request that has been read counts before its handler begins, so what
             # tells is whether the library still waits for one.
             waiter = connection._waiter
-            if waiter is not None and not waiter.done():
-                connection.force_close()
+            if waiter is None or waiter.done():
+                continue
+            # The library notes from when on it would end it by itself.
+            if rested_s and connection._next_keepalive_close_time > before:
+                continue
+            connection.force_close()
+            ended += 1
+        return ended
+
+    async def end_rested_connections(self) -> None:
+        """End connections that rested for longer than the catalog allows."""
+        rested_s = self._limits().idle_timeout_ms / 1_000
+        for _ in range(self.end_idle_connections(rested_s)):
+            self._core.count("connections_rested")
 
     def _make_server(self) -> CallerServer:
         core = self._core
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,7 +1,8 @@
-"""What reaches workers of callers' requests."""
+"""What reaches workers of callers' requests, and how long callers may rest."""
 
 import asyncio
 import contextlib
+import time
 import typing as t
 
 import pytest
@@ -10,7 +11,16 @@
 from fleet_builders import KEY
 from fleet_builders import Box
 from fleet_builders import TestFleet
+from fleet_builders import config
 from fleet_builders import running_fleet
+from fleet_builders import until
+
+IDLE_S = 1.0
+"""How long callers may rest, in s, where a test sets it."""
+
+CLOSED_WITHIN_S = 1.5
+"""Within which a connection is closed that rested too long, in s: it is looked for
+once a second."""
 
 
 @contextlib.asynccontextmanager
@@ -74,3 +84,43 @@
         assert headers["content-language"] == "de"
         assert headers["x-end"] == "2"
         assert headers.keys().isdisjoint({"x-hop", "x-other", "connection"})
+
+
+async def rest(box: Box, most_s: float) -> float:
+    """Open a connection and wait until the box closes it; return after how long."""
+    async with connection(box) as (reader, _writer):
+        began = time.monotonic()
+        async with asyncio.timeout(most_s):
+            assert await reader.read(1) == b""
+        return time.monotonic() - began
+
+
+async def test_connection_may_rest_for_as_long_as_the_catalog_says():
+    """Guards against idle callers that use up a box's descriptors."""
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        limits = {"IdleTimeoutMs": round(1_000 * IDLE_S)}
+        await fleet.configure(config(8, Limits=limits))
+        node = box.node.fleet
+        await until(lambda: node.catalog.version == 8, "the catalog is known")
+        rested = await rest(box, IDLE_S + CLOSED_WITHIN_S)
+        assert rested >= IDLE_S
+
+
+async def test_connection_that_is_used_is_kept():
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        limits = {"IdleTimeoutMs": round(1_000 * IDLE_S)}
+        await fleet.configure(config(8, Limits=limits))
+        await until(lambda: box.node.fleet.catalog.version == 8, "the catalog is known")
+        sent = fleet.headers("/look/", KEY, {})
+        lines = "\r\n".join(f"{name}: {value}" for name, value in sent.items())
+        async with connection(box) as (reader, writer):
+            for _ in range(4):
+                writer.write(f"GET /look/x HTTP/1.1\r\n{lines}\r\n\r\n".encode())
+                assert b" 200 " in await reader.readline()
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = head.lower().partition(b"content-length: ")[2].split()[0]
+                await reader.readexactly(int(length))
+                # Callers take up what has rested for up to four fifths of the limit.
+                await asyncio.sleep(0.8 * IDLE_S)
