--- a/src/spanshunt/catalog_calls.py
+++ b/src/spanshunt/catalog_calls.py
@@ -74,6 +74,7 @@
 from .tables.catalog import RequestKind
 from .tables.engines import PromptPart
 from .tables.suspects import RequestFeature
+from .time_limits import wait_within
 from .waiting_room import WaitingRoom
 from .worker_notices import apply_notice
 
@@ -311,10 +312,10 @@
     limit = first_byte_timeout_ms(
         core.fleet, route, attempt.model, read, attempt.time_factor
     )
-    await asyncio.wait({send_task}, timeout=limit / 1_000)
-    if not send_task.done() and has_sent_recently(attempt.worker, core.clock.now()):
+    done = await wait_within(limit / 1_000, send_task)
+    if not done and has_sent_recently(attempt.worker, core.clock.now()):
         extended = limit * RECENTLY_SENT_FACTOR
-        await asyncio.wait({send_task}, timeout=(extended - limit) / 1_000)
+        await wait_within((extended - limit) / 1_000, send_task)
     if not state.repeatable or state.counted_runs >= state.max_attempts:
         if not send_task.done() and not state.repeatable:
             record_silent_worker(core, state, attempt)
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -23,6 +23,8 @@
 from .systems.timing import RECENTLY_SENT_FACTOR
 from .systems.timing import has_sent_recently
 from .systems.timing import stall_timeout_ms
+from .time_limits import MAX_TIMES
+from .time_limits import was_late
 
 
 def should_escalate(
@@ -127,15 +129,19 @@
     if not route.resumable or state.counted_runs >= route.max_attempts:
         return await answer.next_block()
     limit_ms = stall_timeout_ms(route, attempt.time_factor)
-    silent_ms = 0.0
+    silent_ms, times = 0.0, 0
     while True:
+        due_s = asyncio.get_running_loop().time() + limit_ms / 1_000
         try:
-            async with asyncio.timeout(limit_ms / 1_000):
+            async with asyncio.timeout_at(due_s):
                 block = await answer.next_block()
         except TimeoutError:
             now = core.clock.now()
             if now >= state.limit:
                 raise
+            times += 1
+            if times < MAX_TIMES and was_late(due_s, limit_ms / 1_000):
+                continue
             silent_ms += limit_ms
             if (
                 has_sent_recently(worker, now)
--- a/src/spanshunt/time_limits.py
+++ b/src/spanshunt/time_limits.py
@@ -17,16 +17,37 @@
 """How often the time is given, so that there is an end to it on a busy machine."""
 
 
-async def within(limit_s: float, work: t.Coroutine[t.Any, t.Any, T]) -> T:
-    """Return what `work` returns; cancel it if that takes too long.
+def was_late(due_s: float, limit_s: float) -> bool:
+    """Return whether a timer that just ended a limit was late itself.
 
     Parameters
     ----------
+    due_s : float
+        When it was due, by the loop's time, in s.
     limit_s : float
-        How long it may take, in s, where the loop is on time; else up to `MAX_TIMES`
-        times as long, and what the loop is late.
-    work : coroutine
-        What waits for another machine.
+        The limit, in s.
+    """
+    return asyncio.get_running_loop().time() > due_s + LATE_PART * limit_s
+
+
+async def wait_within(limit_s: float, task: asyncio.Future[T]) -> bool:
+    """Wait for a task; return whether it is done.
+
+    Where the loop is late the limit, in s, is given up to `MAX_TIMES` times.
+    """
+    loop = asyncio.get_running_loop()
+    for _ in range(MAX_TIMES):
+        due = loop.time() + limit_s
+        await asyncio.wait({task}, timeout=limit_s)
+        if task.done() or not was_late(due, limit_s):
+            break
+    return task.done()
+
+
+async def within(limit_s: float, work: t.Coroutine[t.Any, t.Any, T]) -> T:
+    """Return what `work` returns; cancel it if that takes too long.
+
+    Where the loop is late the limit, in s, is given up to `MAX_TIMES` times.
 
     Raises
     ------
@@ -35,19 +56,8 @@
     """
     task = asyncio.ensure_future(work)
     try:
-        for _ in range(MAX_TIMES):
-            if not await _ends_late(task, limit_s):
-                break
-        if not task.done():
+        if not await wait_within(limit_s, task):
             raise TimeoutError
         return task.result()
     finally:
         task.cancel()
-
-
-async def _ends_late(task: asyncio.Future[T], limit_s: float) -> bool:
-    """Wait for a task; return whether it is not done by a timer that was late."""
-    loop = asyncio.get_running_loop()
-    due = loop.time() + limit_s
-    await asyncio.wait({task}, timeout=limit_s)
-    return not task.done() and loop.time() > due + LATE_PART * limit_s
