--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from spanshunt.standins.worker import SeenRequest
+from spanshunt.standins.worker_messages import SeenRequest
 
 from .soak_fleet import DEADLY
 from .soak_fleet import DEADLY_PART
--- a/bench/soak_words.py
+++ b/bench/soak_words.py
@@ -6,9 +6,9 @@
 import typing as t
 
 from spanshunt.standins.worker import Said
-from spanshunt.standins.worker import SeenRequest
 from spanshunt.standins.worker_faults import StreamEnding
 from spanshunt.standins.worker_faults import WorkerFault
+from spanshunt.standins.worker_messages import SeenRequest
 
 from .soak_fleet import NamedLimit
 from .soak_fleet import Soak
--- a/src/spanshunt/standins/worker.py
+++ b/src/spanshunt/standins/worker.py
@@ -18,6 +18,11 @@
 from .worker_faults import ENDLESS
 from .worker_faults import StreamEnding
 from .worker_faults import WorkerFault
+from .worker_messages import SURPLUS
+from .worker_messages import SeenRequest
+from .worker_messages import health_head
+from .worker_messages import read_request
+from .worker_messages import write_head
 
 HEALTH_PATH = "/health"
 """Where a worker tells whether it is healthy; here it always is while it listens."""
@@ -29,17 +34,6 @@
 """Events after which a stream is cut by the faults that cut one."""
 
 
-class SeenRequest(msgspec.Struct, frozen=True):
-    """A request as it reached the worker; ``at`` is when, by the loop, in s."""
-
-    request: str
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    at: float
-
-
 class Said(msgspec.Struct, frozen=True):
     """What an answer said of the worker: to which request, and when, by the loop."""
 
@@ -163,13 +157,13 @@
         self._tasks.add(task)
         try:
             owes = used = False
-            while (seen := await _read_request(reader)) is not None:
+            while (seen := await read_request(reader)) is not None:
                 if seen.target == HEALTH_PATH:
                     if self.endless_health is not None:
                         fault = self.endless_health
                         await self._write_without_end("", writer, fault)
                         break
-                    writer.write(_health_head(self.name))
+                    writer.write(health_head(self.name))
                     continue
                 self.seen.append(seen)
                 if used and self.fault is WorkerFault.FORGET:
@@ -436,7 +430,7 @@
         if self.says or self.asks:
             at = asyncio.get_running_loop().time()
             self.said.append(Said(request, at, headers))
-        return _head(
+        return write_head(
             status,
             request,
             length,
@@ -457,49 +451,3 @@
                 return not await reader.read(1)
         except TimeoutError:
             return False
-
-
-def _head(
-    status: int,
-    request: str,
-    length: int | None,
-    *,
-    sealed: bool,
-    tells_load: bool = True,
-    extra: dict[str, str] | None = None,
-) -> bytes:
-    headers = {"Attempt-Id": request}
-    if tells_load:
-        headers["Instance-Load"] = "1,0,8"
-    headers |= extra or {}
-    if sealed:
-        headers["Response-Seal"] = f"seal-of-{request}"
-    if length is not None:
-        headers["Content-Length"] = str(length)
-    lines = [f"HTTP/1.1 {status} Said"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
-SURPLUS = _head(200, "surplus", length=7, sealed=True) + b"surplus"
-"""An answer that nobody asked for."""
-
-
-async def _read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
-    try:
-        raw = await reader.readuntil(b"\r\n\r\n")
-    except asyncio.IncompleteReadError:
-        return None
-    first, *lines = raw.decode("latin-1").strip().split("\r\n")
-    method, target, _ = first.split(" ", 2)
-    pairs = (line.partition(":") for line in lines)
-    headers = {name.lower(): value.strip() for name, _, value in pairs}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    at = asyncio.get_running_loop().time()
-    return SeenRequest(headers.get("attempt-id", ""), method, target, headers, body, at)
-
-
-def _health_head(name: str) -> bytes:
-    """Return the answer of a healthy worker."""
-    head = f"HTTP/1.1 200 OK\r\nInstance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
-    return head.encode()
