--- a/src/spanshunt/peers/news_rows.py
+++ b/src/spanshunt/peers/news_rows.py
@@ -8,7 +8,6 @@
 from ..ids import Offset
 from ..systems.brittleness import brittle_to_send
 from ..systems.estimating import reportable_prefills
-from ..systems.following_workers import ListedWorker
 from ..systems.following_workers import is_leaving_without_notice
 from ..systems.quarantining import suspects_to_send
 from ..systems.tallies import sum_tallies
@@ -27,6 +26,7 @@
 from ..tables.rollouts import Verdict
 from ..tables.rollouts import WorkerTallyKey
 from ..tables.suspects import SuspectFeature
+from ..tables.worker_list import ListedWorker
 from ..tables.workers import WorkerRow
 from .news_items import EvacuationNews
 from .news_items import LeavingNews
--- a/src/spanshunt/platform/wire.py
+++ b/src/spanshunt/platform/wire.py
@@ -21,7 +21,6 @@
 from ..ids import VersionId
 from ..ids import WorkerId
 from ..settings import Address
-from ..systems.following_workers import ListedWorker
 from ..tables.catalog import CallerLimits
 from ..tables.catalog import Catalog
 from ..tables.catalog import OrgRow
@@ -33,6 +32,7 @@
 from ..tables.rollouts import Finding
 from ..tables.rollouts import RecordedSuspicion
 from ..tables.rollouts import Verdict
+from ..tables.worker_list import ListedWorker
 from ..tables.workers import WorkerRow
 
 OPERATORS_TOPIC = "keyed.op"
--- a/src/spanshunt/platform/worker_list.py
+++ b/src/spanshunt/platform/worker_list.py
@@ -7,11 +7,11 @@
 
 from ..ids import Millis
 from ..logs import log_event
-from ..systems.following_workers import ListedWorker
 from ..systems.following_workers import apply_worker_list
 from ..systems.following_workers import drop_missing_workers
 from ..systems.following_workers import must_read_list
 from ..systems.following_workers import record_list_read
+from ..tables.worker_list import ListedWorker
 from ..tables.workers import WorkerRow
 from . import wire
 from .store import Listing
--- a/src/spanshunt/systems/following_workers.py
+++ b/src/spanshunt/systems/following_workers.py
@@ -18,18 +18,17 @@
 
 import zlib
 
-import msgspec
-
 from ..ids import BoxId
 from ..ids import Millis
 from ..ids import Offset
 from ..ids import WorkerId
 from ..tables.fleet import Fleet
 from ..tables.notices import LeavingNotice
+from ..tables.worker_list import ListChange
+from ..tables.worker_list import ListedWorker
 from ..tables.workers import WorkerRow
 from ..tables.workers import WorkerState
 from .warming import mark_cold
-from .withholding import ServiceVersion
 from .withholding import withhold_new_versions
 
 ENTRY_GRACE_MS = 2_000
@@ -77,70 +76,6 @@
 entry may come back with the store, and few workers of a fleet send notices."""
 
 
-class ListedWorker(msgspec.Struct, frozen=True):
-    """One entry of the list.
-
-    Attributes
-    ----------
-    row : WorkerRow
-        The worker.
-    draining : bool
-        Whether the entry says that the worker leaves, which marks the worker as
-        leaving.
-    cold_ms : int or None
-        How much longer the worker is cold after its start, in ms; None if unknown.
-    problem : str
-        Description of an invalid value in the entry; empty for none.
-    """
-
-    row: WorkerRow
-    draining: bool
-    cold_ms: Millis | None = None
-    problem: str = ""
-
-
-class ListChange(msgspec.Struct, frozen=True):
-    """Changes by a list.
-
-    Attributes
-    ----------
-    came : tuple
-        Workers, or new incarnations of them, that were added to the table.
-    leaving : tuple
-        Workers that the list newly says are leaving.
-    gone : tuple
-        Workers that were removed from the table.
-    kept : tuple
-        Workers that are newly missing: absent from the list, but still used.
-    replaced : tuple
-        Former rows of workers that ended unplanned and have a successor in the list.
-    withheld : tuple
-        Services with a new version that gets nothing until its order may be known.
-    """
-
-    came: tuple[WorkerId, ...] = ()
-    leaving: tuple[WorkerId, ...] = ()
-    gone: tuple[WorkerId, ...] = ()
-    kept: tuple[WorkerId, ...] = ()
-    replaced: tuple[WorkerRow, ...] = ()
-    withheld: tuple[ServiceVersion, ...] = ()
-
-    @property
-    def empty(self) -> bool:
-        """Whether nothing changed."""
-        return not (self.came or self.leaving or self.gone or self.kept)
-
-    def as_fields(self) -> dict[str, list[str]]:
-        """Return fields of a log line."""
-        return {
-            "came": list(self.came),
-            "leaving": list(self.leaving),
-            "gone": list(self.gone),
-            "kept": list(self.kept),
-            "withheld": [f"{service}/{version}" for service, version in self.withheld],
-        }
-
-
 def apply_worker_list(
     fleet: Fleet,
     listed: list[ListedWorker],
--- a/src/spanshunt/systems/withholding.py
+++ b/src/spanshunt/systems/withholding.py
@@ -12,8 +12,7 @@
 from ..ids import ServiceId
 from ..ids import VersionId
 from ..tables.fleet import Fleet
-
-ServiceVersion = tuple[ServiceId, VersionId]
+from ..tables.workers import ServiceVersion
 
 
 def withhold_new_versions(
--- a/src/spanshunt/tables/workers.py
+++ b/src/spanshunt/tables/workers.py
@@ -199,6 +199,10 @@
         return WorkerIncarnation(f"{self.name}{start_suffix}{return_suffix}")
 
 
+ServiceVersion = tuple[ServiceId, VersionId]
+"""A version of a service."""
+
+
 class Workers(msgspec.Struct):
     """All known workers.
 
@@ -235,7 +239,7 @@
         self._build_index()
         return self.index.get((service, version), [])
 
-    def known_versions(self) -> frozenset[tuple[ServiceId, VersionId]]:
+    def known_versions(self) -> frozenset[ServiceVersion]:
         """Return the versions that any worker has loaded, with their services."""
         self._build_index()
         return frozenset(
--- a/tests/test_following_machine.py
+++ b/tests/test_following_machine.py
@@ -25,7 +25,6 @@
 from spanshunt.ids import Millis
 from spanshunt.ids import Offset
 from spanshunt.systems.following_workers import ENTRY_GRACE_MS
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.following_workers import drop_missing_workers
 from spanshunt.systems.following_workers import must_read_list
@@ -33,6 +32,7 @@
 from spanshunt.systems.following_workers import record_store_answer
 from spanshunt.systems.following_workers import record_store_failure
 from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.worker_list import ListedWorker
 
 DRAINING_MS = 2_000
 CALM_MS = 3_000
--- a/tests/test_following_workers.py
+++ b/tests/test_following_workers.py
@@ -10,7 +10,6 @@
 from spanshunt.ids import Offset
 from spanshunt.peers.news_rows import to_listed_worker as listed_worker
 from spanshunt.peers.news_rows import workers_news
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.following_workers import drop_missing_workers
 from spanshunt.systems.following_workers import find_list_reader
@@ -23,6 +22,7 @@
 from spanshunt.tables.catalog import Catalog
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.worker_list import ListedWorker
 
 
 def listed(*names: str, draining: tuple[str, ...] = ()) -> list[ListedWorker]:
--- a/tests/test_learned_speeds.py
+++ b/tests/test_learned_speeds.py
@@ -30,7 +30,6 @@
 from spanshunt.systems.ending import record_worker_end
 from spanshunt.systems.estimating import estimate_first_event
 from spanshunt.systems.estimating import record_first_event
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.placing import batch_load
 from spanshunt.systems.timing import learn_first_byte_time
@@ -48,6 +47,7 @@
 from spanshunt.tables.catalog import RequestKind
 from spanshunt.tables.catalog import RouteRow
 from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.worker_list import ListedWorker
 from spanshunt.tables.workers import WorkerRow
 
 NO_MODEL = ModelId("")
--- a/tests/test_leaving_words.py
+++ b/tests/test_leaving_words.py
@@ -23,7 +23,6 @@
 from spanshunt.standins.worker import WorkerStandin
 from spanshunt.standins.worker_faults import WorkerFault
 from spanshunt.systems.following_workers import MAX_FORMER_WORKERS
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.following_workers import list_digest
 from spanshunt.systems.following_workers import record_leaving_notice
@@ -33,6 +32,7 @@
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.notices import LeavingNotice
 from spanshunt.tables.notices import RateLimit
+from spanshunt.tables.worker_list import ListedWorker
 from spanshunt.worker_notices import merge_leaving_news
 
 BOX = BoxId("box-1")
--- a/tests/test_older_store.py
+++ b/tests/test_older_store.py
@@ -46,7 +46,6 @@
 from spanshunt.systems.evacuating import apply_evacuation
 from spanshunt.systems.evacuating import is_evacuated
 from spanshunt.systems.evacuating import revoke_unlisted
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.ramping import apply_order
 from spanshunt.systems.ramping import apply_verdict
@@ -54,6 +53,7 @@
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.rollouts import Verdict
 from spanshunt.tables.suspects import SuspectFeature
+from spanshunt.tables.worker_list import ListedWorker
 
 SERVICE = ServiceId("writer")
 NORTH = DomainId("north")
--- a/tests/test_resting.py
+++ b/tests/test_resting.py
@@ -16,7 +16,6 @@
 from spanshunt.platform.answer_notices import REST_MOST_MS
 from spanshunt.platform.answer_notices import decode_rest
 from spanshunt.standins.worker_faults import WorkerFault
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.placing import PlacementRequest
 from spanshunt.systems.placing import choose_worker
@@ -24,6 +23,7 @@
 from spanshunt.systems.resting import apply_rest
 from spanshunt.systems.resting import rest_left_ms
 from spanshunt.tables.notices import RateLimit
+from spanshunt.tables.worker_list import ListedWorker
 
 DATE = "Thu, 03 Dec 2026 12:00:00 GMT"
 
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -37,7 +37,6 @@
 from spanshunt.platform.wire import decode_worker
 from spanshunt.systems.ending import record_worker_end
 from spanshunt.systems.ending import record_worker_return
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.following_workers import list_digest
 from spanshunt.systems.placing import PlacementRequest
@@ -49,6 +48,7 @@
 from spanshunt.tables.fleet import ColdBounds
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.fleet import PeerRow
+from spanshunt.tables.worker_list import ListedWorker
 from spanshunt.tables.workers import WorkerRow
 
 BOUND = COLD_PER_S * COLD_OVER + COLD_SLACK
--- a/tests/test_withholding.py
+++ b/tests/test_withholding.py
@@ -11,14 +11,14 @@
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
-from spanshunt.systems.following_workers import ListChange
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.ramping import VersionRule
 from spanshunt.systems.ramping import apply_order
 from spanshunt.systems.ramping import version_rule_for
 from spanshunt.tables.fleet import Fleet
 from spanshunt.tables.rollouts import Verdict
+from spanshunt.tables.worker_list import ListChange
+from spanshunt.tables.worker_list import ListedWorker
 
 SERVICE, OLD, NEW = ServiceId("writer"), VersionId("v1"), VersionId("v2")
 
--- a/tests/test_worker_entries.py
+++ b/tests/test_worker_entries.py
@@ -19,7 +19,6 @@
 from spanshunt.platform.wire import decode_worker
 from spanshunt.systems.ending import record_worker_end
 from spanshunt.systems.ending import record_worker_return
-from spanshunt.systems.following_workers import ListedWorker
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.following_workers import mark_replaced
 from spanshunt.systems.silence import SilenceReport
@@ -29,6 +28,7 @@
 from spanshunt.systems.worker_health import record_answer
 from spanshunt.systems.worker_health import record_load
 from spanshunt.tables.fleet import Fleet
+from spanshunt.tables.worker_list import ListedWorker
 from spanshunt.tables.workers import WorkerRow
 
 ENTRY: dict[str, t.Any] = {
