--- a/tests/test_single_runs.py
+++ b/tests/test_single_runs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from builders import a_system
 from fleet_builders import config
 from fleet_builders import event_ids
 from fleet_builders import run_count
@@ -53,3 +54,22 @@
         assert (await beside).status == 200
         assert not box.node.broken
         assert box.node.counters.value("request_invariants_broken") == 1
+
+
+async def test_broken_invariant_of_a_plain_call_ends_that_call_alone(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against the same in the daemon that keeps no platform's list."""
+    left = [1]
+
+    def check_but_one(_sends: int, request: str) -> None:
+        check_single_send(left.pop() if left else 0, request)
+
+    async with a_system() as system:
+        monkeypatch.setattr("spanshunt.forwarding.check_single_send", check_but_one)
+        status, problem = await system.call("POST", "/rights")
+        assert status == 502
+        assert problem["run"] == "unknown"
+        status, _answer = await system.call("POST", "/rights")
+        assert status == 200
+        assert system.daemons[0].broken is None
