--- a/tests/test_quarantined_parts.py
+++ b/tests/test_quarantined_parts.py
@@ -239,9 +239,10 @@
         assert last.status == 400
         assert "Retry-After" not in last.headers
         assert b"prompt part 'dead'" in last.body
-        arrivals = crashing.arrivals()
-        known_at = arrivals[KNOWN_ENDS - 1] + KNOWN_S
-        assert sum(at > known_at for at in arrivals) <= MAX_LATER_ARRIVALS
+        # Often it is known by fewer ends.
+        since_known = crashing.arrivals()[KNOWN_ENDS - 1 :]
+        later = [at for at in since_known if at > since_known[0] + KNOWN_S]
+        assert len(later) <= MAX_LATER_ARRIVALS
         sound = await fleet.ask(
             fleet.boxes[0], "/long/x", body=b"sound", Prompt_Prefix="a1:200,e9:800"
         )
