--- a/src/spanshunt/systems/ramping.py
+++ b/src/spanshunt/systems/ramping.py
@@ -127,12 +127,13 @@
         is not resumed on an entering version that already failed it.
     """
     row = fleet.rollouts.rows.get(service)
-    withheld = _withheld(fleet, service, now)
     if row is None:
-        return VersionRule(never=withheld)
+        return VersionRule(never=_withheld(fleet, service, frozenset(), now))
     share = entering_share(fleet, row, now, in_session=bool(session))
     entering = VersionRule(only=row.version, share=share)
-    leaving = VersionRule(never=row.barred | {row.version} | withheld, share=share)
+    barred = row.barred | {row.version}
+    withheld = _withheld(fleet, service, barred, now)
+    leaving = VersionRule(never=barred | withheld, share=share)
     if row.verdict is Verdict.SUCCEEDED:
         if can_fall_back(fleet, row, now):
             return leaving._replace(reason=Reason.TURNED_BAD)
@@ -281,15 +282,17 @@
     return changed
 
 
-def _withheld(fleet: Fleet, service: ServiceId, now: Millis) -> frozenset[VersionId]:
+def _withheld(
+    fleet: Fleet, service: ServiceId, barred: frozenset[VersionId], now: Millis
+) -> frozenset[VersionId]:
     """Return the versions that get nothing until their order may be known.
 
-    None if only their workers could answer.
+    None if only their workers could answer, as `barred` versions may not.
     """
     if not fleet.rollouts.withheld:
         return frozenset()
     withheld = withheld_versions(fleet, service, now)
-    others = VersionRule(never=withheld)
+    others = VersionRule(never=withheld | barred)
     if withheld and not _has_reachable_workers(fleet, service, others, now):
         return frozenset()
     return withheld
--- a/tests/test_withholding.py
+++ b/tests/test_withholding.py
@@ -11,6 +11,7 @@
 from spanshunt.ids import Offset
 from spanshunt.ids import ServiceId
 from spanshunt.ids import VersionId
+from spanshunt.ids import WorkerId
 from spanshunt.systems.following_workers import apply_worker_list
 from spanshunt.systems.ramping import VersionRule
 from spanshunt.systems.ramping import apply_order
@@ -97,6 +98,18 @@
     assert rule(fleet, 2.5).admits({OLD})
 
 
+def test_next_version_serves_where_only_one_that_was_taken_back_is_left():
+    """Guards against refusals while workers of the service are there."""
+    fleet = make_fleet()
+    list_versions(fleet, 1.0, a="v1", b="v2")
+    apply_order(fleet, SERVICE, NEW, Offset(5), DURATION, ms(1.5))
+    fleet.rollouts.rows[SERVICE].verdict = Verdict.ROLLED_BACK
+    list_versions(fleet, 2.0, a="v1", b="v2", c="v3")
+    fleet.workers.leaving.add(WorkerId("a"))
+    assert rule(fleet, 2.5).admits({VersionId("v3")})
+    assert not rule(fleet, 2.5).admits({NEW})
+
+
 async def test_a_box_sends_nothing_to_a_version_that_has_no_order_yet():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
