--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -114,33 +114,42 @@
         self._on_broken = on_broken
         self.server = self._make_server()
 
-    def end_idle_connections(self, rested_s: float = 0.0) -> int:
-        """End connections that have had no request for so long; return how many.
+    def end_idle_connections(self) -> None:
+        """End connections without a request; to be called until none is left.
 
-        In a stop it is to be called until none is left. The others end with their
-        answers. They are not told to close: the library then drops what has not arrived
-        yet of a request's body.
+        The others end with their answers. They are not told to close: the library then
+        drops what has not arrived yet of a request's body.
         """
-        before = asyncio.get_running_loop().time() + KEEP_ALIVE_S - rested_s
-        ended = 0
-        for connection in list(self.server.connections):
-            # A request that has been read counts before its handler begins, so what
-            # tells is whether the library still waits for one.
-            waiter = connection._waiter
-            if waiter is None or waiter.done():
-                continue
-            # The library notes from when on it would end it by itself.
-            if rested_s and connection._next_keepalive_close_time > before:
-                continue
+        for connection in self._idle_connections():
             connection.force_close()
-            ended += 1
-        return ended
 
     async def end_rested_connections(self) -> None:
-        """End connections that rested for longer than the catalog allows."""
-        rested_s = self._limits().idle_timeout_ms / 1_000
-        for _ in range(self.end_idle_connections(rested_s)):
-            self._core.count("connections_rested")
+        """End connections that rested for longer than the catalog allows.
+
+        A catalog that allows no rest sets no limit: what is just opened rests, too.
+        """
+        most_s = self._limits().idle_timeout_ms / 1_000
+        if most_s <= 0.0:
+            return
+        # The library notes when it would end a connection, `KEEP_ALIVE_S` after its
+        # last answer.
+        ends_by = asyncio.get_running_loop().time() + KEEP_ALIVE_S - most_s
+        for connection in self._idle_connections():
+            if connection._next_keepalive_close_time <= ends_by:
+                connection.force_close()
+                self._core.count("connections_rested")
+
+    def _idle_connections(self) -> list[RequestHandler]:
+        """Return connections that wait for a request.
+
+        One that has been read counts before its handler begins, so what tells is
+        whether the library still waits.
+        """
+        return [
+            connection
+            for connection in self.server.connections
+            if (waiter := connection._waiter) is not None and not waiter.done()
+        ]
 
     def _make_server(self) -> CallerServer:
         core = self._core
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -107,6 +107,15 @@
         assert rested >= IDLE_S
 
 
+async def test_catalog_that_allows_no_rest_keeps_what_was_just_opened():
+    async with running_fleet() as fleet:
+        box = fleet.boxes[0]
+        await fleet.configure(config(8, Limits={"IdleTimeoutMs": 0}))
+        await until(lambda: box.node.fleet.catalog.version == 8, "the catalog is known")
+        with pytest.raises(TimeoutError):
+            await rest(box, CLOSED_WITHIN_S)
+
+
 async def test_connection_that_is_used_is_kept():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
