--- a/src/spanshunt/platform/front.py
+++ b/src/spanshunt/platform/front.py
@@ -123,10 +123,10 @@
         for connection in self._idle_connections():
             connection.force_close()
 
-    async def end_rested_connections(self) -> None:
-        """End connections that rested for longer than the catalog allows.
+    async def end_timed_out_connections(self) -> None:
+        """End connections that were idle for longer than the catalog allows.
 
-        A catalog that allows no rest sets no limit: what is just opened rests, too.
+        A time of 0 sets no limit: a connection that was just opened is idle, too.
         """
         most_s = self._limits().idle_timeout_ms / 1_000
         if most_s <= 0.0:
@@ -137,7 +137,7 @@
         for connection in self._idle_connections():
             if connection._next_keepalive_close_time <= ends_by:
                 connection.force_close()
-                self._core.count("connections_rested")
+                self._core.count("connections_timed_out")
 
     def _idle_connections(self) -> list[RequestHandler]:
         """Return connections that wait for a request.
--- a/src/spanshunt/platform/node.py
+++ b/src/spanshunt/platform/node.py
@@ -114,8 +114,8 @@
 TIMER_LOOK_MS = 50
 """Period of looking how late timers are, in ms."""
 
-RESTED_MS = 1_000
-"""Period of looking for callers' connections that rested too long, in ms."""
+IDLE_LOOK_MS = 1_000
+"""Period of looking for callers' connections that were idle too long, in ms."""
 
 SWEEP_MS = 5_000
 """Period of dropping what is too old, in ms."""
@@ -302,7 +302,7 @@
         jobs.every(PARTITION_LOOK_MS, self._sender.look)
         jobs.every(SHARES_MS, self._share)
         jobs.every(SWEEP_MS, self._sweep)
-        jobs.every(RESTED_MS, self._front.end_rested_connections)
+        jobs.every(IDLE_LOOK_MS, self._front.end_timed_out_connections)
         jobs.every(UNREADY_LINE_MS, self._log_unready)
         if self._path:
             jobs.every(SETTINGS_MS, self._settings_file.look)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,4 +1,4 @@
-"""What reaches workers of callers' requests, and how long callers may rest."""
+"""What reaches workers of callers' requests, and how long connections may be idle."""
 
 import asyncio
 import contextlib
@@ -16,10 +16,10 @@
 from fleet_builders import until
 
 IDLE_S = 1.0
-"""How long callers may rest, in s, where a test sets it."""
+"""How long callers may be idle, in s, where a test sets it."""
 
 CLOSED_WITHIN_S = 1.5
-"""Within which a connection is closed that rested too long, in s: it is looked for
+"""Within which a connection is closed that was idle too long, in s: it is looked for
 once a second."""
 
 
@@ -86,7 +86,7 @@
         assert headers.keys().isdisjoint({"x-hop", "x-other", "connection"})
 
 
-async def rest(box: Box, most_s: float) -> float:
+async def idle_s(box: Box, most_s: float) -> float:
     """Open a connection and wait until the box closes it; return after how long."""
     async with connection(box) as (reader, _writer):
         began = time.monotonic()
@@ -95,7 +95,7 @@
         return time.monotonic() - began
 
 
-async def test_connection_may_rest_for_as_long_as_the_catalog_says():
+async def test_connection_may_be_idle_for_as_long_as_the_catalog_says():
     """Guards against idle callers that use up a box's descriptors."""
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
@@ -103,17 +103,17 @@
         await fleet.configure(config(8, Limits=limits))
         node = box.node.fleet
         await until(lambda: node.catalog.version == 8, "the catalog is known")
-        rested = await rest(box, IDLE_S + CLOSED_WITHIN_S)
-        assert rested >= IDLE_S
+        idle = await idle_s(box, IDLE_S + CLOSED_WITHIN_S)
+        assert idle >= IDLE_S
 
 
-async def test_catalog_that_allows_no_rest_keeps_what_was_just_opened():
+async def test_catalog_without_idle_time_keeps_what_was_just_opened():
     async with running_fleet() as fleet:
         box = fleet.boxes[0]
         await fleet.configure(config(8, Limits={"IdleTimeoutMs": 0}))
         await until(lambda: box.node.fleet.catalog.version == 8, "the catalog is known")
         with pytest.raises(TimeoutError):
-            await rest(box, CLOSED_WITHIN_S)
+            await idle_s(box, CLOSED_WITHIN_S)
 
 
 async def test_connection_that_is_used_is_kept():
