--- a/bench/play_fleet.py
+++ b/bench/play_fleet.py
@@ -125,6 +125,9 @@
     async def write(self, block: bytes) -> None:
         """Take more of a stream."""
 
+    def hold_partial(self, size: int) -> None:
+        """Count nothing."""
+
     def collector(self) -> Collect:
         """Return a function that keeps no account."""
         return do_not_collect
--- a/src/spanshunt/byte_keeper.py
+++ b/src/spanshunt/byte_keeper.py
@@ -20,6 +20,7 @@
 from .systems.holding import may_read_on
 from .systems.holding import may_take_body
 from .systems.holding import open_row
+from .systems.holding import set_partial
 from .systems.holding import set_unread
 from .tables.fleet import Fleet
 from .tables.holdings import ByteMarks
@@ -200,6 +201,11 @@
         self._written += size
         add_unread(keeper.fleet.byte_account, self.row, size, keeper.clock.now())
 
+    def set_partial(self, size: int) -> None:
+        """Count the bytes of an event that its worker has not completed yet."""
+        if size != self.row.partial_bytes:
+            set_partial(self._keeper.fleet.byte_account, self.row, size)
+
     def drop_collected(self) -> None:
         """Count nothing more of an answer that was collected and not sent."""
         keeper = self._keeper
--- a/src/spanshunt/http_replies.py
+++ b/src/spanshunt/http_replies.py
@@ -66,6 +66,11 @@
         if held.row.unread_bytes:
             await held.pace()
 
+    def hold_partial(self, size: int) -> None:
+        """Count the bytes of an event that is not complete yet."""
+        if self.held is not None:
+            self.held.set_partial(size)
+
     def collector(self) -> Collect:
         """Return a function that counts the blocks of a new whole answer.
 
--- a/src/spanshunt/ports.py
+++ b/src/spanshunt/ports.py
@@ -285,6 +285,9 @@
     async def write(self, block: bytes) -> None:
         """Send the next bytes of a stream."""
 
+    def hold_partial(self, size: int) -> None:
+        """Count the bytes of an event that is not complete yet; it is not sent."""
+
     def collector(self) -> Collect:
         """Return a function that counts the blocks of a new whole answer."""
 
--- a/src/spanshunt/relaying.py
+++ b/src/spanshunt/relaying.py
@@ -95,12 +95,26 @@
         If the connection breaks, if the stream ends inside an event, or if the worker
         is silent for too long while another one could resume the stream.
     """
+    try:
+        await _relay_events(core, state, attempt, answer, reply)
+    finally:
+        reply.hold_partial(0)
+
+
+async def _relay_events(
+    core: Core,
+    state: CatalogRequest,
+    attempt: CatalogAttempt,
+    answer: Answer,
+    reply: Reply,
+) -> None:
     splitter = EventSplitter(state.last_event_id)
     while True:
         block = await _next_block(core, state, attempt, answer)
         if not block:
             break
         events = splitter.feed(block)
+        reply.hold_partial(len(splitter.partial))
         if not events.block:
             continue
         if not reply.begun:
--- a/src/spanshunt/systems/holding.py
+++ b/src/spanshunt/systems/holding.py
@@ -68,7 +68,7 @@
 def close_row(account: ByteAccount, request: RequestId) -> None:
     """Remove the row of a request and all its bytes."""
     row = account.held.pop(request)
-    account.total -= row.body_bytes + row.unread_bytes
+    account.total -= row.body_bytes + row.unread_bytes + row.partial_bytes
 
 
 def add_body(account: ByteAccount, row: HeldAnswer, size: int) -> None:
@@ -77,6 +77,12 @@
     account.total += size
 
 
+def set_partial(account: ByteAccount, row: HeldAnswer, partial: int) -> None:
+    """Set how many bytes of an event are held that is not complete yet."""
+    account.total += partial - row.partial_bytes
+    row.partial_bytes = partial
+
+
 def add_unread(account: ByteAccount, row: HeldAnswer, size: int, now: Millis) -> None:
     """Count further bytes of an answer.
 
--- a/src/spanshunt/tables/holdings.py
+++ b/src/spanshunt/tables/holdings.py
@@ -36,6 +36,8 @@
         Bytes of the request's body.
     unread_bytes : int
         Bytes of the answer that the caller has not taken yet.
+    partial_bytes : int
+        Bytes of an event that its worker has not completed yet.
     progress_at : int
         When the caller last took bytes, or when the first unread ones came, in ms; for
         an answer that the box still collects, when its worker last sent any.
@@ -48,6 +50,7 @@
 
     body_bytes: int = 0
     unread_bytes: int = 0
+    partial_bytes: int = 0
     progress_at: Millis = Millis(0)
     offered: bool = False
     cut: bool = False
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -23,6 +23,9 @@
 CLOSED_S = 5.0
 """Within which the connection must be closed, in s."""
 
+LARGE_PARTIAL = 262_144
+"""Bytes of an event that are more than any other part of such a request."""
+
 ALL_ENDLESS = sorted(ENDLESS, key=lambda fault: fault.value)
 
 
@@ -72,3 +75,19 @@
         async with asyncio.timeout(2 * HEALTH_TIMEOUT_S + 1.0):
             await node._workers.ask_health(row, HEALTH_PATH)
         await _closed(fleet, "p-1")
+
+
+async def test_bytes_of_an_incomplete_event_are_held():
+    """Guards against memory that the account of bytes held does not know."""
+    async with running_fleet() as fleet:
+        for name in ("w-1", "w-2"):
+            _strike(fleet, name, WorkerFault.ENDLESS_BODY)
+        account = fleet.boxes[0].node.fleet.byte_account
+        asking = asyncio.create_task(fleet.ask(fleet.boxes[0], "/long/"))
+        most = 0
+        while not asking.done():
+            most = max(most, account.total)
+            await asyncio.sleep(0)
+        await asyncio.gather(asking, return_exceptions=True)
+        assert most > LARGE_PARTIAL
+        await until(lambda: not account.total, "nothing is held")
