--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -180,7 +180,7 @@
         """Start a box's process with the command of the deploy file."""
         env = {
             "PATH": os.environ.get("PATH", ""),
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": os.environ.get("HOME", "/"),
             "LANG": os.environ.get("LANG", "C.UTF-8"),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
