--- a/review/fleet2/fleet.py
+++ b/review/fleet2/fleet.py
@@ -218,6 +218,12 @@
                     found.append(f"{box.name}: {row}")
         return found
 
+    def record_runs(self) -> None:
+        """Write which worker ran which requests."""
+        for name, worker in self.workers.items():
+            ran = " ".join(worker.ran)
+            self.record.line(f"{name} ({worker.version}) ran: {ran}")
+
     async def stop(self) -> None:
         """End all that was started."""
         for box in self.boxes:
@@ -257,6 +263,7 @@
         try:
             async with asyncio.timeout(115):
                 held = await case(fleet, record)
+            fleet.record_runs()
             record.line("the rule held" if held else "the rule was broken")
             return 0 if held else 1
         except Exception as exc:
